--- /dev/null
+++ b/Makefile
@@ -0,0 +1,6 @@
+.PHONY: check
+check:
+	ruff format --check .
+	ruff check .
+	mypy
+	python -m pytest
--- /dev/null
+++ b/sillusher/__init__.py
@@ -0,0 +1,7 @@
+"""sillusher: the decisions of a reverse proxy over HTTP servers, which it ranks by C3."""
+
+from .interface import Listed, Port, Report
+from .policy import Gateway
+from .settings import Settings, SettingsError, parse_settings
+
+__all__ = ["Gateway", "Listed", "Port", "Report", "Settings", "SettingsError", "parse_settings"]
--- /dev/null
+++ b/sillusher/__main__.py
@@ -0,0 +1,93 @@
+"""The real gateway's process: configuration, loop, signals and exit."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+import uvloop
+
+from .net.config import Config, ConfigError, load_config
+from .net.discovery import Discovery
+from .net.downstream import listener
+from .net.gateway import Proxy
+from .net.log import Log
+
+VERSION = "0.1.0"
+USAGE = """usage: python -m sillusher [--help | --version]
+
+One real gateway. It is told all it needs by the environment: EDGE_CONFIG (a JSON file), EDGE_NAME,
+EDGE_LISTEN and EDGE_DISCOVERY. SIGTERM drains it."""
+BACKLOG = 4096
+FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
+ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming for 0.4 s
+STEP = 0.02
+
+
+async def serve(config: Config, log: Log) -> None:
+    """Run one gateway until SIGTERM has been honoured."""
+    loop = asyncio.get_running_loop()
+    proxy = Proxy(config, loop, log)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    proxy.begin()
+    discovery = Discovery(proxy)
+    watch = loop.create_task(discovery.run())
+    server = await loop.create_server(listener(proxy), *config.listen, backlog=BACKLOG)
+    log.say(
+        f"sillusher {VERSION} listens on {config.listen[0]}:{config.listen[1]}; "
+        f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
+        f"{len(config.known.entries)} hosts known"
+    )
+    # What is alive by now lives as long as the process: the collector need not look at it again.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 50)
+    waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
+    await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
+    proxy.ready = not stop.is_set()
+    log.say("ready")
+    await stop.wait()
+    log.say("SIGTERM: draining")
+    proxy.drain()
+    await asyncio.sleep(ACCEPT_ON)
+    server.close()
+    while proxy.clients:
+        for client in list(proxy.clients):
+            if client.is_idle():
+                client.close_idle()
+        await asyncio.sleep(STEP)
+    watch.cancel()
+    log.say("drained")
+
+
+def main(arguments: list[str]) -> int:
+    """Run the gateway; 0 after a drain, 2 where it is told something bad."""
+    if arguments in (["--help"], ["-h"]):
+        print(USAGE)
+        return 0
+    if arguments == ["--version"]:
+        print(f"sillusher {VERSION}")
+        return 0
+    if arguments:
+        print(f"sillusher: unknown argument: {arguments[0]}", file=sys.stderr)
+        return 2
+    try:
+        config = load_config(os.environ)
+    except ConfigError as error:
+        print(f"sillusher: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config, Log(config.name)))
+    except OSError as error:
+        print(f"sillusher: EDGE_LISTEN: {error.strerror or error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/sillusher/interface.py
@@ -0,0 +1,63 @@
+"""What the decision module is told and what it can do: types and vocabulary, no decisions.
+
+Events come in as method calls of `Gateway`, each with its time in microseconds. Actions leave
+through a `Port`, which the embedding gateway provides.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Protocol
+
+# A server's state in the list.
+READY, DRAINING, GONE = "ready", "draining", "gone"
+# What kind of news a list event is.
+CHANGES, FULL, RESTORED, FAILED = "changes", "full", "restored", "failed"
+# How an attempt ended.
+OK, ERROR, BUSY, TIMEOUT = "ok", "error", "full", "timeout"
+CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
+NEVER_RAN = frozenset((BUSY, CONNECT_FAILED, MOOT))  # these prove that the attempt did not run
+
+
+class Listed(NamedTuple):
+    """A server as discovery lists it. `boot` is 0 where it started long ago."""
+
+    server: str
+    weight: float
+    zone: int
+    cell: int
+    state: str
+    boot: int
+    kind: int
+
+
+class Report(NamedTuple):
+    """A server's load report; None where it does not say. `service` is in microseconds."""
+
+    queue: float | None  # requests waiting
+    service: float | None
+    inflight: float | None = None  # requests it holds, waiting or in work
+
+
+class Port(Protocol):
+    """What a gateway can do to the world."""
+
+    def send(self, req: int, server: str, timeout: int) -> None:
+        """Start an attempt; `timeout` 0 is until the client gives up."""
+
+    def refuse(self, req: int, retry_after: int) -> None:
+        """Answer 'turned away': a repeat is harmless. `retry_after` 0 gives no advice."""
+
+    def fail(self, req: int) -> None:
+        """Answer 'failed', which promises nothing about the effect."""
+
+    def cancel(self, req: int, attempt: int) -> None:
+        """Stop waiting for one attempt; its outcome still comes."""
+
+    def set_timer(self, token: int, at: int) -> None:
+        """Ask for a `timer` event with this token at that time. Timers cannot be taken back."""
+
+    def watch(self, on: bool) -> None:
+        """Subscribe to changes of the list, or stop; a `members` event answers."""
+
+    def log(self, text: str) -> None:
+        """Add a line to the log."""
--- /dev/null
+++ b/sillusher/net/config.py
@@ -0,0 +1,265 @@
+"""What the platform tells a gateway: the environment and one JSON file, as typed values."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from ..interface import DRAINING, GONE, READY, Listed
+from ..settings import Settings, SettingsError, parse_settings
+
+STATES: Final = {"active": READY, "leaving": DRAINING, "left": GONE}
+# The settings and the load header do not name a report's values alike; both names are known.
+REPORT_NAMES: Final = {
+    "queue": "queue", "depth": "queue",
+    "inflight": "inflight", "concurrent": "inflight",
+    "latency_ms": "service", "mean_ms": "service",
+}  # fmt: skip
+
+Address = tuple[str, int]
+
+
+class ConfigError(ValueError):
+    """The configuration lacks something or holds a bad value; the text names the field."""
+
+
+class EntryError(ValueError):
+    """An entry of discovery's list is out of form."""
+
+
+@dataclass(frozen=True, slots=True)
+class Wire:
+    """What of the settings concerns the sockets side only. Times are microseconds."""
+
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+    classes: Mapping[bytes, int]
+    tenants: Mapping[bytes, int]
+    connect_timeout: int
+    conn_idle: int
+    max_open: int
+    longest_deadline: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A host as discovery lists it: for the module, and where to reach it."""
+
+    listed: Listed
+    addr: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """An answer of discovery: the whole list or changes. `bad` counts entries out of form."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+    bad: int
+    bad_ids: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a gateway is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    cores: float
+    memory_mb: int
+    sockets: int
+    known: Roster
+    settings: Settings
+    wire: Wire
+
+
+def parse_address(field: str, text: Any) -> Address:
+    """`host:port` with a numeric IPv4 host, as there is no DNS."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    octets = host.split(".")
+    fine = len(octets) == 4 and all(o.isascii() and o.isdigit() and int(o) < 256 for o in octets)
+    if not (colon and fine and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ConfigError(f"{field}: not an address like 10.0.0.1:3000: {str(text)[:80]!r}")
+    return host, int(port)
+
+
+def parse_entry(value: Any, wire: Wire) -> Entry:
+    """One entry of discovery's list; raises EntryError."""
+    if not isinstance(value, dict):
+        raise EntryError("not an object")
+    name, state = value.get("id"), value.get("state")
+    if not isinstance(name, str) or not name or len(name) > 200:
+        raise EntryError("id: not a short text")
+    if not isinstance(state, str) or state not in STATES:
+        raise EntryError("state: not one of " + ", ".join(STATES))
+    numbers = []
+    for key, absent in (("weight", 1.0), ("cell", 0), ("started_ms", 0)):
+        number = value.get(key, absent)
+        number = absent if number is None else number
+        # Danger: JSON as Python reads it also knows NaN and Infinity.
+        if isinstance(number, bool) or not isinstance(number, int | float):
+            raise EntryError(f"{key}: not a number")
+        if not 0 <= number < 1e15:
+            raise EntryError(f"{key}: out of range")
+        numbers.append(number)
+    weight, cell, started = numbers
+    zone, kind = value.get("zone"), value.get("kind")
+    try:
+        addr = parse_address("addr", value.get("addr"))
+    except ConfigError as error:
+        raise EntryError(str(error)) from None
+    listed = Listed(
+        name,
+        float(weight),
+        # A zone that the settings do not name is like no other, and surely not the own one.
+        wire.zones.get(zone, len(wire.zones)) if isinstance(zone, str) else len(wire.zones),
+        int(cell),
+        STATES[state],
+        int(started * 1000),
+        wire.kinds.get(kind, 0) if isinstance(kind, str) else 0,
+    )
+    return Entry(listed, addr)
+
+
+def parse_roster(value: Any, wire: Wire) -> Roster:
+    """Discovery's answer; a bad entry is left out and counted. Raises EntryError."""
+    if not isinstance(value, dict):
+        raise EntryError("not an object")
+    version, full, servers = value.get("version"), value.get("full"), value.get("servers")
+    if isinstance(version, bool) or not isinstance(version, int) or version < 0:
+        raise EntryError("version: not a whole number")
+    if not isinstance(full, bool):
+        raise EntryError("full: not true or false")
+    if not isinstance(servers, list):
+        raise EntryError("servers: not a list")
+    entries: list[Entry] = []
+    bad_ids: set[str] = set()
+    bad = 0
+    for item in servers:
+        try:
+            entries.append(parse_entry(item, wire))
+        except EntryError:
+            bad += 1
+            name = item.get("id") if isinstance(item, dict) else None
+            if isinstance(name, str):
+                bad_ids.add(name)
+    return Roster(version, full, tuple(entries), bad, frozenset(bad_ids))
+
+
+def parse_load(value: bytes) -> dict[str, float]:
+    """A load report's values by the module's names; what is out of form is left out."""
+    found: dict[str, float] = {}
+    for pair in value.split(b","):
+        name, _, number = pair.partition(b"=")
+        known = REPORT_NAMES.get(name.strip().decode("latin-1"))
+        if known is None:
+            continue
+        try:
+            amount = float(number)
+        except ValueError:
+            continue
+        if 0.0 <= amount < 1e9:
+            found[known] = amount
+    return found
+
+
+def _names(value: Any, field: str) -> list[str]:
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise ConfigError(f"{field}: not a list")
+    for i, name in enumerate(value):
+        if not isinstance(name, str):
+            raise ConfigError(f"{field}[{i}]: not a text")
+    return value
+
+
+def _whole(at: Mapping[str, Any], key: str, field: str, absent: int) -> int:
+    value = at.get(key, absent)
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < 1e12:
+        raise ConfigError(f"{field}.{key}: not a number above 0: {value!r}")
+    return int(value)
+
+
+def _object(at: Mapping[str, Any], key: str) -> Mapping[str, Any]:
+    value = at.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: not an object")
+    return value
+
+
+def parse_config(value: Any, env: Mapping[str, str]) -> Config:
+    """The configuration file's object, with the environment's word first where it says something.
+
+    Raises ConfigError naming the field.
+    """
+    if not isinstance(value, dict):
+        raise ConfigError("EDGE_CONFIG: not a JSON object")
+    raw = value.get("settings")
+    if raw is None:
+        raise ConfigError("settings: required and missing")
+    try:
+        settings = parse_settings(raw)
+    except SettingsError as error:
+        raise ConfigError(f"settings: {error}") from None
+    limits, allowed = _object(value, "limits"), _object(raw, "limits")
+    cores = limits.get("cores", 1.0)
+    if isinstance(cores, bool) or not isinstance(cores, int | float) or not 0 < cores < 1e6:
+        raise ConfigError(f"limits.cores: not a number above 0: {cores!r}")
+    wire = Wire(
+        zones={name: i for i, name in enumerate(_names(raw.get("dcs"), "settings.dcs"))},
+        kinds={n: i for i, n in enumerate(_names(raw.get("shapes"), "settings.shapes"))},
+        classes={c.name.encode(): i for i, c in enumerate(settings.classes)},
+        tenants={t.name.encode(): i for i, t in enumerate(settings.tenants)},
+        connect_timeout=_whole(allowed, "connectTimeout", "settings.limits", 250_000),
+        conn_idle=_whole(allowed, "connIdle", "settings.limits", 15_000_000),
+        max_open=_whole(allowed, "maxOpen", "settings.limits", 20_000),
+        longest_deadline=max(c.deadline for c in settings.classes),
+    )
+    seed = value.get("seed", "0")
+    try:
+        number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed: not hex digits: {str(seed)[:80]!r}") from None
+    known = value.get("known", {"version": 0, "full": True, "servers": []})
+    try:
+        roster = parse_roster(known, wire)
+    except EntryError as error:
+        raise ConfigError(f"known.{error}") from None
+    name = env.get("EDGE_NAME") or value.get("name")
+    if not isinstance(name, str) or not name:
+        raise ConfigError("EDGE_NAME: required and missing")
+    listen = env.get("EDGE_LISTEN") or value.get("listen")
+    discovery = env.get("EDGE_DISCOVERY") or value.get("discovery")
+    return Config(
+        name=name,
+        listen=parse_address("EDGE_LISTEN", listen),
+        discovery=parse_address("EDGE_DISCOVERY", discovery),
+        seed=number,
+        cores=float(cores),
+        memory_mb=_whole(limits, "memory_mb", "limits", 192),
+        sockets=_whole(limits, "sockets", "limits", 1024),
+        known=roster,
+        settings=settings,
+        wire=wire,
+    )
+
+
+def load_config(env: Mapping[str, str]) -> Config:
+    """Read what the environment points to; raises ConfigError."""
+    path = env.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG: required and missing")
+    try:
+        with open(path, "rb") as file:
+            value = json.loads(file.read())
+    except OSError as error:
+        raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
+    except (ValueError, RecursionError):
+        raise ConfigError(f"EDGE_CONFIG: {path}: not JSON") from None
+    return parse_config(value, env)
--- /dev/null
+++ b/sillusher/net/discovery.py
@@ -0,0 +1,200 @@
+"""The watch on discovery: one connection, one call after the other, lists in their order."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING, Final, cast
+
+from .config import Address, parse_roster
+from .http import WHOLE, AnswerReader, MalformedError
+
+if TYPE_CHECKING:
+    from .gateway import Proxy
+
+PATH: Final = "/registry/instances"
+# What changes counts as told 6 s later at the latest, and 2 s after the wait of a call is over. A
+# cut-off connection says nothing, so a call must have ended well before that.
+WAIT_ASKED: Final = 3_500  # ms that a watch waits where discovery is one service for all
+PATIENCE_ASKED: Final = 1.7  # s more for its answer
+WAIT_PUSHED: Final = 400  # the agent is on this machine, and what it has counts as told at once
+PATIENCE_PUSHED: Final = 0.3
+CONNECT: Final = 0.5
+SOON: Final = 0.02  # between two calls where an answer came at once and had no news
+AGAIN: Final = 0.05  # first pause after a failed call to the agent; doubles
+AGAIN_MOST: Final = 0.3
+MAX_ANSWER: Final = 8 << 20
+
+
+class CallError(Exception):
+    """A call brought no list; the text says why."""
+
+
+class Call(AnswerReader, asyncio.Protocol):
+    """A connection to discovery."""
+
+    __slots__ = ("body", "done", "transport")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.transport: asyncio.Transport | None = None
+        self.done: asyncio.Future[None] | None = None
+        self.body = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def ask(self, target: str, address: Address, done: asyncio.Future[None]) -> None:
+        assert self.transport is not None
+        self.expect()
+        self.body = bytearray()
+        self.done = done
+        host = f"{address[0]}:{address[1]}"
+        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+
+    def head_read(self) -> None:
+        """The status is looked at once the answer is whole."""
+
+    def body_read(self, data: bytes) -> None:
+        self.body += data
+        if len(self.body) > MAX_ANSWER:
+            raise MalformedError("answer too large")
+
+    def data_received(self, data: bytes) -> None:
+        if self.done is None:
+            self.close()
+            return
+        try:
+            self.feed(data)
+        except MalformedError as error:
+            self._fail(f"malformed answer: {error}")
+            return
+        if self.phase == WHOLE:
+            self._finish()
+
+    def eof_received(self) -> None:
+        self.keep = False
+        if self.done is not None and self.ended():
+            self._finish()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.parser = None
+        self._fail("connection broke")
+        self.transport = None
+
+    def _finish(self) -> None:
+        done, self.done = self.done, None
+        if done is not None and not done.done():
+            done.set_result(None)
+
+    def _fail(self, why: str) -> None:
+        done, self.done = self.done, None
+        if done is not None and not done.done():
+            done.set_exception(CallError(why))
+        self.close()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def usable(self) -> bool:
+        return self.keep and self.transport is not None and not self.transport.is_closing()
+
+
+class Discovery:
+    """Keeps the watch and tells the gateway what came."""
+
+    def __init__(self, proxy: Proxy) -> None:
+        self.proxy = proxy
+        self.address = proxy.config.discovery
+        self.asked = proxy.config.settings.must_ask
+        self.version = proxy.config.known.version
+        self.heard = asyncio.Event()  # at least one list has come
+        self._wanted = asyncio.Event()
+        self._call: Call | None = None
+        self._random = random.Random(proxy.config.seed)
+        self._whole = True  # the next call asks for the whole list
+        proxy.watch_wanted = self.want
+
+    def want(self, on: bool) -> None:
+        """The module asks for a watch, where discovery must be asked, or ends it."""
+        if on:
+            self._wanted.set()
+        else:
+            self._wanted.clear()
+
+    async def run(self) -> None:
+        """Watch for as long as the process lives."""
+        again = AGAIN
+        # Where discovery is shared, a watch from the known list on costs it least.
+        self._whole = not self.asked
+        while True:
+            if self.asked:
+                await self._wanted.wait()
+            started = self.proxy.clock()
+            version = self.version
+            try:
+                news = await self._once()
+            except (CallError, OSError, TimeoutError) as error:
+                self._drop()
+                self.proxy.counters.bad_lists += 1
+                why = str(error) or type(error).__name__
+                self.proxy.logger.often("discovery", f"discovery: call failed: {why[:120]}")
+                if self.asked:
+                    # When to ask again is the module's decision.
+                    self._wanted.clear()
+                    self.proxy.list_failed()
+                else:
+                    await asyncio.sleep(again * (0.5 + self._random.random()))
+                    again = min(again * 2, AGAIN_MOST)
+                continue
+            again = AGAIN
+            self.heard.set()
+            idle = not news and self.version == version
+            if idle and self.proxy.clock() - started < 50_000:
+                await asyncio.sleep(SOON)
+
+    async def _once(self) -> bool:
+        """One call; whether it brought entries."""
+        wait, patience = (
+            (WAIT_ASKED, PATIENCE_ASKED) if self.asked else (WAIT_PUSHED, PATIENCE_PUSHED)
+        )
+        target = PATH
+        limit = patience + wait / 1000
+        if self._whole:
+            limit = PATIENCE_ASKED
+        else:
+            target += f"?after={self.version}&wait_ms={wait}"
+        loop = self.proxy.loop
+        call = self._call
+        if call is None or not call.usable():
+            self._drop()
+            async with asyncio.timeout(CONNECT):
+                _, call = await loop.create_connection(Call, *self.address)
+            self._call = call
+        done: asyncio.Future[None] = loop.create_future()
+        call.ask(target, self.address, done)
+        async with asyncio.timeout(limit):
+            await done
+        if call.status != 200:
+            raise CallError(f"status {call.status}")
+        try:
+            roster = parse_roster(json.loads(bytes(call.body)), self.proxy.config.wire)
+        except (ValueError, RecursionError) as error:
+            raise CallError(f"malformed list: {error}") from None
+        if self._whole and not roster.full:
+            raise CallError("changes instead of the whole list")
+        self.version = roster.version
+        self._whole = False
+        if roster.bad:
+            self.proxy.counters.bad_lists += 1
+            self.proxy.logger.often("entries", f"discovery: {roster.bad} entries out of form")
+        if roster.full or roster.entries or self.asked:
+            self.proxy.list_news(roster)
+        return bool(roster.entries)
+
+    def _drop(self) -> None:
+        if self._call is not None:
+            self._call.close()
+            self._call = None
--- /dev/null
+++ b/sillusher/net/gateway.py
@@ -0,0 +1,571 @@
+"""The module's `Port` on real sockets, and the only caller of the module.
+
+Owns the meaning that the simulator's wire gives to events and actions: numbers of attempts and
+their time-outs, deadlines, when a request is closed, timers, ids and the clock.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Final
+
+from ..interface import (
+    CANCELLED,
+    CHANGES,
+    CONNECT_FAILED,
+    FAILED,
+    FULL,
+    GONE,
+    MOOT,
+    OK,
+    RESTORED,
+    TIMEOUT,
+    Listed,
+    Report,
+)
+from ..policy import Gateway
+from .budget import Budget
+from .config import Config, Roster
+from .log import Log
+from .upstream import Attempt, Host, Pool, Upstream
+
+if TYPE_CHECKING:
+    from .downstream import Downstream
+
+MS: Final = 1000
+MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it
+OVERDUE: Final = 25 * MS  # so long after that the module has surely forgotten a request
+BEAT: Final = 25 * MS  # how often lateness of the loop is looked at
+LATE: Final = 40 * MS  # a loop later than that lets sockets speak before timers
+SWEEP: Final = 1000 * MS
+STATS: Final = 10_000 * MS
+RESERVE: Final = 48  # descriptors kept free of connections to hosts
+
+Answer = tuple[list[tuple[bytes, bytes, bytes]], "bytes | bytearray"]
+
+
+class Exchange:
+    """One client's request, from its last byte to its one answer and its last attempt's outcome."""
+
+    __slots__ = (
+        "attempts",
+        "body",
+        "bound",
+        "client",
+        "close_after",
+        "closed",
+        "cls",
+        "deadline",
+        "head",
+        "id",
+        "keep",
+        "key",
+        "old_http",
+        "out",
+        "repeat",
+        "reserved",
+        "tenant",
+        "wait_ms",
+        "wake",
+        "work",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.id = 0
+        self.client: Downstream | None = None
+        self.head = b""  # all of the head that goes on but for the deadline
+        self.body: bytes | bytearray = b""
+        self.reserved = 0  # of the budget for bodies
+        self.cls = self.tenant = self.work = self.wait_ms = 0
+        self.key: int | None = None
+        self.repeat = False
+        self.keep = True
+        self.old_http = False  # HTTP/1.0: no chunks, and closed unless asked otherwise
+        self.close_after = False  # a streamed answer ends the connection
+        self.deadline = self.wake = 0
+        self.attempts = 0
+        self.out: list[Attempt] = []
+        self.bound: Attempt | None = None  # whose answer the client is being streamed
+        self.closed = False
+
+    def wire(self, left: int) -> tuple[bytes, bytes | bytearray]:
+        """Head and body as they go to a host that is waited for so long."""
+        return b"%sReq-Deadline-Ms: %d\r\n\r\n" % (self.head, max(1, left // 1000)), self.body
+
+
+class Counters:
+    """What is counted for the periodic line in the log."""
+
+    __slots__ = (
+        "bad_lists", "bad_requests", "failed", "gone", "lag", "malformed", "overdue", "panics",
+        "refused", "requests", "served", "shed", "statuses",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.requests = self.served = self.refused = self.failed = self.gone = 0
+        self.bad_requests = self.malformed = self.bad_lists = self.panics = self.overdue = 0
+        self.shed = self.lag = 0
+        self.statuses: dict[str, int] = {}
+
+
+class Proxy:
+    """Translates between sockets and the module; implements `Port`."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, log: Log) -> None:
+        self.config, self.loop, self.logger = config, loop, log
+        # One clock for all: it runs evenly and starts from the time of day, so that a host's
+        # `started_ms` compares with it.
+        self._epoch = time.time_ns() - time.monotonic_ns()
+        wire = config.wire
+        idle_life = max(wire.conn_idle // 2, wire.conn_idle - 3_000_000)
+        self.pool = Pool(self, idle_life, wire.connect_timeout)
+        self.budget = Budget(config.memory_mb)
+        self.clients: dict[Downstream, None] = {}
+        self.live: dict[int, Exchange] = {}
+        self.counters = Counters()
+        self.ready = False
+        self.drain_since = 0
+        self.lag = 0
+        self.watch_wanted: Callable[[bool], None] = lambda on: None
+        self._next_id = 1
+        self._heap: list[tuple[int, int, Exchange | int | None]] = []
+        self._seq = 0
+        self._armed = 0
+        self._handle: asyncio.TimerHandle | None = None
+        self._inside = False
+        self._later: deque[tuple[Attempt, str]] = deque()
+        self._beat_at = self._sweep_at = self._stats_at = 0
+        self.module = Gateway(self, config.settings, config.seed)
+
+    # --- Clock and timers
+
+    def clock(self) -> int:
+        return (time.monotonic_ns() + self._epoch) // 1000
+
+    def begin(self) -> None:
+        """Start the module with the list as last known, and the timers."""
+        now = self.clock()
+        self._beat_at = now + BEAT
+        self._sweep_at, self._stats_at = now + SWEEP, now + STATS
+        self._tell(None, lambda: self.module.start(now))
+        self._take_list(self.config.known, RESTORED)
+        self._push(self._beat_at, None)
+
+    def _push(self, at: int, what: Exchange | int | None) -> None:
+        self._seq += 1
+        heapq.heappush(self._heap, (at, self._seq, what))
+        if not self._armed or at < self._armed:
+            self._arm(at)
+
+    def _arm(self, at: int) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        self._armed = at
+        # Danger: the loop's timers count in milliseconds, cut down; one too early fires twice.
+        delay = max(1, (at - self.clock() + 999) // 1000) / 1000
+        self._handle = self.loop.call_later(delay, self._wake)
+
+    def _wake(self) -> None:
+        now = self.clock()
+        late = now - self._armed
+        self._handle = None
+        self.lag = late if late > 2 * MS else 0
+        if late > LATE:
+            # Danger: after a stall, timers come before what the sockets hold. Answers that have
+            # long arrived would count as timed out, and requests go to hosts told to drain.
+            self.counters.lag = max(self.counters.lag, late)
+            self._handle = self.loop.call_later(0.001, self._run_due)
+            return
+        self._run_due()
+
+    def _run_due(self) -> None:
+        heap = self._heap
+        now = self.clock()
+        while heap and heap[0][0] <= now:
+            at, _, what = heapq.heappop(heap)
+            if what is None:
+                self._beat(now)
+            elif isinstance(what, int):
+                token = what
+                self._tell(None, lambda token=token: self.module.timer(now, token))  # type: ignore[misc]
+            elif what.wake == at:
+                self._due(what, now)
+        self._armed = 0
+        if heap:
+            self._arm(heap[0][0])
+
+    def _beat(self, now: int) -> None:
+        self._push(max(now + BEAT // 2, self._beat_at + BEAT), None)
+        self._beat_at = now
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP
+            self.pool.sweep(now)
+            self.budget.sweep(now)
+            for client in list(self.clients):
+                client.sweep(now)
+        if now >= self._stats_at:
+            self._stats_at = now + STATS
+            self._say_stats()
+
+    def _schedule(self, exchange: Exchange) -> None:
+        """Look at this exchange again when its next time-out is due."""
+        at = exchange.deadline + OVERDUE if not exchange.closed else 1 << 62
+        for attempt in exchange.out:
+            at = min(at, attempt.ends)
+            if attempt.connect_by:
+                at = min(at, attempt.connect_by)
+        if at < 1 << 62 and (not exchange.wake or at < exchange.wake):
+            exchange.wake = at
+            self._push(at, exchange)
+
+    def _due(self, exchange: Exchange, now: int) -> None:
+        exchange.wake = 0
+        for attempt in list(exchange.out):
+            if attempt.ends <= now:
+                self._give_up(attempt, TIMEOUT)
+            elif attempt.connect_by and attempt.connect_by <= now:
+                self._give_up(attempt, CONNECT_FAILED)
+        if not exchange.closed and now >= exchange.deadline + OVERDUE and exchange.bound is None:
+            # The module still owes this one: its client must not be left without an answer.
+            self.counters.overdue += 1
+            self.logger.often("overdue", "a request was still held after its deadline; failed")
+            self._abandoned(exchange, now)
+            self._answer_failed(exchange)
+        self._schedule(exchange)
+
+    # --- The module
+
+    def _tell(self, exchange: Exchange | None, event: Callable[[], None]) -> None:
+        """Hand the module an event. Its exception fails that one request; the process lives."""
+        if self._inside:
+            raise RuntimeError("the module was called from inside itself")
+        self._inside = True
+        try:
+            event()
+        except Exception as error:
+            self._panic(exchange, error)
+        finally:
+            self._inside = False
+        while self._later and not self._inside:
+            attempt, status = self._later.popleft()
+            self.ended(attempt, status, None, None)
+
+    def _panic(self, exchange: Exchange | None, error: Exception) -> None:
+        self.counters.panics += 1
+        where = error.__traceback__
+        while where is not None and where.tb_next is not None:
+            where = where.tb_next
+        line = where.tb_lineno if where is not None else 0
+        self.logger.often(
+            "panic", f"the module failed: {type(error).__name__}: {error}, line {line}"
+        )
+        if exchange is not None and not exchange.closed:
+            self.module.live.pop(exchange.id, None)
+            self._answer_failed(exchange)
+
+    # --- Port: what the module does
+
+    def send(self, req: int, server: str, timeout: int) -> None:
+        exchange = self.live.get(req)
+        if exchange is None:
+            return
+        now = self.clock()
+        ends = min(now + timeout, exchange.deadline) if timeout > 0 else exchange.deadline
+        host = self.pool.hosts.get(server)
+        missing = host is None
+        if host is None:
+            host = Host(Listed(server, 1.0, 0, 0, GONE, 0, 0), ("0.0.0.0", 0))
+        attempt = Attempt(exchange, exchange.attempts, host, now, ends)
+        exchange.attempts += 1
+        exchange.out.append(attempt)
+        limits = self.config.settings.limits
+        if exchange.closed or now >= ends or exchange.attempts > limits.max_attempts:
+            self.later(attempt, MOOT)
+        elif missing:
+            self.later(attempt, CONNECT_FAILED)
+        else:
+            self.pool.start(attempt, now)
+            self._schedule(exchange)
+
+    def refuse(self, req: int, retry_after: int) -> None:
+        exchange = self.live.get(req)
+        if exchange is None or exchange.closed:
+            return
+        self.counters.refused += 1
+        client = self._conclude(exchange)
+        if client is not None:
+            client.refuse(exchange, retry_after)
+
+    def fail(self, req: int) -> None:
+        exchange = self.live.get(req)
+        if exchange is not None and not exchange.closed:
+            self._answer_failed(exchange)
+
+    def cancel(self, req: int, attempt: int) -> None:
+        exchange = self.live.get(req)
+        if exchange is None:
+            return
+        for one in exchange.out:
+            if one.n == attempt and exchange.bound is not one:
+                self._withdraw(one)
+                self.later(one, CANCELLED)
+
+    def set_timer(self, token: int, at: int) -> None:
+        self._push(at, token)
+
+    def watch(self, on: bool) -> None:
+        self.watch_wanted(on)
+
+    def log(self, text: str) -> None:
+        self.logger.often("module", text)
+
+    # --- Requests
+
+    def request(self, exchange: Exchange) -> None:
+        """A request has come whole; from here on its client is owed one answer."""
+        # Danger: a loop that was held up reads late what came long ago.
+        now = self.clock()
+        arrived = now - self.lag
+        wait = exchange.wait_ms * MS
+        deadline = arrived + wait - min(MARGIN, wait // 10)
+        if self.drain_since:
+            deadline = min(deadline, self.drain_since + self.last_answer())
+        exchange.deadline = deadline
+        exchange.id = self._next_id
+        self._next_id += 1
+        self.counters.requests += 1
+        if len(self.live) >= self.config.wire.max_open:
+            self.counters.shed += 1
+            client = self._conclude(exchange)
+            if client is not None:
+                client.refuse(exchange, 0)
+            return
+        self.live[exchange.id] = exchange
+        self._tell(
+            exchange,
+            lambda: self.module.request(
+                now, exchange.id, exchange.cls, exchange.deadline, exchange.work, exchange.key,
+                exchange.tenant, exchange.repeat,
+            ),
+        )  # fmt: skip
+        if not exchange.closed:
+            self._schedule(exchange)
+
+    def client_gone(self, exchange: Exchange) -> None:
+        """The client closed its connection; what is out goes on to its outcome."""
+        if exchange.closed:
+            return
+        self.counters.gone += 1
+        exchange.client = None
+        exchange.closed = True
+        bound = exchange.bound
+        now = self.clock()
+        self._tell(None, lambda: self.module.gone(now, exchange.id))
+        if bound is not None and not bound.over:
+            self._give_up(bound, CANCELLED)
+        self._release(exchange)
+
+    def _conclude(self, exchange: Exchange) -> Downstream | None:
+        """The one answer is about to go out: nothing more does after it."""
+        exchange.closed = True
+        client, exchange.client = exchange.client, None
+        self._release(exchange)
+        return client
+
+    def _release(self, exchange: Exchange) -> None:
+        """Let go of a request that is over, and of its body once no attempt needs it."""
+        if exchange.closed and not exchange.out:
+            self.live.pop(exchange.id, None)
+            self.budget.release(exchange)
+            exchange.body = exchange.head = b""
+
+    def _answer_failed(self, exchange: Exchange) -> None:
+        self.counters.failed += 1
+        late = self.clock() >= exchange.deadline
+        client = self._conclude(exchange)
+        if client is not None:
+            client.fail(exchange, late)
+
+    def _abandoned(self, exchange: Exchange, now: int) -> None:
+        self._tell(None, lambda: self.module.gone(now, exchange.id))
+
+    # --- Attempts
+
+    def later(self, attempt: Attempt, status: str) -> None:
+        """An outcome that is known while the module is still speaking: told right after."""
+        self._later.append((attempt, status))
+
+    def _withdraw(self, attempt: Attempt) -> None:
+        """Stop waiting for an attempt, on its connection or for one."""
+        if attempt.task is not None:
+            attempt.task.cancel()
+            attempt.task = None
+        attempt.connect_by = 0
+        if attempt.conn is not None:
+            attempt.conn.abandon()
+            attempt.conn = None
+
+    def _give_up(self, attempt: Attempt, status: str) -> None:
+        self._withdraw(attempt)
+        self.ended(attempt, status, None, None)
+
+    def ended(
+        self, attempt: Attempt, status: str, load: Report | None, answer: Answer | None
+    ) -> None:
+        """An attempt has its outcome; the first served one is the client's answer."""
+        if attempt.over:
+            return
+        attempt.over = True
+        attempt.connect_by = 0
+        exchange = attempt.exchange
+        exchange.out.remove(attempt)
+        now = self.clock()
+        latency = (attempt.answered or now) - attempt.sent
+        bound = exchange.bound is attempt
+        if not exchange.closed and (bound or (status == OK and exchange.bound is None)):
+            if status == OK:
+                self.counters.served += 1
+            client = self._conclude(exchange)
+            if client is not None and not bound and answer is not None:
+                client.serve(exchange, *answer)
+        self._count(attempt.host, status)
+        closed = exchange.closed
+        self._tell(
+            exchange,
+            lambda: self.module.outcome(
+                now, exchange.id, attempt.n, status, closed, latency, attempt.host.id, load
+            ),
+        )
+        self._release(exchange)
+
+    def stream_began(self, attempt: Attempt, conn: Upstream) -> Downstream | None:
+        """An answer too long to be held begins: it is the client's, and no deadline runs on."""
+        exchange = attempt.exchange
+        client = exchange.client
+        if exchange.closed or exchange.bound is not None or client is None:
+            return None
+        now = self.clock()
+        exchange.bound = attempt
+        attempt.answered = now
+        attempt.ends = 1 << 62
+        client.stream_head(exchange, conn)
+        self._tell(
+            exchange,
+            lambda: self.module.first(
+                now, exchange.id, attempt.n, attempt.host.id, now - attempt.sent
+            ),
+        )
+        return client
+
+    def malformed(self, host: Host, why: str) -> None:
+        self.counters.malformed += 1
+        self.logger.often(f"malformed {host.id}", f"host {host.id}: malformed answer: {why[:100]}")
+
+    def _count(self, host: Host, status: str) -> None:
+        statuses = self.counters.statuses
+        statuses[status] = statuses.get(status, 0) + 1
+        failing = status not in (OK, MOOT, CANCELLED)
+        if failing != host.failing and status not in (MOOT, CANCELLED):
+            host.failing = failing
+            if failing:
+                self.logger.often(f"host {host.id}", f"host {host.id}: {status}")
+
+    # --- Discovery
+
+    def _take_list(self, roster: Roster, mode: str) -> None:
+        pool = self.pool
+        gone = []
+        for entry in roster.entries:
+            listed = entry.listed
+            if listed.state == GONE:
+                gone.append(listed.server)
+            else:
+                pool.list_host(listed, entry.addr)
+        if mode != CHANGES:
+            named = {e.listed.server for e in roster.entries} | roster.bad_ids
+            gone += [name for name in pool.hosts if name not in named]
+        for name in gone:
+            pool.drop_host(name)
+        now = self.clock()
+        entries = [e.listed for e in roster.entries]
+        if mode != CHANGES:
+            # A host whose entry can't be read stays as it was.
+            entries += [pool.hosts[n].listed for n in sorted(roster.bad_ids) if n in pool.hosts]
+        self._tell(None, lambda: self.module.members(now, mode, entries))
+
+    def list_news(self, roster: Roster) -> None:
+        """Discovery has answered: the whole list, or what has changed."""
+        self._take_list(roster, FULL if roster.full else CHANGES)
+        if roster.entries:
+            self.logger.often(
+                "list",
+                f"list {roster.version}: {'whole' if roster.full else 'changes'}, "
+                f"{len(roster.entries)} entries, {len(self.pool.hosts)} hosts",
+            )
+
+    def list_failed(self) -> None:
+        """A watch that the module asked for has failed."""
+        now = self.clock()
+        self._tell(None, lambda: self.module.members(now, FAILED, ()))
+
+    # --- Descriptors, drain, log
+
+    def make_room(self) -> bool:
+        """Whether one more connection to a host may be opened; closes idle ones if need be."""
+        most = self.config.sockets - RESERVE
+        while self.pool.size() + len(self.clients) >= most:
+            if not (self.pool.close_oldest_idle() or self._close_idle_client()):
+                return False
+        return True
+
+    def took_client(self, client: Downstream) -> None:
+        """A client's connection was accepted. Near the limit idle ones make room for it."""
+        self.clients[client] = None
+        most = self.config.sockets - RESERVE // 2
+        if self.pool.size() + len(self.clients) > most and not self.pool.close_oldest_idle():
+            self._close_idle_client()
+
+    def _close_idle_client(self) -> bool:
+        for client in self.clients:
+            if client.is_idle():
+                client.close_idle()
+                return True
+        return False
+
+    def last_answer(self) -> int:
+        """How long after SIGTERM the last answer is surely out: SIGKILL comes soon after."""
+        longest = min(3_000_000, self.config.wire.longest_deadline)
+        return longest + 550_000
+
+    def drain(self) -> None:
+        """SIGTERM: answers close their connections from now on."""
+        self.drain_since = self.clock()
+        self.ready = False
+
+    def _say_stats(self) -> None:
+        c = self.counters
+        outcomes = " ".join(f"{k}={v}" for k, v in sorted(c.statuses.items()))
+        self.logger.say(
+            f"requests={c.requests} served={c.served} refused={c.refused} failed={c.failed} "
+            f"gone={c.gone} bad={c.bad_requests} shed={c.shed} open={len(self.live)} "
+            f"clients={len(self.clients)} upstream={self.pool.size()} opened={self.pool.opened} "
+            f"hosts={len(self.pool.hosts)} lag_ms={c.lag // MS} panics={c.panics} "
+            f"overdue={c.overdue} outcomes: {outcomes}"
+        )
+        c.lag = 0
+
+
+def read_cookie_key(value: Any) -> int | None:
+    """What a request is about: the cookie `sid`, where it is hex digits."""
+    for part in value.split(b";"):
+        name, _, text = part.strip().partition(b"=")
+        if name == b"sid":
+            try:
+                return int(text, 16) & 0xFFFFFFFFFFFFFFFF
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/sillusher/net/http.py
@@ -0,0 +1,128 @@
+"""HTTP/1.1 as both sides need it: fields that stay on one hop, and reading a peer's answer."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import httptools
+
+# Fields that belong to one connection and never go on to the next.
+HOP: Final = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"http2-settings",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+MAX_HEAD: Final = 32 * 1024  # a longer head is no head
+
+WAITING, BODY, WHOLE = 0, 1, 2  # where an answer stands
+
+
+class MalformedError(Exception):
+    """What came is not the answer to one request."""
+
+
+class AnswerReader:
+    """Reads one answer at a time from a connection and checks its framing.
+
+    The subclass gets `head_read` and `body_read`; after `feed` it looks at `phase`. Danger:
+    bytes after the end of an answer belong to nobody. They make the answer itself doubtful, so
+    `feed` raises MalformedError also where they arrive together with a whole one.
+    """
+
+    __slots__ = (
+        "chunked", "fields", "head_size", "interim", "keep", "length", "parser", "phase", "status",
+    )  # fmt: skip
+
+    def __init__(self) -> None:
+        self.parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
+        self.expect()
+
+    def expect(self) -> None:
+        """Get ready for the answer to the next request."""
+        self.phase = WAITING
+        self.status = self.head_size = 0
+        self.fields: list[tuple[bytes, bytes, bytes]] = []
+        self.length: int | None = None
+        self.chunked = self.keep = self.interim = False
+
+    def feed(self, data: bytes) -> None:
+        """Take in bytes; raises MalformedError where they are no proper answer."""
+        parser = self.parser
+        if parser is None:
+            return
+        try:
+            parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            raise MalformedError(str(error)) from None
+        if self.phase == WAITING:
+            # Danger: a field without an end shows in no callback, however long it grows.
+            self.head_size += len(data)
+            if self.head_size > 4 * MAX_HEAD:
+                raise MalformedError("head too large")
+
+    def ended(self) -> bool:
+        """The peer has closed its side: whether that ends the answer properly."""
+        if self.phase == BODY and self.length is None and not self.chunked:
+            self.phase = WHOLE
+        return self.phase == WHOLE
+
+    # --- What httptools calls
+
+    def on_message_begin(self) -> None:
+        if self.phase != WAITING:
+            raise MalformedError("bytes after the answer")
+        self.fields = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.phase != WAITING:
+            return  # a trailer
+        self.head_size += len(name) + len(value)
+        if self.head_size > MAX_HEAD:
+            raise MalformedError("head too large")
+        self.fields.append((name.lower(), name, value))
+
+    def on_headers_complete(self) -> None:
+        parser = self.parser
+        assert parser is not None
+        self.status = parser.get_status_code()
+        if self.status < 200:
+            if self.status < 100 or self.status == 101:
+                raise MalformedError(f"status {self.status}")
+            self.interim = True
+            return
+        for low, _, value in self.fields:
+            if low == b"content-length":
+                self.length = int(value)
+            elif low == b"transfer-encoding":
+                if value.strip().lower() != b"chunked":
+                    raise MalformedError("unknown transfer-encoding")
+                self.chunked = True
+        self.keep = parser.should_keep_alive()
+        self.phase = BODY
+        self.head_read()
+
+    def on_body(self, data: bytes) -> None:
+        self.body_read(data)
+
+    def on_message_complete(self) -> None:
+        if self.interim:
+            self.interim = False  # 1xx: the answer itself is still to come
+        else:
+            self.phase = WHOLE
+
+    def head_read(self) -> None:
+        raise NotImplementedError
+
+    def body_read(self, data: bytes) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/sillusher/net/log.py
@@ -0,0 +1,48 @@
+"""Log lines for on-call staff, on standard error, at a bounded rate."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Final
+
+PER_KEY: Final = 5.0  # seconds between two lines about the same thing
+BURST: Final = 40  # lines within a second, whatever they are about
+KEYS: Final = 512
+
+
+class Log:
+    """Owns standard error. Danger: whatever a peer can cause a thousand times a second must not
+    cost a line each time; what is left out is counted and said with the next line of its kind."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._last: dict[str, tuple[float, int]] = {}
+        self._second, self._lines = 0, 0
+
+    def say(self, text: str) -> None:
+        """Write a line that comes seldom by itself."""
+        now = time.time()
+        if int(now) != self._second:
+            self._second, self._lines = int(now), 0
+        self._lines += 1
+        if self._lines > BURST:
+            return
+        stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now % 1 * 1000):03d}"
+        try:
+            sys.stderr.write(f"{stamp} {self._name} {text}\n")
+            sys.stderr.flush()
+        except (OSError, ValueError):
+            return  # nobody reads the log; the gateway goes on
+
+    def often(self, key: str, text: str) -> None:
+        """Write a line about something that may happen often: one in a while for each key."""
+        now = time.monotonic()
+        last, missed = self._last.get(key, (-PER_KEY, 0))
+        if now - last < PER_KEY:
+            self._last[key] = (last, missed + 1)
+            return
+        if len(self._last) >= KEYS:
+            self._last.clear()
+        self._last[key] = (now, 0)
+        self.say(f"{text} ({missed} more like this before)" if missed else text)
--- /dev/null
+++ b/sillusher/net/upstream.py
@@ -0,0 +1,411 @@
+"""Connections to hosts: the pool, and one attempt at a time on each connection.
+
+Owns what is known of an attempt's bytes: whether the last one can have left this process, and
+whether what came back is one whole answer. What that means for the request is not decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING, Final, cast
+
+from ..interface import BUSY, CANCELLED, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
+from .config import Address, parse_load
+from .http import BODY, WHOLE, AnswerReader, MalformedError
+
+if TYPE_CHECKING:
+    from .downstream import Downstream
+    from .gateway import Exchange, Proxy
+
+HOLD_LIMIT: Final = 64 * 1024  # an answer up to this is held until it is whole
+PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
+STALL: Final = 5_000_000  # a stream that stands still for so long has broken (hosts pause 0.1 s)
+
+
+class Host:
+    """A host as this gateway reaches it. The module knows it by `id` alone."""
+
+    __slots__ = ("addr", "failing", "id", "idle", "listed", "open")
+
+    def __init__(self, listed: Listed, addr: Address) -> None:
+        self.id, self.listed, self.addr = listed.server, listed, addr
+        self.idle: list[Upstream] = []  # newest last
+        self.open = 0  # connections, those being opened too
+        self.failing = False  # for the log only
+
+
+class Attempt:
+    """One attempt of an exchange, from the module's word to its one outcome."""
+
+    __slots__ = (
+        "answered", "conn", "connect_by", "ends", "exchange", "host", "n", "over", "sent", "task",
+    )  # fmt: skip
+
+    def __init__(self, exchange: Exchange, n: int, host: Host, now: int, ends: int) -> None:
+        self.exchange, self.n, self.host = exchange, n, host
+        self.sent, self.ends = now, ends
+        self.connect_by = 0  # while it waits for a connection
+        self.answered = 0  # when a streamed answer's first bytes came
+        self.conn: Upstream | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.over = False
+
+
+class Upstream(AnswerReader, asyncio.Protocol):
+    """A connection to a host. It carries one attempt at a time, or is idle in its host's pool."""
+
+    __slots__ = (
+        "attempt", "body", "declined", "heard", "host", "idle_since", "load", "paused", "pool",
+        "sink", "size", "sock", "transport", "unsent", "unwanted",
+    )  # fmt: skip
+
+    def __init__(self, pool: Pool, host: Host, sock: socket.socket) -> None:
+        super().__init__()
+        self.pool, self.host, self.sock = pool, host, sock
+        self.transport: asyncio.Transport | None = None
+        self.attempt: Attempt | None = None
+        self.unsent: memoryview | None = None  # what the transport has not been given yet
+        self.idle_since = 0
+        self.paused = False  # reading stands still, as the client is slower
+        self._clear()
+
+    def _clear(self) -> None:
+        self.body: bytes | bytearray = b""
+        self.size = 0
+        self.sink: Downstream | None = None
+        self.declined = self.unwanted = False
+        self.load: Report | None = None
+        self.heard = 0
+
+    # --- The request
+
+    def usable(self) -> bool:
+        """Whether an idle connection is still open and silent, also by what the loop has not read.
+
+        Danger: a host that closed it may have done so while this process was busy. A request
+        written then would end as "may have run" for no reason.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # an end, or bytes that nobody asked for
+
+    def begin(self, attempt: Attempt, now: int) -> bool:
+        """Write the attempt's request; False if surely none of it has left."""
+        head, body = attempt.exchange.wire(attempt.ends - now)
+        small = len(body) <= PIECE
+        first = head + body if small else head
+        try:
+            count = self.sock.send(first)
+        except BlockingIOError:
+            count = 0
+        except OSError:
+            return False
+        self.expect()
+        self._clear()
+        self.attempt, attempt.conn = attempt, self
+        if count < len(first):
+            rest = memoryview(first)[count:]
+            self.unsent = rest if small else memoryview(b"".join((rest, body)))
+        elif not small:
+            self.unsent = memoryview(body)
+        if self.unsent is not None:
+            self._push()
+        return True
+
+    def _push(self) -> None:
+        """Hand on what is left in pieces, each when the one before has gone out.
+
+        Danger: a transport takes any amount. What it holds is memory, and no proof of anything.
+        """
+        transport = self.transport
+        while self.unsent is not None and transport is not None:
+            if transport.get_write_buffer_size():
+                return  # `resume_writing` goes on
+            piece, self.unsent = self.unsent[:PIECE], self.unsent[PIECE:]
+            if not self.unsent:
+                self.unsent = None
+            transport.write(piece)
+
+    def resume_writing(self) -> None:
+        self._push()
+
+    # --- The answer
+
+    def head_read(self) -> None:
+        declined = False
+        for low, _, value in self.fields:
+            if low == b"srv-load":
+                load = parse_load(value)
+                if load:
+                    self.load = Report(load.get("queue"), load.get("service"), load.get("inflight"))
+            elif low == b"srv-declined":
+                declined = value.strip() == b"1"
+        self.declined = declined and self.status in (503, 504)
+        if self.status == 200 and self.length is not None and self.length > HOLD_LIMIT:
+            self._stream()
+
+    def body_read(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.status != 200 or self.unwanted:
+            return
+        if self.sink is not None:
+            self.sink.stream_part(data)
+        elif not self.body:
+            self.body = data
+        else:
+            if not isinstance(self.body, bytearray):
+                self.body = bytearray(self.body)
+            self.body += data
+        if self.sink is None and self.size > HOLD_LIMIT:
+            self._stream()
+
+    def _stream(self) -> None:
+        """Too much to hold: the client gets the answer as it comes, from now on."""
+        assert self.attempt is not None
+        if self.unsent is not None:
+            raise MalformedError("an answer before the request was sent")
+        self.sink = self.pool.proxy.stream_began(self.attempt, self)
+        if self.sink is None:
+            self.unwanted = True
+        elif self.body:
+            self.sink.stream_part(bytes(self.body))
+            self.body = b""
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.close()  # bytes that nobody asked for
+            return
+        self.heard = self.pool.proxy.clock()
+        try:
+            self.feed(data)
+        except MalformedError as error:
+            self.pool.proxy.malformed(self.host, str(error))
+            self.keep = False
+            self._over(self._broken(ERROR))
+            return
+        if self.unwanted:
+            self.keep = False
+            self._over(CANCELLED)
+        elif self.phase == WHOLE or (self.status != 200 and self.size > HOLD_LIMIT):
+            self.keep = self.keep and self.phase == WHOLE
+            self._over(self._status())
+
+    def eof_received(self) -> None:
+        self.keep = False
+        if self.attempt is not None and self.ended():
+            self._over(self._status())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.parser = None  # it holds this object in turn
+        self.pool.forget(self)
+        if self.attempt is not None:
+            self._over(self._broken(RESET))
+
+    def _status(self) -> str:
+        """What a whole answer means."""
+        if self.declined:
+            return BUSY
+        if self.status != 200 or self.unsent is not None:
+            # Danger: a host's other refusals must not reach a client as this gateway's own.
+            return ERROR
+        return OK
+
+    def _broken(self, otherwise: str) -> str:
+        """What an answer means that does not come to its end."""
+        if self.phase == BODY and self.status != 200:
+            return BUSY if self.declined else ERROR
+        # Only what this process still holds is surely not written.
+        return CONNECT_FAILED if self.unsent is not None and not self.status else otherwise
+
+    def _over(self, status: str) -> None:
+        """The attempt has its outcome; the connection goes back to the pool or is closed."""
+        attempt = self.attempt
+        if attempt is None:
+            return
+        self.attempt = attempt.conn = None
+        if self.unsent is not None:
+            self.keep, self.unsent = False, None
+        fields, body, load = self.fields, self.body, self.load
+        sink = self.sink
+        self._clear()
+        if self.keep and self.transport is not None and not self.transport.is_closing():
+            self.pool.give_back(self)
+        else:
+            self.close()
+        if sink is not None:
+            sink.stream_over(whole=status == OK)
+        self.pool.proxy.ended(attempt, status, load, (fields, body))
+
+    def abandon(self) -> None:
+        """Give up the attempt: its answer may still come, so the connection is never reused."""
+        if self.attempt is not None:
+            self.attempt.conn = None
+        self.attempt = None
+        self.unsent = None
+        self.close()
+
+    def set_paused(self, paused: bool) -> None:
+        """Stop or go on reading, as the client's own connection is full or has room."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or paused == self.paused:
+            return
+        self.paused = paused
+        self.heard = self.pool.proxy.clock()
+        if paused:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def close(self) -> None:
+        """Close at once, with nothing more written."""
+        self.pool.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)
+
+
+class Pool:
+    """All hosts and the connections to them."""
+
+    def __init__(self, proxy: Proxy, idle_life: int, connect_timeout: int) -> None:
+        self.proxy = proxy
+        self.idle_life, self.connect_timeout = idle_life, connect_timeout
+        self.hosts: dict[str, Host] = {}
+        self.open: dict[Upstream, None] = {}
+        self.connecting = 0
+        self.opened = 0  # counter
+
+    def size(self) -> int:
+        return len(self.open) + self.connecting
+
+    def list_host(self, listed: Listed, addr: Address) -> None:
+        """A host as discovery tells it. Connections to an older address or process are dropped."""
+        host = self.hosts.get(listed.server)
+        if host is None:
+            self.hosts[listed.server] = Host(listed, addr)
+            return
+        if host.addr != addr or host.listed.boot != listed.boot:
+            self.hang_up(host)
+        host.addr, host.listed = addr, listed
+
+    def drop_host(self, name: str) -> None:
+        """A host is gone for good; what is out at it runs on to its end."""
+        host = self.hosts.pop(name, None)
+        if host is not None:
+            self.hang_up(host)
+
+    def hang_up(self, host: Host) -> None:
+        for conn in list(host.idle):
+            conn.close()
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        """Send an attempt on the newest idle connection, or on a new one."""
+        host = attempt.host
+        while host.idle:
+            conn = host.idle.pop()
+            # Danger: a host ends what has stood idle for long, and a request that crosses that
+            # counts as one that may have run.
+            if (
+                now - conn.idle_since < self.idle_life
+                and conn.usable()
+                and conn.begin(attempt, now)
+            ):
+                return
+            conn.close()
+        if not self.proxy.make_room():
+            self.proxy.later(attempt, CONNECT_FAILED)
+            return
+        attempt.connect_by = now + self.connect_timeout
+        self.connecting += 1
+        host.open += 1
+        attempt.task = self.proxy.loop.create_task(self._connect(attempt))
+
+    async def _connect(self, attempt: Attempt) -> None:
+        host, proxy = attempt.host, self.proxy
+        conn = None
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            addr = host.addr
+            await proxy.loop.sock_connect(sock, addr)
+            # Danger: on one machine a port that nobody listens on may meet itself.
+            if sock.getsockname() != addr and not attempt.over:
+                conn = Upstream(self, host, sock)
+                made = conn
+                await proxy.loop.create_connection(lambda: made, sock=sock)
+        except OSError:
+            conn = None
+        except asyncio.CancelledError:
+            if conn is not None and conn.transport is not None:
+                conn.transport.abort()
+            conn = None
+        finally:
+            self.connecting -= 1
+            if conn is None:
+                host.open -= 1
+                sock.close()
+        attempt.task = None
+        attempt.connect_by = 0
+        if conn is not None:
+            self.opened += 1
+            self.open[conn] = None
+            if host.addr != addr or conn.transport is None or conn.transport.is_closing():
+                conn.close()
+                conn = None
+        now = proxy.clock()
+        if attempt.over:
+            if conn is not None:
+                self.give_back(conn)
+        elif conn is None:
+            proxy.ended(attempt, CONNECT_FAILED, None, None)
+        elif attempt.exchange.closed or now >= attempt.ends:
+            self.give_back(conn)
+            proxy.ended(attempt, MOOT, None, None)
+        elif not conn.begin(attempt, now):
+            conn.close()
+            proxy.ended(attempt, CONNECT_FAILED, None, None)
+
+    def give_back(self, conn: Upstream) -> None:
+        conn.idle_since = self.proxy.clock()
+        if self.hosts.get(conn.host.id) is conn.host:
+            conn.host.idle.append(conn)
+        else:
+            conn.close()
+
+    def forget(self, conn: Upstream) -> None:
+        if conn in self.open:
+            del self.open[conn]
+            conn.host.open -= 1
+            if conn in conn.host.idle:
+                conn.host.idle.remove(conn)
+
+    def close_oldest_idle(self) -> bool:
+        """Free a descriptor: the connection that has stood idle longest."""
+        oldest = None
+        for host in self.hosts.values():
+            if host.idle and (oldest is None or host.idle[0].idle_since < oldest.idle_since):
+                oldest = host.idle[0]
+        if oldest is None:
+            return False
+        oldest.close()
+        return True
+
+    def sweep(self, now: int) -> None:
+        """Retire what has stood idle for long, and end streams that stand still."""
+        for host in self.hosts.values():
+            while host.idle and now - host.idle[0].idle_since >= self.idle_life:
+                host.idle[0].close()
+        for conn in list(self.open):
+            if conn.sink is not None and not conn.paused and now - conn.heard > STALL:
+                conn.keep = False
+                conn._over(RESET)
--- /dev/null
+++ b/sillusher/policy.py
@@ -0,0 +1,802 @@
+"""All decisions of one gateway; types, events and actions stand in sillusher/interface.py.
+
+C3 adaptive replica selection, sans-IO: a gateway ranks servers by C3's cubic score, sends within
+a cubic-adapted rate per server, and holds requests in a backlog when every server it may use is
+saturated (docs/design.md). The embedding gateway feeds events with their time and carries out
+what goes through `Port`.
+
+Times are integer microseconds of the clock handed in, rates are requests a second. Nothing is
+shared between instances, and randomness comes from the seed alone. The quantities that
+the paper names keep its names: srate, rrate, q_hat, psi, outstanding.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import heapq
+import math
+import random
+from collections.abc import Sequence
+
+from .interface import (
+    BUSY,
+    CHANGES,
+    CONNECT_FAILED,
+    ERROR,
+    FAILED,
+    GONE,
+    MOOT,
+    NEVER_RAN,
+    OK,
+    READY,
+    RESET,
+    RESTORED,
+    TIMEOUT,
+    Listed,
+    Port,
+    Report,
+)
+from .settings import KEYED, SAFE, RequestClass, Settings
+
+# --- Tunables. Each says why it has its value; docs/results.md has the measured effects.
+
+ALPHA = 0.3  # EWMA weight of a new report or response: a few answers replace the old view
+TYPICAL_ALPHA = 0.02  # EWMA weight for the fleet's typical figures: some fifty answers
+CLASS_ALPHA = 0.05  # EWMA weight for a class's usual latency and work
+REPORT_LIFE = 1_500_000  # a report this old weighs half; the rest is the fleet's typical figure
+OS_WEIGHT = 3.0  # the paper's n, where gateways far outnumber a server's queue
+CANDIDATES = 16  # servers ranked for a request; more costs CPU and herds
+REMOTE_CANDIDATES = 5  # of them from other zones, so that an overloaded zone can spill
+SPILL = 3  # servers ranked beside a key's replicas, so that a hot key does not jam these
+REPLICAS = 3  # rendezvous servers of a key that are ranked where keys warm...
+REPLICAS_MOST = 32  # ...out of so many for a hot one
+HOT_WIDTH = 1.5  # a key is spread over this multiple of the servers that its share of traffic fills
+KEY_WINDOW = 2000  # requests after which the counts of keys are halved
+WARM_GAIN = 0.35  # psi of a key's first server counts this much: work it saves, and spreading loses
+CROSS_WEIGHT = 60.0  # psi of another zone is raised by 1 + this * the crossing price
+RATE_TAU = 2_000_000  # window of rrate: long enough for several answers at a few a second
+BETA = 0.2  # a cut takes this share of the rate; the cubic starts at (1 - BETA) * R0
+SADDLE_ANSWERS = 10  # the cubic is back at R0 after about this many answers...
+SADDLE_MIN = 100_000  # ...and not before the paper's 100 ms
+BURST = 2.0  # tokens a server can save up: a trickle is not smooth
+QUEUE_SATURATED = 2.0  # reported queue from which a server counts as saturated
+HOLD_STEP = 10_000  # how often the backlog looks for tokens
+DRAIN_BATCH = 8  # held requests tried at one look
+PATIENCE = 1.5  # an attempt ends at this multiple of its answer's useful time
+SHUN_FIRST = 1_000_000  # how long a failing server is shunned at first; doubles with each failure
+SHUN_MAX = 16_000_000
+SHUN_FACTOR = 200.0  # psi of a shunned server: never the choice unless all of them are shunned
+SUSPECT_FACTOR = 6.0  # psi of one on trial after that, for requests that can be repeated
+RETRY_SHARE = 0.15  # further attempts earned by a request, for those that may cost server work
+RETRY_BANK = 10.0
+NEAR_LATE = 0.6  # an answer after this share of its aim counts: the sign must come before the harm
+LATE_SHARE = 0.15  # answers too late beyond this share are evidence of overload...
+LATE_SUM = 4.0  # ...once they add up to this many: CUSUM, so that few answers suffice at any rate
+FLEET_SADDLE = 3_000_000  # the fleet's rate is back at R0 after this; about two answers' time
+ARRIVAL_TAU = 1_500_000  # window of the rates of arrival
+SHED_MOST = 0.95  # so much is shed at the most: without answers nothing shows that it is over
+WATCH_SPREAD = 0.35  # first subscription is spread over this share of rules.ask_within
+WATCH_BACKOFF = 500_000  # first wait after a failed call, doubling with jitter
+WATCH_BACKOFF_MAX = 4_000_000
+WINDOW_MARGIN = 0.9  # a key's repeat window is used up to this share, for what the way takes
+
+DRAIN_TIMER, WATCH_TIMER = 1, 2
+
+
+class CubicRate:
+    """The paper's algorithm 2: a rate of sending that a cut lowers and a cubic raises again."""
+
+    __slots__ = ("r0", "rrate", "saddle", "srate", "t_cut", "t_rate")
+
+    def __init__(self) -> None:
+        self.rrate, self.t_rate = 0.0, 0
+        self.srate = math.inf  # no limit without evidence of saturation
+        self.r0, self.t_cut, self.saddle = 0.0, 0, float(SADDLE_MIN)
+
+    def received(self, now: int) -> None:
+        gap = now - self.t_rate
+        self.rrate = self.rrate * math.exp(-gap / RATE_TAU) + 1e6 / RATE_TAU
+        self.t_rate = now
+
+    def grow(self, now: int) -> float:
+        x = (now - self.t_cut) / self.saddle - 1.0
+        self.srate = self.r0 * (1.0 + BETA * x * x * x)
+        return self.srate
+
+    def cut(self, now: int, rate: float, saddle: float) -> None:
+        """R0 becomes what was really received, and the cubic starts below it."""
+        self.r0, self.saddle = rate, saddle
+        self.srate = rate * (1.0 - BETA)
+        self.t_cut = now
+
+
+class Server:
+    """One server as this gateway sees it."""
+
+    __slots__ = (
+        "boot",
+        "cell",
+        "failures",
+        "flight",
+        "hash",
+        "kind",
+        "name",
+        "outstanding",
+        "q_bar",
+        "r_bar",
+        "rate",
+        "seen",
+        "service",
+        "shun_until",
+        "state",
+        "t_token",
+        "tokens",
+        "weight",
+        "zone",
+    )  # fmt: skip
+
+    def __init__(self, listed: Listed) -> None:
+        self.name = listed.server
+        digest = hashlib.blake2b(listed.server.encode(), digest_size=8).digest()
+        self.hash = int.from_bytes(digest, "big")
+        self.flight: dict[tuple[int, int], int] = {}  # attempts out, oldest first, when sent
+        self.outstanding = 0
+        self.list_as(listed)
+        self.forget()
+
+    def list_as(self, listed: Listed) -> None:
+        self.weight = listed.weight if listed.weight > 0 else 1.0
+        self.zone, self.cell, self.kind = listed.zone, listed.cell, listed.kind
+        self.state, self.boot = listed.state, listed.boot
+
+    def forget(self) -> None:
+        """Start from nothing known: scored by the fleet's typical figures until it answers."""
+        self.q_bar = self.service = self.r_bar = 0.0
+        self.seen = 0  # when it last answered; 0 is never
+        self.rate = CubicRate()
+        self.tokens, self.t_token = BURST, 0
+        self.failures, self.shun_until = 0, 0
+
+
+class Request:
+    """A request this gateway owes an answer for."""
+
+    __slots__ = (
+        "arrived", "attempts", "cls", "coin", "group", "group_until", "hold_until",
+        "id", "key", "may_have_run", "out", "rank", "streaming", "useless", "work",
+    )  # fmt: skip
+
+    def __init__(
+        self, now: int, req: int, cls: RequestClass, deadline: int, work: int, key: int | None
+    ) -> None:
+        self.id, self.cls, self.work, self.key = req, cls, work, key
+        self.arrived = now
+        self.attempts = self.out = 0
+        self.may_have_run = self.streaming = False
+        self.group: Server | None = None  # whose group may get a repeat of a keyed request
+        self.group_until = 0
+        self.hold_until = deadline
+        self.useless = 0  # when its answer is worth nothing, if before its client gives up
+        self.coin = 0.0
+        self.rank = 0  # how many candidates, the first ones, may have met its key
+
+
+class Gateway:
+    """The decisions of one gateway instance."""
+
+    def __init__(self, port: Port, settings: Settings, seed: int) -> None:
+        self.port, self.settings = port, settings
+        self.random = random.Random(seed)
+        self.servers: dict[str, Server] = {}
+        self.warm: list[list[Server]] = []  # ready and warm: own zone, then the others
+        self.cold: list[Server] = []
+        self.next_warm = 0
+        self.live: dict[int, Request] = {}
+        self.backlog: list[tuple[int, int, Request]] = []
+        self.held = 0
+        self.drain_at = 0
+        self.key_count: dict[int, int] = {}
+        self.key_total = 0
+        self.keyed: dict[int, list[Server]] = {}  # rendezvous candidates, until the list changes
+        kinds = 8
+        self.typ_service = [0.0] * kinds  # by kind; kinds past the last share one
+        self.typ_q = self.typ_r = self.typ_all = 0.0
+        self.class_r = [0.0] * len(settings.classes)
+        self.class_work = [0.0] * len(settings.classes)
+        self.sent_kind = [0.0] * kinds
+        self.warm_kind = [0] * kinds
+        self.sent_all = 0.0
+        self.retry_bank = RETRY_BANK / 2
+        self.fleet = CubicRate()  # what the fleet as a whole takes from this gateway
+        self.late_sum = 0.0
+        self.watching = False
+        self.watch_wait = WATCH_BACKOFF
+        worths = {c.worth for c in settings.classes}
+        if settings.tenants:
+            worths |= {w * settings.over_share_worth for w in worths}
+        self.worths = sorted(worths)
+        self.arrivals = [0.0] * (2 * len(self.worths))  # requests in the window, by rank of worth
+        self.t_arrival = self.t_start = 0
+        self.tenant_tokens = [1.0] * len(settings.tenants)
+        self.tenant_t = [0] * len(settings.tenants)
+        self.cross = 1.0 + CROSS_WEIGHT * settings.cross_zone_price
+        # With fewer gateways than that, the paper's own n stands.
+        self.n = min(float(settings.gateways), OS_WEIGHT)
+
+    # --- Events
+
+    def start(self, now: int) -> None:
+        """The instance begins, empty; its last list follows as `members`."""
+        self.t_start = now
+
+    def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
+        """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
+        if mode == FAILED:
+            self.watching = False
+            wait = int(self.watch_wait * (0.5 + self.random.random()))
+            self.watch_wait = min(self.watch_wait * 2, WATCH_BACKOFF_MAX)
+            self.port.set_timer(WATCH_TIMER, now + wait)
+            return
+        if mode == RESTORED:
+            if self.settings.must_ask:
+                # Danger: all gateways start together and discovery's capacity is fixed.
+                spread = self.settings.rules.ask_within * WATCH_SPREAD
+                self.port.set_timer(WATCH_TIMER, now + int(self.random.random() * spread))
+        else:
+            self.watching = True
+            self.watch_wait = WATCH_BACKOFF
+        if mode != CHANGES:
+            listed = {e.server for e in entries}
+            for server in self.servers.values():
+                if server.name not in listed:
+                    server.state = GONE
+        for entry in entries:
+            known = self.servers.get(entry.server)
+            if known is None:
+                self.servers[entry.server] = Server(entry)
+            else:
+                restarted = entry.boot != known.boot and entry.state == READY
+                known.list_as(entry)
+                if restarted:
+                    known.forget()
+        self._regroup(now)
+        self._drain(now)
+
+    def request(
+        self, now: int, req: int, cls: int, deadline: int, work: int, key: int | None,
+        tenant: int, repeat: bool = False,
+    ) -> None:  # fmt: skip
+        """A client's request arrives; `work` is 0 where no hint came."""
+        kind = self.settings.classes[cls]
+        request = Request(now, req, kind, deadline, work, key)
+        self.live[req] = request
+        self.retry_bank = min(RETRY_BANK, self.retry_bank + RETRY_SHARE)
+        worth = kind.worth
+        if self.settings.tenants and self._over_share(now, tenant):
+            worth *= self.settings.over_share_worth
+        if self._sheds(now, worth, repeat):
+            self._finish(request, refuse=True)
+            return
+        # A request is held only while it can still be served in time; late worth extends that.
+        useful = kind.aim + int(kind.aim_stretch * work)
+        if kind.late_worth > 0:
+            useful = max(useful, kind.deadline)
+        request.hold_until = min(deadline, now + useful - int(self.class_r[cls]))
+        # An answer that is worth nothing any more is not waited for: it holds a server up.
+        request.useless = now + int(PATIENCE * useful) if now + PATIENCE * useful < deadline else 0
+        request.coin = self.random.random()
+        if not self._place(now, request):
+            self._hold(now, request)
+
+    def outcome(
+        self, now: int, req: int, attempt: int, status: str, closed: bool, latency: int,
+        name: str, report: Report | None,
+    ) -> None:  # fmt: skip
+        """An attempt ended: learn from it, then go on with its request if that is still owed."""
+        server = self.servers.get(name)
+        sent, failing = None, False
+        if server is not None:
+            sent = server.flight.pop((req, attempt), None)
+            if sent is not None:
+                server.outstanding -= 1
+            failing = server.failures > 0
+            self._learn(now, server, status, latency, report, sent)
+        request = self.live.get(req)
+        if request is not None:
+            request.out -= 1
+            if closed:
+                self._judge(now, request, status, latency, server)
+                del self.live[req]
+            elif not request.streaming:
+                if status not in NEVER_RAN:
+                    self._may_have_run(request, server, sent)
+                elif status == BUSY:
+                    self._late(now, request, True)  # the earliest sign that the fleet is full
+                self._continue(now, request, status, failing)
+        if self.held:
+            self._drain(now)
+
+    def first(self, now: int, req: int, attempt: int, name: str, latency: int) -> None:
+        """A stream has begun: the client has its answer, and no deadline runs any more."""
+        request = self.live.get(req)
+        if request is not None:
+            request.streaming = True
+
+    def gone(self, now: int, req: int) -> None:
+        """The client left; nothing is owed any more."""
+        self.live.pop(req, None)
+
+    def timer(self, now: int, token: int) -> None:
+        if token == DRAIN_TIMER:
+            if now >= self.drain_at:
+                self.drain_at = 0
+                self._drain(now)
+        elif token == WATCH_TIMER and not self.watching:
+            self.port.watch(True)
+
+    def probe(self, now: int, name: str, status: str, latency: int, report: Report | None) -> None:
+        """A probe's finding. None are sent: see docs/design.md."""
+
+    def peer(self, now: int, source: int, data: bytes) -> None:
+        """Word from another gateway. None is sent or used: each decides by what it saw itself."""
+
+    # --- The four rules, each in one place
+
+    def _finish(self, request: Request, refuse: bool) -> None:
+        """The one final answer this gateway gives itself; a refusal only where it is true.
+
+        Danger: a refusal tells the client that a repeat is harmless, which it is not where an
+        attempt may have run, unless the class is safe or every server drops the repeat.
+        """
+        del self.live[request.id]
+        harmless = (
+            (not request.may_have_run and not request.out)
+            or request.cls.effect == SAFE
+            or (request.cls.effect == KEYED and request.cls.group == "all")
+        )
+        if refuse and harmless:
+            after = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0
+            self.port.refuse(request.id, after)
+        else:
+            self.port.fail(request.id)
+
+    def _may_send(self, now: int, request: Request, server: Server) -> bool:
+        """Whether an attempt at this server keeps the rule on effects."""
+        if request.attempts >= self.settings.limits.max_attempts:
+            return False
+        if request.out and not self.settings.limits.may_duplicate:
+            return False
+        if not (request.may_have_run or request.out) or request.cls.effect == SAFE:
+            return True
+        first = request.group
+        if request.cls.effect != KEYED or first is None or now >= request.group_until:
+            return False
+        group = request.cls.group
+        return (
+            group == "all"
+            or (group == "zone" and server.zone == first.zone)
+            or (group == "cell" and server.cell == first.cell)
+        )
+
+    def _may_have_run(self, request: Request, server: Server | None, sent: int | None) -> None:
+        """Note that an attempt may have run: from its sending the window of its group counts."""
+        if not request.may_have_run:
+            request.may_have_run = True
+            if server is not None and sent is not None:
+                request.group = server
+                request.group_until = sent + int(request.cls.window * WINDOW_MARGIN)
+
+    def _cold_pick(self, now: int, request: Request) -> Server | None:
+        """The cold server that may take this request, if any: the budget of the fourth rule.
+
+        Every request draws one coin, and a cold server owns a slice of its range no wider than
+        what a warm one of its kind is sent here, times the share of its capacity that it surely
+        has. If every gateway acts alike, a cold server gets its part of the load in any span,
+        from the first request on: no memory is needed that a restart would lose. Danger: token
+        buckets would do that for one gateway, but two hundred full buckets are a burst.
+        """
+        rules = self.settings.rules
+        if now >= self.next_warm:
+            self._regroup(now)
+        low = 0.0
+        warmth = rules.cold_share
+        for server in self.cold:
+            age = max(0, now - server.boot) / rules.cold_time
+            warmth = rules.cold_share + (1.0 - rules.cold_share) * min(1.0, age)
+            low += self._share(server) * warmth
+            if request.coin < low:
+                return server if self._may_send(now, request, server) else None
+        return None
+
+    # --- Placing a request: the paper's algorithm 1
+
+    def _place(self, now: int, request: Request) -> bool:
+        """Send to the server with the lowest psi that has a token; False where none has."""
+        server = None
+        if self.cold:
+            server = self._cold_pick(now, request)
+            if server is not None and server.shun_until > now:
+                server = None
+        if server is None:
+            server = self._best(now, request, self._candidates(request))
+        if server is None:
+            return False
+        if server.rate.srate != math.inf:
+            server.tokens -= 1.0
+        self._send(now, request, server)
+        return True
+
+    def _send(self, now: int, request: Request, server: Server) -> None:
+        server.flight[request.id, request.attempts] = now
+        server.outstanding += 1
+        request.attempts += 1
+        request.out += 1
+        request.coin = self.random.random()  # a further attempt draws anew
+        kind = server.kind & 7
+        self.sent_kind[kind] += 1.0
+        self.sent_all += 1.0
+        if self.sent_all > 1000.0:
+            self.sent_all *= 0.5
+            self.sent_kind = [0.5 * x for x in self.sent_kind]
+        self.port.send(request.id, server.name, max(0, request.useless - now))
+
+    def _candidates(self, request: Request) -> list[Server]:
+        """The servers to rank: a key's replica group where keys warm, else a sample.
+
+        Danger: ranking the whole fleet costs CPU that grows with it, and sends all gateways
+        to the one server that looks idle.
+        """
+        if request.key is not None and self.settings.warm_keys and not request.attempts:
+            found = self._replicas(request.key)
+            width = min(self._width(request.key), len(found))
+            request.rank = min(width, REPLICAS)
+            # Danger: gateways that each see little send a hot key to one server together.
+            hot = width > REPLICAS
+            found = self._sample(found[:width], REPLICAS) if hot else found[:REPLICAS]
+            return found + self._sample(self._pool(), SPILL)
+        own, others = self.warm
+        few = CANDIDATES if not others else CANDIDATES - REMOTE_CANDIDATES
+        found = own if len(own) <= few else self._sample(own, few)
+        if others:
+            more = CANDIDATES - len(found)
+            found = found + (others if len(others) <= more else self._sample(others, more))
+        return found
+
+    def _width(self, key: int) -> int:
+        """How many servers a key's traffic fills, by its share of what comes to this gateway."""
+        counts = self.key_count
+        count = counts[key] = counts.get(key, 0) + 1
+        self.key_total += 1
+        if self.key_total > KEY_WINDOW:
+            self.key_count = {k: n // 2 for k, n in counts.items() if n > 1}
+            self.key_total = sum(self.key_count.values())
+        servers = len(self.warm[0]) + len(self.warm[1])
+        return 1 + int(HOT_WIDTH * (count - 1) / max(self.key_total, 50) * servers)
+
+    def _pool(self) -> list[Server]:
+        """The warm servers of the own zone, or where there are none those of the others."""
+        own, others = self.warm
+        return own or others
+
+    def _sample(self, pool: list[Server], k: int) -> list[Server]:
+        # Repeats are harmless and cheaper than avoiding them.
+        rnd, size = self.random.random, len(pool)
+        return [pool[int(rnd() * size)] for _ in range(k if size else 0)]
+
+    def _replicas(self, key: int) -> list[Server]:
+        """A key's servers by weighted rendezvous hashing: the same at every gateway, untold."""
+        found = self.keyed.get(key)
+        if found is None:
+            if len(self.keyed) > 5000:
+                self.keyed.clear()
+            ranked = []
+            for pool in self.warm:
+                for server in pool:
+                    x = ((key ^ server.hash) * 0x9E3779B97F4A7C15) & 0xFFFFFFFFFFFFFFFF
+                    x = ((x ^ (x >> 32)) * 0xD6E8FEB86659FD93) & 0xFFFFFFFFFFFFFFFF
+                    x ^= x >> 32
+                    ranked.append((-math.log((x + 1) / 2.0**64) / server.weight, server))
+            found = [s for _, s in heapq.nsmallest(REPLICAS_MOST, ranked, key=lambda t: t[0])]
+            self.keyed[key] = found
+        return found
+
+    def _best(self, now: int, request: Request, candidates: list[Server]) -> Server | None:
+        best, lowest = None, math.inf
+        typ_q, typ_r, n = self.typ_q, self.typ_r, self.n
+        zone = self.settings.zone
+        free = not request.attempts
+        keyed = free and request.key is not None and self.settings.warm_keys
+        repeatable = request.cls.effect == SAFE
+        for rank, server in enumerate(candidates):
+            if not (free or self._may_send(now, request, server)):
+                continue
+            if server.rate.srate != math.inf and not self._token(now, server):
+                continue
+            # Danger: at 0, as at a gateway's start, the first candidate would win every time.
+            typ_s = self.typ_service[server.kind & 7] or self.typ_all or 1.0
+            if server.seen:
+                # Old reports lose weight: the further back, the more the typical figure counts.
+                w = REPORT_LIFE / (REPORT_LIFE + now - server.seen)
+                q = typ_q + w * (server.q_bar - typ_q)
+                service = typ_s + w * (server.service - typ_s)
+                r = typ_r + w * (server.r_bar - typ_r)
+            else:
+                q, service, r = typ_q, typ_s, typ_r
+            if server.outstanding:
+                # Silence counts as slowness of all it does: a server that takes requests and
+                # answers none reports nothing either.
+                silent = now - max(server.seen, next(iter(server.flight.values())))
+                if silent > r > 0.0:
+                    service *= silent / r
+                    r = silent
+            q_hat = 1.0 + server.outstanding * n + q
+            psi = r - service + q_hat * q_hat * q_hat * service
+            if server.zone != zone:
+                psi *= self.cross
+            if server.failures:
+                if server.shun_until > now:
+                    psi *= SHUN_FACTOR
+                else:
+                    psi *= SUSPECT_FACTOR if repeatable else SHUN_FACTOR
+            if keyed and rank < request.rank:
+                psi *= WARM_GAIN
+            if psi < lowest or best is None:
+                best, lowest = server, psi
+        return best
+
+    # --- The cubic rate: the paper's algorithm 2, for a trickle
+
+    def _token(self, now: int, server: Server) -> bool:
+        """Grow the rate along the cubic, accrue tokens since the last look, tell if one is left."""
+        srate = server.rate.grow(now)
+        server.tokens = min(BURST, server.tokens + srate * (now - server.t_token) * 1e-6)
+        server.t_token = now
+        return server.tokens >= 1.0
+
+    def _saturated(self, now: int, server: Server) -> None:
+        rate = server.rate
+        if now - rate.t_cut < rate.saddle and rate.srate != math.inf:
+            return
+        r0 = max(rate.rrate, 1e6 / RATE_TAU)
+        if rate.srate != math.inf and rate.srate < r0:
+            return
+        rate.cut(now, r0, max(SADDLE_MIN, SADDLE_ANSWERS / r0 * 1e6))
+        server.t_token = now
+        server.tokens = min(server.tokens, 1.0)
+
+    # --- Learning
+
+    def _learn(
+        self, now: int, server: Server, status: str, latency: int, report: Report | None,
+        sent: int | None,
+    ) -> None:  # fmt: skip
+        if status == OK:
+            server.rate.received(now)
+            self.fleet.received(now)
+            if server.failures:
+                server.failures = 0
+                server.shun_until = 0
+            self.typ_r += TYPICAL_ALPHA * (latency - self.typ_r) if self.typ_r else latency
+            first = not server.seen
+            server.r_bar += latency if first else ALPHA * (latency - server.r_bar)
+            if report is not None:
+                queue, service, held = report
+                if queue is None:
+                    queue = held
+                if queue is not None:
+                    server.q_bar += queue if first else ALPHA * (queue - server.q_bar)
+                    self.typ_q += TYPICAL_ALPHA * (queue - self.typ_q)
+                    if server.q_bar > QUEUE_SATURATED:
+                        self._saturated(now, server)
+                if service is None:
+                    service = latency
+                server.service += service if first else ALPHA * (service - server.service)
+                self._typical(server.kind & 7, service)
+            else:
+                server.service = server.r_bar
+            server.seen = now
+        elif status == BUSY:
+            # A full server is loaded, not failing: its queue is what matters. Its report is
+            # taken at face value only where it says that there is a queue.
+            queue = report.queue or 0.0 if report is not None else 0.0
+            server.q_bar = max(server.q_bar, queue, self.typ_q) + 1.0
+            if not server.seen:
+                server.service = self.typ_service[server.kind & 7] or self.typ_all
+                server.r_bar = self.typ_r
+            server.seen = now
+            self._saturated(now, server)
+        elif status in (ERROR, RESET, CONNECT_FAILED):
+            # Danger: quick errors show short latency and an empty queue. They are no sample.
+            self._shun(now, server)
+        elif status == TIMEOUT:
+            if sent is not None and server.seen < sent:
+                # Nothing came from it since: it is silent, not busy.
+                self._shun(now, server)
+            elif server.seen:
+                server.r_bar += ALPHA * (max(latency, server.r_bar) - server.r_bar)
+            self._saturated(now, server)
+
+    def _shun(self, now: int, server: Server) -> None:
+        """Outlier ejection: a while without requests, longer after each failed trial.
+
+        Danger: all that was out at a server fails with it, which is one failure and not many.
+        """
+        if now < server.shun_until:
+            return
+        server.failures = min(server.failures + 1, 8)
+        wait = min(SHUN_FIRST << (server.failures - 1), SHUN_MAX)
+        server.shun_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
+
+    def _typical(self, kind: int, service: float) -> None:
+        old = self.typ_service[kind]
+        self.typ_service[kind] = old + TYPICAL_ALPHA * (service - old) if old else service
+        old = self.typ_all
+        self.typ_all = old + TYPICAL_ALPHA * (service - old) if old else service
+
+    def _judge(
+        self, now: int, request: Request, status: str, latency: int, server: Server | None
+    ) -> None:
+        """The client has its answer: was it in time? That steers how much is shed."""
+        cls = self.settings.classes.index(request.cls)
+        took = now - request.arrived
+        old = self.class_r[cls]
+        if request.work:
+            mean = self.class_work[cls]
+            self.class_work[cls] += CLASS_ALPHA * (request.work - mean) if mean else request.work
+        self.class_r[cls] = old + CLASS_ALPHA * (latency - old) if old else latency
+        aim = request.cls.aim + request.cls.aim_stretch * request.work
+        # A request heavier than its class's usual takes longer by itself: no sign of overload.
+        mean = self.class_work[cls]
+        heavy = max(1.0, request.work / mean) if mean else 1.0
+        self._late(now, request, took > min(1.0, NEAR_LATE * heavy) * aim)
+
+    def _late(self, now: int, request: Request, late: bool) -> None:
+        """Too many answers come too late: cut the rate of the whole fleet.
+
+        Danger: what was taken in before a cut goes on coming late after it, and must not cut
+        again. Nor may the level hang on answers alone: where nearly all is shed, none come.
+        """
+        fleet = self.fleet
+        if request.arrived < fleet.t_cut:
+            return
+        self.late_sum = max(0.0, self.late_sum + late - LATE_SHARE)
+        if self.late_sum < LATE_SUM:
+            return
+        self.late_sum = 0.0
+        # Danger: soon after a start the windows are not full, and a rate read from them is low.
+        full = 1.0 - math.exp((self.t_start - now) / ARRIVAL_TAU)
+        taken = min(fleet.srate, sum(self.arrivals) / (ARRIVAL_TAU * max(full, 0.05)) * 1e6)
+        fleet.cut(now, max(fleet.rrate, taken * (1.0 - BETA)), FLEET_SADDLE)
+
+    # --- Overload: worth first
+
+    def _sheds(self, now: int, worth: float, repeat: bool) -> bool:
+        """Whether a request is refused at the door: least worth first, repeats before first tries.
+
+        Danger: a client's repeat has used up part of its time. Served instead of a first try it
+        is more often late, and its refusal comes back as one repeat more.
+        """
+        rank = 2 * self.worths.index(worth) + (not repeat)
+        fade = math.exp((self.t_arrival - now) / ARRIVAL_TAU)
+        self.t_arrival = now
+        arrivals = self.arrivals = [a * fade for a in self.arrivals]
+        arrivals[rank] += 1.0
+        fleet = self.fleet
+        if fleet.srate == math.inf:
+            return False
+        total = sum(arrivals)
+        surplus = total - fleet.grow(now) * ARRIVAL_TAU * 1e-6
+        if surplus <= 0.0:
+            if now - fleet.t_cut > 3 * FLEET_SADDLE:
+                fleet.srate = math.inf
+            return False
+        surplus = min(surplus, SHED_MOST * total) - sum(arrivals[:rank])
+        return self.random.random() * arrivals[rank] < surplus
+
+    def _over_share(self, now: int, tenant: int) -> bool:
+        """Whether this tenant sends more than its share, as far as this gateway can tell."""
+        if tenant >= len(self.tenant_tokens):
+            return False
+        rate = self.settings.tenants[tenant].quota_per_s / self.settings.gateways
+        tokens = self.tenant_tokens[tenant] + rate * (now - self.tenant_t[tenant]) * 1e-6
+        tokens = min(tokens, max(2.0, rate * 2.0))
+        self.tenant_t[tenant] = now
+        over = tokens < 1.0
+        self.tenant_tokens[tenant] = tokens if over else tokens - 1.0
+        return over
+
+    # --- Further attempts and the backlog
+
+    def _continue(self, now: int, request: Request, status: str, failing: bool) -> None:
+        """An attempt failed and the request is still owed an answer."""
+        if request.out:
+            return
+        if status in (TIMEOUT, MOOT) or now >= request.hold_until:
+            # Danger: what a failing server still holds is no sign that the fleet is overloaded.
+            if not failing:
+                self._late(now, request, status != MOOT)
+            self._finish(request, refuse=True)
+            return
+        ran = request.may_have_run
+        if ran and request.cls.effect not in (SAFE, KEYED):
+            self._finish(request, refuse=False)
+            return
+        if request.attempts >= self.settings.limits.max_attempts:
+            self._finish(request, refuse=True)
+            return
+        if self.retry_bank < 1.0 and status != CONNECT_FAILED:
+            # Danger: at overload every refusal by a server would come back as another attempt.
+            self._finish(request, refuse=True)
+            return
+        self.retry_bank -= 1.0 if status != CONNECT_FAILED else 0.0
+        if not self._place(now, request):
+            self._hold(now, request)
+
+    def _hold(self, now: int, request: Request) -> None:
+        if now >= request.hold_until:
+            self._finish(request, refuse=True)
+            return
+        heapq.heappush(self.backlog, (request.hold_until, request.id, request))
+        self.held += 1
+        if not self.drain_at:
+            self._arm(now)
+
+    def _arm(self, now: int) -> None:
+        at = min(now + HOLD_STEP, max(now + 1, self.backlog[0][0]))
+        self.drain_at = at
+        self.port.set_timer(DRAIN_TIMER, at)
+
+    def _drain(self, now: int) -> None:
+        """Place held requests as tokens return, those with the least time left first."""
+        back: list[tuple[int, int, Request]] = []
+        backlog = self.backlog
+        while backlog and len(back) < DRAIN_BATCH:
+            entry = heapq.heappop(backlog)
+            request = entry[2]
+            if request.id not in self.live:
+                continue
+            if now >= request.hold_until:
+                self._late(now, request, True)
+                self._finish(request, refuse=True)
+            elif not self._place(now, request):
+                back.append(entry)
+        for entry in back:
+            heapq.heappush(backlog, entry)
+        self.held = len(backlog)
+        if backlog and not self.drain_at:
+            self._arm(now)
+
+    # --- The fleet
+
+    def _share(self, server: Server) -> float:
+        """The part of this gateway's sends that a warm server of this kind gets here."""
+        fleet = sum(self.warm_kind) + len(self.cold)
+        kind = server.kind & 7
+        warm = self.warm_kind[kind]
+        if not warm:
+            return 0.7 / fleet  # nothing to go by: it may be of the slow kind
+        # A prior of one even round keeps the first sends from deciding.
+        return (self.sent_kind[kind] + warm) / (self.sent_all + fleet) / warm
+
+    def _regroup(self, now: int) -> None:
+        """Sort the ready servers by zone and warmth; after list news and as cold ones warm up."""
+        zone, cold_time = self.settings.zone, self.settings.rules.cold_time
+        own: list[Server] = []
+        others: list[Server] = []
+        self.cold = []
+        self.next_warm = 1 << 62
+        self.warm_kind = [0] * len(self.warm_kind)
+        for name in [s.name for s in self.servers.values() if s.state == GONE and not s.flight]:
+            del self.servers[name]
+        for server in self.servers.values():
+            # The rule on drains: what is not ready is no candidate, from the news of it on.
+            if server.state != READY:
+                continue
+            if server.boot and now < server.boot + cold_time:
+                self.cold.append(server)
+                self.next_warm = min(self.next_warm, server.boot + cold_time)
+                continue
+            self.warm_kind[server.kind & 7] += 1
+            (own if server.zone == zone else others).append(server)
+        self.warm = [own, others]
+        self.keyed.clear()
--- /dev/null
+++ b/tests/fake.py
@@ -0,0 +1,161 @@
+"""A fake world for the module: settings, listed servers, and a port that keeps what was done."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+from sillusher.interface import READY, RESTORED, Listed, Report
+from sillusher.policy import Gateway
+from sillusher.settings import parse_settings
+
+MS = 1000
+S = 1_000_000
+START = 100 * S
+
+SAFE, UNSAFE, KEYED_ALL, KEYED_ZONE, KEYED_CELL = range(5)  # positions in the classes below
+
+
+def _klass(repeat: str, group: str = "all", **more: Any) -> dict[str, Any]:
+    return {
+        "name": f"{repeat}-{group}",
+        "importance": 1.0,
+        "goalTime": 1 * S,
+        "deadline": 3 * S,
+        "lateValue": 0.0,
+        "repeat": repeat,
+        "dedupScope": group,
+        "memorySpan": 2 * S,
+        "stream": False,
+    } | more
+
+
+BASE: dict[str, Any] = {
+    "me": 0,
+    "balancers": 4,
+    "zone": 0,
+    "granularity": 5000,
+    "classes": [
+        _klass("pure"),
+        _klass("side_effect", importance=3.0),
+        _klass("token", "all"),
+        _klass("token", "zone"),
+        _klass("token", "cell"),
+    ],
+    "tenants": [],
+    "overShareWorth": 0.2,
+    "limits": {
+        "attemptsCap": 5,
+        "mayDuplicate": True,
+        "cancel": True,
+        "probes": False,
+        "peers": False,
+        "retryAfter": True,
+        "maxRetryAfter": 2 * S,
+    },
+    "rules": {
+        "graceToAnswer": 20 * MS,
+        "drainGrace": 1 * S,
+        "coldShare": 0.2,
+        "cold": 10 * S,
+        "fallMultiple": 3.0,
+        "overloadFor": 2 * S,
+        "askWithin": 10 * S,
+    },
+    "discovery": "automatic",
+    "familyInfo": {"warmKeys": False},
+    "costs": {"crossZone": 0.01},
+}
+
+
+def settings_value(**changes: Any) -> dict[str, Any]:
+    """The settings object; a change that is a dict is merged into that part."""
+    value = copy.deepcopy(BASE)
+    for key, change in changes.items():
+        if isinstance(change, dict):
+            value[key] = value.get(key, {}) | change
+        else:
+            value[key] = change
+    return value
+
+
+def server(name: str, zone: int = 0, cell: int = 0, boot: int = 0, state: str = READY) -> Listed:
+    return Listed(name, 1.0, zone, cell, state, boot, 0)
+
+
+class FakePort:
+    """Keeps every action; `sends` and `ends` are the views most tests look at."""
+
+    def __init__(self) -> None:
+        self.actions: list[tuple[Any, ...]] = []
+
+    def send(self, req: int, server: str, timeout: int) -> None:
+        self.actions.append(("send", req, server, timeout))
+
+    def refuse(self, req: int, retry_after: int) -> None:
+        self.actions.append(("refuse", req, retry_after))
+
+    def fail(self, req: int) -> None:
+        self.actions.append(("fail", req))
+
+    def cancel(self, req: int, attempt: int) -> None:
+        self.actions.append(("cancel", req, attempt))
+
+    def set_timer(self, token: int, at: int) -> None:
+        self.actions.append(("timer", token, at))
+
+    def watch(self, on: bool) -> None:
+        self.actions.append(("watch", on))
+
+    def log(self, text: str) -> None:
+        self.actions.append(("log", text))
+
+    def sends(self, req: int | None = None) -> list[str]:
+        return [a[2] for a in self.actions if a[0] == "send" and req in (None, a[1])]
+
+    def ends(self, req: int) -> list[str]:
+        return [a[0] for a in self.actions if a[0] in ("refuse", "fail") and a[1] == req]
+
+
+class World:
+    """One gateway with its port, and a clock that fires the timers it asked for."""
+
+    def __init__(self, *servers: Listed, seed: int = 1, **changes: Any) -> None:
+        self.port = FakePort()
+        self.settings = parse_settings(settings_value(**changes))
+        self.gateway = Gateway(self.port, self.settings, seed)
+        self.now = START
+        self.fired: set[int] = set()  # places of the timers that have come due
+        self.gateway.start(self.now)
+        self.gateway.members(self.now, RESTORED, servers)
+
+    def request(self, req: int, cls: int = SAFE, lasts: int = 3 * S, **more: Any) -> None:
+        self.gateway.request(
+            self.now, req, cls, self.now + lasts, more.get("work", 0), more.get("key"),
+            more.get("tenant", 0),
+        )  # fmt: skip
+
+    def outcome(
+        self, req: int, attempt: int, status: str, closed: bool = False, latency: int = 50 * MS,
+        report: Report | None = None,
+    ) -> None:  # fmt: skip
+        self.gateway.outcome(
+            self.now, req, attempt, status, closed, latency, self.port.sends(req)[attempt], report
+        )
+
+    def run(self, until: int) -> None:
+        """Fire the timers due, in order, up to that time after the start."""
+        end = START + until
+        while True:
+            due = [
+                (a[2], i, a[1])
+                for i, a in enumerate(self.port.actions)
+                if a[0] == "timer" and i not in self.fired and a[2] <= end
+            ]
+            if not due:
+                break
+            at, index, token = min(due)
+            self.fired.add(index)
+            self.now = max(self.now, at)
+            self.gateway.timer(self.now, token)
+        self.now = end
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,89 @@
+"""Shedding follows overload, and ends with it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sillusher.interface import OK, Report
+from tests.fake import MS, SAFE, START, UNSAFE, S, World, server
+
+
+def drive(world: World, first: int, count: int, latency: int, step: int = 10 * MS) -> int:
+    """Requests at a steady pace, each answered after that latency; how many were refused."""
+    due: list[tuple[int, int]] = []
+    refused = 0
+    for req in range(first, first + count):
+        while due and due[0][0] <= world.now:
+            at, old = due.pop(0)
+            world.now = max(at, world.now)
+            world.outcome(old, 0, OK, closed=True, latency=latency, report=Report(0.0, 50.0 * MS))
+        world.request(req, SAFE, lasts=4 * S)
+        if world.port.ends(req):
+            refused += 1
+        elif world.port.sends(req):
+            due.append((world.now + latency, req))
+        world.run(world.now + step - START)
+    for _, old in due:
+        world.outcome(old, 0, OK, closed=True, latency=latency)
+    return refused
+
+
+def fleet(**changes: Any) -> World:
+    return World(*(server(f"s{i}") for i in range(20)), **changes)
+
+
+def test_late_answers_make_it_shed_and_it_takes_all_again_when_they_are_in_time() -> None:
+    world = fleet()
+    assert drive(world, 0, 300, 50 * MS) == 0
+    assert drive(world, 1000, 600, 1500 * MS) > 60
+    # Nothing is refused any more some seconds after the answers are quick again: a level that
+    # hangs on served answers alone stays up for good.
+    drive(world, 2000, 1500, 50 * MS)
+    assert drive(world, 4000, 300, 50 * MS) == 0
+
+
+def test_a_few_late_answers_are_no_overload() -> None:
+    world = fleet()
+    for i in range(40):
+        assert drive(world, i * 100, 19, 50 * MS) == 0
+        assert drive(world, i * 100 + 50, 1, 1500 * MS) == 0
+
+
+def test_a_cut_right_after_the_start_does_not_refuse_most() -> None:
+    world = fleet()
+    refused = drive(world, 0, 100, 700 * MS)  # the first second, while windows are not full
+    refused += drive(world, 1000, 100, 50 * MS)
+    assert refused < 10
+
+
+def test_the_least_worth_is_shed_first() -> None:
+    world = fleet()
+    drive(world, 0, 900, 1500 * MS)
+    cheap = dear = 0
+    for i in range(300):
+        world.request(5000 + i, SAFE)
+        world.request(6000 + i, UNSAFE)
+        cheap += len(world.port.ends(5000 + i))
+        dear += len(world.port.ends(6000 + i))
+        world.run(world.now + 5 * MS - START)
+    assert cheap > 3 * dear
+
+
+def test_a_hot_key_does_not_jam_its_replicas() -> None:
+    world = World(*(server(f"s{i}") for i in range(20)), familyInfo={"warmKeys": True})
+    for req in range(100):
+        world.request(req, key=77)
+    sent = world.port.sends()
+    assert len(set(sent)) > 6  # more than the three that may have the key
+    busiest = max(sent.count(s) for s in set(sent))
+    assert busiest <= 20
+
+
+def test_an_ordinary_key_stays_with_its_server() -> None:
+    world = World(*(server(f"s{i}") for i in range(20)), familyInfo={"warmKeys": True})
+    for req in range(3000):
+        world.request(req, key=req % 100)
+        world.outcome(req, 0, OK, closed=True, latency=50 * MS, report=Report(0.0, 50.0 * MS))
+        world.run(world.now + 20 * MS - START)
+    sent = [world.port.sends(req)[0] for req in range(1000, 3000) if req % 100 == 77]
+    assert max(sent.count(s) for s in set(sent)) > 0.6 * len(sent)
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,24 @@
+"""The README's example runs as printed and does what it says."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+
+def test_the_embedding_example_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    text = (Path(__file__).parent.parent / "README.md").read_text()
+    (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
+    exec(compile(code, "README.md", "exec"), {"__name__": "example"})
+    printed = capsys.readouterr().out.strip()
+    assert printed == "send 1 to 10.0.0.1:80"
+    assert f"It prints `{printed}`" in text
+
+
+def test_the_printed_module_fits_the_on_call_folder() -> None:
+    lines = (Path(__file__).parent.parent / "sillusher/policy.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 850
+    assert max(map(len, lines)) <= 110
+    assert "sillusher/interface.py" in lines[0]
