--- a/sillusher/policy.py
+++ b/sillusher/policy.py
@@ -2,7 +2,7 @@
 
 C3 adaptive replica selection, sans-IO: a gateway ranks servers by C3's cubic score, sends within
 a cubic-adapted rate per server, and holds requests in a backlog when every server it may use is
-saturated (docs/design.md). The embedding gateway feeds events with their time and carries out
+saturated. The embedding gateway feeds events with their time and carries out
 what goes through `Port`.
 
 Times are integer microseconds of the clock handed in, rates are requests a second. Nothing is
@@ -38,7 +38,7 @@
 )
 from .settings import KEYED, SAFE, RequestClass, Settings
 
-# --- Tunables. Each says why it has its value; docs/results.md has the measured effects.
+# --- Tunables. Each says why it has its value.
 
 ALPHA = 0.3  # EWMA weight of a new report or response: a few answers replace the old view
 TYPICAL_ALPHA = 0.02  # EWMA weight for the fleet's typical figures: some fifty answers
@@ -335,7 +335,7 @@
             self.port.watch(True)
 
     def probe(self, now: int, name: str, status: str, latency: int, report: Report | None) -> None:
-        """A probe's finding. None are sent: see docs/design.md."""
+        """A probe's finding. None are sent: answers carry the same report."""
 
     def peer(self, now: int, source: int, data: bytes) -> None:
         """Word from another gateway. None is sent or used: each decides by what it saw itself."""
