Heed SIGHUP: read the file anew and move the watch on discovery

Cause: no handler for SIGHUP anywhere (__main__.serve set SIGTERM and SIGINT only), and Discovery.__init__ fixed the address for good. Ruled out: the restart itself; the crash comes at the signal.

Now the file is read anew, the environment's discovery does not mask the file's, a call at the old address is broken off and the new one is asked for the whole list. A file that can't be read leaves the old configuration; it is tried again three times in 1.5 s, as it may still be being written. Also: changes that can't be read, or of an older version, are made good by the whole list.

--- a/sillusher/__main__.py
+++ b/sillusher/__main__.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from .net.config import Config, ConfigError, load_config
+from .net.config import Config, ConfigError, load_config, reload_config
 from .net.discovery import Discovery
 from .net.downstream import listener
 from .net.gateway import Proxy
@@ -20,11 +20,38 @@
 USAGE = """usage: python -m sillusher [--help | --version]
 
 One real gateway. It is told all it needs by the environment: EDGE_CONFIG (a JSON file), EDGE_NAME,
-EDGE_LISTEN and EDGE_DISCOVERY. SIGTERM drains it."""
+EDGE_LISTEN and EDGE_DISCOVERY. SIGHUP makes it read EDGE_CONFIG anew; SIGTERM drains it."""
 BACKLOG = 4096
 FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
 ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming for 0.4 s
 STEP = 0.02
+REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
+
+
+class Reloader:
+    """SIGHUP: goes by the file as it is now, or by the old configuration if it can't be read."""
+
+    def __init__(self, proxy: Proxy, discovery: Discovery, log: Log) -> None:
+        self.proxy, self.discovery, self.log = proxy, discovery, log
+        self._again: asyncio.TimerHandle | None = None
+
+    def reload(self, tries: int = 0) -> None:
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+        try:
+            config = reload_config(os.environ)
+            self.proxy.reconfigure(config)
+        except Exception as error:
+            # Whatever is wrong with the file, the gateway goes on as it was.
+            self.log.say(f"SIGHUP: the old configuration stays: {error}")
+            if tries < len(REREAD):
+                loop = asyncio.get_running_loop()
+                self._again = loop.call_later(REREAD[tries], self.reload, tries + 1)
+            return
+        self.discovery.move(config.discovery)
+        host, port = config.discovery
+        self.log.say(f"SIGHUP: new configuration, discovery at {host}:{port}")
 
 
 async def serve(config: Config, log: Log) -> None:
@@ -37,6 +64,7 @@
     proxy.begin()
     discovery = Discovery(proxy)
     watch = loop.create_task(discovery.run())
+    loop.add_signal_handler(signal.SIGHUP, Reloader(proxy, discovery, log).reload)
     server = await loop.create_server(listener(proxy), *config.listen, backlog=BACKLOG)
     log.say(
         f"sillusher {VERSION} listens on {config.listen[0]}:{config.listen[1]}; "
@@ -76,6 +104,8 @@
     if arguments:
         print(f"sillusher: unknown argument: {arguments[0]}", file=sys.stderr)
         return 2
+    # One that comes before the gateway can heed it is answered by the file, which is read below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load_config(os.environ)
     except ConfigError as error:
--- a/sillusher/net/config.py
+++ b/sillusher/net/config.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import Any, Final
 
 from ..interface import DRAINING, GONE, READY, Listed
@@ -250,8 +251,21 @@
     )
 
 
-def load_config(env: Mapping[str, str]) -> Config:
-    """Read what the environment points to; raises ConfigError."""
+def reload_config(env: Mapping[str, str]) -> Config:
+    """Read the file anew; raises ConfigError.
+
+    A running process's environment can't change. Where the new file names discovery, it holds.
+    """
+    return load_config({k: v for k, v in env.items() if k != "EDGE_DISCOVERY"}, env)
+
+
+def load_config(
+    env: Mapping[str, str], fallback: Mapping[str, str] = MappingProxyType({})
+) -> Config:
+    """Read what the environment points to, `fallback` where neither it nor the file says anything.
+
+    Raises ConfigError.
+    """
     path = env.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG: required and missing")
@@ -262,4 +276,6 @@
         raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
     except (ValueError, RecursionError):
         raise ConfigError(f"EDGE_CONFIG: {path}: not JSON") from None
+    if isinstance(value, dict) and "discovery" not in value:
+        env = {**fallback, **env}
     return parse_config(value, env)
--- a/sillusher/net/discovery.py
+++ b/sillusher/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 from typing import TYPE_CHECKING, Final, cast
@@ -24,13 +25,17 @@
 SOON: Final = 0.02  # between two calls where an answer came at once and had no news
 AGAIN: Final = 0.05  # first pause after a failed call to the agent; doubles
 AGAIN_MOST: Final = 0.3
-MAX_ANSWER: Final = 8 << 20
+MAX_ANSWER: Final = 2 << 20  # some ten thousand hosts; more would be a threat to memory
 
 
 class CallError(Exception):
     """A call brought no list; the text says why."""
 
 
+class MovedError(Exception):
+    """Discovery has a new address; the call at the old one counts for nothing."""
+
+
 class Call(AnswerReader, asyncio.Protocol):
     """A connection to discovery."""
 
@@ -112,6 +117,7 @@
         self.version = proxy.config.known.version
         self.heard = asyncio.Event()  # at least one list has come
         self._wanted = asyncio.Event()
+        self._moved = asyncio.Event()
         self._call: Call | None = None
         self._random = random.Random(proxy.config.seed)
         self._whole = True  # the next call asks for the whole list
@@ -124,6 +130,22 @@
         else:
             self._wanted.clear()
 
+    def move(self, address: Address) -> None:
+        """Discovery is at another address from now on: ask there at once, for the whole list.
+
+        Versions of two services don't compare, so nothing of the old one's is kept. A call that is
+        out is broken off; its answer could be older than what the new one says.
+        """
+        if address == self.address:
+            return
+        self.address = address
+        self._whole = True
+        self._drop()
+        # Danger: waiting for the module's own time to ask again could outlast the time in which
+        # the new service's news counts as told.
+        self._wanted.set()
+        self._moved.set()
+
     async def run(self) -> None:
         """Watch for as long as the process lives."""
         again = AGAIN
@@ -134,10 +156,16 @@
                 await self._wanted.wait()
             started = self.proxy.clock()
             version = self.version
+            address = self.address
             try:
-                news = await self._once()
+                news = await self._once(address)
+            except MovedError:
+                self._drop()
+                continue
             except (CallError, OSError, TimeoutError) as error:
                 self._drop()
+                if self.address != address:
+                    continue
                 self.proxy.counters.bad_lists += 1
                 why = str(error) or type(error).__name__
                 self.proxy.logger.often("discovery", f"discovery: call failed: {why[:120]}")
@@ -146,16 +174,23 @@
                     self._wanted.clear()
                     self.proxy.list_failed()
                 else:
-                    await asyncio.sleep(again * (0.5 + self._random.random()))
+                    await self._pause(again * (0.5 + self._random.random()))
                     again = min(again * 2, AGAIN_MOST)
                 continue
             again = AGAIN
             self.heard.set()
             idle = not news and self.version == version
             if idle and self.proxy.clock() - started < 50_000:
-                await asyncio.sleep(SOON)
+                await self._pause(SOON)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait between two calls, unless discovery moves."""
+        self._moved.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._moved.wait()
 
-    async def _once(self) -> bool:
+    async def _once(self, address: Address) -> bool:
         """One call; whether it brought entries."""
         wait, patience = (
             (WAIT_ASKED, PATIENCE_ASKED) if self.asked else (WAIT_PUSHED, PATIENCE_PUSHED)
@@ -171,12 +206,17 @@
         if call is None or not call.usable():
             self._drop()
             async with asyncio.timeout(CONNECT):
-                _, call = await loop.create_connection(Call, *self.address)
+                _, call = await loop.create_connection(Call, *address)
+            if self.address != address:
+                call.close()
+                raise MovedError
             self._call = call
         done: asyncio.Future[None] = loop.create_future()
-        call.ask(target, self.address, done)
+        call.ask(target, address, done)
         async with asyncio.timeout(limit):
             await done
+        if self.address != address:
+            raise MovedError
         if call.status != 200:
             raise CallError(f"status {call.status}")
         try:
@@ -185,8 +225,10 @@
             raise CallError(f"malformed list: {error}") from None
         if self._whole and not roster.full:
             raise CallError("changes instead of the whole list")
+        # Danger: changes that can't be read, or that count from an older version, leave a hole in
+        # the list that no later change fills: a drain would be missed. The whole list fills it.
+        self._whole = not roster.full and (roster.bad > 0 or roster.version < self.version)
         self.version = roster.version
-        self._whole = False
         if roster.bad:
             self.proxy.counters.bad_lists += 1
             self.proxy.logger.often("entries", f"discovery: {roster.bad} entries out of form")
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -29,7 +29,7 @@
 )
 from ..policy import Gateway
 from .budget import Budget
-from .config import Config, Roster
+from .config import Config, Roster, Wire
 from .log import Log
 from .upstream import Attempt, Host, Pool, Upstream
 
@@ -121,8 +121,7 @@
         # `started_ms` compares with it.
         self._epoch = time.time_ns() - time.monotonic_ns()
         wire = config.wire
-        idle_life = max(wire.conn_idle // 2, wire.conn_idle - 3_000_000)
-        self.pool = Pool(self, idle_life, wire.connect_timeout)
+        self.pool = Pool(self, idle_life(wire), wire.connect_timeout)
         self.budget = Budget(config.memory_mb)
         self.clients: dict[Downstream, None] = {}
         self.live: dict[int, Exchange] = {}
@@ -155,6 +154,16 @@
         self._take_list(self.config.known, RESTORED)
         self._push(self._beat_at, None)
 
+    def finish(self) -> None:
+        """End at once: timers and connections are let go."""
+        if self._handle is not None:
+            self._handle.cancel()
+        open_now = [client.transport for client in self.clients]
+        open_now += [conn.transport for conn in self.pool.open]
+        for transport in open_now:
+            if transport is not None:
+                transport.abort()
+
     def _push(self, at: int, what: Exchange | int | None) -> None:
         self._seq += 1
         heapq.heappush(self._heap, (at, self._seq, what))
@@ -507,6 +516,19 @@
                 f"{len(roster.entries)} entries, {len(self.pool.hosts)} hosts",
             )
 
+    def reconfigure(self, config: Config) -> None:
+        """Go by a new configuration, with all that is open going on.
+
+        Its list of hosts is older than what discovery has said since, and name, listening address
+        and seed belong to the process. They stay.
+        """
+        old, self.config = self.config, config
+        wire = config.wire
+        self.pool.idle_life, self.pool.connect_timeout = idle_life(wire), wire.connect_timeout
+        if config.settings != old.settings:
+            now = self.clock()
+            self._tell(None, lambda: self.module.reconfigure(now, config.settings))
+
     def list_failed(self) -> None:
         """A watch that the module asked for has failed."""
         now = self.clock()
@@ -559,6 +581,11 @@
         c.lag = 0
 
 
+def idle_life(wire: Wire) -> int:
+    """How long a connection to a host is kept: less than the host keeps it."""
+    return max(wire.conn_idle // 2, wire.conn_idle - 3_000_000)
+
+
 def read_cookie_key(value: Any) -> int | None:
     """What a request is about: the cookie `sid`, where it is hex digits."""
     for part in value.split(b";"):
--- a/sillusher/policy.py
+++ b/sillusher/policy.py
@@ -185,7 +185,7 @@
     """The decisions of one gateway instance."""
 
     def __init__(self, port: Port, settings: Settings, seed: int) -> None:
-        self.port, self.settings = port, settings
+        self.port = port
         self.random = random.Random(seed)
         self.servers: dict[str, Server] = {}
         self.warm: list[list[Server]] = []  # ready and warm: own zone, then the others
@@ -201,8 +201,6 @@
         kinds = 8
         self.typ_service = [0.0] * kinds  # by kind; kinds past the last share one
         self.typ_q = self.typ_r = self.typ_all = 0.0
-        self.class_r = [0.0] * len(settings.classes)
-        self.class_work = [0.0] * len(settings.classes)
         self.sent_kind = [0.0] * kinds
         self.warm_kind = [0] * kinds
         self.sent_all = 0.0
@@ -211,14 +209,21 @@
         self.late_sum = 0.0
         self.watching = False
         self.watch_wait = WATCH_BACKOFF
+        self.t_arrival = self.t_start = 0
+        self._adopt(0, settings)
+
+    def _adopt(self, now: int, settings: Settings) -> None:
+        """Go by these settings; what is counted by class, worth or tenant starts anew."""
+        self.settings = settings
+        self.class_r = [0.0] * len(settings.classes)
+        self.class_work = [0.0] * len(settings.classes)
         worths = {c.worth for c in settings.classes}
         if settings.tenants:
             worths |= {w * settings.over_share_worth for w in worths}
         self.worths = sorted(worths)
         self.arrivals = [0.0] * (2 * len(self.worths))  # requests in the window, by rank of worth
-        self.t_arrival = self.t_start = 0
         self.tenant_tokens = [1.0] * len(settings.tenants)
-        self.tenant_t = [0] * len(settings.tenants)
+        self.tenant_t = [now] * len(settings.tenants)
         self.cross = 1.0 + CROSS_WEIGHT * settings.cross_zone_price
         # With fewer gateways than that, the paper's own n stands.
         self.n = min(float(settings.gateways), OS_WEIGHT)
@@ -229,6 +234,15 @@
         """The instance begins, empty; its last list follows as `members`."""
         self.t_start = now
 
+    def reconfigure(self, now: int, settings: Settings) -> None:
+        """New settings for a running instance; requests taken go on under their class's old ones.
+
+        Danger: the window of arrivals is empty after this, and a rate read from it is low.
+        """
+        self.t_start = now
+        self._adopt(now, settings)
+        self._regroup(now)
+
     def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
         """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
         if mode == FAILED:
@@ -637,6 +651,8 @@
         self, now: int, request: Request, status: str, latency: int, server: Server | None
     ) -> None:
         """The client has its answer: was it in time? That steers how much is shed."""
+        if request.cls not in self.settings.classes:
+            return  # of settings that hold no more
         cls = self.settings.classes.index(request.cls)
         took = now - request.arrived
         old = self.class_r[cls]
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,252 @@
+"""Peers over loopback sockets for tests of the real gateway: a host, discovery, a plain client."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any, Self
+
+from sillusher.net.config import parse_config
+from sillusher.net.discovery import Discovery
+from sillusher.net.downstream import listener
+from sillusher.net.gateway import Proxy
+from sillusher.net.log import Log
+from tests.fake import settings_value
+
+PATIENCE = 30.0  # s; no test measures time, but none waits forever
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+Answerer = Callable[[bytes, Writer], Awaitable[None]]
+
+
+def _name(server: asyncio.Server) -> str:
+    return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, however long it takes within reason."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def read_message(reader: Reader) -> bytes:
+    """A whole message with its Content-Length; raises IncompleteReadError at an early end."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    size = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            size = int(line.partition(b":")[2])
+    return head + (await reader.readexactly(size) if size else b"")
+
+
+def answer(body: bytes, fields: bytes = b"") -> bytes:
+    return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (fields, len(body), body)
+
+
+def request(
+    name: str, body: bytes | None = None, wait_ms: int = 3000, fields: bytes = b"", kind: str = ""
+) -> bytes:
+    """A client's request of the safe class, or of the unsafe one where it has a body."""
+    method = b"GET" if body is None else b"POST"
+    kind = kind or ("pure-all" if body is None else "side_effect-all")
+    size = b"" if body is None else b"Content-Length: %d\r\n" % len(body)
+    return b"%s /api HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Kind: %s\r\n%s%s%s\r\n%s" % (
+        method, name.encode(), kind.encode(), b"Req-Deadline-Ms: %d\r\n" % wait_ms, size, fields,
+        body or b"",
+    )  # fmt: skip
+
+
+class Server:
+    """Listens on loopback and hands each whole request to its answerer."""
+
+    def __init__(self, answerer: Answerer | None = None) -> None:
+        self.answerer = answerer
+        self.seen: list[bytes] = []
+        self.writers: list[Writer] = []
+        self.server: asyncio.Server | None = None
+        self.addr = ""
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addr = _name(self.server)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.writers.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                message = await read_message(reader)
+                self.seen.append(message)
+                await self.reply(message, writer)
+
+    async def reply(self, message: bytes, writer: Writer) -> None:
+        if self.answerer is not None:
+            await self.answerer(message, writer)
+        else:
+            writer.write(answer(b"served"))
+
+
+class Registry(Server):
+    """Discovery: the whole list at first, then what the test says has changed."""
+
+    def __init__(self, *hosts: tuple[str, str], version: int = 1) -> None:
+        super().__init__()
+        self.version = version
+        self.entries = [entry(name, addr) for name, addr in hosts]
+        self.raw: bytes | None = None  # said in place of an answer, once
+
+    async def reply(self, message: bytes, writer: Writer) -> None:
+        target = message.split(b" ")[1]
+        after = int(target.partition(b"after=")[2].partition(b"&")[0] or b"-1")
+        if self.raw is not None:
+            raw, self.raw = self.raw, None
+            writer.write(raw)
+            return
+        full = after != self.version
+        if not full:
+            await asyncio.sleep(0.05)
+        listed = self.entries if full else []
+        text = {"version": self.version, "full": full, "servers": listed}
+        writer.write(answer(json.dumps(text).encode()))
+
+
+def entry(name: str, addr: str, state: str = "active") -> dict[str, Any]:
+    return {
+        "id": name, "addr": addr, "zone": "z", "kind": "k", "cell": 0, "state": state,
+        "weight": 1.0, "started_ms": 0,
+    }  # fmt: skip
+
+
+def config_value(discovery: str, *hosts: tuple[str, str], **changes: Any) -> dict[str, Any]:
+    """A configuration as the platform writes it; `limits` and `settings` are merged in."""
+    settings = settings_value(dcs=["z"], shapes=["k"], **changes.pop("settings", {}))
+    limits = {"cores": 1.0, "memory_mb": 80, "sockets": 256} | changes.pop("limits", {})
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "discovery": discovery,
+        "seed": "1",
+        "limits": limits,
+        "known": {"version": 0, "full": True, "servers": [entry(n, a) for n, a in hosts]},
+        "settings": settings,
+    } | changes
+
+
+class Client:
+    """A client's connection."""
+
+    def __init__(self, reader: Reader, writer: Writer) -> None:
+        self.reader, self.writer = reader, writer
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def answer(self) -> tuple[int, bytes]:
+        """The next answer: its status and body."""
+        async with asyncio.timeout(PATIENCE):
+            message = await read_message(self.reader)
+        return int(message.split(b" ")[1]), message.partition(b"\r\n\r\n")[2]
+
+    async def rest(self) -> bytes:
+        """All that still comes until the gateway closes; a reset counts as an end."""
+        got = b""
+        async with asyncio.timeout(PATIENCE):
+            with contextlib.suppress(OSError):
+                while data := await self.reader.read(65536):
+                    got += data
+        return got
+
+    async def ask(self, data: bytes) -> tuple[int, bytes]:
+        self.send(data)
+        return await self.answer()
+
+
+async def dial(addr: str) -> Client:
+    host, _, port = addr.rpartition(":")
+    return Client(*await asyncio.open_connection(host, int(port)))
+
+
+class Gate:
+    """A gateway in this process, listening on loopback."""
+
+    def __init__(self, proxy: Proxy, addr: str, discovery: Discovery) -> None:
+        self.proxy, self.addr, self.discovery = proxy, addr, discovery
+
+    async def client(self) -> Client:
+        return await dial(self.addr)
+
+
+@contextlib.asynccontextmanager
+async def gate(*hosts: tuple[str, str], discovery: str = "", **changes: Any) -> AsyncIterator[Gate]:
+    """A gateway that knows these hosts; it watches discovery only where there is some."""
+    loop = asyncio.get_running_loop()
+    value = config_value(discovery or "127.0.0.1:9", *hosts, **changes)
+    proxy = Proxy(parse_config(value, {}), loop, Log("n0"))
+    proxy.begin()
+    watcher = Discovery(proxy)
+    watch = loop.create_task(watcher.run()) if discovery else None
+    server = await loop.create_server(listener(proxy), "127.0.0.1", 0)
+    proxy.ready = True
+    try:
+        yield Gate(proxy, _name(server), watcher)
+    finally:
+        server.close()
+        proxy.finish()
+        if watch is not None:
+            watch.cancel()
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+@contextlib.asynccontextmanager
+async def process(
+    path: Path, value: dict[str, Any]
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, str]]:
+    """The real program, ready for traffic, with its configuration in a file."""
+    addr = f"127.0.0.1:{free_port()}"
+    path.write_text(json.dumps(value | {"listen": addr}))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    env |= {"EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": addr}
+    env |= {"EDGE_DISCOVERY": str(value["discovery"])}
+    program = await asyncio.create_subprocess_exec(
+        sys.executable, "-B", "-m", "sillusher", env=env, stderr=asyncio.subprocess.DEVNULL
+    )
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while not await _ready(addr):
+                await asyncio.sleep(0.02)
+        yield program, addr
+    finally:
+        if program.returncode is None:
+            program.kill()
+        await program.wait()
+
+
+async def _ready(addr: str) -> bool:
+    try:
+        client = await dial(addr)
+    except OSError:
+        return False
+    status, _ = await client.ask(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    client.writer.close()
+    return status == 200
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,125 @@
+"""New configurations and restarts of the real program, under signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+from sillusher.net.config import Address, parse_address
+from tests.sockets import (
+    PATIENCE,
+    Registry,
+    Server,
+    Writer,
+    answer,
+    config_value,
+    dial,
+    entry,
+    gate,
+    process,
+    request,
+    until,
+)
+
+
+def test_a_reload_under_load_moves_to_the_new_discovery(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Server() as first, Server() as second:
+            old, new = Registry(("a", first.addr), version=50), Registry(("b", second.addr))
+            async with old, new:
+                value = config_value(old.addr, ("a", first.addr))
+                path = tmp_path / "config.json"
+                async with process(path, value) as (program, addr):
+                    client = await dial(addr)
+                    assert await client.ask(request("r1")) == (200, b"served")
+                    fresh = json.loads(path.read_text()) | {"discovery": new.addr}
+                    path.write_text(json.dumps(fresh))
+                    program.send_signal(signal.SIGHUP)
+                    await until(lambda: len(new.seen) > 1)
+                    old.stop()
+                    for i in range(20):  # on the connection that was open before
+                        assert await client.ask(request(f"n{i}")) == (200, b"served")
+                    assert len(second.seen) >= 20
+                    assert program.returncode is None
+
+    asyncio.run(play())
+
+
+def test_a_file_that_cannot_be_read_leaves_the_old_configuration(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Server() as host, Registry(("a", host.addr)) as registry:
+            path = tmp_path / "config.json"
+            value = config_value(registry.addr, ("a", host.addr))
+            async with process(path, value) as (program, addr):
+                client = await dial(addr)
+                for number, text in enumerate(("{", "[]", '{"settings":{}}', "\udcff", "")):
+                    path.write_bytes(text.encode("utf-8", "surrogateescape"))
+                    program.send_signal(signal.SIGHUP)
+                    calls = len(registry.seen)
+                    await until(lambda calls=calls: len(registry.seen) > calls + 2)  # type: ignore[misc]
+                    assert await client.ask(request(f"r{number}")) == (200, b"served")
+                path.unlink()
+                program.send_signal(signal.SIGHUP)
+                assert await client.ask(request("last")) == (200, b"served")
+                assert program.returncode is None
+
+    asyncio.run(play())
+
+
+def _address(text: str) -> Address:
+    return parse_address("addr", text)
+
+
+def test_a_call_that_hangs_at_the_old_discovery_does_not_hold_up_the_move() -> None:
+    async def silent(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(PATIENCE)
+
+    async def play() -> None:
+        async with Server() as host, Server(silent) as old, Registry(("b", host.addr)) as new:
+            changes = {"discovery": "subscribe", "rules": {"askWithin": 1}}
+            async with gate(discovery=old.addr, settings=changes) as it:
+                await until(lambda: bool(old.seen))
+                it.discovery.move(_address(new.addr))
+                await until(lambda: "b" in it.proxy.pool.hosts)
+
+    asyncio.run(play())
+
+
+def test_changes_that_cannot_be_read_are_made_good_by_the_whole_list() -> None:
+    async def play() -> None:
+        async with (
+            Server() as host,
+            Registry(("a", host.addr)) as registry,
+            gate(("a", host.addr), discovery=registry.addr) as it,
+        ):
+            await until(lambda: len(registry.seen) > 1)
+            registry.entries = [entry("a", host.addr, "leaving")]
+            bad = [{"id": "a", "addr": "nowhere", "state": "leaving"}]
+            text = json.dumps({"version": 2, "full": False, "servers": bad})
+            registry.version = 2
+            registry.raw = answer(text.encode())
+            await until(lambda: it.proxy.pool.hosts["a"].listed.state == "draining")
+
+    asyncio.run(play())
+
+
+def test_new_settings_hold_from_the_reload_on() -> None:
+    async def play() -> None:
+        from sillusher.net.config import parse_config
+
+        async with Server() as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert (await client.ask(request("r1", kind="new")))[0] == 400
+            classes = [{
+                "name": "new", "importance": 1.0, "goalTime": 10**6, "deadline": 3 * 10**6,
+                "repeat": "pure",
+            }]  # fmt: skip
+            value = config_value("127.0.0.1:9", settings={"classes": classes})
+            it.proxy.reconfigure(parse_config(value, {}))
+            client = await it.client()
+            assert await client.ask(request("r2", kind="new")) == (200, b"served")
+            assert it.proxy.counters.panics == 0
+
+    asyncio.run(play())
