Judge hosts and the fleet by more than one failure

A trace of every cut of the fleet's rate showed the evidence: nearly all of it attempts that found one host full (_late after BUSY in outcome), with 3 to 8 of 12 hosts shunned at that moment and every host's rate limited. Hosts were shunned by one spoilt answer or reset each (_learn: ERROR, RESET -> _shun), which come from any host alike; the rest overran; what overran was taken for an overloaded fleet. After a shun, a cut set a host's rate to what it had received meanwhile (_saturated: r0 = rrate), near nothing. Ruled out: late answers (12 of 836), stale connections (resets come at any idle age), descriptors (5 connects failed).

Now three failures in a row shun a host, and the share of attempts that fail raises its psi, more where a failure can't be made good. Two full hosts in a row are evidence of overload, one is not. A cut keeps at least half of what a typical host answers.

--- a/sillusher/policy.py
+++ b/sillusher/policy.py
@@ -56,6 +56,7 @@
 CROSS_WEIGHT = 60.0  # psi of another zone is raised by 1 + this * the crossing price
 RATE_TAU = 2_000_000  # window of rrate: long enough for several answers at a few a second
 BETA = 0.2  # a cut takes this share of the rate; the cubic starts at (1 - BETA) * R0
+FAIR_SHARE = 0.5  # a cut goes no lower than this share of what a server of the fleet answers
 SADDLE_ANSWERS = 10  # the cubic is back at R0 after about this many answers...
 SADDLE_MIN = 100_000  # ...and not before the paper's 100 ms
 BURST = 2.0  # tokens a server can save up: a trickle is not smooth
@@ -65,6 +66,10 @@
 PATIENCE = 1.5  # an attempt ends at this multiple of its answer's useful time
 SHUN_FIRST = 1_000_000  # how long a failing server is shunned at first; doubles with each failure
 SHUN_MAX = 16_000_000
+STRIKES = 3  # failures in a row that shun a server; fewer come by chance where answers get spoilt
+ERROR_ALPHA = 0.1  # EWMA weight of an attempt's failure or success: some ten attempts
+ERROR_WEIGHT = 15.0  # psi is raised by 1 + this * the share of attempts that fail...
+ERROR_UNSAFE = 45.0  # ...and so much where a failure can't be made good by another attempt
 SHUN_FACTOR = 200.0  # psi of a shunned server: never the choice unless all of them are shunned
 SUSPECT_FACTOR = 6.0  # psi of one on trial after that, for requests that can be repeated
 RETRY_SHARE = 0.15  # further attempts earned by a request, for those that may cost server work
@@ -116,6 +121,7 @@
     __slots__ = (
         "boot",
         "cell",
+        "errors",
         "failures",
         "flight",
         "hash",
@@ -129,6 +135,7 @@
         "service",
         "shun_until",
         "state",
+        "strikes",
         "t_token",
         "tokens",
         "weight",
@@ -156,13 +163,14 @@
         self.rate = CubicRate()
         self.tokens, self.t_token = BURST, 0
         self.failures, self.shun_until = 0, 0
+        self.strikes, self.errors = 0, 0.0  # failures in a row, and their share of late
 
 
 class Request:
     """A request this gateway owes an answer for."""
 
     __slots__ = (
-        "arrived", "attempts", "cls", "coin", "group", "group_until", "hold_until",
+        "arrived", "attempts", "cls", "coin", "full", "group", "group_until", "hold_until",
         "id", "key", "may_have_run", "out", "rank", "streaming", "useless", "work",
     )  # fmt: skip
 
@@ -171,7 +179,7 @@
     ) -> None:
         self.id, self.cls, self.work, self.key = req, cls, work, key
         self.arrived = now
-        self.attempts = self.out = 0
+        self.attempts = self.out = self.full = 0
         self.may_have_run = self.streaming = False
         self.group: Server | None = None  # whose group may get a repeat of a keyed request
         self.group_until = 0
@@ -325,7 +333,11 @@
                 if status not in NEVER_RAN:
                     self._may_have_run(request, server, sent)
                 elif status == BUSY:
-                    self._late(now, request, True)  # the earliest sign that the fleet is full
+                    # Two full servers in a row are the earliest sign that the fleet is full. One
+                    # tells of that server only: old reports send many to the same one.
+                    request.full += 1
+                    if request.full > 1:
+                        self._late(now, request, True)
                 self._continue(now, request, status, failing)
         if self.held:
             self._drain(now)
@@ -547,6 +559,8 @@
             psi = r - service + q_hat * q_hat * q_hat * service
             if server.zone != zone:
                 psi *= self.cross
+            if server.errors > 0.01:
+                psi *= 1.0 + (ERROR_WEIGHT if repeatable else ERROR_UNSAFE) * server.errors
             if server.failures:
                 if server.shun_until > now:
                     psi *= SHUN_FACTOR
@@ -571,7 +585,10 @@
         rate = server.rate
         if now - rate.t_cut < rate.saddle and rate.srate != math.inf:
             return
-        r0 = max(rate.rrate, 1e6 / RATE_TAU)
+        # Danger: one that was sent little, as after a shun, has received little. That is no sign of
+        # what it can take, and a rate cut to it takes many times its saddle to come back.
+        fair = self.fleet.rrate / max(1, len(self.warm[0]) + len(self.warm[1]))
+        r0 = max(rate.rrate, FAIR_SHARE * fair, 1e6 / RATE_TAU)
         if rate.srate != math.inf and rate.srate < r0:
             return
         rate.cut(now, r0, max(SADDLE_MIN, SADDLE_ANSWERS / r0 * 1e6))
@@ -587,6 +604,8 @@
         if status == OK:
             server.rate.received(now)
             self.fleet.received(now)
+            server.strikes = 0
+            server.errors *= 1.0 - ERROR_ALPHA
             if server.failures:
                 server.failures = 0
                 server.shun_until = 0
@@ -619,8 +638,15 @@
                 server.r_bar = self.typ_r
             server.seen = now
             self._saturated(now, server)
-        elif status in (ERROR, RESET, CONNECT_FAILED):
-            # Danger: quick errors show short latency and an empty queue. They are no sample.
+        elif status in (ERROR, RESET):
+            # Danger: quick errors show short latency and an empty queue. They are no sample. Nor is
+            # one failure among many answers a sign of a bad server: where answers get spoilt on any
+            # of them, shunning each for its one failure takes away capacity that is there.
+            server.errors += ERROR_ALPHA * (1.0 - server.errors)
+            server.strikes += 1
+            if server.strikes >= STRIKES or not server.seen or server.failures:
+                self._shun(now, server)
+        elif status == CONNECT_FAILED:
             self._shun(now, server)
         elif status == TIMEOUT:
             if sent is not None and server.seen < sent:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,7 +5,7 @@
 import pytest
 
 from sillusher.interface import BUSY, CONNECT_FAILED, ERROR, OK, RESET, TIMEOUT, Report
-from tests.fake import MS, SAFE, START, S, World, server
+from tests.fake import MS, SAFE, START, UNSAFE, S, World, server
 
 
 def fleet(n: int = 6) -> World:
@@ -127,3 +127,59 @@
         due.sort()
         world.run(world.now + 10 * MS - START)
     assert went.count("s0") < 600 / 4 / 2
+
+
+@pytest.mark.parametrize("status", [ERROR, RESET])
+def test_a_spoilt_answer_now_and_then_takes_no_server_away(status: str) -> None:
+    world = fleet()
+    answer_all_but(world, "", range(200))
+    for req in range(1000, 1060):  # one in ten fails, at any server alike
+        world.request(req)
+        if req % 10 == 0:
+            world.outcome(req, 0, status, latency=20 * MS)
+        world.outcome(req, len(world.port.sends(req)) - 1, OK, closed=True, latency=20 * MS)
+        assert all(s.shun_until <= world.now for s in world.gateway.servers.values())
+        world.run(world.now + 20 * MS - START)
+
+
+def test_a_server_that_fails_half_of_the_time_gets_little() -> None:
+    world = fleet()
+    answer_all_but(world, "", range(200))
+    bad = 0
+    for req in range(1000, 1300):
+        world.request(req, UNSAFE)
+        failing = world.port.sends(req)[0] == "s3" and (bad := bad + 1) % 2
+        world.outcome(req, 0, RESET if failing else OK, closed=not failing, latency=20 * MS)
+        world.run(world.now + 20 * MS - START)
+    assert bad < 30  # of 300 to 6 servers, 50 were its share
+
+
+def refused(full: int) -> int:
+    """Of a hundred requests, when every fourth finds so many servers full before one takes it."""
+    world = fleet(12)
+    answer_all_but(world, "", range(300))
+    for req in range(1000, 1100):
+        world.request(req)
+        for attempt in range(0 if req % 4 else full):
+            if attempt < len(world.port.sends(req)):
+                world.outcome(req, attempt, BUSY, latency=1 * MS)
+        last = len(world.port.sends(req)) - 1
+        if last >= 0 and not world.port.ends(req):
+            world.outcome(req, last, OK, closed=True, latency=20 * MS)
+        world.run(world.now + 20 * MS - START)
+    return sum(bool(world.port.ends(req)) for req in range(1000, 1100))
+
+
+def test_one_full_server_is_no_overload_and_two_in_a_row_are() -> None:
+    assert refused(1) == 0
+    assert refused(3) > 5
+
+
+def test_a_cut_after_a_time_without_requests_is_no_cut_to_nothing() -> None:
+    world = fleet()
+    answer_all_but(world, "", range(300))
+    name = world.port.sends(299)[0]
+    one = world.gateway.servers[name]
+    one.rate.rrate = 0.1  # as after a long shun
+    world.gateway._saturated(world.now, one)
+    assert one.rate.srate > 0.3 * world.gateway.fleet.rrate / 6
