--- a/sillusher/__main__.py
+++ b/sillusher/__main__.py
@@ -12,7 +12,7 @@
 
 from .net.config import Config, ConfigError, load_config, reload_config
 from .net.discovery import Discovery
-from .net.downstream import listener
+from .net.downstream import Listener
 from .net.gateway import Proxy
 from .net.log import Log
 
@@ -25,6 +25,7 @@
 FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
 ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming for 0.4 s
 STEP = 0.02
+AFTERWARDS = 50_000  # us after the last answer that is surely out
 REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
 
 
@@ -65,7 +66,7 @@
     discovery = Discovery(proxy)
     watch = loop.create_task(discovery.run())
     loop.add_signal_handler(signal.SIGHUP, Reloader(proxy, discovery, log).reload)
-    server = await loop.create_server(listener(proxy), *config.listen, backlog=BACKLOG)
+    server = Listener(proxy, config.listen, BACKLOG)
     log.say(
         f"sillusher {VERSION} listens on {config.listen[0]}:{config.listen[1]}; "
         f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
@@ -74,7 +75,9 @@
     # What is alive by now lives as long as the process: the collector need not look at it again.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
+    # Danger: what connections leave in cycles is only freed by a look at the oldest generation,
+    # which must come often enough that it doesn't add up over a long day.
+    gc.set_threshold(10_000, 10, 10)
     waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
     await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
     proxy.ready = not stop.is_set()
@@ -84,12 +87,15 @@
     proxy.drain()
     await asyncio.sleep(ACCEPT_ON)
     server.close()
-    while proxy.clients:
+    # Peers that never get on with it must not keep the process from its end.
+    last = proxy.drain_since + proxy.last_answer() + AFTERWARDS
+    while proxy.clock() < last and (proxy.arriving or any(c.owes() for c in proxy.clients)):
+        await asyncio.sleep(STEP)
         for client in list(proxy.clients):
             if client.is_idle():
                 client.close_idle()
-        await asyncio.sleep(STEP)
     watch.cancel()
+    proxy.finish()
     log.say("drained")
 
 
--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -6,19 +6,20 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
-from typing import TYPE_CHECKING, Any, Final, cast
+from typing import TYPE_CHECKING, Final, cast
 
 import httptools
 
 from ..settings import KEYED, SAFE
-from .budget import MAX_BODY, SMALL
+from .budget import MAX_BODY
 from .gateway import Exchange, read_cookie_key
 from .http import HOP, MAX_HEAD
 
 if TYPE_CHECKING:
+    from .config import Address
     from .gateway import Proxy
-    from .upstream import Upstream
 
 READY_PATH: Final = b"/health/ready"
 # What is read for this gateway and goes on in its own form or not at all.
@@ -31,25 +32,26 @@
     }
 )  # fmt: skip
 # A second one of these would make it doubtful what was meant.
-SINGLE: Final = READ - {b"cookie", b"expect", b"transfer-encoding"}
+SINGLE: Final = READ - {b"cookie", b"expect"}
 REASONS: Final = {
     400: b"400 Bad Request",
     408: b"408 Request Timeout",
+    409: b"409 Conflict",
     413: b"413 Content Too Large",
     431: b"431 Request Header Fields Too Large",
     502: b"502 Bad Gateway",
     503: b"503 Service Unavailable",
     504: b"504 Gateway Timeout",
 }
+ACCEPTS: Final = 64  # connections taken in before others get their turn
 QUEUE: Final = 4  # requests that a client may send ahead of its answers
-LONGEST_WAIT: Final = 60_000  # ms; nobody is waited for longer
-HEAD_TIME: Final = 6_000_000  # a head may take 2 s
-BODY_GRACE: Final = 4_000_000
-BODY_RATE: Final = 32_000  # bytes a second; half of what a client must do
-IDLE_TIME: Final = 120_000_000
-LINGER: Final = 1_500_000  # so long a refused client's bytes are taken in and thrown away
-UNREAD: Final = 20_000_000  # a client that takes no byte of its answer for so long has gone
-RETRY_NO_ROOM: Final = 1_000_000
+REQUEST_TIME: Final = 2_500_000  # a whole request has come so long after its first byte
+# A connection that has brought no request may be closed after 2 s. One that has is worth more: its
+# client comes back. Where descriptors run short both go sooner.
+SILENT_TIME: Final = 2_100_000
+IDLE_TIME: Final = 30_000_000
+LINGER: Final = 1_000_000  # so long a refused client's bytes are taken in and thrown away
+UNREAD: Final = 5_000_000  # a client that takes no byte of its answer for so long has gone
 
 IDLE, HEAD, BODY, CLOSING = range(4)
 
@@ -66,10 +68,8 @@
     """A client's connection."""
 
     __slots__ = (
-        "body_since",
-        "budgeted",
+        "asked",
         "chunked",
-        "chunks",
         "content_length",
         "ends",
         "exchange",
@@ -82,9 +82,7 @@
         "phase",
         "proxy",
         "queue",
-        "rejected",
         "since",
-        "source",
         "stuck",
         "stuck_at",
         "stuck_size",
@@ -99,11 +97,9 @@
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.exchange: Exchange | None = None  # taken and not answered
         self.queue: deque[Exchange] = deque()  # come whole ahead of their turn
-        self.source: Upstream | None = None  # the host's connection whose answer streams through
-        self.chunks = False  # whether that goes out in chunks
-        self.rejected: tuple[int, str] | None = None
         self.phase = IDLE
-        self.since = proxy.clock()
+        self.asked = False  # whether a whole request has come at all
+        self.since = proxy.clock()  # when the phase began
         self.making: Exchange | None = None  # the request being read
         self.stuck = False  # the client reads more slowly than its answer comes
         self.stuck_at, self.stuck_size = 0, 0
@@ -114,19 +110,19 @@
         self.fields: list[tuple[bytes, bytes, bytes]] = []
         self.content_length: int | None = None
         self.chunked = self.upgrade = False
-        self.budgeted = True
-        self.body_since = 0
 
     # --- The connection
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.proxy.took_client(self)
+        self.proxy.clients[self] = None
+        self._enter_idle()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.parser = None  # it holds this object in turn
         self.proxy.clients.pop(self, None)
+        self._leave_idle()
         self._drop_request()
 
     def eof_received(self) -> None:
@@ -134,31 +130,54 @@
         self._drop_request()
 
     def _drop_request(self) -> None:
-        source, self.source = self.source, None
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.client = None
             self.proxy.client_gone(exchange)
-        if source is not None:
-            source.set_paused(False)
+        self._forget_untaken()
+
+    def _forget_untaken(self) -> None:
+        """Let go of what was being read and of what waits for its turn."""
         if self.making is not None:
-            self.proxy.budget.release(self.making)
+            self.proxy.release_body(self.making)
             self.making = None
         for waiting in self.queue:
-            self.proxy.budget.release(waiting)
+            self.proxy.release_body(waiting)
         self.queue.clear()
 
     def is_idle(self) -> bool:
         return self.phase == IDLE and self.exchange is None and not self.queue
 
+    def owes(self) -> bool:
+        """Whether the client may still get something: an answer, or its bytes on their way."""
+        if self.transport is None:
+            return False
+        if self.phase == CLOSING:
+            return self.transport.get_write_buffer_size() > 0
+        return not self.is_idle()
+
     def close_idle(self) -> None:
         """Close between two requests."""
+        self._leave_idle()
         self.phase = CLOSING
         if self.transport is not None:
             self.transport.close()
 
+    def _enter_idle(self) -> None:
+        self.since = self.proxy.clock()
+        (self.proxy.idle if self.asked else self.proxy.silent)[self] = None
+
+    def _leave_idle(self) -> None:
+        self.proxy.idle.pop(self, None)
+        self.proxy.silent.pop(self, None)
+
     def sweep(self, now: int) -> None:
-        """Once a second: end what has stood still for too long."""
+        """Several times a second: end what has stood still for too long.
+
+        Guards against peers that hold a connection and do not get on with it: silent ones, heads
+        and bodies that trickle or stop, answers that are not read. It can do harm to honest
+        clients behind a link so bad that a request takes seconds to come.
+        """
         transport = self.transport
         if transport is None:
             return
@@ -172,14 +191,10 @@
         if self.phase == CLOSING:
             if now - self.since > LINGER and not transport.get_write_buffer_size():
                 transport.abort()
-        elif self.phase == HEAD:
-            if now - self.since > HEAD_TIME:
-                self._reject(408, "head too slow")
-        elif self.phase == BODY and self.budgeted:
-            most = BODY_GRACE + self.got * 1_000_000 // BODY_RATE
-            if now - self.body_since > most:
-                self._reject(408, "body too slow")
-        elif self.is_idle() and now - self.since > IDLE_TIME:
+        elif self.phase in (HEAD, BODY):
+            if now - self.since > REQUEST_TIME:
+                self._reject(408, "request too slow")
+        elif self.is_idle() and now - self.since > (IDLE_TIME if self.asked else SILENT_TIME):
             self.close_idle()
 
     # --- Reading a request
@@ -195,8 +210,16 @@
         except RejectError as error:
             self._reject(error.status, str(error))
             return
+        except Exception as error:
+            # Danger: what escapes here ends in the loop's handler, and the client waits for ever.
+            self.proxy.logger.often("reading", f"reading a request failed: {error!r:.100}")
+            self._reject(400, "unreadable")
+            return
         if self.phase == HEAD and self.fed > 2 * MAX_HEAD:
             self._reject(431, "head too large")
+        elif self.exchange is None:
+            # Only now: what comes along with a request and can't be read makes it doubtful too.
+            self._next()
 
     def _feed(self, data: bytes) -> bytes:
         """Hand bytes to the parser; returns what is left to hand to it anew."""
@@ -233,9 +256,11 @@
     def on_message_begin(self) -> None:
         if self.phase == CLOSING:
             return
+        self._leave_idle()
         self._fresh()
+        if self.asked or self.phase != IDLE:
+            self.since = self.proxy.clock()  # the first request counts from the connection's start
         self.phase = HEAD
-        self.since = self.proxy.clock()
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -262,10 +287,9 @@
                 if low in found and low in SINGLE:
                     raise RejectError(400, "a field came twice")
                 found[low] = value
-            elif low == b"upgrade":
-                self.upgrade = True
             elif low == b"connection":
                 named.update(part.strip().lower() for part in value.split(b","))
+        self.upgrade = self.parser.should_upgrade()
         if self.upgrade and self.method != b"CONNECT":
             return  # `_feed` begins anew
         if b"host" not in found and self.parser.get_http_version() != "1.0":
@@ -274,27 +298,32 @@
         exchange = self.making = Exchange()
         exchange.client = self
         self.phase = BODY
-        self.body_since = self.proxy.clock()
         if self.url.partition(b"?")[0] == READY_PATH and b"req-id" not in found:
             exchange.head = b""
             return
         self._read_meaning(exchange, found)
         self._build_head(exchange, named)
-        size = self.content_length if not self.chunked else SMALL
-        if size:
-            self._reserve(exchange, size)
-        if b"expect" in found and self.budgeted:
+        if b"expect" in found:
             self._expect(found[b"expect"])
 
     def _frame(self, found: dict[bytes, bytes]) -> None:
-        """How long the body is. The parser has seen to it that only one field says so."""
-        coding = found.get(b"transfer-encoding")
+        """How long the body is.
+
+        Guards against requests that say so twice or in a form that two readers could take
+        differently, which may hide another request in a body. The parser refuses most of them;
+        that it does is not relied on.
+        """
+        coding, length = found.get(b"transfer-encoding"), found.get(b"content-length")
         if coding is not None:
-            if coding.strip().lower() != b"chunked":
+            if length is not None:
+                raise RejectError(400, "both content-length and transfer-encoding")
+            if coding.lower() != b"chunked":
                 raise RejectError(400, "unknown transfer-encoding")
             self.chunked = True
-        elif b"content-length" in found:
-            self.content_length = int(found[b"content-length"])
+        elif length is not None:
+            if not length.isdigit() or len(length) > 18:
+                raise RejectError(400, "content-length is no number")
+            self.content_length = int(length)
             if self.content_length > MAX_BODY:
                 raise RejectError(413, "body too large")
 
@@ -307,11 +336,12 @@
         cls = wire.classes.get(found.get(b"req-kind", b""))
         if cls is None:
             raise RejectError(400, "Req-Kind missing or unknown")
-        exchange.cls = cls
+        exchange.name, exchange.cls = name, cls
         wait = found.get(b"req-deadline-ms", b"")
         if not wait.isdigit() or len(wait) > 9 or int(wait) == 0:
             raise RejectError(400, "Req-Deadline-Ms missing or bad")
-        exchange.wait_ms = min(int(wait), LONGEST_WAIT)
+        # Nobody is waited for longer than its class may take.
+        exchange.wait_ms = min(int(wait), wire.longest_deadline // 1000)
         effect = self.proxy.config.settings.classes[cls].effect
         keyed = found.get(b"idempotency-key")
         body = self.chunked or bool(self.content_length)
@@ -334,7 +364,7 @@
         lines += [
             name + b": " + value
             for low, name, value in self.fields
-            if low not in OWN and low not in named
+            if low not in OWN and (low not in named or low in READ)
         ]
         if self.content_length is not None and self.method == b"POST":
             lines.append(b"Content-Length: %d" % self.content_length)
@@ -349,29 +379,6 @@
 
     # --- Reading its body
 
-    def _reserve(self, exchange: Exchange, size: int) -> None:
-        """Reserve room for all of the body; reading stands still until there is some."""
-        now = self.proxy.clock()
-        if not self.proxy.budget.reserve(self, exchange, size, now):
-            self.budgeted = False
-            if self.transport is not None:
-                self.transport.pause_reading()
-
-    def granted(self) -> None:
-        """There is room for the body now."""
-        self.budgeted = True
-        self.body_since = self.proxy.clock() - self.got * 1_000_000 // BODY_RATE
-        if self.transport is not None:
-            if not self.got and any(low == b"expect" for low, _, _ in self.fields):
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self.transport.resume_reading()
-
-    def no_room(self) -> None:
-        """There was no room for the body in good time; nothing of this request is taken."""
-        if self.transport is not None:
-            self.transport.resume_reading()
-        self._reject(503, "no room for the body")
-
     def on_body(self, data: bytes) -> None:
         exchange = self.making
         if exchange is None:
@@ -381,20 +388,15 @@
         self.got = got = before + size
         if got > MAX_BODY:
             raise RejectError(413, "body too large")
-        if self.content_length is not None:
-            if size == self.content_length:
-                exchange.body = data
-                return
-            if not before:
-                # Room is taken up only as it is written to.
-                exchange.body = bytearray(self.content_length)
-            exchange.body[before:got] = data  # type: ignore[index]
-            return
+        if not self.proxy.budget.take(size):
+            raise RejectError(503, "no room for the body")
+        exchange.reserved += size
         if not before:
-            exchange.body = bytearray()
+            exchange.body = data
+            return
+        if not isinstance(exchange.body, bytearray):
+            exchange.body = bytearray(exchange.body)
         exchange.body += data
-        if got > SMALL and exchange.reserved <= SMALL and self.budgeted:
-            self._reserve(exchange, MAX_BODY)
 
     def on_message_complete(self) -> None:
         if self.phase == CLOSING or self.parser is None or self.upgrade:
@@ -402,33 +404,30 @@
         exchange = self.making
         if exchange is None:
             return
-        if not self.budgeted:
-            # All of it came along with the head: it is here, and has to be counted.
-            self.proxy.budget.force(self, exchange, self.got)
-            self.budgeted = True
-            if self.transport is not None:
-                self.transport.resume_reading()
         self.making = None
         self.phase = IDLE
+        self.asked = True
         exchange.keep = self.parser.should_keep_alive()
         exchange.old_http = self.parser.get_http_version() == "1.0"
         if self.chunked:
-            self.proxy.budget.settle(exchange, self.got)
             exchange.head += b"Content-Length: %d\r\n" % self.got
         self.fed = 0
-        if self.exchange is not None or self.queue:
-            self.queue.append(exchange)
-            if len(self.queue) >= QUEUE and self.transport is not None:
-                self.transport.pause_reading()
-            return
-        self._take(exchange)
+        self.queue.append(exchange)
+        if len(self.queue) > QUEUE:
+            raise RejectError(400, "too many requests ahead of their answers")
 
     def _take(self, exchange: Exchange) -> None:
-        self.exchange = exchange
         if not exchange.head:
+            self.exchange = exchange
             self._health(exchange)
-            return
-        self.proxy.request(exchange)
+        elif exchange.name in self.proxy.names:
+            # Guards against an id used twice at a time: hosts and clients could no longer tell the
+            # two apart, and one client might be given the other's answer.
+            self.proxy.release_body(exchange)
+            self._reject(409, "a request with this id is open")
+        else:
+            self.exchange = exchange
+            self.proxy.request(exchange)
 
     def _health(self, exchange: Exchange) -> None:
         if self.proxy.ready:
@@ -437,34 +436,34 @@
             self._answer(exchange, REASONS[503], b"Content-Type: text/plain\r\n", b"not ready\n")
 
     def _next(self) -> None:
-        """The answer is out: on to the next request, if it is here already."""
-        self.since = self.proxy.clock()
+        """No answer is owed: on to the next request, if it is here already."""
         if self.exchange is not None or self.transport is None or self.phase == CLOSING:
             return
         if self.queue:
-            if len(self.queue) == QUEUE:
-                self.transport.resume_reading()
             self._take(self.queue.popleft())
-        elif self.rejected is not None:
-            self._reject(*self.rejected)
+        elif self.phase == IDLE and self.asked and self not in self.proxy.idle:
+            self._enter_idle()
 
     # --- Answers
 
     def _reject(self, status: int, why: str) -> None:
-        """Answer what is out of form, and close. An earlier request is answered first."""
-        if self.phase != CLOSING:
-            self.proxy.counters.bad_requests += 1
-            self.proxy.logger.often(
-                f"reject {status}", f"client refused with {status}: {why[:100]}"
-            )
-        if self.making is not None:
-            self.proxy.budget.release(self.making)
-            self.making = None
+        """Answer what is out of form, and close.
+
+        An earlier request that is still open on this connection gets this as its answer too. Bytes
+        that can't be read leave it open where that request ended, and a client that goes on
+        before its answer has come gets no more served. That does harm to an honest client that
+        pipelines and errs in a later request: it has to ask once more.
+        """
+        if self.phase == CLOSING:
+            return
+        self.proxy.counters.bad_requests += 1
+        self.proxy.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
+        if self.exchange is not None and status == 503:
+            status = 502  # what is open may have run, and a refusal would say that it has not
+        self._leave_idle()
         self.phase = CLOSING
         self.since = self.proxy.clock()
-        if self.exchange is not None or self.queue:
-            self.rejected = (status, why)
-            return
+        self._drop_request()
         if self.transport is None:
             return
         after = b"Retry-After: 1\r\n" if status == 503 else b""
@@ -501,19 +500,16 @@
     def _after(self, close: bool) -> None:
         transport = self.transport
         assert transport is not None
-        self.since = self.proxy.clock()
         if close:
             self.phase = CLOSING
-            for waiting in self.queue:
-                self.proxy.budget.release(waiting)
-            self.queue.clear()
-            self.rejected = None
+            self.since = self.proxy.clock()
+            self._forget_untaken()
             transport.close()
-        elif self.queue or self.rejected is not None:
+        elif self.queue:
             # Danger: an answer may be given from inside the module, which must not be entered anew.
-            if self.rejected is not None:
-                self.phase = IDLE
             self.proxy.loop.call_soon(self._next)
+        elif self.phase == IDLE:
+            self._enter_idle()
 
     def serve(
         self, exchange: Exchange, fields: list[tuple[bytes, bytes, bytes]], body: bytes | bytearray
@@ -530,57 +526,11 @@
         """Failed, which promises nothing."""
         self._answer(exchange, REASONS[504 if late else 502], b"", b"")
 
-    # --- An answer that streams
-
-    def stream_head(self, exchange: Exchange, source: Upstream) -> None:
-        transport = self.transport
-        if transport is None:
-            return
-        self.source = source
-        close = self._closes(exchange)
-        self.chunks = False
-        if source.length is not None:
-            framing = b"Content-Length: %d\r\n" % source.length
-        elif exchange.old_http:
-            framing, close = b"", True
-        else:
-            framing, self.chunks = b"Transfer-Encoding: chunked\r\n", True
-        exchange.close_after = close
-        transport.write(
-            b"HTTP/1.1 200 OK\r\n%s%s%s\r\n"
-            % (_pass_on(source.fields), self._connection(exchange, close), framing)
-        )
-
-    def stream_part(self, data: bytes) -> None:
-        if self.transport is None:
-            return
-        if self.chunks:
-            data = b"%x\r\n%s\r\n" % (len(data), data)
-        self.transport.write(data)
-
-    def stream_over(self, whole: bool) -> None:
-        """The stream has ended; one that is not whole ends the connection visibly short."""
-        transport = self.transport
-        exchange, self.exchange, self.source = self.exchange, None, None
-        if transport is None or exchange is None:
-            return
-        if not whole:
-            self.phase = CLOSING
-            transport.abort()
-            return
-        if self.chunks:
-            transport.write(b"0\r\n\r\n")
-        self._after(exchange.close_after)
-
     def pause_writing(self) -> None:
         self.stuck, self.stuck_at = True, 0
-        if self.source is not None:
-            self.source.set_paused(True)
 
     def resume_writing(self) -> None:
         self.stuck = False
-        if self.source is not None:
-            self.source.set_paused(False)
 
 
 def _token(name: bytes) -> bool:
@@ -602,6 +552,56 @@
     )
 
 
-def listener(proxy: Proxy) -> Any:
-    """What the server makes for each connection."""
-    return lambda: Downstream(proxy)
+class Listener:
+    """Accepts clients, as many as there are descriptors for.
+
+    The loop's own server takes in whatever waits before anybody can look at it. Guards against
+    crowds that connect at once, whether or not they mean harm: each connection is accepted only
+    into a free descriptor, and one that finds none is closed at once. That can turn away honest
+    clients in a crowd; those that are inside go on being served.
+    """
+
+    def __init__(self, proxy: Proxy, address: Address, backlog: int) -> None:
+        self.proxy = proxy
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(backlog)
+        except OSError:
+            self.sock.close()
+            raise
+        proxy.loop.add_reader(self.sock, self._accept)
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                self.proxy.logger.often("accept", f"accept failed: {error.strerror}")
+                return
+            if not self.proxy.room_for_client():
+                self.proxy.counters.crowded += 1
+                self.proxy.logger.often("crowd", "no descriptor for a client's connection; closed")
+                sock.close()
+                continue
+            self.proxy.arriving += 1
+            self.proxy.loop.create_task(self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.proxy.loop.connect_accepted_socket(lambda: Downstream(self.proxy), sock)
+        except OSError:
+            sock.close()  # it has gone already
+        finally:
+            self.proxy.arriving -= 1
+
+    def close(self) -> None:
+        """Stop listening; whoever has connected by now is let in."""
+        self._accept()
+        self.proxy.loop.remove_reader(self.sock)
+        self.sock.close()
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -31,7 +31,7 @@
 from .budget import Budget
 from .config import Config, Roster, Wire
 from .log import Log
-from .upstream import Attempt, Host, Pool, Upstream
+from .upstream import Attempt, Host, Pool
 
 if TYPE_CHECKING:
     from .downstream import Downstream
@@ -42,8 +42,12 @@
 BEAT: Final = 25 * MS  # how often lateness of the loop is looked at
 LATE: Final = 40 * MS  # a loop later than that lets sockets speak before timers
 SWEEP: Final = 1000 * MS
+CLIENT_SWEEP: Final = 200 * MS  # clients have limits of a few seconds, to be kept to a fraction
 STATS: Final = 10_000 * MS
-RESERVE: Final = 48  # descriptors kept free of connections to hosts
+RESERVE: Final = 28  # descriptors for the loop, the listener, discovery, the log and files
+CLIENTS_LEAST: Final = 0.45  # of the other descriptors, so many can't be taken from the clients...
+HOSTS_LEAST: Final = 0.3  # ...and so many not from the connections to hosts
+YOUNG: Final = 250 * MS  # a connection's first request is surely on its way for so long
 
 Answer = tuple[list[tuple[bytes, bytes, bytes]], "bytes | bytearray"]
 
@@ -54,9 +58,7 @@
     __slots__ = (
         "attempts",
         "body",
-        "bound",
         "client",
-        "close_after",
         "closed",
         "cls",
         "deadline",
@@ -64,6 +66,7 @@
         "id",
         "keep",
         "key",
+        "name",
         "old_http",
         "out",
         "repeat",
@@ -76,6 +79,7 @@
 
     def __init__(self) -> None:
         self.id = 0
+        self.name = b""  # the client's own word for it, by which hosts know it
         self.client: Downstream | None = None
         self.head = b""  # all of the head that goes on but for the deadline
         self.body: bytes | bytearray = b""
@@ -84,12 +88,10 @@
         self.key: int | None = None
         self.repeat = False
         self.keep = True
-        self.old_http = False  # HTTP/1.0: no chunks, and closed unless asked otherwise
-        self.close_after = False  # a streamed answer ends the connection
+        self.old_http = False  # HTTP/1.0: closed unless asked otherwise
         self.deadline = self.wake = 0
         self.attempts = 0
         self.out: list[Attempt] = []
-        self.bound: Attempt | None = None  # whose answer the client is being streamed
         self.closed = False
 
     def wire(self, left: int) -> tuple[bytes, bytes | bytearray]:
@@ -101,14 +103,14 @@
     """What is counted for the periodic line in the log."""
 
     __slots__ = (
-        "bad_lists", "bad_requests", "failed", "gone", "lag", "malformed", "overdue", "panics",
-        "refused", "requests", "served", "shed", "statuses",
+        "bad_lists", "bad_requests", "crowded", "failed", "gone", "lag", "malformed", "overdue",
+        "panics", "refused", "requests", "served", "shed", "statuses",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.requests = self.served = self.refused = self.failed = self.gone = 0
         self.bad_requests = self.malformed = self.bad_lists = self.panics = self.overdue = 0
-        self.shed = self.lag = 0
+        self.shed = self.lag = self.crowded = 0
         self.statuses: dict[str, int] = {}
 
 
@@ -124,6 +126,11 @@
         self.pool = Pool(self, idle_life(wire), wire.connect_timeout)
         self.budget = Budget(config.memory_mb)
         self.clients: dict[Downstream, None] = {}
+        # Those of them with no request open, by whether they have asked before; oldest first.
+        self.idle: dict[Downstream, None] = {}
+        self.silent: dict[Downstream, None] = {}
+        self.arriving = 0  # accepted, and not yet among the clients
+        self.names: dict[bytes, Exchange] = {}  # of requests that are open, here or at a host
         self.live: dict[int, Exchange] = {}
         self.counters = Counters()
         self.ready = False
@@ -137,7 +144,7 @@
         self._handle: asyncio.TimerHandle | None = None
         self._inside = False
         self._later: deque[tuple[Attempt, str]] = deque()
-        self._beat_at = self._sweep_at = self._stats_at = 0
+        self._beat_at = self._sweep_at = self._stats_at = self._client_sweep_at = 0
         self.module = Gateway(self, config.settings, config.seed)
 
     # --- Clock and timers
@@ -213,7 +220,8 @@
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP
             self.pool.sweep(now)
-            self.budget.sweep(now)
+        if now >= self._client_sweep_at:
+            self._client_sweep_at = now + CLIENT_SWEEP
             for client in list(self.clients):
                 client.sweep(now)
         if now >= self._stats_at:
@@ -238,7 +246,7 @@
                 self._give_up(attempt, TIMEOUT)
             elif attempt.connect_by and attempt.connect_by <= now:
                 self._give_up(attempt, CONNECT_FAILED)
-        if not exchange.closed and now >= exchange.deadline + OVERDUE and exchange.bound is None:
+        if not exchange.closed and now >= exchange.deadline + OVERDUE:
             # The module still owes this one: its client must not be left without an answer.
             self.counters.overdue += 1
             self.logger.often("overdue", "a request was still held after its deadline; failed")
@@ -319,7 +327,7 @@
         if exchange is None:
             return
         for one in exchange.out:
-            if one.n == attempt and exchange.bound is not one:
+            if one.n == attempt:
                 self._withdraw(one)
                 self.later(one, CANCELLED)
 
@@ -353,7 +361,7 @@
             if client is not None:
                 client.refuse(exchange, 0)
             return
-        self.live[exchange.id] = exchange
+        self.live[exchange.id] = self.names[exchange.name] = exchange
         self._tell(
             exchange,
             lambda: self.module.request(
@@ -371,11 +379,8 @@
         self.counters.gone += 1
         exchange.client = None
         exchange.closed = True
-        bound = exchange.bound
         now = self.clock()
         self._tell(None, lambda: self.module.gone(now, exchange.id))
-        if bound is not None and not bound.over:
-            self._give_up(bound, CANCELLED)
         self._release(exchange)
 
     def _conclude(self, exchange: Exchange) -> Downstream | None:
@@ -389,8 +394,16 @@
         """Let go of a request that is over, and of its body once no attempt needs it."""
         if exchange.closed and not exchange.out:
             self.live.pop(exchange.id, None)
-            self.budget.release(exchange)
-            exchange.body = exchange.head = b""
+            if self.names.get(exchange.name) is exchange:
+                del self.names[exchange.name]
+            self.release_body(exchange)
+            exchange.head = b""
+
+    def release_body(self, exchange: Exchange) -> None:
+        """The body is not needed any more."""
+        self.budget.give_back(exchange.reserved)
+        exchange.reserved = 0
+        exchange.body = b""
 
     def _answer_failed(self, exchange: Exchange) -> None:
         self.counters.failed += 1
@@ -433,13 +446,11 @@
         exchange = attempt.exchange
         exchange.out.remove(attempt)
         now = self.clock()
-        latency = (attempt.answered or now) - attempt.sent
-        bound = exchange.bound is attempt
-        if not exchange.closed and (bound or (status == OK and exchange.bound is None)):
-            if status == OK:
-                self.counters.served += 1
+        latency = now - attempt.sent
+        if not exchange.closed and status == OK:
+            self.counters.served += 1
             client = self._conclude(exchange)
-            if client is not None and not bound and answer is not None:
+            if client is not None and answer is not None:
                 client.serve(exchange, *answer)
         self._count(attempt.host, status)
         closed = exchange.closed
@@ -451,25 +462,6 @@
         )
         self._release(exchange)
 
-    def stream_began(self, attempt: Attempt, conn: Upstream) -> Downstream | None:
-        """An answer too long to be held begins: it is the client's, and no deadline runs on."""
-        exchange = attempt.exchange
-        client = exchange.client
-        if exchange.closed or exchange.bound is not None or client is None:
-            return None
-        now = self.clock()
-        exchange.bound = attempt
-        attempt.answered = now
-        attempt.ends = 1 << 62
-        client.stream_head(exchange, conn)
-        self._tell(
-            exchange,
-            lambda: self.module.first(
-                now, exchange.id, attempt.n, attempt.host.id, now - attempt.sent
-            ),
-        )
-        return client
-
     def malformed(self, host: Host, why: str) -> None:
         self.counters.malformed += 1
         self.logger.often(f"malformed {host.id}", f"host {host.id}: malformed answer: {why[:100]}")
@@ -523,6 +515,7 @@
         and seed belong to the process. They stay.
         """
         old, self.config = self.config, config
+        self.budget.resize(config.memory_mb)
         wire = config.wire
         self.pool.idle_life, self.pool.connect_timeout = idle_life(wire), wire.connect_timeout
         if config.settings != old.settings:
@@ -536,27 +529,48 @@
 
     # --- Descriptors, drain, log
 
+    def _full(self) -> bool:
+        held = self.pool.size() + len(self.clients) + self.arriving
+        return held >= self.config.sockets - RESERVE
+
     def make_room(self) -> bool:
-        """Whether one more connection to a host may be opened; closes idle ones if need be."""
-        most = self.config.sockets - RESERVE
-        while self.pool.size() + len(self.clients) >= most:
-            if not (self.pool.close_oldest_idle() or self._close_idle_client()):
+        """Whether one more connection to a host may be opened; closes idle ones if need be.
+
+        Guards against either side taking all descriptors: what a crowd of clients holds must not
+        keep requests from hosts, and the other way round. Both sides have a part that is theirs.
+        It can do harm where one side is idle for long: its part stands empty.
+        """
+        while self._full():
+            least = CLIENTS_LEAST * (self.config.sockets - RESERVE)
+            spare = len(self.clients) + self.arriving > least
+            if not ((spare and self._close_idle_client()) or self.pool.close_oldest_idle()):
                 return False
         return True
 
-    def took_client(self, client: Downstream) -> None:
-        """A client's connection was accepted. Near the limit idle ones make room for it."""
-        self.clients[client] = None
-        most = self.config.sockets - RESERVE // 2
-        if self.pool.size() + len(self.clients) > most and not self.pool.close_oldest_idle():
-            self._close_idle_client()
+    def room_for_client(self) -> bool:
+        """Whether one more client may be let in; closes idle connections if need be."""
+        most = (1.0 - HOSTS_LEAST) * (self.config.sockets - RESERVE)
+        while self._full() or len(self.clients) + self.arriving >= most:
+            crowded = len(self.clients) + self.arriving >= most
+            if not (self._close_idle_client() or (not crowded and self.pool.close_oldest_idle())):
+                return False
+        return True
 
     def _close_idle_client(self) -> bool:
-        for client in self.clients:
-            if client.is_idle():
-                client.close_idle()
-                return True
-        return False
+        """Close the connection that is least likely to be missed.
+
+        Who has said nothing for a while goes first, then who has asked and is done, and last who
+        has just come and may be about to ask.
+        """
+        oldest = next(iter(self.silent), None)
+        if oldest is None or self.clock() - oldest.since < YOUNG:
+            oldest = next(iter(self.idle), oldest)
+        if oldest is None:
+            return False
+        oldest.close_idle()
+        # Its descriptor is free on the loop's next turn; it counts as closed from now on.
+        self.clients.pop(oldest, None)
+        return True
 
     def last_answer(self) -> int:
         """How long after SIGTERM the last answer is surely out: SIGKILL comes soon after."""
@@ -573,8 +587,9 @@
         outcomes = " ".join(f"{k}={v}" for k, v in sorted(c.statuses.items()))
         self.logger.say(
             f"requests={c.requests} served={c.served} refused={c.refused} failed={c.failed} "
-            f"gone={c.gone} bad={c.bad_requests} shed={c.shed} open={len(self.live)} "
-            f"clients={len(self.clients)} upstream={self.pool.size()} opened={self.pool.opened} "
+            f"gone={c.gone} bad={c.bad_requests} shed={c.shed} crowded={c.crowded} "
+            f"open={len(self.live)} clients={len(self.clients)} upstream={self.pool.size()} "
+            f"opened={self.pool.opened} "
             f"hosts={len(self.pool.hosts)} lag_ms={c.lag // MS} panics={c.panics} "
             f"overdue={c.overdue} outcomes: {outcomes}"
         )
--- a/sillusher/net/http.py
+++ b/sillusher/net/http.py
@@ -35,9 +35,12 @@
 class AnswerReader:
     """Reads one answer at a time from a connection and checks its framing.
 
-    The subclass gets `head_read` and `body_read`; after `feed` it looks at `phase`. Danger:
-    bytes after the end of an answer belong to nobody. They make the answer itself doubtful, so
-    `feed` raises MalformedError also where they arrive together with a whole one.
+    The subclass gets `head_read` and `body_read`; after `feed` it looks at `phase`. Bytes after the
+    end of an answer belong to nobody. The answer is whole without them and stands; the connection
+    is of no further use, as nobody can tell what the next answer on it would belong to. Guards
+    against any peer that says more than it was asked, in whatever form. Danger: an answer whose
+    stated length is too short would be cut there; only a peer that contradicts itself (two lengths)
+    shows that, and the parser refuses it.
     """
 
     __slots__ = (
@@ -64,7 +67,10 @@
         try:
             parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise MalformedError(str(error)) from None
+            if self.phase == WHOLE:
+                self.keep = False
+                return
+            raise MalformedError(str(error.__context__ or error)) from None
         if self.phase == WAITING:
             # Danger: a field without an end shows in no callback, however long it grows.
             self.head_size += len(data)
@@ -103,6 +109,8 @@
             return
         for low, _, value in self.fields:
             if low == b"content-length":
+                if not value.isdigit() or len(value) > 18:
+                    raise MalformedError("content-length is no number")
                 self.length = int(value)
             elif low == b"transfer-encoding":
                 if value.strip().lower() != b"chunked":
--- a/sillusher/net/upstream.py
+++ b/sillusher/net/upstream.py
@@ -10,17 +10,15 @@
 import socket
 from typing import TYPE_CHECKING, Final, cast
 
-from ..interface import BUSY, CANCELLED, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
+from ..interface import BUSY, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
+from .budget import MAX_BODY
 from .config import Address, parse_load
 from .http import BODY, WHOLE, AnswerReader, MalformedError
 
 if TYPE_CHECKING:
-    from .downstream import Downstream
     from .gateway import Exchange, Proxy
 
-HOLD_LIMIT: Final = 64 * 1024  # an answer up to this is held until it is whole
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
-STALL: Final = 5_000_000  # a stream that stands still for so long has broken (hosts pause 0.1 s)
 
 
 class Host:
@@ -39,14 +37,13 @@
     """One attempt of an exchange, from the module's word to its one outcome."""
 
     __slots__ = (
-        "answered", "conn", "connect_by", "ends", "exchange", "host", "n", "over", "sent", "task",
+        "conn", "connect_by", "ends", "exchange", "host", "n", "over", "sent", "task",
     )  # fmt: skip
 
     def __init__(self, exchange: Exchange, n: int, host: Host, now: int, ends: int) -> None:
         self.exchange, self.n, self.host = exchange, n, host
         self.sent, self.ends = now, ends
         self.connect_by = 0  # while it waits for a connection
-        self.answered = 0  # when a streamed answer's first bytes came
         self.conn: Upstream | None = None
         self.task: asyncio.Task[None] | None = None
         self.over = False
@@ -56,8 +53,8 @@
     """A connection to a host. It carries one attempt at a time, or is idle in its host's pool."""
 
     __slots__ = (
-        "attempt", "body", "declined", "heard", "host", "idle_since", "load", "paused", "pool",
-        "sink", "size", "sock", "transport", "unsent", "unwanted",
+        "attempt", "body", "declined", "host", "idle_since", "load", "pool", "size", "sock",
+        "transport", "unsent",
     )  # fmt: skip
 
     def __init__(self, pool: Pool, host: Host, sock: socket.socket) -> None:
@@ -67,16 +64,13 @@
         self.attempt: Attempt | None = None
         self.unsent: memoryview | None = None  # what the transport has not been given yet
         self.idle_since = 0
-        self.paused = False  # reading stands still, as the client is slower
         self._clear()
 
     def _clear(self) -> None:
         self.body: bytes | bytearray = b""
         self.size = 0
-        self.sink: Downstream | None = None
-        self.declined = self.unwanted = False
+        self.declined = False
         self.load: Report | None = None
-        self.heard = 0
 
     # --- The request
 
@@ -148,41 +142,29 @@
             elif low == b"srv-declined":
                 declined = value.strip() == b"1"
         self.declined = declined and self.status in (503, 504)
-        if self.status == 200 and self.length is not None and self.length > HOLD_LIMIT:
-            self._stream()
+        if self.length is not None and self.length > MAX_BODY:
+            # Guards against answers without end, said to be long or not: each is held until it is
+            # whole, as a client must not get half of one. It does harm if hosts ever have more
+            # to say than the protocol allows.
+            raise MalformedError("body too large")
 
     def body_read(self, data: bytes) -> None:
         self.size += len(data)
-        if self.status != 200 or self.unwanted:
+        if self.size > MAX_BODY:
+            raise MalformedError("body too large")
+        if self.status != 200:
             return
-        if self.sink is not None:
-            self.sink.stream_part(data)
-        elif not self.body:
+        if not self.body:
             self.body = data
         else:
             if not isinstance(self.body, bytearray):
                 self.body = bytearray(self.body)
             self.body += data
-        if self.sink is None and self.size > HOLD_LIMIT:
-            self._stream()
-
-    def _stream(self) -> None:
-        """Too much to hold: the client gets the answer as it comes, from now on."""
-        assert self.attempt is not None
-        if self.unsent is not None:
-            raise MalformedError("an answer before the request was sent")
-        self.sink = self.pool.proxy.stream_began(self.attempt, self)
-        if self.sink is None:
-            self.unwanted = True
-        elif self.body:
-            self.sink.stream_part(bytes(self.body))
-            self.body = b""
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
             self.close()  # bytes that nobody asked for
             return
-        self.heard = self.pool.proxy.clock()
         try:
             self.feed(data)
         except MalformedError as error:
@@ -190,11 +172,7 @@
             self.keep = False
             self._over(self._broken(ERROR))
             return
-        if self.unwanted:
-            self.keep = False
-            self._over(CANCELLED)
-        elif self.phase == WHOLE or (self.status != 200 and self.size > HOLD_LIMIT):
-            self.keep = self.keep and self.phase == WHOLE
+        if self.phase == WHOLE:
             self._over(self._status())
 
     def eof_received(self) -> None:
@@ -233,14 +211,11 @@
         if self.unsent is not None:
             self.keep, self.unsent = False, None
         fields, body, load = self.fields, self.body, self.load
-        sink = self.sink
         self._clear()
         if self.keep and self.transport is not None and not self.transport.is_closing():
             self.pool.give_back(self)
         else:
             self.close()
-        if sink is not None:
-            sink.stream_over(whole=status == OK)
         self.pool.proxy.ended(attempt, status, load, (fields, body))
 
     def abandon(self) -> None:
@@ -251,18 +226,6 @@
         self.unsent = None
         self.close()
 
-    def set_paused(self, paused: bool) -> None:
-        """Stop or go on reading, as the client's own connection is full or has room."""
-        transport = self.transport
-        if transport is None or transport.is_closing() or paused == self.paused:
-            return
-        self.paused = paused
-        self.heard = self.pool.proxy.clock()
-        if paused:
-            transport.pause_reading()
-        else:
-            transport.resume_reading()
-
     def close(self) -> None:
         """Close at once, with nothing more written."""
         self.pool.forget(self)
@@ -323,7 +286,9 @@
                 return
             conn.close()
         if not self.proxy.make_room():
-            self.proxy.later(attempt, CONNECT_FAILED)
+            # Danger: told as a failed connection this would count against the host, and one host
+            # after the other would be shunned for what this gateway lacks.
+            self.proxy.later(attempt, MOOT)
             return
         attempt.connect_by = now + self.connect_timeout
         self.connecting += 1
@@ -401,11 +366,7 @@
         return True
 
     def sweep(self, now: int) -> None:
-        """Retire what has stood idle for long, and end streams that stand still."""
+        """Retire what has stood idle for long."""
         for host in self.hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self.idle_life:
                 host.idle[0].close()
-        for conn in list(self.open):
-            if conn.sink is not None and not conn.paused and now - conn.heard > STALL:
-                conn.keep = False
-                conn._over(RESET)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -14,7 +14,7 @@
 
 from sillusher.net.config import parse_config
 from sillusher.net.discovery import Discovery
-from sillusher.net.downstream import listener
+from sillusher.net.downstream import Listener
 from sillusher.net.gateway import Proxy
 from sillusher.net.log import Log
 from tests.fake import settings_value
@@ -201,10 +201,10 @@
     proxy.begin()
     watcher = Discovery(proxy)
     watch = loop.create_task(watcher.run()) if discovery else None
-    server = await loop.create_server(listener(proxy), "127.0.0.1", 0)
+    server = Listener(proxy, ("127.0.0.1", 0), 100)
     proxy.ready = True
     try:
-        yield Gate(proxy, _name(server), watcher)
+        yield Gate(proxy, f"127.0.0.1:{server.sock.getsockname()[1]}", watcher)
     finally:
         server.close()
         proxy.finish()
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,258 @@
+"""What clients may send and how long they may take, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from sillusher.net import downstream
+from sillusher.net.budget import Budget
+from tests.sockets import PATIENCE, Gate, Server, Writer, answer, gate, request, until
+
+HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: x1\r\nReq-Kind: side_effect-all\r\n"
+WAIT = b"Req-Deadline-Ms: 900\r\n"
+
+
+def play(act: Callable[[Gate, Server], Awaitable[None]], **changes: Any) -> None:
+    async def run() -> None:
+        async with Server() as host, gate(("a", host.addr), **changes) as it:
+            await act(it, host)
+            # Whatever it was, the gateway goes on serving, and nothing is left behind.
+            client = await it.client()
+            assert await client.ask(request("after")) == (200, b"served")
+            await until(lambda: it.proxy.budget.held == 0)
+            assert it.proxy.counters.panics == 0
+
+    asyncio.run(run())
+
+
+BAD = {
+    "noise": b"\x00\xff\x17\x03 what\r\n\r\n",
+    "negative length": HEAD + WAIT + b"Content-Length: -4\r\n\r\nbody",
+    "signed length": HEAD + WAIT + b"Content-Length: +4\r\n\r\nbody",
+    "two lengths": HEAD + WAIT + b"Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+    "huge length": HEAD + WAIT + b"Content-Length: 60000000\r\n\r\n" + b"x" * 70_000,
+    "overflowing length": HEAD + WAIT + b"Content-Length: 99999999999999999999999\r\n\r\n",
+    "just over": HEAD + WAIT + b"Content-Length: 65537\r\n\r\n",
+    "length and coding": HEAD + WAIT + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"0\r\n\r\n" + request("hidden"),
+    "coding and length": HEAD + WAIT + b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n"
+    b"0\r\n\r\n" + request("hidden"),
+    "unknown coding": HEAD + WAIT + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "two codings": HEAD + WAIT + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"0\r\n\r\n",
+    "bad chunk": HEAD + WAIT + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+    "endless chunks": HEAD + WAIT + b"Transfer-Encoding: chunked\r\n\r\n"
+    + b"1000\r\n%s\r\n" % (b"x" * 4096) * 40,
+    "endless head": b"GET /api HTTP/1.1\r\nHost: h\r\n" + b"X-Pad: pppppppppp\r\n" * 20_000,
+    "endless field": b"GET /api HTTP/1.1\r\nHost: h\r\nX-Pad: " + b"p" * 300_000,
+    "endless target": b"GET /" + b"p" * 300_000,
+    "no such class": HEAD.replace(b"side_effect-all", b"nothing") + WAIT + b"\r\n",
+    "deadline no number": HEAD + b"Req-Deadline-Ms: soon\r\nContent-Length: 0\r\n\r\n",
+    "deadline huge": HEAD + b"Req-Deadline-Ms: 9999999999999999\r\nContent-Length: 0\r\n\r\n",
+    "no id": HEAD.replace(b"Req-Id: x1\r\n", b"") + WAIT + b"\r\n",
+    "odd name": HEAD + WAIT + b"no colon here\r\n\r\n",
+    "noise behind": request("x1", b"body") + b"\x00\x01noise\r\n\r\n",
+    "a short length": request("x1", b"body") + b"more of it",
+    "hundreds at once": b"".join(request(f"p{i}") for i in range(300)),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", list(BAD))
+def test_what_is_out_of_form_is_answered_with_an_error_and_never_sent_on(kind: str) -> None:
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(BAD[kind])
+        got = await client.rest()
+        assert got[:10] == b"HTTP/1.1 4", got[:100]
+        assert got.count(b"HTTP/1.1 ") == 1
+        assert host.seen == []
+
+    play(act)
+
+
+def test_half_a_request_and_a_close_leaves_nothing_behind() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        for part in (request("x1")[:30], request("x2", b"b" * 5000)[:-2000]):
+            client = await it.client()
+            client.send(part)
+            await until(lambda: any(not c.is_idle() for c in it.proxy.clients))
+            client.writer.write_eof()
+            await client.rest()
+        await until(lambda: not it.proxy.clients)
+        assert host.seen == []
+
+    play(act)
+
+
+@pytest.mark.parametrize(
+    "part", [b"", b"\r\n", request("x1")[:30], request("x1", b"b" * 60_000)[:-10]]
+)
+def test_who_stands_still_is_ended_though_the_peer_does_nothing(part: bytes) -> None:
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(part)
+        got = await client.rest()  # comes to its end only if the gateway ends it
+        assert got == b"" or got.startswith(b"HTTP/1.1 408")
+        assert host.seen == []
+
+    play(act)
+
+
+def test_the_limits_on_silence_leave_room_within_three_seconds() -> None:
+    from sillusher.net.gateway import CLIENT_SWEEP
+
+    longest = max(downstream.REQUEST_TIME, downstream.SILENT_TIME)
+    assert longest + 2 * CLIENT_SWEEP < 3_000_000
+    assert downstream.SILENT_TIME >= 2_000_000
+
+
+def test_a_client_that_trickles_does_not_win_time_with_each_byte() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+
+        async def trickle() -> None:
+            for byte in request("x1") + b"p" * 2000:
+                client.send(bytes([byte]))
+                await asyncio.sleep(0.1)
+
+        task = asyncio.ensure_future(trickle())
+        got = await client.rest()
+        task.cancel()
+        assert got == b"" or got.startswith(b"HTTP/1.1 408")
+        assert host.seen == []
+
+    play(act)
+
+
+def test_the_id_of_an_open_request_is_not_passed_on_again() -> None:
+    release = asyncio.Event()
+
+    async def slow(message: bytes, writer: Writer) -> None:
+        await release.wait()
+        writer.write(answer(b"mine"))
+
+    async def run() -> None:
+        async with Server(slow) as host, gate(("a", host.addr)) as it:
+            first = await it.client()
+            first.send(request("same", b"body"))
+            await until(lambda: len(host.seen) == 1)
+            second = await it.client()
+            assert (await second.ask(request("same", b"body")))[0] == 409
+            release.set()
+            assert await first.answer() == (200, b"mine")
+            assert len(host.seen) == 1
+            # Once it is over, the id is nobody's.
+            assert (await first.ask(request("same", b"body")))[0] == 200
+            assert it.proxy.names == {}
+
+    asyncio.run(run())
+
+
+def test_a_few_requests_ahead_are_answered_in_their_order() -> None:
+    async def echo(message: bytes, writer: Writer) -> None:
+        writer.write(answer(message.partition(b"Req-Id: ")[2].partition(b"\r\n")[0]))
+
+    async def run() -> None:
+        async with Server(echo) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            client.send(b"".join(request(f"p{i}") for i in range(4)))
+            for i in range(4):
+                assert await client.answer() == (200, b"p%d" % i)
+
+    asyncio.run(run())
+
+
+def test_more_requests_while_one_is_open_end_the_connection_with_one_error() -> None:
+    async def silent(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(PATIENCE)
+
+    async def run() -> None:
+        async with Server(silent) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            client.send(request("first", b"body"))
+            await until(lambda: len(host.seen) == 1)
+            client.send(b"".join(request(f"p{i}") for i in range(50)))
+            got = await client.rest()
+            assert got.startswith(b"HTTP/1.1 400")
+            assert got.count(b"HTTP/1.1") == 1
+            assert len(host.seen) == 1
+
+    asyncio.run(run())
+
+
+def test_bodies_beyond_the_budget_are_refused_not_held() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        it.proxy.budget.most = 100_000
+        clients = [await it.client() for _ in range(4)]
+        for i, client in enumerate(clients):
+            client.send(request(f"b{i}", b"b" * 60_000)[:-1])
+        await until(lambda: it.proxy.counters.bad_requests >= 3)
+        assert it.proxy.budget.held <= 100_000
+        for client in clients:
+            client.writer.close()
+
+    play(act)
+
+
+def test_the_budget_leaves_most_of_the_memory_to_the_rest() -> None:
+    for memory in (32, 64, 80, 192):
+        assert Budget(memory).most <= memory * (1 << 20) // 3
+
+
+def test_a_wish_for_another_protocol_is_no_reason_to_hang() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        for i, more in enumerate((b"", b"Connection: Upgrade, HTTP2-Settings\r\n")):
+            client = await it.client()
+            fields = more + b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQ\r\n"
+            assert await client.ask(request(f"u{i}", b"body", fields=fields)) == (200, b"served")
+
+    play(act)
+
+
+def test_a_field_named_by_connection_does_not_take_the_id_away() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        fields = b"Connection: keep-alive, req-id, idempotency-key\r\n"
+        assert (await client.ask(request("kept", fields=fields)))[0] == 200
+        assert b"Req-Id: kept" in host.seen[0]
+
+    play(act)
+
+
+def test_a_crowd_that_says_nothing_keeps_nobody_out() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        old = await it.client()
+        assert await old.ask(request("before")) == (200, b"served")
+        crowd = [await it.client() for _ in range(300)]
+        client = await it.client()
+        assert await client.ask(request("among")) == (200, b"served")
+        held = len(it.proxy.clients) + it.proxy.arriving + it.proxy.pool.size()
+        assert held <= it.proxy.config.sockets
+        for one in crowd:
+            one.writer.close()
+
+    play(act, limits={"sockets": 128})
+
+
+def test_connections_beyond_the_descriptors_are_closed_when_none_can_make_room() -> None:
+    async def silent(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(PATIENCE)
+
+    async def run() -> None:
+        async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
+            crowd = []
+            for i in range(80):
+                client = await it.client()
+                client.send(request(f"busy{i}"))
+                crowd.append(client)
+            await until(lambda: it.proxy.counters.crowded > 0)
+            held = len(it.proxy.clients) + it.proxy.arriving + it.proxy.pool.size()
+            assert held <= 64
+            last = await it.client()
+            assert await last.rest() == b""
+
+    asyncio.run(run())
