Hand load reports to the module in its units

Seen: even with no host in trouble, all hosts were full within the first second and requests were held while hosts stood idle. A dump of the module's view of its hosts showed a service time of 0 ms for each: config.parse_load passed mean_ms on as it came, the module counts in microseconds (adapter._load multiplies). The cubic term of psi was a thousandth of itself, so hosts were ranked by response time alone, queue and outstanding counted for nothing.

--- a/sillusher/net/config.py
+++ b/sillusher/net/config.py
@@ -12,11 +12,12 @@
 from ..settings import Settings, SettingsError, parse_settings
 
 STATES: Final = {"active": READY, "leaving": DRAINING, "left": GONE}
-# The settings and the load header do not name a report's values alike; both names are known.
+# The settings and the load header do not name a report's values alike; both names are known. With
+# each stands what one of its unit is in the module's: times are microseconds there.
 REPORT_NAMES: Final = {
-    "queue": "queue", "depth": "queue",
-    "inflight": "inflight", "concurrent": "inflight",
-    "latency_ms": "service", "mean_ms": "service",
+    "queue": ("queue", 1.0), "depth": ("queue", 1.0),
+    "inflight": ("inflight", 1.0), "concurrent": ("inflight", 1.0),
+    "latency_ms": ("service", 1000.0), "mean_ms": ("service", 1000.0),
 }  # fmt: skip
 
 Address = tuple[str, int]
@@ -153,7 +154,7 @@
 
 
 def parse_load(value: bytes) -> dict[str, float]:
-    """A load report's values by the module's names; what is out of form is left out."""
+    """A load report by the module's names and units; what is out of form is left out."""
     found: dict[str, float] = {}
     for pair in value.split(b","):
         name, _, number = pair.partition(b"=")
@@ -165,7 +166,8 @@
         except ValueError:
             continue
         if 0.0 <= amount < 1e9:
-            found[known] = amount
+            name_here, unit = known
+            found[name_here] = amount * unit
     return found
 
 
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,37 @@
+"""What the gateway reads of its peers means in the module what it means on the simulator's wire."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from sillusher.adapter import _load
+from sillusher.interface import Report
+from sillusher.net.config import parse_load
+from tests.sockets import Server, Writer, answer, gate, request
+
+
+def test_a_load_report_reaches_the_module_in_its_units() -> None:
+    async def loaded(message: bytes, writer: Writer) -> None:
+        writer.write(answer(b"", b"Srv-Load: depth=1.5,concurrent=4,mean_ms=20\r\n"))
+
+    async def play() -> None:
+        async with Server(loaded) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert (await client.ask(request("r1")))[0] == 200
+            # The simulator's wire says the same in its own form.
+            told = _load("load", "depth:1.5,concurrent:4,mean_ms:20")
+            assert told == Report(1.5, 20_000.0, 4.0)
+            server = it.proxy.module.servers["a"]
+            assert (server.q_bar, server.service) == (told.queue, told.service)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"=", b"depth", b"depth=x,mean_ms=", b"depth=nan,mean_ms=inf", b"depth=-1", b"\xff=\xfe"],
+)
+def test_a_report_that_cannot_be_read_says_nothing(value: bytes) -> None:
+    assert parse_load(value) == {}
