Count descriptors until they are free, and close nothing that holds a request unread

Now a connection counts until it is gone, accepting waits a turn for it, rests after a failed accept, and a peek sees an unread request before an idle connection is closed. Tests for restarts too.

--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -44,6 +44,7 @@
     504: b"504 Gateway Timeout",
 }
 ACCEPTS: Final = 64  # connections taken in before others get their turn
+ACCEPT_REST: Final = 0.05  # s
 QUEUE: Final = 4  # requests that a client may send ahead of its answers
 REQUEST_TIME: Final = 2_500_000  # a whole request has come so long after its first byte
 # A connection that has brought no request may be closed after 2 s. One that has is worth more: its
@@ -83,6 +84,7 @@
         "proxy",
         "queue",
         "since",
+        "sock",
         "stuck",
         "stuck_at",
         "stuck_size",
@@ -91,8 +93,8 @@
         "url",
     )  # fmt: skip
 
-    def __init__(self, proxy: Proxy) -> None:
-        self.proxy = proxy
+    def __init__(self, proxy: Proxy, sock: socket.socket) -> None:
+        self.proxy, self.sock = proxy, sock
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.exchange: Exchange | None = None  # taken and not answered
@@ -148,6 +150,13 @@
     def is_idle(self) -> bool:
         return self.phase == IDLE and self.exchange is None and not self.queue
 
+    def is_closed(self) -> bool:
+        """Closed by this side, with nothing left to write: its descriptor is about to be free."""
+        transport = self.transport
+        return transport is None or (
+            transport.is_closing() and not transport.get_write_buffer_size()
+        )
+
     def owes(self) -> bool:
         """Whether the client may still get something: an answer, or its bytes on their way."""
         if self.transport is None:
@@ -156,12 +165,27 @@
             return self.transport.get_write_buffer_size() > 0
         return not self.is_idle()
 
-    def close_idle(self) -> None:
-        """Close between two requests."""
+    def close_idle(self) -> bool:
+        """Close between two requests; False if the next one is here already, unread.
+
+        Danger: a request that the kernel has taken in while this process was busy would be lost
+        with its connection.
+        """
+        transport = self.transport
+        if transport is None:
+            return False
+        try:
+            if self.sock.recv(1, socket.MSG_PEEK):
+                return False
+        except BlockingIOError:
+            pass
+        except OSError:
+            pass  # it is broken: closing is all that is left
         self._leave_idle()
         self.phase = CLOSING
-        if self.transport is not None:
-            self.transport.close()
+        self.since = self.proxy.clock()
+        transport.close()
+        return True
 
     def _enter_idle(self) -> None:
         self.since = self.proxy.clock()
@@ -562,7 +586,7 @@
     """
 
     def __init__(self, proxy: Proxy, address: Address, backlog: int) -> None:
-        self.proxy = proxy
+        self.proxy, self.backlog = proxy, backlog
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -573,16 +597,21 @@
             raise
         proxy.loop.add_reader(self.sock, self._accept)
 
-    def _accept(self) -> None:
-        for _ in range(ACCEPTS):
+    def _accept(self, most: int = ACCEPTS) -> None:
+        for _ in range(most):
+            room = self.proxy.room_for_client()
+            if room is None:
+                return  # descriptors that are being closed are free on the loop's next turn
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as error:
+                # Danger: what waits makes the loop call again at once, and again.
                 self.proxy.logger.often("accept", f"accept failed: {error.strerror}")
+                self._rest()
                 return
-            if not self.proxy.room_for_client():
+            if not room:
                 self.proxy.counters.crowded += 1
                 self.proxy.logger.often("crowd", "no descriptor for a client's connection; closed")
                 sock.close()
@@ -590,11 +619,22 @@
             self.proxy.arriving += 1
             self.proxy.loop.create_task(self._serve(sock))
 
+    def _rest(self) -> None:
+        """Accept nothing for a moment."""
+        self.proxy.loop.remove_reader(self.sock)
+        self.proxy.loop.call_later(ACCEPT_REST, self._resume)
+
+    def _resume(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.proxy.loop.add_reader(self.sock, self._accept)
+
     async def _serve(self, sock: socket.socket) -> None:
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self.proxy.loop.connect_accepted_socket(lambda: Downstream(self.proxy), sock)
+            await self.proxy.loop.connect_accepted_socket(
+                lambda: Downstream(self.proxy, sock), sock
+            )
         except OSError:
             sock.close()  # it has gone already
         finally:
@@ -602,6 +642,6 @@
 
     def close(self) -> None:
         """Stop listening; whoever has connected by now is let in."""
-        self._accept()
+        self._accept(self.backlog)
         self.proxy.loop.remove_reader(self.sock)
         self.sock.close()
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from itertools import islice
 from typing import TYPE_CHECKING, Any, Final
 
 from ..interface import (
@@ -47,6 +48,7 @@
 RESERVE: Final = 36  # descriptors for the loop, the listener, discovery, the log and files
 CLIENTS_LEAST: Final = 0.45  # of the other descriptors, so many can't be taken from the clients...
 HOSTS_LEAST: Final = 0.3  # ...and so many not from the connections to hosts
+LOOKED_AT: Final = 8  # connections that are looked at for one to close
 YOUNG: Final = 250 * MS  # a connection's first request is surely on its way for so long
 
 Answer = tuple[list[tuple[bytes, bytes, bytes]], "bytes | bytearray"]
@@ -534,27 +536,30 @@
         return held >= self.config.sockets - RESERVE
 
     def make_room(self) -> bool:
-        """Whether one more connection to a host may be opened; closes idle ones if need be.
+        """Whether one more connection to a host may be opened; closes an idle one if need be.
 
         Guards against either side taking all descriptors: what a crowd of clients holds must not
         keep requests from hosts, and the other way round. Both sides have a part that is theirs.
-        It can do harm where one side is idle for long: its part stands empty.
+        It can do harm where one side is idle for long: its part stands empty. What is closed here
+        is free on the loop's next turn; the reserve covers the few that are opened until then.
         """
-        while self._full():
-            least = CLIENTS_LEAST * (self.config.sockets - RESERVE)
-            spare = len(self.clients) + self.arriving > least
-            if not ((spare and self._close_idle_client()) or self.pool.close_oldest_idle()):
-                return False
-        return True
-
-    def room_for_client(self) -> bool:
-        """Whether one more client may be let in; closes idle connections if need be."""
+        if not self._full():
+            return True
+        least = CLIENTS_LEAST * (self.config.sockets - RESERVE)
+        spare = len(self.clients) + self.arriving > least
+        return (spare and self._close_idle_client()) or self.pool.close_oldest_idle()
+
+    def room_for_client(self) -> bool | None:
+        """Whether one more client may be let in; None if there will be room in a moment."""
         most = (1.0 - HOSTS_LEAST) * (self.config.sockets - RESERVE)
-        while self._full() or len(self.clients) + self.arriving >= most:
-            crowded = len(self.clients) + self.arriving >= most
-            if not (self._close_idle_client() or (not crowded and self.pool.close_oldest_idle())):
-                return False
-        return True
+        crowded = len(self.clients) + self.arriving >= most
+        if not crowded and not self._full():
+            return True
+        if self._close_idle_client() or (not crowded and self.pool.close_oldest_idle()):
+            return None
+        # What is half-way in or out only needs the loop to get round to it.
+        soon = bool(self.arriving) or any(c.is_closed() for c in self.clients)
+        return None if soon else False
 
     def _close_idle_client(self) -> bool:
         """Close the connection that is least likely to be missed.
@@ -562,15 +567,10 @@
         Who has said nothing for a while goes first, then who has asked and is done, and last who
         has just come and may be about to ask.
         """
-        oldest = next(iter(self.silent), None)
-        if oldest is None or self.clock() - oldest.since < YOUNG:
-            oldest = next(iter(self.idle), oldest)
-        if oldest is None:
-            return False
-        oldest.close_idle()
-        # Its descriptor is free on the loop's next turn; it counts as closed from now on.
-        self.clients.pop(oldest, None)
-        return True
+        young = self.clock() - YOUNG
+        patient = [c for c in islice(self.silent, LOOKED_AT) if c.since < young]
+        candidates = patient or [*islice(self.idle, LOOKED_AT), *islice(self.silent, LOOKED_AT)]
+        return any(client.close_idle() for client in candidates)
 
     def last_answer(self) -> int:
         """How long after SIGTERM the last answer is surely out: SIGKILL comes soon after."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -238,6 +240,45 @@
     play(act, limits={"sockets": 128})
 
 
+def test_a_connection_whose_next_request_is_here_unread_is_not_closed_as_idle() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        sock = socket.create_connection(tuple(it.addr.split(":")))  # type: ignore[arg-type]
+        with sock:
+            await until(lambda: len(it.proxy.clients) == 1)
+            (client,) = it.proxy.clients
+            sock.sendall(request("crossing"))
+            assert not client.close_idle()  # the loop has had no turn to read it
+            sock.setblocking(False)
+            got = await asyncio.get_running_loop().sock_recv(sock, 1000)
+            assert got.startswith(b"HTTP/1.1 200")
+            await until(client.is_idle)
+            assert client.close_idle()
+
+    play(act)
+
+
+def test_a_crowd_never_holds_more_descriptors_than_there_are() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        most, limit = 0, it.proxy.config.sockets
+        address = it.addr.rpartition(":")[0], int(it.addr.rpartition(":")[2])
+        base = len(os.listdir("/proc/self/fd"))
+        crowd: list[socket.socket] = []
+        for _ in range(10):
+            for _ in range(40):
+                one = socket.socket()
+                one.setblocking(False)
+                one.connect_ex(address)
+                crowd.append(one)
+            for _ in range(10):
+                await asyncio.sleep(0)
+                most = max(most, len(os.listdir("/proc/self/fd")) - len(crowd) - base)
+        assert most <= limit
+        for one in crowd:
+            one.close()
+
+    play(act, limits={"sockets": 128})
+
+
 def test_connections_beyond_the_descriptors_are_closed_when_none_can_make_room() -> None:
     async def silent(message: bytes, writer: Writer) -> None:
         await asyncio.sleep(PATIENCE)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -123,3 +123,52 @@
             assert it.proxy.counters.panics == 0
 
     asyncio.run(play())
+
+
+def test_at_a_restart_every_request_taken_is_answered_on_old_and_new_connections(
+    tmp_path: Path,
+) -> None:
+    async def slow(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(0.3)
+        writer.write(answer(b"served"))
+
+    async def play() -> None:
+        async with Server(slow) as host, Registry(("a", host.addr)) as registry:
+            value = config_value(registry.addr, ("a", host.addr))
+            async with process(tmp_path / "config.json", value) as (program, addr):
+                busy, kept, half, silent = [await dial(addr) for _ in range(4)]
+                assert await kept.ask(request("k1")) == (200, b"served")
+                busy.send(request("b1", b"effect"))
+                half.send(request("h1", b"effect")[:-3])
+                await until(lambda: len(host.seen) == 2)
+                program.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.05)
+                late = await dial(addr)
+                late.send(request("l1", b"effect"))
+                kept.send(request("k2"))
+                half.send(request("h1", b"effect")[-3:])
+                for client in (busy, late, kept, half):
+                    assert await client.answer() == (200, b"served")
+                    assert await client.rest() == b""
+                assert await silent.rest() == b""
+                async with asyncio.timeout(PATIENCE):
+                    assert await program.wait() == 0
+
+    asyncio.run(play())
+
+
+def test_peers_that_never_get_on_with_it_do_not_keep_a_gateway_from_its_end(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with Server() as host, Registry(("a", host.addr)) as registry:
+            value = config_value(registry.addr, ("a", host.addr))
+            async with process(tmp_path / "config.json", value) as (program, addr):
+                crowd = [await dial(addr) for _ in range(20)]
+                for i, client in enumerate(crowd):
+                    client.send(request(f"r{i}", b"effect")[: 20 * i])
+                program.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(PATIENCE):
+                    assert await program.wait() == 0
+
+    asyncio.run(play())
