Take a new host at an old address for what it is

Seen in a read of the pool: a host was known by its id alone, so until discovery said that the old one at an address had gone, what was meant for it (warm) reached the one in its place (cold), over connections kept or new. Now the host that came or started later owns its address; sends to the other are told as connections that fail, and its idle ones are closed. Tests of what hosts and discovery may say come with it.

--- a/sillusher/net/upstream.py
+++ b/sillusher/net/upstream.py
@@ -24,13 +24,14 @@
 class Host:
     """A host as this gateway reaches it. The module knows it by `id` alone."""
 
-    __slots__ = ("addr", "failing", "id", "idle", "listed", "open")
+    __slots__ = ("addr", "failing", "id", "idle", "listed", "open", "replaced")
 
     def __init__(self, listed: Listed, addr: Address) -> None:
         self.id, self.listed, self.addr = listed.server, listed, addr
         self.idle: list[Upstream] = []  # newest last
         self.open = 0  # connections, those being opened too
         self.failing = False  # for the log only
+        self.replaced = False  # another host is at its address now
 
 
 class Attempt:
@@ -244,6 +245,7 @@
         self.proxy = proxy
         self.idle_life, self.connect_timeout = idle_life, connect_timeout
         self.hosts: dict[str, Host] = {}
+        self.at: dict[Address, Host] = {}  # who is reached at an address
         self.open: dict[Upstream, None] = {}
         self.connecting = 0
         self.opened = 0  # counter
@@ -254,17 +256,45 @@
     def list_host(self, listed: Listed, addr: Address) -> None:
         """A host as discovery tells it. Connections to an older address or process are dropped."""
         host = self.hosts.get(listed.server)
+        fresh = host is None or host.addr != addr
         if host is None:
-            self.hosts[listed.server] = Host(listed, addr)
-            return
+            host = self.hosts[listed.server] = Host(listed, addr)
         if host.addr != addr or host.listed.boot != listed.boot:
             self.hang_up(host)
+        if host.addr != addr:
+            self._leave(host)
         host.addr, host.listed = addr, listed
+        self._settle(host, fresh)
+
+    def _settle(self, host: Host, fresh: bool) -> None:
+        """Two hosts can't be at one address: the one that started later is, or came there later.
+
+        Guards against requests meant for a host that has gone, of which discovery has not yet
+        said so, reaching the one that came in its place, which is cold. It does harm if several
+        hosts are ever meant to share an address; then only the newest of them is used.
+        """
+        other = self.at.get(host.addr)
+        if other is host:
+            return
+        if other is not None:
+            ours, theirs = host.listed.boot, other.listed.boot
+            if theirs > ours or (theirs == ours and not fresh):
+                other, host = host, other
+        self.at[host.addr] = host
+        host.replaced = False
+        if other is not None:
+            other.replaced = True
+            self.hang_up(other)
+
+    def _leave(self, host: Host) -> None:
+        if self.at.get(host.addr) is host:
+            del self.at[host.addr]
 
     def drop_host(self, name: str) -> None:
         """A host is gone for good; what is out at it runs on to its end."""
         host = self.hosts.pop(name, None)
         if host is not None:
+            self._leave(host)
             self.hang_up(host)
 
     def hang_up(self, host: Host) -> None:
@@ -274,6 +304,9 @@
     def start(self, attempt: Attempt, now: int) -> None:
         """Send an attempt on the newest idle connection, or on a new one."""
         host = attempt.host
+        if host.replaced:
+            self.proxy.later(attempt, CONNECT_FAILED)
+            return
         while host.idle:
             conn = host.idle.pop()
             # Danger: a host ends what has stood idle for long, and a request that crosses that
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -118,11 +118,11 @@
             raw, self.raw = self.raw, None
             writer.write(raw)
             return
-        full = after != self.version
-        if not full:
-            await asyncio.sleep(0.05)
-        listed = self.entries if full else []
-        text = {"version": self.version, "full": full, "servers": listed}
+        if after == self.version:
+            await asyncio.sleep(0.05)  # nothing new comes while it waits
+            text: dict[str, Any] = {"version": after, "full": False, "servers": []}
+        else:
+            text = {"version": self.version, "full": True, "servers": self.entries}
         writer.write(answer(json.dumps(text).encode()))
 
 
--- /dev/null
+++ b/tests/test_hosts.py
@@ -0,0 +1,235 @@
+"""What hosts and discovery may say, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+
+from tests.sockets import (
+    Gate,
+    Registry,
+    Server,
+    Writer,
+    answer,
+    entry,
+    gate,
+    request,
+    until,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SPOILT = {
+    "noise": b"\x02\xff\x17 what is this\r\n\r\n",
+    "no status": b"HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nhi",
+    "bad status": b"HTTP/1.1 2x0 OK\r\nContent-Length: 2\r\n\r\nhi",
+    "other protocol": b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+    "no colon": HEAD + b"no colon here\r\nContent-Length: 2\r\n\r\nhi",
+    "negative length": HEAD + b"Content-Length: -2\r\n\r\nhi",
+    "two lengths": HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nhi",
+    "length and coding": HEAD
+    + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    "unknown coding": HEAD + b"Transfer-Encoding: gzip\r\n\r\nhi",
+    "bad chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhi\r\n0\r\n\r\n",
+    "endless head": HEAD + b"X-Pad: pppppppppppppp\r\n" * 10_000,
+    "endless field": HEAD + b"X-Pad: " + b"p" * 200_000,
+    "3 GB": HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+    "endless chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1000\r\n%s\r\n"
+    % (b"x" * 4096) * 40,
+    "endless body": HEAD + b"\r\n" + b"x" * 200_000,
+    "another protocol": b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nhi",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("kind", list(SPOILT))
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(kind: str) -> None:
+    """The connection stays open, as bad hosts leave it; nothing of the answer reaches a client."""
+    spoil = [True]
+
+    async def reply(message: bytes, writer: Writer) -> None:
+        writer.write(SPOILT[kind] if spoil[0] else answer(b"served"))
+
+    async def play() -> None:
+        async with Server(reply) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert await client.ask(request("once", b"effect")) == (502, b"")
+            assert len(host.seen) == 1  # it may have run, and is not sent again
+            spoil[0] = False
+            assert (await client.ask(request("next")))[1] == b"served"
+            assert len(host.writers) == 2  # the spoilt connection is of no further use
+            await until(lambda: not it.proxy.names and len(it.proxy.pool.open) == 1)
+
+    asyncio.run(play())
+
+
+BEHIND = {
+    "a second copy": answer(b"served"),
+    "another answer": answer(b"not yours"),
+    "noise": b"\x00\xff\x01 noise",
+    "an endless head": HEAD + b"X-Pad: pp\r\n" * 20_000,
+}
+
+
+@pytest.mark.parametrize("kind", list(BEHIND))
+@pytest.mark.parametrize("fields", [b"", b"Connection: close\r\n"])
+def test_bytes_behind_a_whole_answer_cost_the_connection_only(kind: str, fields: bytes) -> None:
+    async def reply(message: bytes, writer: Writer) -> None:
+        name = message.partition(b"Req-Id: ")[2].partition(b"\r\n")[0]
+        writer.write(answer(name, fields) + BEHIND[kind])
+
+    async def play() -> None:
+        async with Server(reply) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            for i in range(5):
+                got = await client.ask(request(f"r{i}", b"effect"))
+                assert got == (200, b"r%d" % i)
+            await until(lambda: not it.proxy.pool.open)
+
+    asyncio.run(play())
+
+
+def test_interim_answers_ahead_are_passed_over() -> None:
+    async def reply(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n")
+        await asyncio.sleep(0.01)
+        writer.write(answer(b"served"))
+
+    async def play() -> None:
+        async with Server(reply) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            for i in range(3):
+                assert await client.ask(request(f"r{i}", b"effect")) == (200, b"served")
+            assert len(host.writers) == 1
+
+    asyncio.run(play())
+
+
+def test_an_answer_of_the_largest_body_goes_through_whole() -> None:
+    body = bytes(range(256)) * 256
+
+    async def reply(message: bytes, writer: Writer) -> None:
+        writer.write(answer(message.partition(b"\r\n\r\n")[2]))
+
+    async def play() -> None:
+        async with Server(reply) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert await client.ask(request("big", body)) == (200, body)
+
+    asyncio.run(play())
+
+
+def test_half_an_answer_and_a_close_reaches_no_client() -> None:
+    async def reply(message: bytes, writer: Writer) -> None:
+        writer.write(answer(b"served")[:-3])
+        writer.close()
+
+    async def play() -> None:
+        async with Server(reply) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert (await client.ask(request("once", b"effect")))[0] == 502
+
+    asyncio.run(play())
+
+
+def test_a_silent_host_costs_a_request_no_more_than_its_time() -> None:
+    async def silent(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(30)
+
+    async def play() -> None:
+        async with Server(silent) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            status, _ = await client.ask(request("once", b"effect", wait_ms=300))
+            assert status in (502, 504)
+            await until(lambda: not it.proxy.names and not it.proxy.pool.open)
+
+    asyncio.run(play())
+
+
+def test_own_lack_of_descriptors_is_not_held_against_hosts() -> None:
+    async def act(it: Gate) -> None:
+        it.proxy.make_room = lambda: False  # type: ignore[method-assign]
+        client = await it.client()
+        assert (await client.ask(request("r1")))[0] == 503
+        assert it.proxy.module.servers["a"].shun_until == 0
+
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            await act(it)
+
+    asyncio.run(play())
+
+
+def test_a_new_host_at_an_old_address_is_not_taken_for_the_old_one() -> None:
+    async def play() -> None:
+        async with Server() as host, Server() as other:
+            hosts = [("old", host.addr), ("other", other.addr)]
+            async with Registry(*hosts) as registry, gate(*hosts, discovery=registry.addr) as it:
+                client = await it.client()
+                for i in range(10):
+                    assert (await client.ask(request(f"a{i}")))[0] == 200
+                assert host.seen
+                # The machine was replaced; that the old one has gone is not known yet.
+                registry.version = 2
+                registry.entries.append(entry("new", host.addr, "leaving"))
+                await until(lambda: "new" in it.proxy.pool.hosts)
+                before = len(host.seen)
+                for i in range(20):
+                    assert (await client.ask(request(f"b{i}")))[0] == 200
+                assert len(host.seen) == before
+
+    asyncio.run(play())
+
+
+LISTS = {
+    "noise": b"\x00\xff\r\n\r\n",
+    "not JSON": answer(b"{"),
+    "deep": answer(b"[" * 100_000),
+    "not a list": answer(b'{"version":9,"full":true,"servers":{}}'),
+    "no version": answer(b'{"full":true,"servers":[]}'),
+    "bad version": answer(b'{"version":-1,"full":true,"servers":[]}'),
+    "endless": b"HTTP/1.1 200 OK\r\nContent-Length: 9000000000\r\n\r\n" + b"x" * 3_000_000,
+    "an error": b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n",
+    "half": answer(b'{"version":9}')[:-5],
+    "silence": b"",
+    "an answer and noise": answer(b'{"version":1,"full":false,"servers":[]}') + b"\x00noise",
+}
+
+
+@pytest.mark.parametrize("kind", list(LISTS))
+def test_what_discovery_says_out_of_form_leaves_the_list_and_the_watch_goes_on(kind: str) -> None:
+    async def play() -> None:
+        async with (
+            Server() as host,
+            Registry(("a", host.addr)) as registry,
+            gate(("a", host.addr), discovery=registry.addr) as it,
+        ):
+            await until(lambda: len(registry.seen) > 1)
+            registry.raw = LISTS[kind]
+            await until(lambda: registry.raw is None)
+            client = await it.client()
+            assert (await client.ask(request("r1")))[0] == 200
+            registry.entries.append(entry("b", host.addr.replace(".0.1", ".0.2")))
+            registry.version = 2
+            await until(lambda: "b" in it.proxy.pool.hosts)
+            assert set(it.proxy.pool.hosts) == {"a", "b"}
+            assert it.proxy.counters.panics == 0
+
+    asyncio.run(play())
+
+
+def test_an_entry_out_of_form_does_not_take_the_others_away() -> None:
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            bad = [None, {}, {"id": "b", "addr": "x:1", "state": "active"}, entry("", host.addr)]
+            bad += [entry("c", host.addr) | {"weight": float("nan")}]
+            value = {"version": 2, "full": True, "servers": [entry("a", host.addr), *bad]}
+            from sillusher.net.config import parse_roster
+
+            roster = parse_roster(json.loads(json.dumps(value)), it.proxy.config.wire)
+            it.proxy.list_news(roster)
+            client = await it.client()
+            assert (await client.ask(request("r1")))[0] == 200
+            assert set(it.proxy.pool.hosts) == {"a"}
+
+    asyncio.run(play())
