Send a silent repeatable request once more, elsewhere

Checked: a dump of the attempts given up shows all classes alike, most with no byte of an answer and some with a part of one.

The sign is a host that has answered what was sent well after the silent attempt.

Paid for like a retry, none while requests are held or the fleet is limited.

--- a/sillusher/policy.py
+++ b/sillusher/policy.py
@@ -72,6 +72,9 @@
 ERROR_UNSAFE = 45.0  # ...and so much where a failure can't be made good by another attempt
 SHUN_FACTOR = 200.0  # psi of a shunned server: never the choice unless all of them are shunned
 SUSPECT_FACTOR = 6.0  # psi of one on trial after that, for requests that can be repeated
+HEDGE_AFTER = 4.0  # a repeatable request silent for this multiple of its class's latency goes twice
+HEDGE_MIN = 20_000
+HEDGE_QUEUE = 0.5  # ...where the typical server reports a shorter queue than this: there is room
 RETRY_SHARE = 0.15  # further attempts earned by a request, for those that may cost server work
 RETRY_BANK = 10.0
 NEAR_LATE = 0.6  # an answer after this share of its aim counts: the sign must come before the harm
@@ -85,7 +88,7 @@
 WATCH_BACKOFF_MAX = 4_000_000
 WINDOW_MARGIN = 0.9  # a key's repeat window is used up to this share, for what the way takes
 
-DRAIN_TIMER, WATCH_TIMER = 1, 2
+DRAIN_TIMER, WATCH_TIMER, HEDGE_TIMER = 1, 2, 3
 
 
 class CubicRate:
@@ -132,6 +135,7 @@
         "r_bar",
         "rate",
         "seen",
+        "sent_seen",
         "service",
         "shun_until",
         "state",
@@ -163,6 +167,7 @@
         self.rate = CubicRate()
         self.tokens, self.t_token = BURST, 0
         self.failures, self.shun_until = 0, 0
+        self.sent_seen = 0  # when the latest of its answered attempts was sent
         self.strikes, self.errors = 0, 0.0  # failures in a row, and their share of late
 
 
@@ -170,14 +175,16 @@
     """A request this gateway owes an answer for."""
 
     __slots__ = (
-        "arrived", "attempts", "cls", "coin", "full", "group", "group_until", "hold_until",
-        "id", "key", "may_have_run", "out", "rank", "streaming", "useless", "work",
+        "arrived", "at", "attempts", "cls", "coin", "first", "full", "group", "group_until",
+        "hold_until", "id", "key", "may_have_run", "out", "rank", "streaming", "useless", "work",
     )  # fmt: skip
 
     def __init__(
         self, now: int, req: int, cls: RequestClass, deadline: int, work: int, key: int | None
     ) -> None:
         self.id, self.cls, self.work, self.key = req, cls, work, key
+        self.at = 0  # the class's place in the settings
+        self.first: Server | None = None  # where its first attempt went
         self.arrived = now
         self.attempts = self.out = self.full = 0
         self.may_have_run = self.streaming = False
@@ -203,6 +210,8 @@
         self.backlog: list[tuple[int, int, Request]] = []
         self.held = 0
         self.drain_at = 0
+        self.waiting: list[tuple[int, int]] = []  # when a request has been silent for too long
+        self.hedge_at = 0
         self.key_count: dict[int, int] = {}
         self.key_total = 0
         self.keyed: dict[int, list[Server]] = {}  # rendezvous candidates, until the list changes
@@ -291,6 +300,7 @@
         """A client's request arrives; `work` is 0 where no hint came."""
         kind = self.settings.classes[cls]
         request = Request(now, req, kind, deadline, work, key)
+        request.at = cls
         self.live[req] = request
         self.retry_bank = min(RETRY_BANK, self.retry_bank + RETRY_SHARE)
         worth = kind.worth
@@ -357,6 +367,8 @@
             if now >= self.drain_at:
                 self.drain_at = 0
                 self._drain(now)
+        elif token == HEDGE_TIMER:
+            self._hedge(now)
         elif token == WATCH_TIMER and not self.watching:
             self.port.watch(True)
 
@@ -465,6 +477,9 @@
             self.sent_all *= 0.5
             self.sent_kind = [0.5 * x for x in self.sent_kind]
         self.port.send(request.id, server.name, max(0, request.useless - now))
+        if request.attempts == 1 and request.cls.effect == SAFE:
+            request.first = server
+            self._expect(now, request)
 
     def _candidates(self, request: Request) -> list[Server]:
         """The servers to rank: a key's replica group where keys warm, else a sample.
@@ -536,6 +551,8 @@
         for rank, server in enumerate(candidates):
             if not (free or self._may_send(now, request, server)):
                 continue
+            if request.out and server is request.first:
+                continue  # a second copy goes elsewhere
             if server.rate.srate != math.inf and not self._token(now, server):
                 continue
             # Danger: at 0, as at a gateway's start, the first candidate would win every time.
@@ -604,6 +621,7 @@
         if status == OK:
             server.rate.received(now)
             self.fleet.received(now)
+            server.sent_seen = max(server.sent_seen, sent or 0)
             server.strikes = 0
             server.errors *= 1.0 - ERROR_ALPHA
             if server.failures:
@@ -774,6 +792,54 @@
         if not self._place(now, request):
             self._hold(now, request)
 
+    def _expect(self, now: int, request: Request) -> None:
+        """Note when a repeatable request's first attempt has been silent for too long."""
+        usual = self.class_r[request.at] if request.at < len(self.class_r) else 0.0
+        if not usual or not self.settings.limits.may_duplicate:
+            return
+        at = now + max(HEDGE_MIN, int(HEDGE_AFTER * usual))
+        if at < request.hold_until:
+            heapq.heappush(self.waiting, (at, request.id))
+            self._arm_hedge()
+
+    def _arm_hedge(self) -> None:
+        waiting = self.waiting
+        while waiting and waiting[0][1] not in self.live:
+            heapq.heappop(waiting)
+        if waiting and not self.hedge_at:
+            self.hedge_at = waiting[0][0]
+            self.port.set_timer(HEDGE_TIMER, self.hedge_at)
+
+    def _hedge(self, now: int) -> None:
+        """Send silent requests a second time, elsewhere, the first attempt going on.
+
+        Guards against connections or paths that take a request and say nothing: its client need
+        not wait for the time-out. The sign is a server that has answered what was sent well after.
+        Danger: where all are slow, as at overload, second copies make all slower. So none goes
+        out while the fleet's rate is limited, servers report queues or requests are held, and each
+        is paid for like a retry.
+        """
+        self.hedge_at = 0
+        calm = not self.held and self.fleet.srate == math.inf and self.typ_q < HEDGE_QUEUE
+        waiting = self.waiting
+        while waiting and waiting[0][0] <= now:
+            request = self.live.get(heapq.heappop(waiting)[1])
+            if request is None or request.out != 1 or request.attempts != 1:
+                continue
+            if not calm or self.retry_bank < 1.0 or not self._overtaken(request):
+                continue
+            if now < request.hold_until and self._place(now, request):
+                self.retry_bank -= 1.0
+        self._arm_hedge()
+
+    def _overtaken(self, request: Request) -> bool:
+        """Whether the server of its one attempt has answered what was sent well after it."""
+        server = request.first
+        sent = server.flight.get((request.id, 0)) if server is not None else None
+        if server is None or sent is None or request.at >= len(self.class_r):
+            return False
+        return server.sent_seen > sent + self.class_r[request.at]
+
     def _hold(self, now: int, request: Request) -> None:
         if now >= request.hold_until:
             self._finish(request, refuse=True)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from sillusher.interface import BUSY, CONNECT_FAILED, ERROR, OK, RESET, TIMEOUT, Report
@@ -183,3 +185,61 @@
     one.rate.rrate = 0.1  # as after a long shun
     world.gateway._saturated(world.now, one)
     assert one.rate.srate > 0.3 * world.gateway.fleet.rrate / 6
+
+
+def silent_first(cls: int, **changes: Any) -> World:
+    """One request whose first attempt stays silent, after many that were answered."""
+    world = fleet() if not changes else World(*(server(f"s{i}") for i in range(6)), **changes)
+    answer_all_but(world, "", range(200))
+    world.request(1000, cls)
+    world.run(world.now + 30 * MS - START)
+    burst(world, "", 2000)  # its server answers what was sent later
+    world.run(world.now + 200 * MS - START)
+    return world
+
+
+def test_a_silent_attempt_of_a_repeatable_request_gets_a_second_copy_elsewhere() -> None:
+    world = silent_first(SAFE)
+    first, second = world.port.sends(1000)
+    assert first != second
+    world.outcome(1000, 1, OK, closed=True)
+    world.outcome(1000, 0, TIMEOUT, closed=True)
+    world.run(world.now + 3 * S - START)
+    assert len(world.port.sends(1000)) == 2
+    assert world.port.ends(1000) == []
+
+
+def test_a_silent_attempt_is_not_doubled_where_that_could_do_harm() -> None:
+    assert len(silent_first(UNSAFE).port.sends(1000)) == 1
+    assert len(silent_first(SAFE, limits={"mayDuplicate": False}).port.sends(1000)) == 1
+    world = fleet()
+    answer_all_but(world, "", range(200))
+    world.gateway.fleet.cut(world.now, 10.0, 3e6)  # overload
+    for req in range(1000, 1010):
+        world.request(req)
+    world.run(world.now + 200 * MS - START)
+    assert all(len(world.port.sends(req)) <= 1 for req in range(1000, 1010))
+
+
+def test_second_copies_are_bounded_where_many_are_silent() -> None:
+    world = fleet()
+    answer_all_but(world, "", range(200))
+    silent: list[int] = []
+    for first in range(1000, 3000, 100):
+        silent += range(first, first + 12)
+        for req in range(first, first + 12):
+            world.request(req)
+        world.run(world.now + 30 * MS - START)
+        burst(world, "", first + 20, 24)
+        world.run(world.now + 200 * MS - START)
+    doubled = sum(len(world.port.sends(req)) > 1 for req in silent)
+    assert 5 < doubled <= 10 + 0.15 * 20 * 36  # what was saved up and what is earned
+
+
+def test_slowness_of_all_is_no_silence_of_one() -> None:
+    world = fleet()
+    answer_all_but(world, "", range(200))
+    for req in range(1000, 1030):
+        world.request(req)
+    world.run(world.now + 500 * MS - START)  # nobody answers
+    assert all(len(world.port.sends(req)) <= 1 for req in range(1000, 1030))
