--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -587,6 +587,7 @@
 
     def __init__(self, proxy: Proxy, address: Address, backlog: int) -> None:
         self.proxy, self.backlog = proxy, backlog
+        self.tasks: set[asyncio.Task[None]] = set()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -617,7 +618,10 @@
                 sock.close()
                 continue
             self.proxy.arriving += 1
-            self.proxy.loop.create_task(self._serve(sock))
+            # Danger: the loop itself holds a task by a weak reference only.
+            task = self.proxy.loop.create_task(self._serve(sock))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
 
     def _rest(self) -> None:
         """Accept nothing for a moment."""
