Add the front door: what a client's connection is worth decides how long it is kept

Fronts deal out a third of the descriptors for requests.

sillusher/front is a sans-IO budget of connections: life tables learn for each kind of connection how likely its next request is and how soon (censored lives counted), sources and tenants have shares by what they bring, pressure is measured against seats, descriptors and memory, and the least valuable go first, with the answer where possible. Head, body, silence and write limits follow from the pressure between bounds. Who finds no place is answered 503 with a true Retry-After in place of a bare close.

A host connection for which the system has no descriptor no longer counts as under way for ever, and an exception while a list is taken in no longer ends the watch.

--- a/sillusher/net/discovery.py
+++ b/sillusher/net/discovery.py
@@ -147,7 +147,21 @@
         self._moved.set()
 
     async def run(self) -> None:
-        """Watch for as long as the process lives."""
+        """Watch for as long as the process lives.
+
+        Guards against whatever a list may do to this process: without the watch it would go on
+        with an old list for ever, and never hear of a drain.
+        """
+        while True:
+            try:
+                await self._watch()
+            except Exception as error:
+                self.proxy.fault("the watch on discovery", error)
+                self._drop()
+                self._whole = True
+                await self._pause(AGAIN_MOST)
+
+    async def _watch(self) -> None:
         again = AGAIN
         # Where discovery is shared, a watch from the known list on costs it least.
         self._whole = not self.asked
--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -6,12 +6,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
 import socket
 from collections import deque
 from typing import TYPE_CHECKING, Final, cast
 
 import httptools
 
+from ..front import Place, Reason, State, Verdict
 from ..settings import KEYED, SAFE
 from .budget import MAX_BODY
 from .gateway import Exchange, read_cookie_key
@@ -46,13 +49,9 @@
 ACCEPTS: Final = 64  # connections taken in before others get their turn
 ACCEPT_REST: Final = 0.05  # s
 QUEUE: Final = 4  # requests that a client may send ahead of its answers
-REQUEST_TIME: Final = 2_500_000  # a whole request has come so long after its first byte
-# A connection that has brought no request may be closed after 2 s. One that has is worth more: its
-# client comes back. Where descriptors run short both go sooner.
-SILENT_TIME: Final = 2_100_000
-IDLE_TIME: Final = 30_000_000
 LINGER: Final = 1_000_000  # so long a refused client's bytes are taken in and thrown away
-UNREAD: Final = 5_000_000  # a client that takes no byte of its answer for so long has gone
+# What a system says that has no more descriptors or buffers to give.
+SCARCE: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 IDLE, HEAD, BODY, CLOSING = range(4)
 
@@ -69,7 +68,6 @@
     """A client's connection."""
 
     __slots__ = (
-        "asked",
         "chunked",
         "content_length",
         "ends",
@@ -79,32 +77,27 @@
         "got",
         "making",
         "method",
+        "owed",
         "parser",
         "phase",
+        "place",
         "proxy",
         "queue",
-        "since",
         "sock",
-        "stuck",
-        "stuck_at",
-        "stuck_size",
         "transport",
         "upgrade",
         "url",
     )  # fmt: skip
 
-    def __init__(self, proxy: Proxy, sock: socket.socket) -> None:
-        self.proxy, self.sock = proxy, sock
+    def __init__(self, proxy: Proxy, sock: socket.socket, place: Place) -> None:
+        self.proxy, self.sock, self.place = proxy, sock, place
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.exchange: Exchange | None = None  # taken and not answered
         self.queue: deque[Exchange] = deque()  # come whole ahead of their turn
         self.phase = IDLE
-        self.asked = False  # whether a whole request has come at all
-        self.since = proxy.clock()  # when the phase began
         self.making: Exchange | None = None  # the request being read
-        self.stuck = False  # the client reads more slowly than its answer comes
-        self.stuck_at, self.stuck_size = 0, 0
+        self.owed = 0  # bytes of an answer that the client has not taken, as the budget has them
         self._fresh()
 
     def _fresh(self) -> None:
@@ -117,14 +110,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        # An answer goes out at once, and what is left of it is known as soon as it is written.
+        self.transport.set_write_buffer_limits(high=0)
         self.proxy.clients[self] = None
-        self._enter_idle()
+        self.place.holder = self
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.parser = None  # it holds this object in turn
+        self.place.holder = None
         self.proxy.clients.pop(self, None)
-        self._leave_idle()
+        self.proxy.door.closed(self.place, self.proxy.clock())
+        self._owe(0)
         self._drop_request()
 
     def eof_received(self) -> None:
@@ -165,35 +162,45 @@
             return self.transport.get_write_buffer_size() > 0
         return not self.is_idle()
 
-    def close_idle(self) -> bool:
+    def _unread(self) -> bool:
+        """Whether bytes are here that the loop has not read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False  # none, or it is broken: closing is all that is left
+
+    def close_idle(self, reason: Reason = Reason.IDLE) -> bool:
         """Close between two requests; False if the next one is here already, unread.
 
         Danger: a request that the kernel has taken in while this process was busy would be lost
         with its connection.
         """
         transport = self.transport
-        if transport is None:
+        if transport is None or self._unread():
             return False
-        try:
-            if self.sock.recv(1, socket.MSG_PEEK):
-                return False
-        except BlockingIOError:
-            pass
-        except OSError:
-            pass  # it is broken: closing is all that is left
-        self._leave_idle()
-        self.phase = CLOSING
-        self.since = self.proxy.clock()
+        self._leave(reason)
         transport.close()
         return True
 
-    def _enter_idle(self) -> None:
-        self.since = self.proxy.clock()
-        (self.proxy.idle if self.asked else self.proxy.silent)[self] = None
+    def _leave(self, reason: Reason) -> None:
+        """Say no more after this."""
+        self.phase = CLOSING
+        self.proxy.door.closing(self.place, self.proxy.clock(), reason)
 
-    def _leave_idle(self) -> None:
-        self.proxy.idle.pop(self, None)
-        self.proxy.silent.pop(self, None)
+    def let_go(self, reason: Reason) -> bool:
+        """Give up the place, for one that is worth more; False if a request is here unread."""
+        transport = self.transport
+        if transport is None:
+            return False
+        if self.phase == CLOSING:
+            transport.abort()  # it has been told, and only lingers
+            return True
+        if self.is_idle():
+            return self.close_idle(reason)
+        if self.phase in (HEAD, BODY) and self.exchange is None:
+            self._reject(503, "no room", reason)
+            return True
+        return False
 
     def sweep(self, now: int) -> None:
         """Several times a second: end what has stood still for too long.
@@ -202,24 +209,35 @@
         and bodies that trickle or stop, answers that are not read. It can do harm to honest
         clients behind a link so bad that a request takes seconds to come.
         """
-        transport = self.transport
+        transport, door = self.transport, self.proxy.door
         if transport is None:
             return
-        if self.stuck or self.phase == CLOSING:
-            size = transport.get_write_buffer_size()
-            if size != self.stuck_size or not self.stuck_at:
-                self.stuck_at, self.stuck_size = now, size
-            elif now - self.stuck_at > UNREAD:
-                transport.abort()
-                return
+        size = transport.get_write_buffer_size()
         if self.phase == CLOSING:
-            if now - self.since > LINGER and not transport.get_write_buffer_size():
+            # What is left to write has as much time as any answer; the rest is only manners.
+            patience = door.limit(State.WRITING) if size else LINGER
+            if now - self.place.since > patience:
                 transport.abort()
-        elif self.phase in (HEAD, BODY):
-            if now - self.since > REQUEST_TIME:
-                self._reject(408, "request too slow")
-        elif self.is_idle() and now - self.since > (IDLE_TIME if self.asked else SILENT_TIME):
-            self.close_idle()
+            return
+        if self.owed or size:
+            self._owe(size)
+            door.progress(self.place, now, size)
+        reason = door.overdue(self.place, now)
+        if reason is None:
+            return
+        if reason == Reason.UNREAD:
+            door.closing(self.place, now, reason)
+            transport.abort()
+        elif reason == Reason.SLOW:
+            if not (self.proxy.wheel.lag and self._unread()):
+                self._reject(408, "request too slow", reason)
+        elif self.is_idle():
+            self.close_idle(reason)
+
+    def _owe(self, size: int) -> None:
+        """So many bytes of an answer are held for the client."""
+        self.proxy.budget.held += size - self.owed
+        self.owed = size
 
     # --- Reading a request
 
@@ -242,6 +260,8 @@
         if self.phase == HEAD and self.fed > 2 * MAX_HEAD:
             self._reject(431, "head too large")
         elif self.exchange is None:
+            if self.phase != IDLE and not self.queue:
+                self.proxy.door.reading(self.place, self.proxy.clock(), self.phase == BODY)
             # Only now: what comes along with a request and can't be read makes it doubtful too.
             self._next()
 
@@ -280,10 +300,7 @@
     def on_message_begin(self) -> None:
         if self.phase == CLOSING:
             return
-        self._leave_idle()
         self._fresh()
-        if self.asked or self.phase != IDLE:
-            self.since = self.proxy.clock()  # the first request counts from the connection's start
         self.phase = HEAD
 
     def on_url(self, url: bytes) -> None:
@@ -430,7 +447,6 @@
             return
         self.making = None
         self.phase = IDLE
-        self.asked = True
         exchange.keep = self.parser.should_keep_alive()
         exchange.old_http = self.parser.get_http_version() == "1.0"
         if self.chunked:
@@ -441,6 +457,8 @@
             raise RejectError(400, "too many requests ahead of their answers")
 
     def _take(self, exchange: Exchange) -> None:
+        tenant = str(exchange.tenant) if exchange.head else None
+        self.proxy.door.taken(self.place, self.proxy.clock(), tenant)
         if not exchange.head:
             self.exchange = exchange
             self._health(exchange)
@@ -465,12 +483,10 @@
             return
         if self.queue:
             self._take(self.queue.popleft())
-        elif self.phase == IDLE and self.asked and self not in self.proxy.idle:
-            self._enter_idle()
 
     # --- Answers
 
-    def _reject(self, status: int, why: str) -> None:
+    def _reject(self, status: int, why: str, reason: Reason = Reason.REJECTED) -> None:
         """Answer what is out of form, and close.
 
         An earlier request that is still open on this connection gets this as its answer too. Bytes
@@ -480,21 +496,18 @@
         """
         if self.phase == CLOSING:
             return
-        self.proxy.counters.bad_requests += 1
+        if reason != Reason.ROOM:
+            self.proxy.counters.bad_requests += 1
+            self.proxy.door.offended(self.place)
         self.proxy.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
         if self.exchange is not None and status == 503:
             status = 502  # what is open may have run, and a refusal would say that it has not
-        self._leave_idle()
-        self.phase = CLOSING
-        self.since = self.proxy.clock()
+        after = self.proxy.retry_after() if status == 503 else 0
+        self._leave(reason)
         self._drop_request()
         if self.transport is None:
             return
-        after = b"Retry-After: 1\r\n" if status == 503 else b""
-        self.transport.write(
-            b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n"
-            % (REASONS[status], after)
-        )
+        self.transport.write(refusal(status, after))
         # Danger: closing with bytes unread would reset the connection under the answer.
         if self.transport.can_write_eof():
             self.transport.write_eof()
@@ -507,10 +520,14 @@
         if transport is None:
             return
         close = self._closes(exchange)
+        if not close and self.phase == IDLE and not self.queue:
+            # Here it costs its client nothing: it is told with the answer, and nothing can cross.
+            close = not (self.proxy.door.keeps(self.place, self.proxy.clock()) or self._unread())
         parts = b"HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
             status, fields, self._connection(exchange, close), len(body),
         )  # fmt: skip
         transport.write(parts + body)
+        self._owe(transport.get_write_buffer_size())
         self._after(close)
 
     def _closes(self, exchange: Exchange) -> bool:
@@ -525,15 +542,17 @@
         transport = self.transport
         assert transport is not None
         if close:
-            self.phase = CLOSING
-            self.since = self.proxy.clock()
+            self._leave(Reason.ANSWERED)
             self._forget_untaken()
             transport.close()
         elif self.queue:
             # Danger: an answer may be given from inside the module, which must not be entered anew.
             self.proxy.loop.call_soon(self._next)
-        elif self.phase == IDLE:
-            self._enter_idle()
+        else:
+            now = self.proxy.clock()
+            self.proxy.door.answered(self.place, now, self.owed)
+            if self.phase != IDLE:
+                self.proxy.door.reading(self.place, now, self.phase == BODY)
 
     def serve(
         self, exchange: Exchange, fields: list[tuple[bytes, bytes, bytes]], body: bytes | bytearray
@@ -550,11 +569,18 @@
         """Failed, which promises nothing."""
         self._answer(exchange, REASONS[504 if late else 502], b"", b"")
 
-    def pause_writing(self) -> None:
-        self.stuck, self.stuck_at = True, 0
-
     def resume_writing(self) -> None:
-        self.stuck = False
+        if self.owed:
+            self._owe(0)
+            self.proxy.door.progress(self.place, self.proxy.clock(), 0)
+
+
+def refusal(status: int, retry_after: int = 0) -> bytes:
+    """An answer that ends its connection; `retry_after` in microseconds, 0 for no advice."""
+    after = b"Retry-After: %.3f\r\n" % (retry_after / 1e6) if retry_after > 0 else b""
+    return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n" % (
+        REASONS[status], after,
+    )  # fmt: skip
 
 
 def _token(name: bytes) -> bool:
@@ -599,29 +625,51 @@
         proxy.loop.add_reader(self.sock, self._accept)
 
     def _accept(self, most: int = ACCEPTS) -> None:
+        proxy = self.proxy
         for _ in range(most):
-            room = self.proxy.room_for_client()
-            if room is None:
+            way = proxy.way_in()
+            if way == Verdict.WAIT:
                 return  # descriptors that are being closed are free on the loop's next turn
             try:
-                sock, _ = self.sock.accept()
+                sock, peer = self.sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as error:
                 # Danger: what waits makes the loop call again at once, and again.
-                self.proxy.logger.often("accept", f"accept failed: {error.strerror}")
+                proxy.logger.often("accept", f"accept failed: {error.strerror}")
+                if error.errno in SCARCE:
+                    proxy.exhausted()
                 self._rest()
                 return
-            if not room:
-                self.proxy.counters.crowded += 1
-                self.proxy.logger.often("crowd", "no descriptor for a client's connection; closed")
-                sock.close()
-                continue
-            self.proxy.arriving += 1
-            # Danger: the loop itself holds a task by a weak reference only.
-            task = self.proxy.loop.create_task(self._serve(sock))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            if way == Verdict.ADMIT and proxy.door.admits(proxy.clock(), peer[0]):
+                self._let_in(sock, peer[0])
+            else:
+                self._turn_away(sock)
+
+    def _let_in(self, sock: socket.socket, address: str) -> None:
+        proxy = self.proxy
+        place = proxy.door.opened(proxy.clock(), address)
+        proxy.arriving += 1
+        # Danger: the loop itself holds a task by a weak reference only.
+        task = proxy.loop.create_task(self._serve(sock, place))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _turn_away(self, sock: socket.socket) -> None:
+        """Answer at once, without a place.
+
+        What has come is taken in first: a close with bytes unread would reset the connection
+        under the answer. A request that comes after it crosses the close and is sent once more.
+        """
+        self.proxy.counters.crowded += 1
+        self.proxy.door.turned_away()
+        self.proxy.logger.often("crowd", "no place for a client's connection; turned away")
+        with contextlib.suppress(OSError):
+            sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                sock.recv(MAX_BODY)
+            sock.send(refusal(503, self.proxy.retry_after()))
+        sock.close()
 
     def _rest(self) -> None:
         """Accept nothing for a moment."""
@@ -632,17 +680,18 @@
         if self.sock.fileno() >= 0:
             self.proxy.loop.add_reader(self.sock, self._accept)
 
-    async def _serve(self, sock: socket.socket) -> None:
+    async def _serve(self, sock: socket.socket, place: Place) -> None:
+        proxy = self.proxy
+        made = Downstream(proxy, sock, place)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await self.proxy.loop.connect_accepted_socket(
-                lambda: Downstream(self.proxy, sock), sock
-            )
+            await proxy.loop.connect_accepted_socket(lambda: made, sock)
         except OSError:
             sock.close()  # it has gone already
+            proxy.door.closed(place, proxy.clock())
         finally:
-            self.proxy.arriving -= 1
+            proxy.arriving -= 1
 
     def close(self) -> None:
         """Stop listening; whoever has connected by now is let in."""
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -7,13 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 import time
 from collections import deque
 from collections.abc import Callable
-from itertools import islice
 from typing import TYPE_CHECKING, Any, Final
 
+from ..front import Door, Place, Reason, Sizes, Verdict
 from ..interface import (
     CANCELLED,
     CHANGES,
@@ -33,6 +32,7 @@
 from .config import Config, Roster, Wire
 from .log import Log
 from .upstream import Attempt, Host, Pool
+from .wheel import Wheel
 
 if TYPE_CHECKING:
     from .downstream import Downstream
@@ -41,15 +41,11 @@
 MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it
 OVERDUE: Final = 25 * MS  # so long after that the module has surely forgotten a request
 BEAT: Final = 25 * MS  # how often lateness of the loop is looked at
-LATE: Final = 40 * MS  # a loop later than that lets sockets speak before timers
 SWEEP: Final = 1000 * MS
 CLIENT_SWEEP: Final = 200 * MS  # clients have limits of a few seconds, to be kept to a fraction
 STATS: Final = 10_000 * MS
 RESERVE: Final = 36  # descriptors for the loop, the listener, discovery, the log and files
-CLIENTS_LEAST: Final = 0.45  # of the other descriptors, so many can't be taken from the clients...
-HOSTS_LEAST: Final = 0.3  # ...and so many not from the connections to hosts
-LOOKED_AT: Final = 8  # connections that are looked at for one to close
-YOUNG: Final = 250 * MS  # a connection's first request is surely on its way for so long
+SEATS: Final = 3  # fronts deal out one part in so many of the descriptors for requests
 
 Answer = tuple[list[tuple[bytes, bytes, bytes]], "bytes | bytearray"]
 
@@ -105,14 +101,14 @@
     """What is counted for the periodic line in the log."""
 
     __slots__ = (
-        "bad_lists", "bad_requests", "crowded", "failed", "gone", "lag", "malformed", "overdue",
-        "panics", "refused", "requests", "served", "shed", "statuses",
+        "bad_lists", "bad_requests", "crowded", "failed", "faults", "gone", "malformed",
+        "overdue", "panics", "refused", "requests", "served", "shed", "statuses",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.requests = self.served = self.refused = self.failed = self.gone = 0
         self.bad_requests = self.malformed = self.bad_lists = self.panics = self.overdue = 0
-        self.shed = self.lag = self.crowded = 0
+        self.shed = self.crowded = self.faults = 0
         self.statuses: dict[str, int] = {}
 
 
@@ -128,22 +124,18 @@
         self.pool = Pool(self, idle_life(wire), wire.connect_timeout)
         self.budget = Budget(config.memory_mb)
         self.clients: dict[Downstream, None] = {}
-        # Those of them with no request open, by whether they have asked before; oldest first.
-        self.idle: dict[Downstream, None] = {}
-        self.silent: dict[Downstream, None] = {}
+        self.door = Door(sizes(config), self.clock())
         self.arriving = 0  # accepted, and not yet among the clients
         self.names: dict[bytes, Exchange] = {}  # of requests that are open, here or at a host
         self.live: dict[int, Exchange] = {}
         self.counters = Counters()
         self.ready = False
         self.drain_since = 0
-        self.lag = 0
+        self.wheel: Wheel[Exchange | int | None] = Wheel(
+            loop, self.clock, self._fire, self._fire_failed
+        )
         self.watch_wanted: Callable[[bool], None] = lambda on: None
         self._next_id = 1
-        self._heap: list[tuple[int, int, Exchange | int | None]] = []
-        self._seq = 0
-        self._armed = 0
-        self._handle: asyncio.TimerHandle | None = None
         self._inside = False
         self._later: deque[tuple[Attempt, str]] = deque()
         self._beat_at = self._sweep_at = self._stats_at = self._client_sweep_at = 0
@@ -161,74 +153,66 @@
         self._sweep_at, self._stats_at = now + SWEEP, now + STATS
         self._tell(None, lambda: self.module.start(now))
         self._take_list(self.config.known, RESTORED)
-        self._push(self._beat_at, None)
+        self.wheel.push(self._beat_at, None)
 
     def finish(self) -> None:
         """End at once: timers and connections are let go."""
-        if self._handle is not None:
-            self._handle.cancel()
+        self.wheel.stop()
         open_now = [client.transport for client in self.clients]
         open_now += [conn.transport for conn in self.pool.open]
         for transport in open_now:
             if transport is not None:
                 transport.abort()
 
-    def _push(self, at: int, what: Exchange | int | None) -> None:
-        self._seq += 1
-        heapq.heappush(self._heap, (at, self._seq, what))
-        if not self._armed or at < self._armed:
-            self._arm(at)
-
-    def _arm(self, at: int) -> None:
-        if self._handle is not None:
-            self._handle.cancel()
-        self._armed = at
-        # Danger: the loop's timers count in milliseconds, cut down; one too early fires twice.
-        delay = max(1, (at - self.clock() + 999) // 1000) / 1000
-        self._handle = self.loop.call_later(delay, self._wake)
-
-    def _wake(self) -> None:
-        now = self.clock()
-        late = now - self._armed
-        self._handle = None
-        self.lag = late if late > 2 * MS else 0
-        if late > LATE:
-            # Danger: after a stall, timers come before what the sockets hold. Answers that have
-            # long arrived would count as timed out, and requests go to hosts told to drain.
-            self.counters.lag = max(self.counters.lag, late)
-            self._handle = self.loop.call_later(0.001, self._run_due)
-            return
-        self._run_due()
-
-    def _run_due(self) -> None:
-        heap = self._heap
-        now = self.clock()
-        while heap and heap[0][0] <= now:
-            at, _, what = heapq.heappop(heap)
-            if what is None:
-                self._beat(now)
-            elif isinstance(what, int):
-                token = what
-                self._tell(None, lambda token=token: self.module.timer(now, token))  # type: ignore[misc]
-            elif what.wake == at:
-                self._due(what, now)
-        self._armed = 0
-        if heap:
-            self._arm(heap[0][0])
+    def _fire(self, what: Exchange | int | None, at: int, now: int) -> None:
+        if what is None:
+            self._beat(now)
+        elif isinstance(what, int):
+            token = what
+            self._tell(None, lambda: self.module.timer(now, token))
+        elif what.wake == at:
+            self._due(what, now)
+
+    def _fire_failed(self, what: Exchange | int | None, error: Exception) -> None:
+        """An entry of the wheel has raised. Where it was a request's, its client gets an answer."""
+        self.fault("a timer", error)
+        if isinstance(what, Exchange) and not what.closed:
+            self._answer_failed(what)
+
+    def fault(self, where: str, error: Exception) -> None:
+        """Something has raised that should not have; whoever calls goes on."""
+        self.counters.faults += 1
+        trace = error.__traceback__
+        while trace is not None and trace.tb_next is not None:
+            trace = trace.tb_next
+        at = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace is not None else "?"
+        self.logger.often(f"fault {where}", f"{where} failed: {error!r:.100} at {at}")
+
+    def _guard(self, where: str, work: Callable[[int], None], now: int) -> None:
+        try:
+            work(now)
+        except Exception as error:
+            self.fault(where, error)
 
     def _beat(self, now: int) -> None:
-        self._push(max(now + BEAT // 2, self._beat_at + BEAT), None)
+        """What is looked at regularly; each part by itself, so that none can end another."""
+        self.wheel.push(max(now + BEAT // 2, self._beat_at + BEAT), None)
         self._beat_at = now
+        self._guard("the door", self._watch_door, now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP
-            self.pool.sweep(now)
+            self._guard("the sweep of hosts", self.pool.sweep, now)
         if now >= self._client_sweep_at:
             self._client_sweep_at = now + CLIENT_SWEEP
             for client in list(self.clients):
-                client.sweep(now)
+                self._guard("the sweep of clients", client.sweep, now)
         if now >= self._stats_at:
             self._stats_at = now + STATS
-            self._say_stats()
+            self._guard("the line of figures", self._say_stats, now)
+
+    def _watch_door(self, now: int) -> None:
+        self.door.sense(now, self.pool.size(), self.budget.held / self.budget.most)
+        self.release(self.door.trim(now), Reason.SEAT)
 
     def _schedule(self, exchange: Exchange) -> None:
         """Look at this exchange again when its next time-out is due."""
@@ -239,7 +223,7 @@
                 at = min(at, attempt.connect_by)
         if at < 1 << 62 and (not exchange.wake or at < exchange.wake):
             exchange.wake = at
-            self._push(at, exchange)
+            self.wheel.push(at, exchange)
 
     def _due(self, exchange: Exchange, now: int) -> None:
         exchange.wake = 0
@@ -334,7 +318,7 @@
                 self.later(one, CANCELLED)
 
     def set_timer(self, token: int, at: int) -> None:
-        self._push(at, token)
+        self.wheel.push(at, token)
 
     def watch(self, on: bool) -> None:
         self.watch_wanted(on)
@@ -348,7 +332,7 @@
         """A request has come whole; from here on its client is owed one answer."""
         # Danger: a loop that was held up reads late what came long ago.
         now = self.clock()
-        arrived = now - self.lag
+        arrived = now - self.wheel.lag
         wait = exchange.wait_ms * MS
         deadline = arrived + wait - min(MARGIN, wait // 10)
         if self.drain_since:
@@ -518,6 +502,7 @@
         """
         old, self.config = self.config, config
         self.budget.resize(config.memory_mb)
+        self.door.resize(sizes(config))
         wire = config.wire
         self.pool.idle_life, self.pool.connect_timeout = idle_life(wire), wire.connect_timeout
         if config.settings != old.settings:
@@ -531,10 +516,6 @@
 
     # --- Descriptors, drain, log
 
-    def _full(self) -> bool:
-        held = self.pool.size() + len(self.clients) + self.arriving
-        return held >= self.config.sockets - RESERVE
-
     def make_room(self) -> bool:
         """Whether one more connection to a host may be opened; closes an idle one if need be.
 
@@ -543,34 +524,53 @@
         It can do harm where one side is idle for long: its part stands empty. What is closed here
         is free on the loop's next turn; the reserve covers the few that are opened until then.
         """
-        if not self._full():
+        door, hosts = self.door, self.pool.size()
+        most = door.descriptors()
+        if door.held + hosts < most:
             return True
-        least = CLIENTS_LEAST * (self.config.sockets - RESERVE)
-        spare = len(self.clients) + self.arriving > least
-        return (spare and self._close_idle_client()) or self.pool.close_oldest_idle()
-
-    def room_for_client(self) -> bool | None:
-        """Whether one more client may be let in; None if there will be room in a moment."""
-        most = (1.0 - HOSTS_LEAST) * (self.config.sockets - RESERVE)
-        crowded = len(self.clients) + self.arriving >= most
-        if not crowded and not self._full():
-            return True
-        if self._close_idle_client() or (not crowded and self.pool.close_oldest_idle()):
-            return None
+        if door.held > door.sizes.clients_least * most:
+            now = self.clock()
+            if self.release(door.victims(now), Reason.ROOM):
+                return True
+        return self.pool.close_oldest_idle()
+
+    def way_in(self) -> Verdict:
+        """Whether there is room for one more client; whoever must go for it goes."""
+        door = self.door
+        if not door.crowded(self.pool.size()):
+            return Verdict.ADMIT
+        if self.release(door.victims(self.clock()), Reason.ROOM):
+            return Verdict.WAIT
+        if door.held < door.sizes.clients_most and self.pool.close_oldest_idle():
+            return Verdict.WAIT
         # What is half-way in or out only needs the loop to get round to it.
         soon = bool(self.arriving) or any(c.is_closed() for c in self.clients)
-        return None if soon else False
+        return Verdict.WAIT if soon else Verdict.TURN_AWAY
 
-    def _close_idle_client(self) -> bool:
-        """Close the connection that is least likely to be missed.
+    def exhausted(self) -> None:
+        """The system refuses a descriptor that the settings promise."""
+        now = self.clock()
+        self.door.exhausted(now, self.pool.size())
+        if not self.release(self.door.victims(now), Reason.ROOM):
+            self.pool.close_oldest_idle()
+
+    def release(self, places: list[Place], reason: Reason) -> int:
+        """Let these go, but for those on which bytes are found; how many went."""
+        gone = 0
+        for place in places:
+            if place.holder is not None and place.holder.let_go(reason):
+                gone += 1
+            else:
+                self.door.spared(place, self.clock())
+        return gone
 
-        Who has said nothing for a while goes first, then who has asked and is done, and last who
-        has just come and may be about to ask.
-        """
-        young = self.clock() - YOUNG
-        patient = [c for c in islice(self.silent, LOOKED_AT) if c.since < young]
-        candidates = patient or [*islice(self.idle, LOOKED_AT), *islice(self.silent, LOOKED_AT)]
-        return any(client.close_idle() for client in candidates)
+    def retry_after(self) -> int:
+        """For who is turned away for want of a place: microseconds, 0 where there is no saying."""
+        limits = self.config.settings.limits
+        if not limits.retry_after:
+            return 0
+        after = self.door.retry_after(self.clock())
+        return after if after <= limits.max_retry_after else 0
 
     def last_answer(self) -> int:
         """How long after SIGTERM the last answer is surely out: SIGKILL comes soon after."""
@@ -582,7 +582,7 @@
         self.drain_since = self.clock()
         self.ready = False
 
-    def _say_stats(self) -> None:
+    def _say_stats(self, now: int) -> None:
         c = self.counters
         outcomes = " ".join(f"{k}={v}" for k, v in sorted(c.statuses.items()))
         self.logger.say(
@@ -590,10 +590,16 @@
             f"gone={c.gone} bad={c.bad_requests} shed={c.shed} crowded={c.crowded} "
             f"open={len(self.live)} clients={len(self.clients)} upstream={self.pool.size()} "
             f"opened={self.pool.opened} "
-            f"hosts={len(self.pool.hosts)} lag_ms={c.lag // MS} panics={c.panics} "
-            f"overdue={c.overdue} outcomes: {outcomes}"
+            f"hosts={len(self.pool.hosts)} lag_ms={self.wheel.worst // MS} panics={c.panics} "
+            f"faults={c.faults} overdue={c.overdue} outcomes: {outcomes}"
         )
-        c.lag = 0
+        self.logger.say(self.door.told())
+        self.wheel.worst = 0
+
+
+def sizes(config: Config) -> Sizes:
+    """What the settings leave to clients and hosts."""
+    return Sizes(max(8, config.sockets - RESERVE), max(1, config.sockets // SEATS))
 
 
 def idle_life(wire: Wire) -> int:
--- a/sillusher/net/upstream.py
+++ b/sillusher/net/upstream.py
@@ -341,7 +341,18 @@
     async def _connect(self, attempt: Attempt) -> None:
         host, proxy = attempt.host, self.proxy
         conn = None
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:
+            # Danger: what escapes here leaves the attempt to its time-out, and counted as under
+            # way for ever. It says nothing of the host: the system has no descriptor.
+            self.connecting -= 1
+            host.open -= 1
+            attempt.task, attempt.connect_by = None, 0
+            proxy.exhausted()
+            if not attempt.over:
+                proxy.ended(attempt, MOOT, None, None)
+            return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             addr = host.addr
