--- /dev/null
+++ b/sillusher/lab/crowd.py
@@ -0,0 +1,357 @@
+"""Clients, honest and not, and the front that deals out connections among them.
+
+Every request is counted by what finally became of it, once; a second final answer to one is a
+failure of the gateway and counted as such. Times are seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import socket
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Final, Self, cast
+
+SERVED, REFUSED, FAILED, NO_SEAT, LOST = "served", "refused", "failed", "no seat", "lost"
+READY: Final = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+_names = itertools.count()
+
+
+def message(name: str, kind: str, wait_ms: int, body: bytes = b"", owner: str = "") -> bytes:
+    """A request as the protocol has it; of a safe class where it has no body."""
+    lines = [
+        f"{'POST' if body else 'GET'} /api HTTP/1.1",
+        "Host: service.internal",
+        f"Req-Id: {name}",
+        f"Req-Kind: {kind}",
+        f"Req-Deadline-Ms: {wait_ms}",
+    ]
+    if owner:
+        lines.append(f"Req-Owner: {owner}")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class Tally:
+    """What became of each request of one kind of client."""
+
+    def __init__(self) -> None:
+        self.ends: Counter[str] = Counter()
+        self.answers: Counter[str] = Counter()  # by request
+        self.retry_after: list[float] = []
+
+    def end(self, name: str, what: str) -> None:
+        self.ends[what] += 1
+        if what in (SERVED, REFUSED, FAILED):
+            self.answers[name] += 1
+
+    @property
+    def asked(self) -> int:
+        return sum(self.ends.values())
+
+    @property
+    def share(self) -> float:
+        """Of all that was asked, the part served."""
+        return self.ends[SERVED] / max(1, self.asked)
+
+    @property
+    def twice(self) -> int:
+        """Requests with more than one final answer."""
+        return sum(count > 1 for count in self.answers.values())
+
+
+class Line(asyncio.Protocol):
+    """A client's connection: one request at a time, and what came back for it."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.gone = asyncio.Event()
+        self.keep = True
+        self.early = b""  # what came with nothing asked
+        self._data = b""
+        self._done: asyncio.Future[tuple[int, dict[str, str], bytes]] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        self._data += data
+        head, gap, body = self._data.partition(b"\r\n\r\n")
+        if not gap:
+            return
+        first, *rest = head.decode("latin-1").split("\r\n")
+        fields = {n.lower(): v.strip() for n, _, v in (line.partition(":") for line in rest)}
+        size = int(fields.get("content-length", "0"))
+        if len(body) < size:
+            return
+        self._data = body[size:]
+        self.keep = fields.get("connection", "").lower() != "close"
+        done, self._done = self._done, None
+        if done is None:
+            self.early += head
+        elif not done.done():
+            done.set_result((int(first.split(" ")[1]), fields, body[:size]))
+
+    def eof_received(self) -> None:
+        self.connection_lost(None)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.gone.set()
+        if self._done is not None and not self._done.done():
+            self._done.set_exception(ConnectionResetError("closed by the gateway"))
+
+    @property
+    def open(self) -> bool:
+        return self.keep and not self.gone.is_set()
+
+    async def ask(self, data: bytes, patience: float) -> tuple[int, dict[str, str], bytes]:
+        """Send a request and await its answer; raises OSError or TimeoutError."""
+        assert self.transport is not None
+        self._done = asyncio.get_running_loop().create_future()
+        if self.gone.is_set():
+            raise ConnectionResetError("closed by the gateway")
+        self.transport.write(data)
+        async with asyncio.timeout(patience):
+            return await self._done
+
+    def close(self) -> None:
+        self.gone.set()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def dial(addr: str, source: str = "") -> Line:
+    """Connect, from a loopback address of one's own where `source` names it."""
+    host, _, port = addr.rpartition(":")
+    local = (source, 0) if source else None
+    loop = asyncio.get_running_loop()
+    _, line = await loop.create_connection(Line, host, int(port), local_addr=local)
+    return line
+
+
+class Front:
+    """Deals out at most `seats` connections to one gateway.
+
+    A request takes the newest idle connection, or a new one while there are seats, or is turned
+    away. A close that crosses a request has it sent once more on a new connection.
+    """
+
+    def __init__(self, addr: str, seats: int, kind: str, wait_ms: int = 3000) -> None:
+        self.addr, self.seats, self.kind, self.wait_ms = addr, seats, kind, wait_ms
+        self.idle: list[Line] = []
+        self.open: set[Line] = set()
+        self.dialled = 0
+        self.source = ""
+
+    async def ask(
+        self, tally: Tally, hold: bool = False, body: bytes = b"", owner: str = "", seated: int = 0
+    ) -> Line | None:
+        """One request to its end, counted in `tally`; `hold` keeps its connection from reuse.
+
+        Returns the connection, where it is still open and held. `seated` is a limit on seats of
+        this client's own, where it has one.
+        """
+        name = f"c{next(_names):x}"
+        data = message(name, self.kind, self.wait_ms, body, owner)
+        for again in (False, True):
+            self.idle = [line for line in self.idle if line.open]
+            self.open = {line for line in self.open if not line.gone.is_set()}
+            reused = bool(self.idle) and not again and not hold
+            if not reused and len(self.open) >= (seated or self.seats):
+                tally.end(name, NO_SEAT)
+                return None
+            line: Line | None = None
+            try:
+                line = self.idle.pop() if reused else await self._dial()
+                status, fields, got = await line.ask(data, self.wait_ms / 1000 + 0.5)
+            except OSError as error:
+                self._drop(line)
+                if isinstance(error, TimeoutError) or not reused:
+                    tally.end(name, LOST if isinstance(error, TimeoutError) else FAILED)
+                    return None
+                continue
+            return self._finish(tally, name, line, status, fields, got, hold)
+        return None
+
+    async def _dial(self) -> Line:
+        self.dialled += 1
+        line = await dial(self.addr, self.source)
+        self.open.add(line)
+        return line
+
+    def _drop(self, line: Line | None) -> None:
+        if line is not None:
+            line.close()
+            self.open.discard(line)
+
+    def _finish(
+        self, tally: Tally, name: str, line: Line, status: int, fields: dict[str, str],
+        got: bytes, hold: bool,
+    ) -> Line | None:  # fmt: skip
+        mine = got.split(b" ")[0] == name.encode()
+        if status == 200 and mine:
+            tally.end(name, SERVED)
+        else:
+            tally.end(name, REFUSED if status in (429, 503) else FAILED)
+            if "retry-after" in fields:
+                tally.retry_after.append(float(fields["retry-after"]))
+        if not line.keep:
+            self._drop(line)
+            return None
+        if not hold:
+            self.idle.append(line)
+        return line
+
+
+class Crowd:
+    """Runs clients until it is left; all their tasks and connections end with it."""
+
+    def __init__(self, addr: str, seed: int = 1) -> None:
+        self.addr = addr
+        self.random = random.Random(seed)
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.lines: set[Line] = set()
+        self.sockets: set[socket.socket] = set()
+        self.dialled: Counter[str] = Counter()
+        self.closed: Counter[str] = Counter()  # of the misusers' connections, by the gateway
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for line in self.lines:
+            line.close()
+        for one in self.sockets:
+            one.close()
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run one client beside the others."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def steady(self, rate: float, count: int, one: Callable[[], Awaitable[object]]) -> None:
+        """Begin `count` of something at `rate` a second, and wait for all of them."""
+        running: set[asyncio.Task[object]] = set()
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        for i in range(count):
+            delay = started + i / rate - loop.time()
+            if delay > 0:
+                await asyncio.sleep(delay)
+            running.add(loop.create_task(_swallow(one())))
+        await asyncio.gather(*running)
+
+    # --- Honest clients
+
+    async def honest(self, front: Front, tally: Tally, rate: float, count: int, **how: Any) -> None:
+        """Requests that come one by one through the front and let go of their connections."""
+        await self.steady(rate, count, lambda: front.ask(tally, **how))
+
+    async def returner(self, front: Front, tally: Tally, gap: float, times: int) -> None:
+        """Keeps its own connection and asks again after `gap`; makes a new one if need be."""
+        line: Line | None = None
+        for _ in range(times):
+            name = f"r{next(_names):x}"
+            data = message(name, front.kind, front.wait_ms)
+            try:
+                if line is None or not line.open:
+                    line = await front._dial()
+                status, _, _ = await line.ask(data, front.wait_ms / 1000 + 0.5)
+                tally.end(name, SERVED if status == 200 else REFUSED)
+            except OSError:
+                tally.end(name, FAILED)
+                line = None
+            await asyncio.sleep(gap)
+        if line is not None:
+            self.lines.add(line)
+
+    # --- Those that hold places
+
+    async def hoarders(self, front: Front, tally: Tally, rate: float, count: int) -> None:
+        """Clients that ask once through the front and keep their connection for good."""
+
+        async def one() -> None:
+            line = await front.ask(tally, hold=True)
+            if line is not None:
+                self.lines.add(line)
+
+        await self.steady(rate, count, one)
+
+    async def silent(self, rate: float, count: int, source: str = "") -> None:
+        """Connect and say nothing."""
+        await self.steady(rate, count, lambda: self._misuse("silent", _nothing, source))
+
+    async def come_back(self, source: str = "", first: bytes = b"") -> None:
+        """Connects anew as soon as it is closed, and says nothing or the same again."""
+
+        async def say(line: Line) -> None:
+            assert line.transport is not None
+            line.transport.write(first)
+
+        while True:
+            await self._misuse("come back", say, source)
+            await asyncio.sleep(0)
+
+    async def trickle(self, data: bytes, gap: float, source: str = "") -> None:
+        """Sends a byte at a time."""
+
+        async def say(line: Line) -> None:
+            assert line.transport is not None
+            for byte in data:
+                if line.gone.is_set():
+                    return
+                line.transport.write(bytes([byte]))
+                await asyncio.sleep(gap)
+
+        await self._misuse("trickle", say, source)
+
+    async def slow_reader(self, data: bytes, gap: float = 1.0) -> None:
+        """Asks, and takes its answer a byte at a time."""
+        host, _, port = self.addr.rpartition(":")
+        one = socket.socket()
+        self.sockets.add(one)
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        one.setblocking(False)
+        loop = asyncio.get_running_loop()
+        self.dialled["slow reader"] += 1
+        with contextlib.suppress(OSError):
+            await loop.sock_connect(one, (host, int(port)))
+            await loop.sock_sendall(one, data)
+            while await loop.sock_recv(one, 1):
+                await asyncio.sleep(gap)
+        self.closed["slow reader"] += 1
+        self.sockets.discard(one)
+        one.close()
+
+    async def _misuse(self, kind: str, say: Callable[[Line], Awaitable[None]], source: str) -> None:
+        self.dialled[kind] += 1
+        try:
+            line = await dial(self.addr, source)
+        except OSError:
+            await asyncio.sleep(0.05)
+            return
+        self.lines.add(line)
+        await say(line)
+        await line.gone.wait()
+        self.closed[kind] += 1
+        self.lines.discard(line)
+        line.close()
+
+
+async def _nothing(line: Line) -> None:
+    """Say nothing."""
+
+
+async def _swallow(work: Awaitable[object]) -> object:
+    try:
+        return await work
+    except OSError:
+        return None
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -132,7 +132,7 @@
         self.ready = False
         self.drain_since = 0
         self.wheel: Wheel[Exchange | int | None] = Wheel(
-            loop, self.clock, self._fire, self._fire_failed
+            loop, self.clock, self._fire, self._fire_failed, self._stalled
         )
         self.watch_wanted: Callable[[bool], None] = lambda on: None
         self._next_id = 1
@@ -179,6 +179,10 @@
         if isinstance(what, Exchange) and not what.closed:
             self._answer_failed(what)
 
+    def _stalled(self, now: int, late: int) -> None:
+        self.logger.often("stall", f"held up for {late // MS} ms")
+        self._tell(None, lambda: self.module.stalled(now))
+
     def fault(self, where: str, error: Exception) -> None:
         """Something has raised that should not have; whoever calls goes on."""
         self.counters.faults += 1
--- a/sillusher/net/wheel.py
+++ b/sillusher/net/wheel.py
@@ -27,8 +27,10 @@
         clock: Callable[[], int],
         fire: Callable[[T, int, int], None],
         failed: Callable[[T, Exception], None],
+        stalled: Callable[[int, int], None],
     ) -> None:
         self.loop, self.clock, self.fire, self.failed = loop, clock, fire, failed
+        self.stalled = stalled  # told the time and how late it is, before sockets are read
         self.lag = 0  # how late the last turn was
         self.worst = 0  # the most of it that has been seen; for whoever reads it to set back
         self._heap: list[tuple[int, int, T]] = []
@@ -60,7 +62,8 @@
         self._handle = self.loop.call_later(delay, self._wake)
 
     def _wake(self) -> None:
-        late = self.clock() - self._armed
+        now = self.clock()
+        late = now - self._armed
         self._handle = None
         self.lag = late if late > 2 * MS else 0
         if late > LATE:
@@ -68,6 +71,7 @@
             # long arrived would count as timed out, and requests go to hosts told to drain.
             self.worst = max(self.worst, late)
             self._handle = self.loop.call_later(0.001, self._turn)
+            self.stalled(now, late)
             return
         self._turn()
 
--- a/sillusher/policy.py
+++ b/sillusher/policy.py
@@ -82,6 +82,7 @@
 LATE_SUM = 4.0  # ...once they add up to this many: CUSUM, so that few answers suffice at any rate
 FLEET_SADDLE = 3_000_000  # the fleet's rate is back at R0 after this; about two answers' time
 ARRIVAL_TAU = 1_500_000  # window of the rates of arrival
+RUSH = 50_000  # so long after a pause of the gateway's own it reads what had come meanwhile
 SHED_MOST = 0.95  # so much is shed at the most: without answers nothing shows that it is over
 WATCH_SPREAD = 0.35  # first subscription is spread over this share of rules.ask_within
 WATCH_BACKOFF = 500_000  # first wait after a failed call, doubling with jitter
@@ -226,7 +227,7 @@
         self.late_sum = 0.0
         self.watching = False
         self.watch_wait = WATCH_BACKOFF
-        self.t_arrival = self.t_start = 0
+        self.t_arrival = self.t_start = self.t_rush = 0
         self._adopt(0, settings)
 
     def _adopt(self, now: int, settings: Settings) -> None:
@@ -251,6 +252,14 @@
         """The instance begins, empty; its last list follows as `members`."""
         self.t_start = now
 
+    def stalled(self, now: int) -> None:
+        """This gateway itself stood still until now: what was out meanwhile, and what had come
+        and is read at once after it, says nothing of the fleet, however late it is.
+
+        Danger: without this one pause of its own makes a gateway shed for seconds.
+        """
+        self.t_rush = now + RUSH
+
     def reconfigure(self, now: int, settings: Settings) -> None:
         """New settings for a running instance; requests taken go on under their class's old ones.
 
@@ -717,7 +726,7 @@
         again. Nor may the level hang on answers alone: where nearly all is shed, none come.
         """
         fleet = self.fleet
-        if request.arrived < fleet.t_cut:
+        if request.arrived < max(fleet.t_cut, self.t_rush):
             return
         self.late_sum = max(0.0, self.late_sum + late - LATE_SHARE)
         if self.late_sum < LATE_SUM:
@@ -737,6 +746,8 @@
         is more often late, and its refusal comes back as one repeat more.
         """
         rank = 2 * self.worths.index(worth) + (not repeat)
+        if not self.t_arrival:
+            self.t_start = now  # a window that stood empty before the first client isn't filled
         fade = math.exp((self.t_arrival - now) / ARRIVAL_TAU)
         self.t_arrival = now
         arrivals = self.arrivals = [a * fade for a in self.arrivals]
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from sillusher.interface import OK, Report
@@ -56,6 +57,32 @@
     assert refused < 10
 
 
+def test_a_pause_of_the_gateways_own_is_no_sign_of_overload() -> None:
+    for told in (True, False):
+        world = fleet()
+        drive(world, 0, 300, 50 * MS)
+        for req in range(1000, 1030):  # out when the pause begins
+            world.request(req, SAFE, lasts=4 * S)
+        world.run(world.now + 900 * MS - START)
+        if told:
+            world.gateway.stalled(world.now)
+        for req in range(2000, 2030):  # had come meanwhile, and are read at once
+            world.request(req, SAFE, lasts=4 * S)
+        for req in [*range(1000, 1030), *range(2000, 2030)]:
+            if world.port.sends(req):
+                world.outcome(req, 0, OK, closed=True, latency=900 * MS, report=Report(0.0, 1.0))
+        assert (world.gateway.fleet.srate == math.inf) == told
+
+
+def test_a_long_wait_for_the_first_client_does_not_make_a_cut_too_deep() -> None:
+    refused = []
+    for wait in (0, 3 * S):
+        world = fleet()
+        world.run(wait)
+        refused.append(drive(world, 0, 150, 1500 * MS))
+    assert refused[1] <= refused[0] + 10
+
+
 def test_the_least_worth_is_shed_first() -> None:
     world = fleet()
     drive(world, 0, 900, 1500 * MS)
