--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -79,7 +79,7 @@
     for wait in (0, 3 * S):
         world = fleet()
         world.run(wait)
-        refused.append(drive(world, 0, 150, 1500 * MS))
+        refused.append(drive(world, 0, 150, 650 * MS))
     assert refused[1] <= refused[0] + 10
 
 
