--- a/sillusher/front/door.py
+++ b/sillusher/front/door.py
@@ -31,6 +31,7 @@
 UNPROVEN_PART: Final = 0.5  # of the clients' descriptors, for those that have asked nothing yet
 UNPROVEN_LEAST: Final = 2  # that any source may have of them, whatever it did
 BATCH: Final = 24  # one part in so many of the descriptors is freed at a time
+MAIN_SOURCE: Final = 0.5  # who brings this share of the requests is never turned away at the door
 OFFENCE: Final = 2.0  # places wasted that an offence counts as
 CEILING_BACK: Final = 10_000_000  # how long a limit on descriptors that was hit is believed
 
@@ -385,12 +386,15 @@
 
         Guards against a source that has brought next to nothing and comes back as soon as it is
         closed: beyond its part it is not let in. One that has brought requests is never turned
-        away for others; its own worst connections go first.
+        away for others; its own worst connections go first. Danger: where all come through one
+        front, turning that away would turn all away, however many bad ones come with the good.
         """
         self._tick(now)
         source = self.sources.known.get(source_of(address))
         if source is None or source.standing >= OFFENDER or self.strain <= 0.0:
             return True
+        if source.quota >= MAIN_SOURCE:
+            return True
         part = max(UNPROVEN_LEAST, source.quota * self._unproven_room())
         return source.unproven < part
 
--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -48,6 +48,7 @@
 }
 ACCEPTS: Final = 64  # connections taken in before others get their turn
 ACCEPT_REST: Final = 0.05  # s
+SEND_BUFFER: Final = 256 * 1024  # bytes of an answer on their way, of which the system keeps count
 QUEUE: Final = 4  # requests that a client may send ahead of its answers
 LINGER: Final = 1_000_000  # so long a refused client's bytes are taken in and thrown away
 # What a system says that has no more descriptors or buffers to give.
@@ -616,6 +617,9 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Connections inherit it. By itself the system takes megabytes of an answer for a client
+        # that reads none of it, which show in no budget.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         try:
             self.sock.bind(address)
             self.sock.listen(backlog)
