Count an idle connection for its last tenant when it carries another's request

A front's connection carries whichever tenant comes next. The door changed the tenant before it took the connection out of the idle ones, so the old tenant kept one idle connection too many for ever and the new one had one too few. Over time the worth of a busy tenant's connections sank for no reason.

The order is turned round. Measured: first and second tenant (held, idle) after one change (0, 1) and (1, 0) before, (0, 0) and (1, 1) now; the new test fails without the change.

--- a/sillusher/front/door.py
+++ b/sillusher/front/door.py
@@ -274,11 +274,12 @@
         if not place.asked:
             place.source.unproven -= 1
         place.asked += 1
+        # Before its tenant may change: it is that of the last request which it was idle for.
+        self._enter(place, _BUSY)
+        place.since = self.now
         if tenant is not None:
             place.source.brought += 1.0
             self._belongs(place, tenant)
-        self._enter(place, _BUSY)
-        place.since = self.now
 
     def _belongs(self, place: Place, name: str) -> None:
         group = place.tenant
--- a/tests/test_front_door.py
+++ b/tests/test_front_door.py
@@ -263,6 +263,17 @@
     assert not set(first) & fair
 
 
+def test_a_connection_that_carries_one_tenant_after_another_is_idle_for_the_last() -> None:
+    it = door()
+    place = idle(it, 0, tenant="first")
+    it.taken(place, 1 * MS, "second")
+    it.answered(place, 2 * MS)
+    assert [(g.name, g.held, g.idle) for g in it.tenants.known.values()] == [
+        ("first", 0, 0),
+        ("second", 1, 1),
+    ]
+
+
 # --- Time limits
 
 
