Say once what the door and the gateway said twice, and drop what nothing used

Read again, the change had the share of seats in use worked out in four places and kept as state besides, the kind of a connection about to be idle in two, the fading of old counts with a second constant of the same value, the line of a traceback beside the one for the module's failures, and Retry-After's form twice. Each is one function now. A reason that no connection ends for, a length that nobody asks for, a parameter not read and an assertion that could not fail are gone.

Behaviour is the same but for the module's failures, which now name the function beside the line.

--- a/sillusher/front/door.py
+++ b/sillusher/front/door.py
@@ -19,7 +19,7 @@
 from typing import Final, Protocol
 
 from .groups import OFFENDER, Group, Groups, source_of
-from .life import FORGET, KINDS, REFRESH, Kind, LifeTables, gap_kind, octave
+from .life import REFRESH, Kind, LifeTables, fade, gap_kind, octave
 
 EASE: Final = 0.55  # pressure up to which connections are kept as long as they may be...
 STRAIN: Final = 0.8  # ...and from which on the limits are at their shortest
@@ -69,7 +69,6 @@
     ROOM = 6  # worth less than its descriptor
     ANSWERED = 7  # closed with its answer: asked for, or draining
     REJECTED = 8  # out of form
-    AWAY = 9  # turned away at the door
 
 
 class Verdict(IntEnum):
@@ -152,7 +151,6 @@
         self.others = 0  # descriptors that are not clients'
         self.memory = 0.0  # share in use
         self.strain = 0.0  # of whatever is shortest, 0 to 1
-        self._seat_strain = 0.0
         self._hit, self._hit_until = 0, 0  # a limit below the one that was told
         self._refreshed = now
         self._limits: list[int] = []
@@ -196,18 +194,20 @@
 
     def pressure(self) -> float:
         """The share in use of whatever is shortest; above 1 where more is in use than there is."""
-        seats = self.used / max(1, self.sizes.seats)
         clients = self.held / max(1.0, self.sizes.clients_most)
         whole = (self.held + self.others) / max(1, self.descriptors())
         # Hosts' connections alone must not press the clients, whose part can't be taken.
         whole = min(whole, self.held / max(1.0, self.sizes.clients_least * self.descriptors()))
-        return max(seats, clients, whole, self.memory)
+        return max(self._seats(), clients, whole, self.memory)
+
+    def _seats(self) -> float:
+        """The share of seats in use."""
+        return self.used / max(1, self.sizes.seats)
 
     def _strain(self) -> None:
         pressure = self.pressure()
         self.figures.peak = max(self.figures.peak, pressure)
         self.strain = _ramp(pressure)
-        self._seat_strain = _ramp(self.used / max(1, self.sizes.seats))
 
     def sense(self, now: int, others: int, memory: float) -> None:
         """Several times a second: what else holds descriptors, and the share of memory in use."""
@@ -222,10 +222,10 @@
 
     def _refresh(self) -> None:
         elapsed, self._refreshed = self.now - self._refreshed, self.now
-        horizon = HORIZON_EASE + int(self._seat_strain * (HORIZON_STRAIN - HORIZON_EASE))
+        horizon = HORIZON_EASE + int(_ramp(self._seats()) * (HORIZON_STRAIN - HORIZON_EASE))
         waits = [(p.kind, self.now - p.since) for p in self.places if p.state in WAITING]
-        self.tables.refresh(waits, elapsed, horizon)
-        keep = FORGET ** (elapsed / REFRESH)
+        keep = fade(elapsed)
+        self.tables.refresh(waits, keep, horizon)
         self.sources.refresh(keep)
         self.tenants.refresh(keep)
         self._set_limits()
@@ -310,7 +310,7 @@
         place.unsent = 0
         self._enter(place, _IDLE)
         place.since = self.now
-        place.kind = gap_kind(place.gap) if place.asked > 1 else Kind.ONCE
+        place.kind = _kind_once_idle(place)
 
     def progress(self, place: Place, now: int, unsent: int) -> None:
         """So much of an answer is still to be taken; nothing ends the wait for it."""
@@ -331,7 +331,7 @@
         if place.state == _CLOSING:
             return
         self._tick(now)
-        self._end_wait(place, reason)
+        self._end_wait(place)
         place.ended = reason
         self._enter(place, _CLOSING)
         place.since = self.now
@@ -342,7 +342,7 @@
             return
         self._tick(now)
         if place.ended is None:
-            self._end_wait(place, Reason.PEER)
+            self._end_wait(place)
             place.ended = Reason.PEER
         self.figures.closed[place.ended] += 1
         if place.state == _IDLE:
@@ -355,7 +355,7 @@
         if place.tenant is not None:
             place.tenant.held -= 1
 
-    def _end_wait(self, place: Place, reason: Reason) -> None:
+    def _end_wait(self, place: Place) -> None:
         if place.state not in WAITING:
             return
         self.tables.closed(place.kind, self.now - place.since)
@@ -429,10 +429,8 @@
         if self.used <= EASE * self.sizes.seats:
             return True
         self._tick(now)
-        strain = _ramp(self.used / max(1, self.sizes.seats))
-        kind = gap_kind(place.gap) if place.asked > 1 else Kind.ONCE
-        value = self.tables.worth[kind][0] * place.source.standing
-        return value >= CEILING * strain
+        value = self.tables.worth[_kind_once_idle(place)][0] * place.source.standing
+        return value >= CEILING * _ramp(self._seats())
 
     def trim(self, now: int) -> list[Place]:
         """The idle ones that should give up their seats now: the least worth first.
@@ -442,11 +440,10 @@
         however short seats are.
         """
         self._tick(now)
-        seats = self.sizes.seats
-        surplus = int(self.used - EASE * seats)
+        surplus = int(self.used - EASE * self.sizes.seats)
         if surplus <= 0 or not self.count[_IDLE]:
             return []
-        ceiling = CEILING * _ramp(self.used / max(1, seats))
+        ceiling = CEILING * _ramp(self._seats())
         low = [(self.worth(p), i, p) for i, p in enumerate(self._in(_IDLE))]
         low = [entry for entry in low if entry[0] < ceiling]
         return [entry[2] for entry in heapq.nsmallest(surplus, low)]
@@ -530,10 +527,11 @@
         """One line's worth: connections by state, pressure, closings by reason."""
         states = _pairs(State, self.count)
         closed = _pairs(Reason, self.figures.closed)
-        peak, self.figures.peak = self.figures.peak, self.pressure()
+        pressure = self.pressure()
+        peak, self.figures.peak = self.figures.peak, pressure
         return (
             f"door: {states or 'empty'} seats={self.used}/{self.sizes.seats} "
-            f"pressure={self.pressure():.2f} peak={peak:.2f} opened={self.figures.opened} "
+            f"pressure={pressure:.2f} peak={peak:.2f} opened={self.figures.opened} "
             f"reused={self.figures.reused} away={self.figures.turned_away} "
             f"closed: {closed or 'none'}"
         )
@@ -543,12 +541,13 @@
     return " ".join(f"{names(i).name.lower()}={n}" for i, n in enumerate(counts) if n)
 
 
+def _kind_once_idle(place: Place) -> Kind:
+    return gap_kind(place.gap) if place.asked > 1 else Kind.ONCE
+
+
 def _ramp(pressure: float) -> float:
     return min(1.0, max(0.0, (pressure - EASE) / (STRAIN - EASE)))
 
 
 def _part(quota: float, held: int) -> float:
     return 1.0 if held <= quota else quota / held
-
-
-assert len(Kind) == KINDS
--- a/sillusher/front/groups.py
+++ b/sillusher/front/groups.py
@@ -11,7 +11,6 @@
 
 MOST_GROUPS: Final = 2048
 PRIOR: Final = 8.0  # places that a group of no record is taken to have used well
-FORGET: Final = 0.977  # per half second, as in the life tables
 OFFENDER: Final = 0.25  # a group of less standing than this is one that has misbehaved
 LEAST_SHARE: Final = 0.5  # of an even share, which is anybody's however little it brings
 
--- a/sillusher/front/life.py
+++ b/sillusher/front/life.py
@@ -44,6 +44,11 @@
 GAPS: Final = tuple(Kind)[Kind.GAP_16MS :]
 
 
+def fade(elapsed: int) -> float:
+    """How much of what was counted still counts after so long."""
+    return math.pow(FORGET, elapsed / REFRESH)
+
+
 def octave(age: int) -> int:
     """The octave of an age: 0 under 2^10 us, then one for each doubling."""
     if age <= 0:
@@ -71,7 +76,7 @@
         self.lost = [[0.0] * OCTAVES for _ in range(KINDS)]
         self.horizon = 1_000_000
         self.worth = [[0.0] * OCTAVES for _ in range(KINDS)]
-        self.refresh((), 0, 0)
+        self.refresh((), 1.0, 0)
 
     def brought(self, kind: int, age: int) -> None:
         """A wait ended with what was waited for."""
@@ -81,11 +86,12 @@
         """A wait ended without: the peer or this side closed. What would have come is unknown."""
         self.lost[kind][octave(age)] += 1.0
 
-    def refresh(self, waiting: Iterable[tuple[int, int]], elapsed: int, horizon: int) -> None:
+    def refresh(self, waiting: Iterable[tuple[int, int]], keep: float, horizon: int) -> None:
         """Work out the worth of every kind at every age.
 
         `waiting` has the kind and age of each connection that still waits: those that never ask
-        and are never closed must weigh as much as those that ended. `horizon` is the time over
+        and are never closed must weigh as much as those that ended. `keep` is the share of the
+        counts that still counts from here on. `horizon` is the time over
         which a coming request is discounted by e.
         """
         if horizon > 0:
@@ -93,7 +99,6 @@
         held = [[0] * OCTAVES for _ in range(KINDS)]
         for kind, age in waiting:
             held[kind][octave(age)] += 1
-        keep = FORGET ** (elapsed / REFRESH)
         for kind in range(KINDS):
             asked, lost = self.asked[kind], self.lost[kind]
             self.worth[kind] = _worth(asked, lost, held[kind], 1.0 / self.horizon)
--- a/sillusher/net/downstream.py
+++ b/sillusher/net/downstream.py
@@ -563,8 +563,7 @@
 
     def refuse(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away; `retry_after` in microseconds, 0 for no advice."""
-        after = b"Retry-After: %.3f\r\n" % (retry_after / 1e6) if retry_after > 0 else b""
-        self._answer(exchange, REASONS[503], after, b"")
+        self._answer(exchange, REASONS[503], _retry_after(retry_after), b"")
 
     def fail(self, exchange: Exchange, late: bool) -> None:
         """Failed, which promises nothing."""
@@ -576,11 +575,14 @@
             self.proxy.door.progress(self.place, self.proxy.clock(), 0)
 
 
+def _retry_after(time: int) -> bytes:
+    return b"Retry-After: %.3f\r\n" % (time / 1e6) if time > 0 else b""
+
+
 def refusal(status: int, retry_after: int = 0) -> bytes:
     """An answer that ends its connection; `retry_after` in microseconds, 0 for no advice."""
-    after = b"Retry-After: %.3f\r\n" % (retry_after / 1e6) if retry_after > 0 else b""
     return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n" % (
-        REASONS[status], after,
+        REASONS[status], _retry_after(retry_after),
     )  # fmt: skip
 
 
--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -188,11 +188,7 @@
     def fault(self, where: str, error: Exception) -> None:
         """Something has raised that should not have; whoever calls goes on."""
         self.counters.faults += 1
-        trace = error.__traceback__
-        while trace is not None and trace.tb_next is not None:
-            trace = trace.tb_next
-        at = f"{trace.tb_frame.f_code.co_name}:{trace.tb_lineno}" if trace is not None else "?"
-        self.logger.often(f"fault {where}", f"{where} failed: {error!r:.100} at {at}")
+        self.logger.often(f"fault {where}", f"{where} failed: {error!r:.100}, {_raised_at(error)}")
 
     def _guard(self, where: str, work: Callable[[int], None], now: int) -> None:
         try:
@@ -265,13 +261,8 @@
 
     def _panic(self, exchange: Exchange | None, error: Exception) -> None:
         self.counters.panics += 1
-        where = error.__traceback__
-        while where is not None and where.tb_next is not None:
-            where = where.tb_next
-        line = where.tb_lineno if where is not None else 0
-        self.logger.often(
-            "panic", f"the module failed: {type(error).__name__}: {error}, line {line}"
-        )
+        what = f"{type(error).__name__}: {error}, {_raised_at(error)}"
+        self.logger.often("panic", f"the module failed: {what}")
         if exchange is not None and not exchange.closed:
             self.module.live.pop(exchange.id, None)
             self._answer_failed(exchange)
@@ -630,6 +621,14 @@
         self.wheel.worst = 0
 
 
+def _raised_at(error: Exception) -> str:
+    """The function and line that an exception comes from."""
+    where = error.__traceback__
+    while where is not None and where.tb_next is not None:
+        where = where.tb_next
+    return "line 0" if where is None else f"{where.tb_frame.f_code.co_name} line {where.tb_lineno}"
+
+
 def sizes(config: Config) -> Sizes:
     """What the settings leave to clients and hosts."""
     return Sizes(max(8, config.sockets - RESERVE), max(1, config.sockets // SEATS))
--- a/sillusher/net/wheel.py
+++ b/sillusher/net/wheel.py
@@ -38,9 +38,6 @@
         self._armed = 0
         self._handle: asyncio.TimerHandle | None = None
 
-    def __len__(self) -> int:
-        return len(self._heap)
-
     def push(self, at: int, what: T) -> None:
         """Fire `what` at that time. Entries can't be taken back."""
         self._seq += 1
--- a/tests/test_front_life.py
+++ b/tests/test_front_life.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sillusher.front.life import OCTAVES, WIDTHS, Kind, LifeTables, gap_kind, octave
+from sillusher.front.life import OCTAVES, WIDTHS, Kind, LifeTables, fade, gap_kind, octave
 
 MS, S = 1_000, 1_000_000
 
@@ -39,7 +39,7 @@
     for _ in range(100):
         tables.brought(Kind.GAP_64MS, 50 * MS)
         tables.closed(Kind.ONCE, 1 * S)
-    tables.refresh((), 0, 1 * S)
+    tables.refresh((), 1.0, 1 * S)
     assert tables.worth[Kind.GAP_64MS][0] > 0.85
     assert tables.worth[Kind.ONCE][0] < 0.15
 
@@ -49,9 +49,9 @@
     tables = LifeTables()
     for _ in range(20):
         tables.brought(Kind.ONCE, 20 * MS)
-    tables.refresh((), 0, 1 * S)
+    tables.refresh((), 1.0, 1 * S)
     before = tables.worth[Kind.ONCE][octave(500 * MS)]
-    tables.refresh([(Kind.ONCE, 10 * S)] * 200, 0, 1 * S)
+    tables.refresh([(Kind.ONCE, 10 * S)] * 200, 1.0, 1 * S)
     assert tables.worth[Kind.ONCE][octave(500 * MS)] < before / 3
     assert tables.worth[Kind.ONCE][0] < 0.2
 
@@ -60,7 +60,7 @@
     tables = LifeTables()
     for _ in range(200):
         tables.brought(Kind.GAP_4S, 3 * S)
-    tables.refresh((), 0, 500 * MS)
+    tables.refresh((), 1.0, 500 * MS)
     worth = tables.worth[Kind.GAP_4S]
     assert worth[octave(2500 * MS)] > 5 * worth[octave(10 * MS)]
 
@@ -72,7 +72,7 @@
     for i in range(20_000):
         u = (i + 0.5) / 20_000
         tables.brought(Kind.ONCE, int(-math.log(1 - u) * mean))
-    tables.refresh((), 0, horizon)
+    tables.refresh((), 1.0, horizon)
     expected = horizon / (horizon + mean)
     for at in range(2, octave(800 * MS)):
         assert tables.worth[Kind.ONCE][at] == pytest.approx(expected, abs=0.05)
@@ -82,10 +82,10 @@
     tables = LifeTables()
     for _ in range(1000):
         tables.closed(Kind.ONCE, 1 * S)
-    tables.refresh((), 0, 1 * S)
+    tables.refresh((), 1.0, 1 * S)
     low = tables.worth[Kind.ONCE][0]
     for _ in range(200):
-        tables.refresh((), 2 * S, 1 * S)
+        tables.refresh((), fade(2 * S), 1 * S)
     assert tables.worth[Kind.ONCE][0] > 2 * low
 
 
