Start the measured program as the tests do, and share what two tests set up

The benchmark started the program with a copy of what tests.sockets.process does, but for waiting until it was ready; process now takes another checkout and interpreter, and the benchmark calls it. The two tests of signals in the middle of a crowd share their scene, and the two of a full gateway share fill. No assertion is changed.

--- a/benchmarks/front_door.py
+++ b/benchmarks/front_door.py
@@ -15,7 +15,6 @@
 import json
 import os
 import resource
-import subprocess
 import sys
 import tempfile
 import time
@@ -30,7 +29,7 @@
 from sillusher.front import Door, Sizes  # noqa: E402
 from sillusher.lab.crowd import Crowd, Front, Tally, message  # noqa: E402
 from sillusher.lab.node import Node  # noqa: E402
-from tests.sockets import Registry, config_value, free_port  # noqa: E402
+from tests.sockets import Registry, config_value, process  # noqa: E402
 
 RATE, SECONDS, NODES, DELAY = 320.0, 8, 12, 0.03
 SAFE = "pure-all"
@@ -91,40 +90,22 @@
         hosts = [(f"s{i}", node.addr) for i, node in enumerate(nodes)]
         registry = await stack.enter_async_context(Registry(*hosts))
         folder = stack.enter_context(tempfile.TemporaryDirectory())
-        addr = f"127.0.0.1:{free_port()}"
         limits = {"cores": 1.0, "memory_mb": 80, "sockets": sockets}
-        value = config_value(registry.addr, *hosts, limits=limits) | {"listen": addr}
+        value = config_value(registry.addr, *hosts, limits=limits)
         path = Path(folder) / "config.json"
-        path.write_text(json.dumps(value))
-        env = {k: v for k, v in os.environ.items() if not k.startswith(("EDGE_", "PYTHON"))}
-        env |= {"EDGE_CONFIG": str(path), "EDGE_NAME": "n0"}
-        program = subprocess.Popen(
-            [python, "-B", "-m", "sillusher"], cwd=tree, env=env, stderr=subprocess.DEVNULL
-        )
-        try:
-            for _ in range(500):
-                await asyncio.sleep(0.02)
-                try:
-                    _, writer = await asyncio.open_connection(*addr.split(":"))
-                except OSError:
-                    continue
-                writer.close()
-                break
-            front, honest, other = Front(addr, sockets // 3, SAFE), Tally(), Tally()
-            async with Crowd(addr) as crowd:
-                for one in work(crowd, front, other):
-                    crowd.start(one)
-                before, started = cpu_of(program.pid), time.monotonic()
-                await crowd.honest(front, honest, RATE, int(RATE * SECONDS))
-                used, took = cpu_of(program.pid) - before, time.monotonic() - started
-            return {
-                "share": honest.share, "crowd": other.share if other.asked else None,
-                "ends": dict(honest.ends), "twice": honest.twice,
-                "cpu": used / took, "cpu_us_a_request": used / max(1, honest.ends["served"]) * 1e6,
-            }  # fmt: skip
-        finally:
-            program.kill()
-            program.wait()
+        program, addr = await stack.enter_async_context(process(path, value, tree, python))
+        front, honest, other = Front(addr, sockets // 3, SAFE), Tally(), Tally()
+        crowd = await stack.enter_async_context(Crowd(addr))
+        for one in work(crowd, front, other):
+            crowd.start(one)
+        before, started = cpu_of(program.pid), time.monotonic()
+        await crowd.honest(front, honest, RATE, int(RATE * SECONDS))
+        used, took = cpu_of(program.pid) - before, time.monotonic() - started
+        return {
+            "share": honest.share, "crowd": other.share if other.asked else None,
+            "ends": dict(honest.ends), "twice": honest.twice,
+            "cpu": used / took, "cpu_us_a_request": used / max(1, honest.ends["served"]) * 1e6,
+        }  # fmt: skip
 
 
 def event_cost(count: int = 200_000) -> float:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -214,6 +214,16 @@
             watch.cancel()
 
 
+async def fill(it: Gate, count: int) -> list[Client]:
+    """So many clients, each with a request out."""
+    clients = []
+    for i in range(count):
+        client = await it.client()
+        client.send(request(f"busy{i}"))
+        clients.append(client)
+    return clients
+
+
 def free_port() -> int:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -222,16 +232,19 @@
 
 @contextlib.asynccontextmanager
 async def process(
-    path: Path, value: dict[str, Any]
+    path: Path, value: dict[str, Any], tree: Path | None = None, python: str = sys.executable
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, str]]:
-    """The real program, ready for traffic, with its configuration in a file."""
+    """The real program, ready for traffic, with its configuration in a file.
+
+    It is that of this checkout, or of the one at `tree`.
+    """
     addr = f"127.0.0.1:{free_port()}"
     path.write_text(json.dumps(value | {"listen": addr}))
     env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
     env |= {"EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": addr}
     env |= {"EDGE_DISCOVERY": str(value["discovery"])}
     program = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "sillusher", env=env, stderr=asyncio.subprocess.DEVNULL
+        python, "-B", "-m", "sillusher", env=env, cwd=tree, stderr=asyncio.subprocess.DEVNULL
     )
     try:
         async with asyncio.timeout(PATIENCE):
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,7 +12,7 @@
 
 from sillusher.front import door
 from sillusher.net.budget import Budget
-from tests.sockets import PATIENCE, Gate, Server, Writer, answer, gate, request, until
+from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, request, until
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: x1\r\nReq-Kind: side_effect-all\r\n"
 WAIT = b"Req-Deadline-Ms: 900\r\n"
@@ -284,11 +284,7 @@
 
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
-            crowd = []
-            for i in range(80):
-                client = await it.client()
-                client.send(request(f"busy{i}"))
-                crowd.append(client)
+            _held = await fill(it, 80)
             await until(lambda: it.proxy.counters.crowded > 0)
             held = len(it.proxy.clients) + it.proxy.arriving + it.proxy.pool.size()
             assert held <= 64
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import json
 import os
@@ -10,7 +11,7 @@
 import signal
 import socket
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -29,6 +30,7 @@
     Writer,
     config_value,
     dial,
+    fill,
     gate,
     process,
     request,
@@ -420,52 +422,58 @@
 # --- The whole program
 
 
+@contextlib.asynccontextmanager
+async def whole(
+    folder: Path, delay: float
+) -> AsyncIterator[tuple[Node, Path, asyncio.subprocess.Process, Crowd, Front]]:
+    """The real program with its file, a node behind it, and a crowd and a front before it."""
+    path = folder / "c.json"
+    async with Node(delay) as node, Registry(("a", node.addr)) as registry:
+        value = config_value(registry.addr, ("a", node.addr))
+        async with process(path, value) as (program, addr), Crowd(addr) as crowd:
+            yield node, path, program, crowd, Front(addr, 85, SAFE)
+
+
 def test_sigterm_in_the_middle_of_a_crowd_answers_all_that_was_taken(tmp_path: Path) -> None:
     async def run() -> None:
-        async with Node(0.2) as node, Registry(("a", node.addr)) as registry:
-            value = config_value(registry.addr, ("a", node.addr))
-            path = tmp_path / "c.json"
-            async with process(path, value) as (program, addr), Crowd(addr) as crowd:
-                front, hoard, out = Front(addr, 85, SAFE), Tally(), Tally()
-                crowd.start(crowd.silent(300, 200))
-                await crowd.hoarders(front, hoard, 200, 100)
-                asking = [asyncio.ensure_future(front.ask(out)) for _ in range(40)]
-                await until(lambda: len(node.effects) >= 120)
-                program.send_signal(signal.SIGTERM)
-                await asyncio.gather(*asking)
-                # Who is inside is served on while others may be restarting too.
-                await crowd.honest(front, out, 100, 20)
-                assert out.ends[SERVED] == out.asked - out.ends[NO_SEAT]
-                assert out.ends[LOST] == 0
-                async with asyncio.timeout(PATIENCE):
-                    assert await program.wait() == 0
+        async with whole(tmp_path, 0.2) as (node, _, program, crowd, front):
+            hoard, out = Tally(), Tally()
+            crowd.start(crowd.silent(300, 200))
+            await crowd.hoarders(front, hoard, 200, 100)
+            asking = [asyncio.ensure_future(front.ask(out)) for _ in range(40)]
+            await until(lambda: len(node.effects) >= 120)
+            program.send_signal(signal.SIGTERM)
+            await asyncio.gather(*asking)
+            # Who is inside is served on while others may be restarting too.
+            await crowd.honest(front, out, 100, 20)
+            assert out.ends[SERVED] == out.asked - out.ends[NO_SEAT]
+            assert out.ends[LOST] == 0
+            async with asyncio.timeout(PATIENCE):
+                assert await program.wait() == 0
 
     asyncio.run(run())
 
 
 def test_a_reload_in_the_middle_of_a_crowd_loses_no_place(tmp_path: Path) -> None:
     async def run() -> None:
-        async with Node(0.02) as node, Registry(("a", node.addr)) as registry:
-            value = config_value(registry.addr, ("a", node.addr))
-            path = tmp_path / "c.json"
-            async with process(path, value) as (program, addr), Crowd(addr) as crowd:
-                front, out, again = Front(addr, 85, SAFE), Tally(), Tally()
-                crowd.start(crowd.silent(200, 300))
-                back = [
-                    asyncio.ensure_future(crowd.returner(front, again, 0.05, 30)) for _ in range(10)
-                ]
-                asking = asyncio.ensure_future(crowd.honest(front, out, 100, 200))
-                for memory in (64, 80, 96):
-                    fresh = json.loads(path.read_text())
-                    fresh["limits"]["memory_mb"] = memory
-                    path.write_text(json.dumps(fresh))
-                    program.send_signal(signal.SIGHUP)
-                    await asyncio.sleep(0.4)
-                await asyncio.gather(asking, *back)
-                assert out.ends == {SERVED: 200}
-                assert again.ends == {SERVED: 300}
-                assert front.dialled < 60
-                assert program.returncode is None
+        async with whole(tmp_path, 0.02) as (_, path, program, crowd, front):
+            out, again = Tally(), Tally()
+            crowd.start(crowd.silent(200, 300))
+            back = [
+                asyncio.ensure_future(crowd.returner(front, again, 0.05, 30)) for _ in range(10)
+            ]
+            asking = asyncio.ensure_future(crowd.honest(front, out, 100, 200))
+            for memory in (64, 80, 96):
+                fresh = json.loads(path.read_text())
+                fresh["limits"]["memory_mb"] = memory
+                path.write_text(json.dumps(fresh))
+                program.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.4)
+            await asyncio.gather(asking, *back)
+            assert out.ends == {SERVED: 200}
+            assert again.ends == {SERVED: 300}
+            assert front.dialled < 60
+            assert program.returncode is None
 
     asyncio.run(run())
 
@@ -476,11 +484,7 @@
 
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
-            busy = []
-            for i in range(30):
-                client = await it.client()
-                client.send(request(f"busy{i}"))
-                busy.append(client)
+            _held = await fill(it, 30)
             await until(lambda: it.proxy.counters.crowded > 0)
             last = await it.client()
             got = await last.rest()
