Wake the loop for no time-out of a request that is over

Each request leaves two time-outs in the wheel, seconds ahead, and nearly always is over within milliseconds. Each woke the loop all the same and armed its timer anew.

An exchange that is over takes its time-out back by a mark, and the wheel drops marked entries before it arms its timer.

--- a/sillusher/net/gateway.py
+++ b/sillusher/net/gateway.py
@@ -134,7 +134,7 @@
         self.drain_since = 0
         self.hanging_up = False  # no connection is kept any more
         self.wheel: Wheel[Exchange | int | None] = Wheel(
-            loop, self.clock, self._fire, self._fire_failed, self._stalled
+            loop, self.clock, self._fire, self._fire_failed, self._stalled, _moot
         )
         self.watch_wanted: Callable[[bool], None] = lambda on: None
         self._next_id = 1
@@ -381,6 +381,7 @@
                 del self.names[exchange.name]
             self.release_body(exchange)
             exchange.head = b""
+            exchange.wake = 0
 
     def release_body(self, exchange: Exchange) -> None:
         """The body is not needed any more."""
@@ -621,6 +622,11 @@
         self.wheel.worst = 0
 
 
+def _moot(what: Exchange | int | None, at: int) -> bool:
+    """Whether an entry of the wheel is of an exchange that is over or looks at another time."""
+    return isinstance(what, Exchange) and what.wake != at
+
+
 def _raised_at(error: Exception) -> str:
     """The function and line that an exception comes from."""
     where = error.__traceback__
--- a/sillusher/net/wheel.py
+++ b/sillusher/net/wheel.py
@@ -19,6 +19,9 @@
     Guards against an entry that raises: it costs that entry, which `failed` is told of, and the
     others go on. Without that one exception in any periodic part would end every deadline. Danger:
     an entry that always raises and is pushed again by its own work is a line in the log each time.
+
+    Nearly every entry is a time-out of something that ended long before. `moot(what, at)` says so,
+    and the loop is not woken for it.
     """
 
     def __init__(
@@ -28,8 +31,10 @@
         fire: Callable[[T, int, int], None],
         failed: Callable[[T, Exception], None],
         stalled: Callable[[int, int], None],
+        moot: Callable[[T, int], bool] = lambda what, at: False,
     ) -> None:
         self.loop, self.clock, self.fire, self.failed = loop, clock, fire, failed
+        self.moot = moot
         self.stalled = stalled  # told the time and how late it is, before sockets are read
         self.lag = 0  # how late the last turn was
         self.worst = 0  # the most of it that has been seen; for whoever reads it to set back
@@ -85,5 +90,7 @@
         finally:
             # Whatever happened above, also to `failed` itself, the next turn comes.
             self._armed = 0
+            while heap and self.moot(heap[0][2], heap[0][0]):
+                heapq.heappop(heap)
             if heap:
                 self._arm(heap[0][0])
