--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -10,11 +10,9 @@
 
 import uvloop
 
+from .core.log import Log
 from .net.config import Config, ConfigError, load_config, reload_config
-from .net.discovery import Discovery
-from .net.downstream import Listener
-from .net.gateway import Proxy
-from .net.log import Log
+from .net.platform import Platform
 
 VERSION = "0.1.0"
 USAGE = """usage: python -m sailhitch [--help | --version]
@@ -32,8 +30,8 @@
 class Reloader:
     """SIGHUP: goes by the file as it is now, or by the old configuration if it can't be read."""
 
-    def __init__(self, proxy: Proxy, discovery: Discovery, log: Log) -> None:
-        self.proxy, self.discovery, self.log = proxy, discovery, log
+    def __init__(self, platform: Platform, log: Log) -> None:
+        self.platform, self.log = platform, log
         self._again: asyncio.TimerHandle | None = None
 
     def reload(self, tries: int = 0) -> None:
@@ -42,7 +40,7 @@
             self._again = None
         try:
             config = reload_config(os.environ)
-            self.proxy.reconfigure(config)
+            self.platform.reconfigure(config)
         except Exception as error:
             # Whatever is wrong with the file, the gateway goes on as it was.
             self.log.say(f"SIGHUP: the old configuration stays: {error}")
@@ -50,7 +48,6 @@
                 loop = asyncio.get_running_loop()
                 self._again = loop.call_later(REREAD[tries], self.reload, tries + 1)
             return
-        self.discovery.move(config.discovery)
         host, port = config.discovery
         self.log.say(f"SIGHUP: new configuration, discovery at {host}:{port}")
 
@@ -58,15 +55,15 @@
 async def serve(config: Config, log: Log) -> None:
     """Run one gateway until SIGTERM has been honoured."""
     loop = asyncio.get_running_loop()
-    proxy = Proxy(config, loop, log)
+    platform = Platform(config, loop, log)
+    core, discovery = platform.core, platform.discovery
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    proxy.begin()
-    discovery = Discovery(proxy)
+    platform.begin()
     watch = loop.create_task(discovery.run())
-    loop.add_signal_handler(signal.SIGHUP, Reloader(proxy, discovery, log).reload)
-    server = Listener(proxy, config.listen, BACKLOG)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(platform, log).reload)
+    server = platform.listen(config.listen, BACKLOG)
     log.say(
         f"sailhitch {VERSION} listens on {config.listen[0]}:{config.listen[1]}; "
         f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
@@ -80,21 +77,21 @@
     gc.set_threshold(10_000, 10, 10)
     waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
     await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
-    proxy.ready = not stop.is_set()
+    core.ready = not stop.is_set()
     log.say("ready")
     await stop.wait()
     log.say("SIGTERM: draining")
-    proxy.drain()
+    core.drain()
     await asyncio.sleep(ACCEPT_ON)
     server.close()
-    await asyncio.sleep((proxy.drain_since + proxy.drain_hold() - proxy.clock()) / 1e6)
+    await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
     # Peers that never get on with it must not keep the process from its end.
-    last = proxy.drain_since + proxy.last_answer() + AFTERWARDS
-    while proxy.hang_up() and proxy.clock() < last:
+    last = core.drain_since + core.last_answer() + AFTERWARDS
+    while core.hang_up() and core.clock() < last:
         await asyncio.sleep(STEP)
     watch.cancel()
-    proxy.say_stats(proxy.clock())
-    proxy.finish()
+    core.say_stats(core.clock())
+    core.finish()
     log.say("drained")
 
 
--- /dev/null
+++ b/sailhitch/core/exchange.py
@@ -0,0 +1,68 @@
+"""A request and its attempts, as the core holds them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .seams import Carrier, Client, Pending
+
+if TYPE_CHECKING:
+    from .pool import Pool
+
+
+class Exchange:
+    """One client's request, from its last byte to its one answer and its last attempt's outcome."""
+
+    __slots__ = (
+        "attempts", "body", "client", "closed", "cls", "deadline", "head", "id", "keep", "key",
+        "name", "old_http", "out", "pool", "repeat", "reserved", "tenant", "wait_ms", "wake",
+        "work",
+    )  # fmt: skip
+
+    def __init__(self, client: Client) -> None:
+        self.id = 0
+        self.name = b""  # the client's own word for it, by which hosts know it
+        self.client: Client | None = client
+        self.pool: Pool | None = None  # where it goes, for all its attempts; None until it is read
+        self.head = b""  # all of the head that goes on but for the deadline
+        self.body: bytes | bytearray = b""
+        self.reserved = 0  # of the budget for bodies
+        self.cls = self.tenant = self.work = self.wait_ms = 0
+        self.key: int | None = None
+        self.repeat = False
+        self.keep = True
+        self.old_http = False  # HTTP/1.0: closed unless asked otherwise
+        self.deadline = self.wake = 0
+        self.attempts = 0
+        self.out: list[Attempt] = []
+        self.closed = False
+
+    def wire(self, left: int) -> tuple[bytes, bytes | bytearray]:
+        """Head and body as they go to a host that is waited for so long."""
+        return b"%sReq-Deadline-Ms: %d\r\n\r\n" % (self.head, max(1, left // 1000)), self.body
+
+
+class Attempt:
+    """One attempt of an exchange, from the module's word to its one outcome."""
+
+    __slots__ = (
+        "conn", "connect_by", "ends", "exchange", "n", "over", "sent", "server", "task",
+    )  # fmt: skip
+
+    def __init__(self, exchange: Exchange, n: int, server: str, now: int, ends: int) -> None:
+        self.exchange, self.n, self.server = exchange, n, server
+        self.sent, self.ends = now, ends
+        self.connect_by = 0  # while it waits for a connection
+        self.conn: Carrier | None = None
+        self.task: Pending | None = None
+        self.over = False
+
+    def withdraw(self) -> None:
+        """Stop waiting for it, on its connection or for one."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        self.connect_by = 0
+        if self.conn is not None:
+            self.conn.abandon()
+            self.conn = None
--- /dev/null
+++ b/sailhitch/core/pool.py
@@ -0,0 +1,260 @@
+"""A pool of hosts: one instance of the decision module, and the only caller of it.
+
+Owns the meaning that the simulator's wire gives to events and actions: numbers of attempts and
+their time-outs, when a request is closed, and outcomes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ..interface import (
+    CANCELLED,
+    CHANGES,
+    CONNECT_FAILED,
+    FAILED,
+    FULL,
+    GONE,
+    MOOT,
+    OK,
+    RESTORED,
+    TIMEOUT,
+    Report,
+)
+from ..policy import Gateway
+from ..settings import Settings
+from .exchange import Attempt, Exchange
+from .seams import Transport
+from .terms import Answer, Entry, Reach, Roster
+
+if TYPE_CHECKING:
+    from .core import Core
+
+
+class Pool:
+    """Translates between the core and one instance of the module; implements `Port`."""
+
+    def __init__(
+        self, core: Core, name: str, settings: Settings, seed: int, reach: Reach,
+        transport: Callable[[Pool], Transport],
+    ) -> None:  # fmt: skip
+        self.core, self.name, self.settings, self.reach = core, name, settings, reach
+        self.listed: dict[str, Entry] = {}
+        self.failing: set[str] = set()  # hosts whose last attempt failed; for the log only
+        self.watch_wanted: Callable[[bool], None] = lambda on: None
+        self._inside = False
+        self._later: deque[tuple[Attempt, str]] = deque()
+        self.transport = transport(self)
+        self.module = Gateway(self, settings, seed)
+
+    def start(self, known: Roster) -> None:
+        """Start the module with the list as last known."""
+        now = self.core.clock()
+        self._tell(None, lambda: self.module.start(now))
+        self.take_list(known, RESTORED)
+
+    # --- The module
+
+    def _tell(self, exchange: Exchange | None, event: Callable[[], None]) -> None:
+        """Hand the module an event. Its exception fails that one request; the process lives."""
+        if self._inside:
+            raise RuntimeError("the module was called from inside itself")
+        self._inside = True
+        try:
+            event()
+        except Exception as error:
+            self._panic(exchange, error)
+        finally:
+            self._inside = False
+        while self._later and not self._inside:
+            attempt, status = self._later.popleft()
+            self.ended(attempt, status, None, None)
+
+    def _panic(self, exchange: Exchange | None, error: Exception) -> None:
+        self.core.panicked(error)
+        if exchange is not None and not exchange.closed:
+            self.module.live.pop(exchange.id, None)
+            self.core.answer_failed(exchange)
+
+    def request(self, exchange: Exchange, now: int) -> None:
+        """A request of this pool has come whole."""
+        self._tell(
+            exchange,
+            lambda: self.module.request(
+                now, exchange.id, exchange.cls, exchange.deadline, exchange.work, exchange.key,
+                exchange.tenant, exchange.repeat,
+            ),
+        )  # fmt: skip
+
+    def gone(self, exchange: Exchange, now: int) -> None:
+        """Nobody waits for this one's answer any more."""
+        self._tell(None, lambda: self.module.gone(now, exchange.id))
+
+    def timer(self, token: int, now: int) -> None:
+        """A timer that the module has set."""
+        self._tell(None, lambda: self.module.timer(now, token))
+
+    def stalled(self, now: int) -> None:
+        """The process has been held up."""
+        self._tell(None, lambda: self.module.stalled(now))
+
+    def reconfigure(self, settings: Settings, reach: Reach) -> None:
+        """Go by other settings; requests taken go on under their class's old ones."""
+        self.reach = reach
+        if settings != self.settings:
+            self.settings = settings
+            now = self.core.clock()
+            self._tell(None, lambda: self.module.reconfigure(now, settings))
+
+    # --- Port: what the module does
+
+    def send(self, req: int, server: str, timeout: int) -> None:
+        exchange = self.core.live.get(req)
+        if exchange is None:
+            return
+        now = self.core.clock()
+        ends = min(now + timeout, exchange.deadline) if timeout > 0 else exchange.deadline
+        attempt = Attempt(exchange, exchange.attempts, server, now, ends)
+        exchange.attempts += 1
+        exchange.out.append(attempt)
+        most = self.settings.limits.max_attempts
+        if exchange.closed or now >= ends or exchange.attempts > most:
+            self.later(attempt, MOOT)
+        else:
+            self.transport.start(attempt, now)
+            self.core.schedule(exchange)
+
+    def refuse(self, req: int, retry_after: int) -> None:
+        exchange = self.core.live.get(req)
+        if exchange is not None and not exchange.closed:
+            self.core.counters.refused += 1
+            self.core.answer_refused(exchange, retry_after)
+
+    def fail(self, req: int) -> None:
+        exchange = self.core.live.get(req)
+        if exchange is not None and not exchange.closed:
+            self.core.answer_failed(exchange)
+
+    def cancel(self, req: int, attempt: int) -> None:
+        exchange = self.core.live.get(req)
+        if exchange is None:
+            return
+        for one in exchange.out:
+            if one.n == attempt:
+                one.withdraw()
+                self.later(one, CANCELLED)
+
+    def set_timer(self, token: int, at: int) -> None:
+        self.core.wheel.push(at, (self, token))
+
+    def watch(self, on: bool) -> None:
+        self.watch_wanted(on)
+
+    def log(self, text: str) -> None:
+        self.core.logger.often("module", text)
+
+    # --- Attempts
+
+    def later(self, attempt: Attempt, status: str) -> None:
+        """An outcome that is known while the module is still speaking: told right after."""
+        self._later.append((attempt, status))
+
+    def due(self, attempt: Attempt, now: int) -> None:
+        """Look at an attempt's time-outs."""
+        if attempt.ends <= now:
+            self._give_up(attempt, TIMEOUT)
+        elif attempt.connect_by and attempt.connect_by <= now:
+            self._give_up(attempt, CONNECT_FAILED)
+
+    def _give_up(self, attempt: Attempt, status: str) -> None:
+        attempt.withdraw()
+        self.ended(attempt, status, None, None)
+
+    def ended(
+        self, attempt: Attempt, status: str, load: Report | None, answer: Answer | None
+    ) -> None:
+        """An attempt has its outcome; the first served one is the client's answer."""
+        if attempt.over:
+            return
+        attempt.over = True
+        attempt.connect_by = 0
+        exchange = attempt.exchange
+        exchange.out.remove(attempt)
+        core = self.core
+        now = core.clock()
+        latency = now - attempt.sent
+        if not exchange.closed and status == OK:
+            core.answer_served(exchange, answer)
+        self._count(attempt.server, status)
+        closed = exchange.closed
+        self._tell(
+            exchange,
+            lambda: self.module.outcome(
+                now, exchange.id, attempt.n, status, closed, latency, attempt.server, load
+            ),
+        )
+        core.release_exchange(exchange)
+
+    def _count(self, server: str, status: str) -> None:
+        statuses = self.core.counters.statuses
+        statuses[status] = statuses.get(status, 0) + 1
+        if status in (MOOT, CANCELLED):
+            return
+        if status == OK:
+            self.failing.discard(server)
+        elif server not in self.failing:
+            self.failing.add(server)
+            self.core.logger.often(f"host {server}", f"host {server}: {status}")
+
+    def malformed(self, server: str, why: str) -> None:
+        """What a host sent is no answer."""
+        self.core.counters.malformed += 1
+        self.core.logger.often(
+            f"malformed {server}", f"host {server}: malformed answer: {why[:100]}"
+        )
+
+    def odd_status(self, server: str, status: int) -> None:
+        """A host's whole answer that is neither served nor turned away."""
+        self.core.logger.often(f"status {status} {server}", f"host {server} answered {status}")
+
+    # --- Members
+
+    def take_list(self, roster: Roster, mode: str) -> None:
+        """News of members, in the module's terms for what kind of news it is."""
+        gone = []
+        for entry in roster.entries:
+            name = entry.listed.server
+            if entry.listed.state == GONE:
+                gone.append(name)
+            else:
+                self.listed[name] = entry
+                self.transport.list_host(entry)
+        entries = [e.listed for e in roster.entries]
+        if mode != CHANGES:
+            named = {e.listed.server for e in roster.entries} | roster.bad_ids
+            gone += [name for name in self.listed if name not in named]
+            # A host whose entry can't be read stays as it was.
+            entries += [self.listed[n].listed for n in sorted(roster.bad_ids) if n in self.listed]
+        for name in gone:
+            self.listed.pop(name, None)
+            self.failing.discard(name)
+            self.transport.drop_host(name)
+        now = self.core.clock()
+        self._tell(None, lambda: self.module.members(now, mode, entries))
+
+    def list_news(self, roster: Roster) -> None:
+        """A source of members has answered: the whole list, or what has changed."""
+        self.take_list(roster, FULL if roster.full else CHANGES)
+        if roster.entries:
+            self.core.logger.often(
+                "list",
+                f"list {roster.version}: {'whole' if roster.full else 'changes'}, "
+                f"{len(roster.entries)} entries, {len(self.listed)} hosts",
+            )
+
+    def list_failed(self) -> None:
+        """A watch that the module asked for has failed."""
+        now = self.core.clock()
+        self._tell(None, lambda: self.module.members(now, FAILED, ()))
--- /dev/null
+++ b/sailhitch/core/seams.py
@@ -0,0 +1,97 @@
+"""What the core asks of the parts around it, and no more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from ..front import Reason
+from .terms import Answer, Entry
+
+if TYPE_CHECKING:
+    from .exchange import Attempt, Exchange
+
+
+class Client(Protocol):
+    """A front's side of one request: it takes the one final answer."""
+
+    def serve(self, exchange: Exchange, answer: Answer) -> None:
+        """A host's whole answer."""
+
+    def refuse(self, exchange: Exchange, retry_after: int) -> None:
+        """Turned away; `retry_after` in microseconds, 0 for no advice."""
+
+    def fail(self, exchange: Exchange, late: bool) -> None:
+        """Failed, which promises nothing about the effect."""
+
+
+class Connection(Protocol):
+    """A front's connection, as the door and the drain see it."""
+
+    def let_go(self, reason: Reason) -> bool:
+        """Close now; False if bytes of a request are here unread, and it was not closed."""
+
+    def close_idle(self, reason: Reason) -> bool:
+        """Close between two requests; False if the next one is here already, unread."""
+
+    def sweep(self, now: int) -> None:
+        """Several times a second: end what has stood still for too long."""
+
+    def is_idle(self) -> bool:
+        """Whether nothing is owed and nothing of a request has been read."""
+
+    def is_closed(self) -> bool:
+        """Closed by this side, with nothing left to write: its descriptor is about to be free."""
+
+    def owes(self) -> bool:
+        """Whether the client may still get something: an answer, or its bytes on their way."""
+
+    def abort(self) -> None:
+        """Close at once, whatever is open."""
+
+
+class Carrier(Protocol):
+    """What carries an attempt."""
+
+    def abandon(self) -> None:
+        """Stop waiting: its answer may still come, and must reach nobody."""
+
+
+class Pending(Protocol):
+    """What waits for a connection on behalf of an attempt."""
+
+    def cancel(self) -> object:
+        """Stop waiting for it."""
+
+
+class Transport(Protocol):
+    """Connections to the hosts of one pool.
+
+    It reports each attempt's one outcome to the pool, by `Pool.ended`, or by `Pool.later` where it
+    is known while `start` is still running.
+    """
+
+    opened: int  # connections made so far, for the log
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        """Send an attempt; one to a host that is not listed ends as a failed connection."""
+
+    def list_host(self, entry: Entry) -> None:
+        """A host as its source of members tells it, new or known."""
+
+    def drop_host(self, name: str) -> None:
+        """A host is gone for good; what is out at it runs on to its end."""
+
+    def size(self) -> int:
+        """Descriptors held, those of connections being made too."""
+
+    def oldest_idle(self) -> int | None:
+        """Since when the connection has stood idle that has done so longest."""
+
+    def close_oldest_idle(self) -> bool:
+        """Free a descriptor; False if none is idle."""
+
+    def sweep(self, now: int) -> None:
+        """Once a second: retire what has stood idle for long."""
+
+    def stop(self) -> None:
+        """Close everything at once."""
--- /dev/null
+++ b/sailhitch/core/terms.py
@@ -0,0 +1,58 @@
+"""What is told to the core by whoever wires it: hosts, bounds and reach. Times are microseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from ..front import Sizes
+from ..interface import Listed
+
+RESERVE: Final = 36  # descriptors for the loop, the listener, discovery, the log and files
+SEATS: Final = 3  # fronts deal out one part in so many of the descriptors for requests
+
+Address = tuple[str, int]
+Field = tuple[bytes, bytes, bytes]  # a field's name in lower case, as it came, and its value
+Answer = tuple[list[Field], "bytes | bytearray"]
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A host as a source of members lists it: for the module, and where to reach it."""
+
+    listed: Listed
+    addr: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """News of members: the whole list or changes. `bad` counts entries out of form."""
+
+    version: int
+    full: bool
+    entries: tuple[Entry, ...]
+    bad: int
+    bad_ids: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What the process may use, and how long a request may take at the most."""
+
+    memory_mb: int
+    sockets: int  # descriptors
+    max_open: int  # requests
+    longest_deadline: int
+    retry_most: int = 0  # advice may name no later time to come back; 0 for no advice
+
+    def sizes(self) -> Sizes:
+        """What they leave to clients and hosts."""
+        return Sizes(max(8, self.sockets - RESERVE), max(1, self.sockets // SEATS))
+
+
+@dataclass(frozen=True, slots=True)
+class Reach:
+    """How the hosts of a pool are reached."""
+
+    connect_timeout: int
+    idle_life: int  # a connection that has stood idle for so long is not used again
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+from ..core.terms import Address, Bounds, Entry, Reach, Roster
 from ..interface import DRAINING, GONE, READY, Listed
 from ..settings import Settings, SettingsError, parse_settings
 
@@ -20,8 +21,6 @@
     "latency_ms": ("service", 1000.0), "mean_ms": ("service", 1000.0),
 }  # fmt: skip
 
-Address = tuple[str, int]
-
 
 class ConfigError(ValueError):
     """The configuration lacks something or holds a bad value; the text names the field."""
@@ -45,25 +44,6 @@
     longest_deadline: int
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A host as discovery lists it: for the module, and where to reach it."""
-
-    listed: Listed
-    addr: Address
-
-
-@dataclass(frozen=True, slots=True)
-class Roster:
-    """An answer of discovery: the whole list or changes. `bad` counts entries out of form."""
-
-    version: int
-    full: bool
-    entries: tuple[Entry, ...]
-    bad: int
-    bad_ids: frozenset[str]
-
-
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a gateway is told at its start."""
@@ -79,6 +59,22 @@
     settings: Settings
     wire: Wire
 
+    def bounds(self) -> Bounds:
+        """What the process may use."""
+        limits = self.settings.limits
+        return Bounds(
+            memory_mb=self.memory_mb,
+            sockets=self.sockets,
+            max_open=self.wire.max_open,
+            longest_deadline=self.wire.longest_deadline,
+            retry_most=limits.max_retry_after if limits.retry_after else 0,
+        )
+
+    def reach(self) -> Reach:
+        """How hosts are reached: a connection is kept for less than the host keeps it."""
+        idle = self.wire.conn_idle
+        return Reach(self.wire.connect_timeout, max(idle // 2, idle - 3_000_000))
+
 
 def parse_address(field: str, text: Any) -> Address:
     """`host:port` with a numeric IPv4 host, as there is no DNS."""
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -6,14 +6,13 @@
 import contextlib
 import json
 import random
-from typing import TYPE_CHECKING, Final, cast
+from typing import Final, cast
 
-from .config import Address, parse_roster
+from ..core.pool import Pool
+from ..core.terms import Address
+from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
 
-if TYPE_CHECKING:
-    from .gateway import Proxy
-
 PATH: Final = "/registry/instances"
 # What changes counts as told 6 s later at the latest, and 2 s after the wait of a call is over. A
 # cut-off connection says nothing, so a call must have ended well before that.
@@ -110,18 +109,19 @@
 class Discovery:
     """Keeps the watch and tells the gateway what came."""
 
-    def __init__(self, proxy: Proxy) -> None:
-        self.proxy = proxy
-        self.address = proxy.config.discovery
-        self.asked = proxy.config.settings.must_ask
-        self.version = proxy.config.known.version
+    def __init__(self, pool: Pool, config: Config) -> None:
+        self.pool, self.core = pool, pool.core
+        self.wire = config.wire
+        self.address = config.discovery
+        self.asked = config.settings.must_ask
+        self.version = config.known.version
         self.heard = asyncio.Event()  # at least one list has come
         self._wanted = asyncio.Event()
         self._moved = asyncio.Event()
         self._call: Call | None = None
-        self._random = random.Random(proxy.config.seed)
+        self._random = random.Random(config.seed)
         self._whole = True  # the next call asks for the whole list
-        proxy.watch_wanted = self.want
+        pool.watch_wanted = self.want
 
     def want(self, on: bool) -> None:
         """The module asks for a watch, where discovery must be asked, or ends it."""
@@ -130,7 +130,12 @@
         else:
             self._wanted.clear()
 
-    def move(self, address: Address) -> None:
+    def reconfigure(self, config: Config) -> None:
+        """Read lists in the terms of another configuration, from where it says."""
+        self.wire = config.wire
+        self._move(config.discovery)
+
+    def _move(self, address: Address) -> None:
         """Discovery is at another address from now on: ask there at once, for the whole list.
 
         Versions of two services don't compare, so nothing of the old one's is kept. A call that is
@@ -156,7 +161,7 @@
             try:
                 await self._watch()
             except Exception as error:
-                self.proxy.fault("the watch on discovery", error)
+                self.core.fault("the watch on discovery", error)
                 self._drop()
                 self._whole = True
                 await self._pause(AGAIN_MOST)
@@ -168,7 +173,7 @@
         while True:
             if self.asked:
                 await self._wanted.wait()
-            started = self.proxy.clock()
+            started = self.core.clock()
             version = self.version
             address = self.address
             try:
@@ -180,13 +185,13 @@
                 self._drop()
                 if self.address != address:
                     continue
-                self.proxy.counters.bad_lists += 1
+                self.core.counters.bad_lists += 1
                 why = str(error) or type(error).__name__
-                self.proxy.logger.often("discovery", f"discovery: call failed: {why[:120]}")
+                self.core.logger.often("discovery", f"discovery: call failed: {why[:120]}")
                 if self.asked:
                     # When to ask again is the module's decision.
                     self._wanted.clear()
-                    self.proxy.list_failed()
+                    self.pool.list_failed()
                 else:
                     await self._pause(again * (0.5 + self._random.random()))
                     again = min(again * 2, AGAIN_MOST)
@@ -194,7 +199,7 @@
             again = AGAIN
             self.heard.set()
             idle = not news and self.version == version
-            if idle and self.proxy.clock() - started < 50_000:
+            if idle and self.core.clock() - started < 50_000:
                 await self._pause(SOON)
 
     async def _pause(self, seconds: float) -> None:
@@ -215,7 +220,7 @@
             limit = PATIENCE_ASKED
         else:
             target += f"?after={self.version}&wait_ms={wait}"
-        loop = self.proxy.loop
+        loop = self.core.loop
         call = self._call
         if call is None or not call.usable():
             self._drop()
@@ -234,7 +239,7 @@
         if call.status != 200:
             raise CallError(f"status {call.status}")
         try:
-            roster = parse_roster(json.loads(bytes(call.body)), self.proxy.config.wire)
+            roster = parse_roster(json.loads(bytes(call.body)), self.wire)
         except (ValueError, RecursionError) as error:
             raise CallError(f"malformed list: {error}") from None
         if self._whole and not roster.full:
@@ -244,10 +249,10 @@
         self._whole = not roster.full and (roster.bad > 0 or roster.version < self.version)
         self.version = roster.version
         if roster.bad:
-            self.proxy.counters.bad_lists += 1
-            self.proxy.logger.often("entries", f"discovery: {roster.bad} entries out of form")
+            self.core.counters.bad_lists += 1
+            self.core.logger.often("entries", f"discovery: {roster.bad} entries out of form")
         if roster.full or roster.entries or self.asked:
-            self.proxy.list_news(roster)
+            self.pool.list_news(roster)
         return bool(roster.entries)
 
     def _drop(self) -> None:
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -10,32 +10,18 @@
 import errno
 import socket
 from collections import deque
-from typing import TYPE_CHECKING, Final, cast
+from typing import Final, cast
 
 import httptools
 
+from ..core.budget import MAX_BODY
+from ..core.core import Core
+from ..core.exchange import Exchange
+from ..core.terms import Address, Answer, Field
 from ..front import Place, Reason, State, Verdict
-from ..settings import KEYED, SAFE
-from .budget import MAX_BODY
-from .gateway import Exchange, read_cookie_key
 from .http import HOP, MAX_HEAD
+from .intake import OWN, READ, SINGLE, Intake, RejectError
 
-if TYPE_CHECKING:
-    from .config import Address
-    from .gateway import Proxy
-
-READY_PATH: Final = b"/health/ready"
-# What is read for this gateway and goes on in its own form or not at all.
-OWN: Final = HOP | {b"req-deadline-ms"}
-READ: Final = frozenset(
-    {
-        b"content-length", b"cookie", b"expect", b"host", b"idempotency-key", b"req-cost",
-        b"req-deadline-ms", b"req-id", b"req-kind", b"req-owner", b"req-retry",
-        b"transfer-encoding",
-    }
-)  # fmt: skip
-# A second one of these would make it doubtful what was meant.
-SINGLE: Final = READ - {b"cookie", b"expect"}
 REASONS: Final = {
     400: b"400 Bad Request",
     408: b"408 Request Timeout",
@@ -57,32 +43,24 @@
 IDLE, HEAD, BODY, CLOSING = range(4)
 
 
-class RejectError(Exception):
-    """A request out of form, with the status that says so."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-
-
 class Downstream(asyncio.Protocol):
     """A client's connection."""
 
     __slots__ = (
         "chunked",
         "content_length",
-        "ends",
+        "core",
         "exchange",
         "fed",
         "fields",
         "got",
+        "listener",
         "making",
         "method",
         "owed",
         "parser",
         "phase",
         "place",
-        "proxy",
         "queue",
         "sock",
         "transport",
@@ -90,8 +68,8 @@
         "url",
     )  # fmt: skip
 
-    def __init__(self, proxy: Proxy, sock: socket.socket, place: Place) -> None:
-        self.proxy, self.sock, self.place = proxy, sock, place
+    def __init__(self, listener: Listener, sock: socket.socket, place: Place) -> None:
+        self.listener, self.core, self.sock, self.place = listener, listener.core, sock, place
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.exchange: Exchange | None = None  # taken and not answered
@@ -103,7 +81,7 @@
 
     def _fresh(self) -> None:
         self.url, self.fed, self.got = b"", 0, 0
-        self.fields: list[tuple[bytes, bytes, bytes]] = []
+        self.fields: list[Field] = []
         self.content_length: int | None = None
         self.chunked = self.upgrade = False
 
@@ -113,15 +91,15 @@
         self.transport = cast(asyncio.Transport, transport)
         # An answer goes out at once, and what is left of it is known as soon as it is written.
         self.transport.set_write_buffer_limits(high=0)
-        self.proxy.clients[self] = None
+        self.core.clients[self] = None
         self.place.holder = self
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.parser = None  # it holds this object in turn
         self.place.holder = None
-        self.proxy.clients.pop(self, None)
-        self.proxy.door.closed(self.place, self.proxy.clock())
+        self.core.clients.pop(self, None)
+        self.core.door.closed(self.place, self.core.clock())
         self._owe(0)
         self._drop_request()
 
@@ -133,21 +111,30 @@
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.client = None
-            self.proxy.client_gone(exchange)
+            self.core.client_gone(exchange)
         self._forget_untaken()
 
     def _forget_untaken(self) -> None:
         """Let go of what was being read and of what waits for its turn."""
         if self.making is not None:
-            self.proxy.release_body(self.making)
+            self.core.release_body(self.making)
             self.making = None
         for waiting in self.queue:
-            self.proxy.release_body(waiting)
+            self.core.release_body(waiting)
         self.queue.clear()
 
     def is_idle(self) -> bool:
         return self.phase == IDLE and self.exchange is None and not self.queue
 
+    def has_body(self) -> bool:
+        """Whether the request being read has a body; to be asked once its head is whole."""
+        return self.chunked or bool(self.content_length)
+
+    def abort(self) -> None:
+        """Close at once, whatever is open."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def is_closed(self) -> bool:
         """Closed by this side, with nothing left to write: its descriptor is about to be free."""
         transport = self.transport
@@ -186,7 +173,7 @@
     def _leave(self, reason: Reason) -> None:
         """Say no more after this."""
         self.phase = CLOSING
-        self.proxy.door.closing(self.place, self.proxy.clock(), reason)
+        self.core.door.closing(self.place, self.core.clock(), reason)
 
     def let_go(self, reason: Reason) -> bool:
         """Give up the place, for one that is worth more; False if a request is here unread."""
@@ -210,7 +197,7 @@
         and bodies that trickle or stop, answers that are not read. It can do harm to honest
         clients behind a link so bad that a request takes seconds to come.
         """
-        transport, door = self.transport, self.proxy.door
+        transport, door = self.transport, self.core.door
         if transport is None:
             return
         size = transport.get_write_buffer_size()
@@ -230,14 +217,14 @@
             door.closing(self.place, now, reason)
             transport.abort()
         elif reason == Reason.SLOW:
-            if not (self.proxy.wheel.lag and self._unread()):
+            if not (self.core.wheel.lag and self._unread()):
                 self._reject(408, "request too slow", reason)
         elif self.is_idle():
             self.close_idle(reason)
 
     def _owe(self, size: int) -> None:
         """So many bytes of an answer are held for the client."""
-        self.proxy.budget.held += size - self.owed
+        self.core.budget.held += size - self.owed
         self.owed = size
 
     # --- Reading a request
@@ -255,14 +242,14 @@
             return
         except Exception as error:
             # Danger: what escapes here ends in the loop's handler, and the client waits for ever.
-            self.proxy.logger.often("reading", f"reading a request failed: {error!r:.100}")
+            self.core.logger.often("reading", f"reading a request failed: {error!r:.100}")
             self._reject(400, "unreadable")
             return
         if self.phase == HEAD and self.fed > 2 * MAX_HEAD:
             self._reject(431, "head too large")
         elif self.exchange is None:
             if self.phase != IDLE and not self.queue:
-                self.proxy.door.reading(self.place, self.proxy.clock(), self.phase == BODY)
+                self.core.door.reading(self.place, self.core.clock(), self.phase == BODY)
             # Only now: what comes along with a request and can't be read makes it doubtful too.
             self._next()
 
@@ -337,13 +324,10 @@
         if b"host" not in found and self.parser.get_http_version() != "1.0":
             raise RejectError(400, "no Host")
         self._frame(found)
-        exchange = self.making = Exchange()
-        exchange.client = self
+        exchange = self.making = Exchange(self)
         self.phase = BODY
-        if self.url.partition(b"?")[0] == READY_PATH and b"req-id" not in found:
-            exchange.head = b""
+        if not self.listener.intake.read(self, found, exchange):
             return
-        self._read_meaning(exchange, found)
         self._build_head(exchange, named)
         if b"expect" in found:
             self._expect(found[b"expect"])
@@ -369,38 +353,6 @@
             if self.content_length > MAX_BODY:
                 raise RejectError(413, "body too large")
 
-    def _read_meaning(self, exchange: Exchange, found: dict[bytes, bytes]) -> None:
-        """What the request is, in the module's terms."""
-        wire = self.proxy.config.wire
-        name = found.get(b"req-id", b"")
-        if not name or len(name) > 128 or (not name.isalnum() and not _token(name)):
-            raise RejectError(400, "Req-Id missing or bad")
-        cls = wire.classes.get(found.get(b"req-kind", b""))
-        if cls is None:
-            raise RejectError(400, "Req-Kind missing or unknown")
-        exchange.name, exchange.cls = name, cls
-        wait = found.get(b"req-deadline-ms", b"")
-        if not wait.isdigit() or len(wait) > 9 or int(wait) == 0:
-            raise RejectError(400, "Req-Deadline-Ms missing or bad")
-        # Nobody is waited for longer than its class may take.
-        exchange.wait_ms = min(int(wait), wire.longest_deadline // 1000)
-        effect = self.proxy.config.settings.classes[cls].effect
-        keyed = found.get(b"idempotency-key")
-        body = self.chunked or bool(self.content_length)
-        if effect == SAFE:
-            fits = self.method == b"GET" and not body and keyed is None
-        else:
-            fits = self.method == b"POST" and bool(keyed) == (effect == KEYED)
-        if not fits or keyed == b"":
-            raise RejectError(400, "method, body or Idempotency-Key do not fit the class")
-        exchange.tenant = wire.tenants.get(found.get(b"req-owner", b""), len(wire.tenants))
-        exchange.repeat = found.get(b"req-retry") == b"1"
-        cost = found.get(b"req-cost", b"")
-        if cost.isdigit() and len(cost) < 12:
-            exchange.work = int(cost)
-        if b"cookie" in found:
-            exchange.key = read_cookie_key(found[b"cookie"])
-
     def _build_head(self, exchange: Exchange, named: set[bytes]) -> None:
         lines = [self.method + b" " + self.url + b" HTTP/1.1"]
         lines += [
@@ -430,7 +382,7 @@
         self.got = got = before + size
         if got > MAX_BODY:
             raise RejectError(413, "body too large")
-        if not self.proxy.budget.take(size):
+        if not self.core.budget.take(size):
             raise RejectError(503, "no room for the body")
         exchange.reserved += size
         if not before:
@@ -458,22 +410,23 @@
             raise RejectError(400, "too many requests ahead of their answers")
 
     def _take(self, exchange: Exchange) -> None:
-        tenant = str(exchange.tenant) if exchange.head else None
-        self.proxy.door.taken(self.place, self.proxy.clock(), tenant)
-        if not exchange.head:
+        pool = exchange.pool
+        tenant = str(exchange.tenant) if pool is not None else None
+        self.core.door.taken(self.place, self.core.clock(), tenant)
+        if pool is None:
             self.exchange = exchange
             self._health(exchange)
-        elif exchange.name in self.proxy.names:
+        elif exchange.name in self.core.names:
             # Guards against an id used twice at a time: hosts and clients could no longer tell the
             # two apart, and one client might be given the other's answer.
-            self.proxy.release_body(exchange)
+            self.core.release_body(exchange)
             self._reject(409, "a request with this id is open")
         else:
             self.exchange = exchange
-            self.proxy.request(exchange)
+            self.core.request(exchange)
 
     def _health(self, exchange: Exchange) -> None:
-        if self.proxy.ready:
+        if self.core.ready:
             self._answer(exchange, b"200 OK", b"Content-Type: text/plain\r\n", b"ready\n")
         else:
             self._answer(exchange, REASONS[503], b"Content-Type: text/plain\r\n", b"not ready\n")
@@ -498,12 +451,12 @@
         if self.phase == CLOSING:
             return
         if reason != Reason.ROOM:
-            self.proxy.counters.bad_requests += 1
-            self.proxy.door.offended(self.place)
-        self.proxy.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
+            self.core.counters.bad_requests += 1
+            self.core.door.offended(self.place)
+        self.core.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
         if self.exchange is not None and status == 503:
             status = 502  # what is open may have run, and a refusal would say that it has not
-        after = self.proxy.retry_after() if status == 503 else 0
+        after = self.core.retry_after() if status == 503 else 0
         self._leave(reason)
         self._drop_request()
         if self.transport is None:
@@ -523,7 +476,7 @@
         close = self._closes(exchange)
         if not close and self.phase == IDLE and not self.queue:
             # Here it costs its client nothing: it is told with the answer, and nothing can cross.
-            close = not (self.proxy.door.keeps(self.place, self.proxy.clock()) or self._unread())
+            close = not (self.core.door.keeps(self.place, self.core.clock()) or self._unread())
         parts = b"HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
             status, fields, self._connection(exchange, close), len(body),
         )  # fmt: skip
@@ -532,7 +485,7 @@
         self._after(close)
 
     def _closes(self, exchange: Exchange) -> bool:
-        return not exchange.keep or self.proxy.hanging_up
+        return not exchange.keep or self.core.hanging_up
 
     def _connection(self, exchange: Exchange, close: bool) -> bytes:
         if close:
@@ -548,17 +501,16 @@
             transport.close()
         elif self.queue:
             # Danger: an answer may be given from inside the module, which must not be entered anew.
-            self.proxy.loop.call_soon(self._next)
+            self.core.loop.call_soon(self._next)
         else:
-            now = self.proxy.clock()
-            self.proxy.door.answered(self.place, now, self.owed)
+            now = self.core.clock()
+            self.core.door.answered(self.place, now, self.owed)
             if self.phase != IDLE:
-                self.proxy.door.reading(self.place, now, self.phase == BODY)
+                self.core.door.reading(self.place, now, self.phase == BODY)
 
-    def serve(
-        self, exchange: Exchange, fields: list[tuple[bytes, bytes, bytes]], body: bytes | bytearray
-    ) -> None:
+    def serve(self, exchange: Exchange, answer: Answer) -> None:
         """A host's whole answer."""
+        fields, body = answer
         self._answer(exchange, b"200 OK", _pass_on(fields), body)
 
     def refuse(self, exchange: Exchange, retry_after: int) -> None:
@@ -572,7 +524,7 @@
     def resume_writing(self) -> None:
         if self.owed:
             self._owe(0)
-            self.proxy.door.progress(self.place, self.proxy.clock(), 0)
+            self.core.door.progress(self.place, self.core.clock(), 0)
 
 
 def _retry_after(time: int) -> bytes:
@@ -586,11 +538,7 @@
     )  # fmt: skip
 
 
-def _token(name: bytes) -> bool:
-    return all(33 <= byte < 127 for byte in name)
-
-
-def _pass_on(fields: list[tuple[bytes, bytes, bytes]]) -> bytes:
+def _pass_on(fields: list[Field]) -> bytes:
     """A host's fields that go on to the client."""
     named: set[bytes] = set()
     for low, _, value in fields:
@@ -614,8 +562,8 @@
     clients in a crowd; those that are inside go on being served.
     """
 
-    def __init__(self, proxy: Proxy, address: Address, backlog: int) -> None:
-        self.proxy, self.backlog = proxy, backlog
+    def __init__(self, core: Core, intake: Intake, address: Address, backlog: int) -> None:
+        self.core, self.intake, self.backlog = core, intake, backlog
         self.tasks: set[asyncio.Task[None]] = set()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -628,12 +576,12 @@
         except OSError:
             self.sock.close()
             raise
-        proxy.loop.add_reader(self.sock, self._accept)
+        core.loop.add_reader(self.sock, self._accept)
 
     def _accept(self, most: int = ACCEPTS) -> None:
-        proxy = self.proxy
+        core = self.core
         for _ in range(most):
-            way = proxy.way_in()
+            way = core.way_in()
             if way == Verdict.WAIT:
                 return  # descriptors that are being closed are free on the loop's next turn
             try:
@@ -642,22 +590,22 @@
                 return
             except OSError as error:
                 # Danger: what waits makes the loop call again at once, and again.
-                proxy.logger.often("accept", f"accept failed: {error.strerror}")
+                core.logger.often("accept", f"accept failed: {error.strerror}")
                 if error.errno in SCARCE:
-                    proxy.exhausted()
+                    core.exhausted()
                 self._rest()
                 return
-            if way == Verdict.ADMIT and proxy.door.admits(proxy.clock(), peer[0]):
+            if way == Verdict.ADMIT and core.door.admits(core.clock(), peer[0]):
                 self._let_in(sock, peer[0])
             else:
                 self._turn_away(sock)
 
     def _let_in(self, sock: socket.socket, address: str) -> None:
-        proxy = self.proxy
-        place = proxy.door.opened(proxy.clock(), address)
-        proxy.arriving += 1
+        core = self.core
+        place = core.door.opened(core.clock(), address)
+        core.arriving += 1
         # Danger: the loop itself holds a task by a weak reference only.
-        task = proxy.loop.create_task(self._serve(sock, place))
+        task = core.loop.create_task(self._serve(sock, place))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -667,40 +615,40 @@
         What has come is taken in first: a close with bytes unread would reset the connection
         under the answer. A request that comes after it crosses the close and is sent once more.
         """
-        self.proxy.counters.crowded += 1
-        self.proxy.door.turned_away()
-        self.proxy.logger.often("crowd", "no place for a client's connection; turned away")
+        self.core.counters.crowded += 1
+        self.core.door.turned_away()
+        self.core.logger.often("crowd", "no place for a client's connection; turned away")
         with contextlib.suppress(OSError):
             sock.setblocking(False)
             with contextlib.suppress(BlockingIOError):
                 sock.recv(MAX_BODY)
-            sock.send(refusal(503, self.proxy.retry_after()))
+            sock.send(refusal(503, self.core.retry_after()))
         sock.close()
 
     def _rest(self) -> None:
         """Accept nothing for a moment."""
-        self.proxy.loop.remove_reader(self.sock)
-        self.proxy.loop.call_later(ACCEPT_REST, self._resume)
+        self.core.loop.remove_reader(self.sock)
+        self.core.loop.call_later(ACCEPT_REST, self._resume)
 
     def _resume(self) -> None:
         if self.sock.fileno() >= 0:
-            self.proxy.loop.add_reader(self.sock, self._accept)
+            self.core.loop.add_reader(self.sock, self._accept)
 
     async def _serve(self, sock: socket.socket, place: Place) -> None:
-        proxy = self.proxy
-        made = Downstream(proxy, sock, place)
+        core = self.core
+        made = Downstream(self, sock, place)
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await proxy.loop.connect_accepted_socket(lambda: made, sock)
+            await core.loop.connect_accepted_socket(lambda: made, sock)
         except OSError:
             sock.close()  # it has gone already
-            proxy.door.closed(place, proxy.clock())
+            core.door.closed(place, core.clock())
         finally:
-            proxy.arriving -= 1
+            core.arriving -= 1
 
     def close(self) -> None:
         """Stop listening; whoever has connected by now is let in."""
         self._accept(self.backlog)
-        self.proxy.loop.remove_reader(self.sock)
+        self.core.loop.remove_reader(self.sock)
         self.sock.close()
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -8,59 +8,43 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING, Final, cast
+from typing import Final, cast
 
+from ..core.budget import MAX_ANSWER
+from ..core.exchange import Attempt
+from ..core.pool import Pool
+from ..core.terms import Address, Entry
 from ..interface import BUSY, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
-from .budget import MAX_ANSWER
-from .config import Address, parse_load
+from .config import parse_load
 from .http import BODY, WHOLE, AnswerReader, MalformedError
 
-if TYPE_CHECKING:
-    from .gateway import Exchange, Proxy
-
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
 
 
 class Host:
     """A host as this gateway reaches it. The module knows it by `id` alone."""
 
-    __slots__ = ("addr", "failing", "id", "idle", "listed", "open", "replaced")
+    __slots__ = ("addr", "id", "idle", "listed", "open", "replaced")
 
     def __init__(self, listed: Listed, addr: Address) -> None:
         self.id, self.listed, self.addr = listed.server, listed, addr
         self.idle: list[Upstream] = []  # newest last
         self.open = 0  # connections, those being opened too
-        self.failing = False  # for the log only
         self.replaced = False  # another host is at its address now
 
 
-class Attempt:
-    """One attempt of an exchange, from the module's word to its one outcome."""
-
-    __slots__ = (
-        "conn", "connect_by", "ends", "exchange", "host", "n", "over", "sent", "task",
-    )  # fmt: skip
-
-    def __init__(self, exchange: Exchange, n: int, host: Host, now: int, ends: int) -> None:
-        self.exchange, self.n, self.host = exchange, n, host
-        self.sent, self.ends = now, ends
-        self.connect_by = 0  # while it waits for a connection
-        self.conn: Upstream | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.over = False
-
-
 class Upstream(AnswerReader, asyncio.Protocol):
     """A connection to a host. It carries one attempt at a time, or is idle in its host's pool."""
 
     __slots__ = (
-        "attempt", "body", "declined", "held", "host", "idle_since", "load", "pool", "size", "sock",
-        "transport", "unsent",
+        "attempt", "body", "budget", "declined", "held", "host", "hosts", "idle_since", "load",
+        "size", "sock", "transport", "unsent",
     )  # fmt: skip
 
-    def __init__(self, pool: Pool, host: Host, sock: socket.socket) -> None:
+    def __init__(self, hosts: Hosts, host: Host, sock: socket.socket) -> None:
         super().__init__()
-        self.pool, self.host, self.sock = pool, host, sock
+        self.hosts, self.host, self.sock = hosts, host, sock
+        self.budget = hosts.core.budget
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.unsent: memoryview | None = None  # what the transport has not been given yet
@@ -71,7 +55,7 @@
     def _clear(self) -> None:
         self.body: bytes | bytearray = b""
         self.size = 0
-        self.pool.proxy.budget.give_back(self.held)
+        self.budget.give_back(self.held)
         self.held = 0
         self.declined = False
         self.load: Report | None = None
@@ -159,7 +143,7 @@
         self.size += len(data)
         if self.size > MAX_ANSWER:
             raise MalformedError("body too large")
-        if not self.pool.proxy.budget.take(len(data)):
+        if not self.budget.take(len(data)):
             raise MalformedError("no room for the body")
         self.held += len(data)
         if self.status != 200:
@@ -178,7 +162,7 @@
         try:
             self.feed(data)
         except MalformedError as error:
-            self.pool.proxy.malformed(self.host, str(error))
+            self.hosts.pool.malformed(self.host.id, str(error))
             self.keep = False
             self._over(self._broken(ERROR))
             return
@@ -192,7 +176,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.parser = None  # it holds this object in turn
-        self.pool.forget(self)
+        self.hosts.forget(self)
         if self.attempt is not None:
             self._over(self._broken(RESET))
 
@@ -201,7 +185,7 @@
         if self.declined:
             return BUSY
         if self.status != 200:
-            self.pool.proxy.odd_status(self.host, self.status)
+            self.hosts.pool.odd_status(self.host.id, self.status)
         if self.status != 200 or self.unsent is not None:
             # Danger: a host's other refusals must not reach a client as this gateway's own.
             return ERROR
@@ -225,10 +209,10 @@
         fields, body, load = self.fields, self.body, self.load
         self._clear()
         if self.keep and self.transport is not None and not self.transport.is_closing():
-            self.pool.give_back(self)
+            self.hosts.give_back(self)
         else:
             self.close()
-        self.pool.proxy.ended(attempt, status, load, (fields, body))
+        self.hosts.pool.ended(attempt, status, load, (fields, body))
 
     def abandon(self) -> None:
         """Give up the attempt: its answer may still come, so the connection is never reused."""
@@ -241,7 +225,7 @@
 
     def close(self) -> None:
         """Close at once, with nothing more written."""
-        self.pool.forget(self)
+        self.hosts.forget(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -250,12 +234,11 @@
         self.transport.set_write_buffer_limits(high=0)
 
 
-class Pool:
-    """All hosts and the connections to them."""
+class Hosts:
+    """All hosts of a pool and the connections to them: a `Transport` over HTTP/1.1."""
 
-    def __init__(self, proxy: Proxy, idle_life: int, connect_timeout: int) -> None:
-        self.proxy = proxy
-        self.idle_life, self.connect_timeout = idle_life, connect_timeout
+    def __init__(self, pool: Pool) -> None:
+        self.pool, self.core = pool, pool.core
         self.hosts: dict[str, Host] = {}
         self.at: dict[Address, Host] = {}  # who is reached at an address
         self.open: dict[Upstream, None] = {}
@@ -265,8 +248,9 @@
     def size(self) -> int:
         return len(self.open) + self.connecting
 
-    def list_host(self, listed: Listed, addr: Address) -> None:
+    def list_host(self, entry: Entry) -> None:
         """A host as discovery tells it. Connections to an older address or process are dropped."""
+        listed, addr = entry.listed, entry.addr
         host = self.hosts.get(listed.server)
         fresh = host is None or host.addr != addr
         if host is None:
@@ -315,33 +299,33 @@
 
     def start(self, attempt: Attempt, now: int) -> None:
         """Send an attempt on the newest idle connection, or on a new one."""
-        host = attempt.host
-        if host.replaced:
-            self.proxy.later(attempt, CONNECT_FAILED)
+        host = self.hosts.get(attempt.server)
+        if host is None or host.replaced:
+            self.pool.later(attempt, CONNECT_FAILED)
             return
         while host.idle:
             conn = host.idle.pop()
             # Danger: a host ends what has stood idle for long, and a request that crosses that
             # counts as one that may have run.
             if (
-                now - conn.idle_since < self.idle_life
+                now - conn.idle_since < self.pool.reach.idle_life
                 and conn.usable()
                 and conn.begin(attempt, now)
             ):
                 return
             conn.close()
-        if not self.proxy.make_room():
+        if not self.core.make_room():
             # Danger: told as a failed connection this would count against the host, and one host
             # after the other would be shunned for what this gateway lacks.
-            self.proxy.later(attempt, MOOT)
+            self.pool.later(attempt, MOOT)
             return
-        attempt.connect_by = now + self.connect_timeout
+        attempt.connect_by = now + self.pool.reach.connect_timeout
         self.connecting += 1
         host.open += 1
-        attempt.task = self.proxy.loop.create_task(self._connect(attempt))
+        attempt.task = self.core.loop.create_task(self._connect(attempt, host))
 
-    async def _connect(self, attempt: Attempt) -> None:
-        host, proxy = attempt.host, self.proxy
+    async def _connect(self, attempt: Attempt, host: Host) -> None:
+        core, pool = self.core, self.pool
         conn = None
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -351,19 +335,19 @@
             self.connecting -= 1
             host.open -= 1
             attempt.task, attempt.connect_by = None, 0
-            proxy.exhausted()
+            core.exhausted()
             if not attempt.over:
-                proxy.ended(attempt, MOOT, None, None)
+                pool.ended(attempt, MOOT, None, None)
             return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             addr = host.addr
-            await proxy.loop.sock_connect(sock, addr)
+            await core.loop.sock_connect(sock, addr)
             # Danger: on one machine a port that nobody listens on may meet itself.
             if sock.getsockname() != addr and not attempt.over:
                 conn = Upstream(self, host, sock)
                 made = conn
-                await proxy.loop.create_connection(lambda: made, sock=sock)
+                await core.loop.create_connection(lambda: made, sock=sock)
         except OSError:
             conn = None
         except asyncio.CancelledError:
@@ -383,21 +367,21 @@
             if host.addr != addr or conn.transport is None or conn.transport.is_closing():
                 conn.close()
                 conn = None
-        now = proxy.clock()
+        now = core.clock()
         if attempt.over:
             if conn is not None:
                 self.give_back(conn)
         elif conn is None:
-            proxy.ended(attempt, CONNECT_FAILED, None, None)
+            pool.ended(attempt, CONNECT_FAILED, None, None)
         elif attempt.exchange.closed or now >= attempt.ends:
             self.give_back(conn)
-            proxy.ended(attempt, MOOT, None, None)
+            pool.ended(attempt, MOOT, None, None)
         elif not conn.begin(attempt, now):
             conn.close()
-            proxy.ended(attempt, CONNECT_FAILED, None, None)
+            pool.ended(attempt, CONNECT_FAILED, None, None)
 
     def give_back(self, conn: Upstream) -> None:
-        conn.idle_since = self.proxy.clock()
+        conn.idle_since = self.core.clock()
         if self.hosts.get(conn.host.id) is conn.host:
             conn.host.idle.append(conn)
         else:
@@ -410,12 +394,18 @@
             if conn in conn.host.idle:
                 conn.host.idle.remove(conn)
 
+    def _oldest_idle(self) -> Upstream | None:
+        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
+        return min(idle, key=lambda conn: conn.idle_since, default=None)
+
+    def oldest_idle(self) -> int | None:
+        """Since when the connection has stood idle that has done so longest."""
+        oldest = self._oldest_idle()
+        return None if oldest is None else oldest.idle_since
+
     def close_oldest_idle(self) -> bool:
         """Free a descriptor: the connection that has stood idle longest."""
-        oldest = None
-        for host in self.hosts.values():
-            if host.idle and (oldest is None or host.idle[0].idle_since < oldest.idle_since):
-                oldest = host.idle[0]
+        oldest = self._oldest_idle()
         if oldest is None:
             return False
         oldest.close()
@@ -424,5 +414,11 @@
     def sweep(self, now: int) -> None:
         """Retire what has stood idle for long."""
         for host in self.hosts.values():
-            while host.idle and now - host.idle[0].idle_since >= self.idle_life:
+            while host.idle and now - host.idle[0].idle_since >= self.pool.reach.idle_life:
                 host.idle[0].close()
+
+    def stop(self) -> None:
+        """Close everything at once."""
+        for conn in list(self.open):
+            if conn.transport is not None:
+                conn.transport.abort()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -10,13 +10,14 @@
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
-from typing import Any, Self
+from typing import Any, Self, cast
 
+from sailhitch.core.log import Log
 from sailhitch.net.config import parse_config
 from sailhitch.net.discovery import Discovery
-from sailhitch.net.downstream import Listener
-from sailhitch.net.gateway import Proxy
-from sailhitch.net.log import Log
+from sailhitch.net.downstream import Downstream
+from sailhitch.net.platform import Platform
+from sailhitch.net.upstream import Hosts
 from tests.fake import settings_value
 
 PATIENCE = 30.0  # s; no test measures time, but none waits forever
@@ -187,29 +188,41 @@
 class Gate:
     """A gateway in this process, listening on loopback."""
 
-    def __init__(self, proxy: Proxy, addr: str, discovery: Discovery) -> None:
-        self.proxy, self.addr, self.discovery = proxy, addr, discovery
+    def __init__(self, platform: Platform, addr: str) -> None:
+        self.platform, self.addr = platform, addr
+        self.core, self.pool = platform.core, platform.pool
+
+    @property
+    def discovery(self) -> Discovery:
+        return self.platform.discovery
+
+    @property
+    def hosts(self) -> Hosts:
+        return cast(Hosts, self.pool.transport)
 
     async def client(self) -> Client:
         return await dial(self.addr)
 
+    def clients(self) -> list[Downstream]:
+        """The connections that clients hold, oldest first."""
+        return [cast(Downstream, one) for one in self.core.clients]
+
 
 @contextlib.asynccontextmanager
 async def gate(*hosts: tuple[str, str], discovery: str = "", **changes: Any) -> AsyncIterator[Gate]:
     """A gateway that knows these hosts; it watches discovery only where there is some."""
     loop = asyncio.get_running_loop()
     value = config_value(discovery or "127.0.0.1:9", *hosts, **changes)
-    proxy = Proxy(parse_config(value, {}), loop, Log("n0"))
-    proxy.begin()
-    watcher = Discovery(proxy)
-    watch = loop.create_task(watcher.run()) if discovery else None
-    server = Listener(proxy, ("127.0.0.1", 0), 100)
-    proxy.ready = True
+    platform = Platform(parse_config(value, {}), loop, Log("n0"))
+    platform.begin()
+    watch = loop.create_task(platform.discovery.run()) if discovery else None
+    server = platform.listen(("127.0.0.1", 0), 100)
+    platform.core.ready = True
     try:
-        yield Gate(proxy, f"127.0.0.1:{server.sock.getsockname()[1]}", watcher)
+        yield Gate(platform, f"127.0.0.1:{server.sock.getsockname()[1]}")
     finally:
         server.close()
-        proxy.finish()
+        platform.core.finish()
         if watch is not None:
             watch.cancel()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from sailhitch.core.budget import Budget
 from sailhitch.front import door
-from sailhitch.net.budget import Budget
 from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, request, until
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: x1\r\nReq-Kind: side_effect-all\r\n"
@@ -25,8 +25,8 @@
             # Whatever it was, the gateway goes on serving, and nothing is left behind.
             client = await it.client()
             assert await client.ask(request("after")) == (200, b"served")
-            await until(lambda: it.proxy.budget.held == 0)
-            assert it.proxy.counters.panics == 0
+            await until(lambda: it.core.budget.held == 0)
+            assert it.core.counters.panics == 0
 
     asyncio.run(run())
 
@@ -81,10 +81,10 @@
         for part in (request("x1")[:30], request("x2", b"b" * 5000)[:-2000]):
             client = await it.client()
             client.send(part)
-            await until(lambda: any(not c.is_idle() for c in it.proxy.clients))
+            await until(lambda: any(not c.is_idle() for c in it.core.clients))
             client.writer.write_eof()
             await client.rest()
-        await until(lambda: not it.proxy.clients)
+        await until(lambda: not it.core.clients)
         assert host.seen == []
 
     play(act)
@@ -105,7 +105,7 @@
 
 
 def test_the_limits_on_silence_leave_room_within_three_seconds() -> None:
-    from sailhitch.net.gateway import CLIENT_SWEEP
+    from sailhitch.core.core import CLIENT_SWEEP
 
     assert max(door.REQUEST[0], door.SILENT[0]) + 2 * CLIENT_SWEEP < 3_000_000
     assert door.SILENT[0] >= 2_000_000
@@ -148,7 +148,7 @@
             assert len(host.seen) == 1
             # Once it is over, the id is nobody's.
             assert (await first.ask(request("same", b"body")))[0] == 200
-            assert it.proxy.names == {}
+            assert it.core.names == {}
 
     asyncio.run(run())
 
@@ -187,12 +187,12 @@
 
 def test_bodies_beyond_the_budget_are_refused_not_held() -> None:
     async def act(it: Gate, host: Server) -> None:
-        it.proxy.budget.most = 100_000
+        it.core.budget.most = 100_000
         clients = [await it.client() for _ in range(4)]
         for i, client in enumerate(clients):
             client.send(request(f"b{i}", b"b" * 60_000)[:-1])
-        await until(lambda: it.proxy.counters.bad_requests >= 3)
-        assert it.proxy.budget.held <= 100_000
+        await until(lambda: it.core.counters.bad_requests >= 3)
+        assert it.core.budget.held <= 100_000
         for client in clients:
             client.writer.close()
 
@@ -231,8 +231,8 @@
         crowd = [await it.client() for _ in range(300)]
         client = await it.client()
         assert await client.ask(request("among")) == (200, b"served")
-        held = len(it.proxy.clients) + it.proxy.arriving + it.proxy.pool.size()
-        assert held <= it.proxy.config.sockets
+        held = len(it.core.clients) + it.core.arriving + it.hosts.size()
+        assert held <= it.platform.config.sockets
         for one in crowd:
             one.writer.close()
 
@@ -243,8 +243,8 @@
     async def act(it: Gate, host: Server) -> None:
         sock = socket.create_connection(tuple(it.addr.split(":")))  # type: ignore[arg-type]
         with sock:
-            await until(lambda: len(it.proxy.clients) == 1)
-            (client,) = it.proxy.clients
+            await until(lambda: len(it.core.clients) == 1)
+            (client,) = it.clients()
             sock.sendall(request("crossing"))
             assert not client.close_idle()  # the loop has had no turn to read it
             sock.setblocking(False)
@@ -258,7 +258,7 @@
 
 def test_a_crowd_never_holds_more_descriptors_than_there_are() -> None:
     async def act(it: Gate, host: Server) -> None:
-        most, limit = 0, it.proxy.config.sockets
+        most, limit = 0, it.platform.config.sockets
         address = it.addr.rpartition(":")[0], int(it.addr.rpartition(":")[2])
         base = len(os.listdir("/proc/self/fd"))
         crowd: list[socket.socket] = []
@@ -285,8 +285,8 @@
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
             _held = await fill(it, 80)
-            await until(lambda: it.proxy.counters.crowded > 0)
-            held = len(it.proxy.clients) + it.proxy.arriving + it.proxy.pool.size()
+            await until(lambda: it.core.counters.crowded > 0)
+            held = len(it.core.clients) + it.core.arriving + it.hosts.size()
             assert held <= 64
             last = await it.client()
             # Answered at once: nothing of its request was looked at, so asking again is harmless.
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -63,13 +63,13 @@
 
     def check(self, share: float = 0.97) -> None:
         """The honest are served, nobody is answered twice, and the budget holds."""
-        proxy = self.it.proxy
-        assert self.honest.share >= share, (self.honest.ends, proxy.door.told())
+        core = self.it.core
+        assert self.honest.share >= share, (self.honest.ends, core.door.told())
         assert self.honest.twice == 0
         assert all(count == 1 for count in self.node.effects.values())
-        assert proxy.counters.panics == proxy.counters.faults == 0
-        assert proxy.door.held == len(proxy.clients) + proxy.arriving
-        assert proxy.door.held + proxy.pool.size() <= proxy.config.sockets
+        assert core.counters.panics == core.counters.faults == 0
+        assert core.door.held == len(core.clients) + core.arriving
+        assert core.door.held + self.it.hosts.size() <= self.it.platform.config.sockets
 
 
 def play(act: Callable[[Scene], Awaitable[None]], sockets: int = 256, delay: float = 0.01) -> None:
@@ -100,7 +100,7 @@
         await scene.serve_honest()
         scene.check()
         assert hoard.ends[SERVED] > 0.9 * hoard.asked
-        assert scene.it.proxy.door.used <= sockets // 3
+        assert scene.it.core.door.used <= sockets // 3
 
     play(act, sockets)
 
@@ -115,7 +115,7 @@
         beside(scene, scene.crowd.hoarders(scene.front, hoard, 100, 400))
         await asyncio.gather(*back)
         assert again.ends == {SERVED: 600}
-        assert scene.it.proxy.door.figures.closed[Reason.SEAT] > 100
+        assert scene.it.core.door.figures.closed[Reason.SEAT] > 100
         # 20 connections would do; some are lost before it is seen who comes back.
         assert scene.front.dialled - hoard.asked < 120
 
@@ -175,9 +175,9 @@
             beside(scene, scene.crowd.come_back("127.0.0.66", first))
         await scene.serve_honest()
         scene.check(0.95)
-        mine = scene.it.proxy.door.sources.get("127.0.0.66")
+        mine = scene.it.core.door.sources.get("127.0.0.66")
         await until(lambda: mine.standing < 0.5)
-        assert scene.it.proxy.door.sources.get("127.0.0.1").standing > 0.9
+        assert scene.it.core.door.sources.get("127.0.0.1").standing > 0.9
 
     play(act)
 
@@ -192,7 +192,7 @@
         await scene.serve_honest()
         scene.check()
         await until(lambda: scene.crowd.closed["trickle"] == 100)
-        assert scene.it.proxy.door.figures.closed[Reason.SLOW] > 0
+        assert scene.it.core.door.figures.closed[Reason.SLOW] > 0
         assert scene.node.effects[b"slow"] == 0
 
     play(act)
@@ -203,14 +203,14 @@
         scene.node.size = 1_500_000
         for i in range(12):
             beside(scene, scene.crowd.slow_reader(message(f"s{i}", SAFE, 3000)))
-        door = scene.it.proxy.door
+        door = scene.it.core.door
         await until(lambda: door.count[State.WRITING] >= 5)
-        assert scene.it.proxy.budget.held > 1_000_000
+        assert scene.it.core.budget.held > 1_000_000
         scene.node.size = 32
         await scene.serve_honest()
         scene.check()
         await until(lambda: door.count[State.WRITING] == 0)
-        await until(lambda: scene.it.proxy.budget.held == 0)
+        await until(lambda: scene.it.core.budget.held == 0)
         assert door.figures.closed[Reason.UNREAD] >= 5
         assert STALL[0] <= 5_000_000
 
@@ -220,7 +220,7 @@
 def test_requests_sent_ahead_are_all_answered_under_pressure() -> None:
     async def act(scene: Scene) -> None:
         beside(scene, scene.crowd.hoarders(scene.front, Tally(), 200, 600))
-        await until(lambda: scene.it.proxy.door.strain > 0)
+        await until(lambda: scene.it.core.door.strain > 0)
         for turn in range(20):
             client = await scene.it.client()
             client.send(b"".join(request(f"p{turn}-{i}") for i in range(4)))
@@ -236,7 +236,7 @@
     async def act(scene: Scene) -> None:
         client = await scene.it.client()
         assert (await client.ask(request("c0")))[0] == 200
-        (held,) = scene.it.proxy.clients
+        (held,) = scene.it.clients()
         client.send(request("c1"))
         sock = held.sock
         while True:  # until the kernel has it; the loop gets no turn
@@ -245,7 +245,7 @@
                     break
             except BlockingIOError:
                 pass
-        assert scene.it.proxy.release([held.place], Reason.ROOM) == 0
+        assert scene.it.core.release([held.place], Reason.ROOM) == 0
         assert (await client.answer())[0] == 200
 
     play(act)
@@ -261,16 +261,16 @@
         held = [asyncio.ensure_future(scene.front.ask(out)) for _ in range(40)]
         await until(lambda: len(scene.node.effects) >= 40)
         beside(scene, scene.crowd.silent(1000, 80))
-        await until(lambda: scene.it.proxy.door.held >= 110)
+        await until(lambda: scene.it.core.door.held >= 110)
         value = config_value("127.0.0.1:9", ("a", scene.node.addr), limits={"sockets": 128})
-        scene.it.proxy.reconfigure(parse_config(value, {}))
+        scene.it.platform.reconfigure(parse_config(value, {}))
         await asyncio.gather(*held)
         assert out.ends == {SERVED: 40}
         scene.front.seats = 42
         scene.node.delay = 0.01
         await scene.serve_honest()
         scene.check()
-        assert scene.it.proxy.door.held + scene.it.proxy.pool.size() <= 128
+        assert scene.it.core.door.held + scene.it.hosts.size() <= 128
 
     play(act)
 
@@ -280,13 +280,13 @@
 ) -> None:
     async def act(scene: Scene) -> None:
         beside(scene, scene.crowd.silent(1000, 60))
-        await until(lambda: scene.it.proxy.door.held >= 60)
+        await until(lambda: scene.it.core.door.held >= 60)
         real, refused = socket.socket.accept, 0
 
         def accept(self: socket.socket) -> tuple[socket.socket, Any]:
             nonlocal refused
             ours = self.getsockname()[1] == int(scene.it.addr.rpartition(":")[2])
-            if ours and scene.it.proxy.door.held + scene.it.proxy.pool.size() >= 50:
+            if ours and scene.it.core.door.held + scene.it.hosts.size() >= 50:
                 refused += 1
                 raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
             return real(self)
@@ -310,7 +310,7 @@
         with monkeypatch.context() as patch:
             patch.setattr(socket, "socket", none)
             assert (await client.ask(request("x1")))[0] in (502, 503)
-        assert scene.it.proxy.pool.connecting == 0
+        assert scene.it.hosts.connecting == 0
         assert (await client.ask(request("x2")))[0] == 200
         scene.check(0)
 
@@ -346,21 +346,21 @@
 
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr)) as it:
-            proxy = it.proxy
+            core = it.core
             client = await it.client()
-            proxy._stats_at = 0
+            core._stats_at = 0
             if part in ("door", "all"):
-                monkeypatch.setattr(proxy.door, "sense", broken)
+                monkeypatch.setattr(core.door, "sense", broken)
             if part in ("hosts", "all"):
-                monkeypatch.setattr(proxy.pool, "sweep", broken)
+                monkeypatch.setattr(it.hosts, "sweep", broken)
             if part in ("clients", "all"):
-                monkeypatch.setattr(type(next(iter(proxy.clients))), "sweep", broken)
+                monkeypatch.setattr(type(next(iter(core.clients))), "sweep", broken)
             if part in ("figures", "all"):
-                monkeypatch.setattr(proxy.door, "told", broken)
-            await until(lambda: proxy.counters.faults > 0)
+                monkeypatch.setattr(core.door, "told", broken)
+            await until(lambda: core.counters.faults > 0)
             for i in range(3):
                 assert (await client.ask(request(f"d{i}", wait_ms=300)))[0] in (502, 503, 504)
-            assert proxy.counters.overdue == 0
+            assert core.counters.overdue == 0
 
     asyncio.run(run())
 
@@ -373,9 +373,9 @@
 
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr)) as it:
-            proxy = it.proxy
+            core = it.core
             first, second = await it.client(), await it.client()
-            real, hit = proxy._due, []
+            real, hit = core._due, []
 
             def due(exchange: Any, now: int) -> None:
                 if exchange.name == b"bad":
@@ -383,7 +383,7 @@
                     raise KeyError("a bug")
                 real(exchange, now)
 
-            monkeypatch.setattr(proxy, "_due", due)
+            monkeypatch.setattr(core, "_due", due)
             first.send(request("bad", wait_ms=300))
             second.send(request("good", wait_ms=400))
             assert (await first.answer())[0] in (502, 504)
@@ -402,7 +402,7 @@
             Registry(("a", host.addr)) as registry,
             gate(discovery=registry.addr) as it,
         ):
-            real = it.proxy.list_news
+            real = it.pool.list_news
             broken: list[Any] = []
 
             def news(roster: Any) -> None:
@@ -411,9 +411,9 @@
                     raise IndexError("a bug")
                 real(roster)
 
-            monkeypatch.setattr(it.proxy, "list_news", news)
+            monkeypatch.setattr(it.pool, "list_news", news)
             registry.version = 5
-            await until(lambda: "a" in it.proxy.pool.hosts)
+            await until(lambda: "a" in it.hosts.hosts)
             assert broken
 
     asyncio.run(run())
@@ -485,7 +485,7 @@
     async def run() -> None:
         async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
             _held = await fill(it, 30)
-            await until(lambda: it.proxy.counters.crowded > 0)
+            await until(lambda: it.core.counters.crowded > 0)
             last = await it.client()
             got = await last.rest()
             assert got.startswith(b"HTTP/1.1 503 ")
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -59,8 +59,8 @@
             spoil[0] = False
             assert (await client.ask(request("next")))[1] == b"served"
             assert len(host.writers) == 2  # the spoilt connection is of no further use
-            await until(lambda: not it.proxy.names and len(it.proxy.pool.open) == 1)
-            assert it.proxy.budget.held == 0
+            await until(lambda: not it.core.names and len(it.hosts.open) == 1)
+            assert it.core.budget.held == 0
 
     asyncio.run(play())
 
@@ -86,7 +86,7 @@
             for i in range(5):
                 got = await client.ask(request(f"r{i}", b"effect"))
                 assert got == (200, b"r%d" % i)
-            await until(lambda: not it.proxy.pool.open)
+            await until(lambda: not it.hosts.open)
 
     asyncio.run(play())
 
@@ -119,7 +119,7 @@
             for i in range(3):
                 assert await client.ask(request(f"big{i}", body)) == (200, body * 6)
             assert len(host.writers) == 1
-            assert it.proxy.budget.held == 0
+            assert it.core.budget.held == 0
 
     asyncio.run(play())
 
@@ -146,17 +146,17 @@
             client = await it.client()
             status, _ = await client.ask(request("once", b"effect", wait_ms=300))
             assert status in (502, 504)
-            await until(lambda: not it.proxy.names and not it.proxy.pool.open)
+            await until(lambda: not it.core.names and not it.hosts.open)
 
     asyncio.run(play())
 
 
 def test_own_lack_of_descriptors_is_not_held_against_hosts() -> None:
     async def act(it: Gate) -> None:
-        it.proxy.make_room = lambda: False  # type: ignore[method-assign]
+        it.core.make_room = lambda: False  # type: ignore[method-assign]
         client = await it.client()
         assert (await client.ask(request("r1")))[0] == 503
-        assert it.proxy.module.servers["a"].shun_until == 0
+        assert it.pool.module.servers["a"].shun_until == 0
 
     async def play() -> None:
         async with Server() as host, gate(("a", host.addr)) as it:
@@ -177,7 +177,7 @@
                 # The machine was replaced; that the old one has gone is not known yet.
                 registry.version = 2
                 registry.entries.append(entry("new", host.addr, "leaving"))
-                await until(lambda: "new" in it.proxy.pool.hosts)
+                await until(lambda: "new" in it.hosts.hosts)
                 before = len(host.seen)
                 for i in range(20):
                     assert (await client.ask(request(f"b{i}")))[0] == 200
@@ -216,9 +216,9 @@
             assert (await client.ask(request("r1")))[0] == 200
             registry.entries.append(entry("b", host.addr.replace(".0.1", ".0.2")))
             registry.version = 2
-            await until(lambda: "b" in it.proxy.pool.hosts)
-            assert set(it.proxy.pool.hosts) == {"a", "b"}
-            assert it.proxy.counters.panics == 0
+            await until(lambda: "b" in it.hosts.hosts)
+            assert set(it.hosts.hosts) == {"a", "b"}
+            assert it.core.counters.panics == 0
 
     asyncio.run(play())
 
@@ -231,10 +231,10 @@
             value = {"version": 2, "full": True, "servers": [entry("a", host.addr), *bad]}
             from sailhitch.net.config import parse_roster
 
-            roster = parse_roster(json.loads(json.dumps(value)), it.proxy.config.wire)
-            it.proxy.list_news(roster)
+            roster = parse_roster(json.loads(json.dumps(value)), it.platform.config.wire)
+            it.pool.list_news(roster)
             client = await it.client()
             assert (await client.ask(request("r1")))[0] == 200
-            assert set(it.proxy.pool.hosts) == {"a"}
+            assert set(it.hosts.hosts) == {"a"}
 
     asyncio.run(play())
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,47 @@
+"""Imports run one way, so that a new front or transport is a new module and a line of wiring."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "sailhitch"
+# Each may import those to its left, and its own parts.
+LAYERS = ("interface", "settings", "policy", "front", "core", "net")
+
+
+def _imports(path: Path) -> set[str]:
+    """The parts of the program that a module imports, also for types alone."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level:
+            base = path.relative_to(ROOT).parts[: -node.level]
+            found.add((*base, *(node.module or "").split("."))[0])
+    return found
+
+
+@pytest.mark.parametrize("layer", LAYERS)
+def test_a_layer_imports_only_those_below_it(layer: str) -> None:
+    below = set(LAYERS[: LAYERS.index(layer) + 1])
+    files = sorted((ROOT / layer).glob("*.py")) or [ROOT / f"{layer}.py"]
+    for path in files:
+        assert _imports(path) <= below, path.name
+
+
+def test_the_platforms_line_loads_nothing_that_it_does_not_use() -> None:
+    code = (
+        "import sys, sailhitch.__main__\n"
+        "print(*sorted(m for m in sys.modules if m.startswith('sailhitch.')))\n"
+        "print(*sorted({m.partition('.')[0] for m in sys.modules} - set(sys.stdlib_module_names)))"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=60
+    ).stdout.splitlines()
+    parts = {name.split(".")[1] for name in out[0].split()}
+    assert parts == {*LAYERS, "__main__"}
+    outside = {n for n in out[1].split() if not n.startswith("_") and n != "sailhitch"}
+    assert outside <= {"cython_runtime", "httptools", "uvloop"}
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import signal
+from dataclasses import replace
 from pathlib import Path
 
-from sailhitch.net.config import Address, parse_address
+from sailhitch.core.terms import Address
+from sailhitch.net.config import parse_address
 from tests.sockets import (
     PATIENCE,
     Registry,
@@ -81,8 +83,8 @@
             changes = {"discovery": "subscribe", "rules": {"askWithin": 1}}
             async with gate(discovery=old.addr, settings=changes) as it:
                 await until(lambda: bool(old.seen))
-                it.discovery.move(_address(new.addr))
-                await until(lambda: "b" in it.proxy.pool.hosts)
+                it.discovery.reconfigure(replace(it.platform.config, discovery=_address(new.addr)))
+                await until(lambda: "b" in it.hosts.hosts)
 
     asyncio.run(play())
 
@@ -100,7 +102,7 @@
             text = json.dumps({"version": 2, "full": False, "servers": bad})
             registry.version = 2
             registry.raw = answer(text.encode())
-            await until(lambda: it.proxy.pool.hosts["a"].listed.state == "draining")
+            await until(lambda: it.hosts.hosts["a"].listed.state == "draining")
 
     asyncio.run(play())
 
@@ -117,10 +119,10 @@
                 "repeat": "pure",
             }]  # fmt: skip
             value = config_value("127.0.0.1:9", settings={"classes": classes})
-            it.proxy.reconfigure(parse_config(value, {}))
+            it.platform.reconfigure(parse_config(value, {}))
             client = await it.client()
             assert await client.ask(request("r2", kind="new")) == (200, b"served")
-            assert it.proxy.counters.panics == 0
+            assert it.core.counters.panics == 0
 
     asyncio.run(play())
 
--- a/tests/test_wheel.py
+++ b/tests/test_wheel.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from sailhitch.net.wheel import Wheel
+from sailhitch.core.wheel import Wheel
 
 
 class Handle:
