Add the operator file, plans and routes, without sockets

An operator of another installation has only this repository and wants to write down what should be, see what would change, and apply exactly that.

- `daemon/state.py`: one plain form with a digest; `daemon/plan.py`: exact changes with old and new values, digests of base, result and itself.

Tests: by property, plan(a, b) applied to a gives b, plan(a, a) is empty, and going back gives a; lookups agree with a search through all routes.

--- /dev/null
+++ b/sailhitch/daemon/plan.py
@@ -0,0 +1,202 @@
+"""Plans: the exact changes from one state to another, and what they were made against.
+
+`apply` does what a plan says and nothing else. It is refused where the live state is not the one
+that the plan was made against, as what it says would mean something else there.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Final, Literal
+
+from .state import KINDS, Object, State, digest
+
+FORMAT: Final = 1
+Action = Literal["add", "remove", "alter"]
+
+
+class PlanError(ValueError):
+    """A text that is no plan, or one that was changed after it was made."""
+
+
+class MovedError(Exception):
+    """The live state is not the one that a plan was made against."""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One object that is added, removed or altered. `fields` has old and new values by name.
+
+    Of an object that is added all old values are None, of one that is removed all new ones.
+    """
+
+    kind: str
+    name: str
+    action: Action
+    fields: Mapping[str, tuple[Any, Any]]
+
+    def as_json(self) -> dict[str, Any]:
+        fields = {name: list(pair) for name, pair in self.fields.items()}
+        return {"kind": self.kind, "name": self.name, "action": self.action, "fields": fields}
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Changes, and the gateway and state that they are for."""
+
+    gateway: str
+    serial: int
+    base: str  # digest of the state that it was made against
+    result: str  # digest of the state that it leads to
+    changes: tuple[Change, ...]
+
+    def dump(self) -> str:
+        """As a text of its own, with a digest of itself."""
+        body = self.body()
+        return json.dumps({**body, "digest": digest(body)}, indent=1) + "\n"
+
+    def body(self) -> dict[str, Any]:
+        return {
+            "format": FORMAT, "gateway": self.gateway, "serial": self.serial, "base": self.base,
+            "result": self.result, "changes": [change.as_json() for change in self.changes],
+        }  # fmt: skip
+
+
+def diff(old: State, new: State) -> tuple[Change, ...]:
+    """What to add, remove and alter, by kind and name."""
+    changes = []
+    for kind in KINDS:
+        before, after = old[kind], new[kind]
+        for name in sorted(before.keys() | after.keys()):
+            change = _change(kind, name, before.get(name), after.get(name))
+            if change is not None:
+                changes.append(change)
+    return tuple(changes)
+
+
+def _change(kind: str, name: str, old: Object | None, new: Object | None) -> Change | None:
+    if old is None and new is not None:
+        return Change(kind, name, "add", {f: (None, v) for f, v in new.items()})
+    if new is None and old is not None:
+        return Change(kind, name, "remove", {f: (v, None) for f, v in old.items()})
+    assert old is not None
+    assert new is not None
+    fields = {
+        f: (old.get(f), new.get(f))
+        for f in sorted(old.keys() | new.keys())
+        if old.get(f) != new.get(f) or (f in old) != (f in new)
+    }
+    return Change(kind, name, "alter", fields) if fields else None
+
+
+def make_plan(gateway: str, serial: int, old: State, new: State) -> Plan:
+    """The plan from the live state to another."""
+    return Plan(gateway, serial, digest(old), digest(new), diff(old, new))
+
+
+def load_plan(text: str | bytes) -> Plan:
+    """Read a plan; raises PlanError with what to do about it."""
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        raise PlanError("not a plan, or cut short: make it anew with `sailhitch plan`") from None
+    if not isinstance(value, dict) or "format" not in value:
+        raise PlanError("not a plan: make one with `sailhitch plan FILE -o PLAN`")
+    if value["format"] != FORMAT:
+        raise PlanError(
+            f"format {str(value['format'])[:20]} is not {FORMAT}, the one that this program "
+            "writes: make the plan anew with this version"
+        )
+    said = value.pop("digest", None)
+    try:
+        right = digest(value)
+    except ValueError:
+        raise PlanError("it holds numbers that no plan holds: make it anew") from None
+    if said != right:
+        raise PlanError("it was changed after it was made: make it anew and apply it as it is")
+    return _read(value)
+
+
+def _read(value: Mapping[str, Any]) -> Plan:
+    try:
+        changes = tuple(_read_change(one) for one in value["changes"])
+        plan = Plan(
+            str(value["gateway"]), int(value["serial"]), str(value["base"]), str(value["result"]),
+            changes,
+        )  # fmt: skip
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise PlanError(f"not a plan: {error!r:.100}") from None
+    return plan
+
+
+def _read_change(value: Mapping[str, Any]) -> Change:
+    action = value["action"]
+    if value["kind"] not in KINDS or action not in ("add", "remove", "alter"):
+        raise ValueError(f"{value['kind']}: {action}")
+    fields = {str(name): (old, new) for name, (old, new) in value["fields"].items()}
+    return Change(value["kind"], str(value["name"]), action, fields)
+
+
+def apply_changes(state: State, changes: Sequence[Change]) -> State:
+    """The state that changes lead to; raises PlanError where one does not fit."""
+    made = {kind: dict(objects) for kind, objects in state.items()}
+    for change in changes:
+        objects = made[change.kind]
+        here = f"{change.kind} {change.name}"
+        old = objects.get(change.name)
+        if (old is None) != (change.action == "add"):
+            raise PlanError(f"{here}: {'is not there' if old is None else 'is there already'}")
+        if change.action == "remove":
+            del objects[change.name]
+            continue
+        values = dict(old or {})
+        for field, (before, after) in change.fields.items():
+            if change.action == "alter" and values.get(field) != before:
+                raise PlanError(f"{here}.{field}: is {values.get(field)!r}, not {before!r}")
+            values[field] = after
+        objects[change.name] = values
+    return made
+
+
+def check_base(plan: Plan, gateway: str, serial: int, state: State) -> State:
+    """The state that a plan leads to from the live one; raises PlanError or MovedError."""
+    if plan.gateway != gateway:
+        raise PlanError(f"it was made for gateway {plan.gateway!r}, and this is {gateway!r}")
+    if plan.serial != serial or plan.base != digest(state):
+        raise MovedError(f"made against serial {plan.serial}, and the live state is {serial}")
+    made = apply_changes(state, plan.changes)
+    if digest(made) != plan.result:
+        raise PlanError("its changes do not lead where it says: make it anew")
+    return made
+
+
+# --- For people
+
+
+def describe(changes: Sequence[Change]) -> list[str]:
+    """Lines for each change, `+` added, `-` removed, `~` altered, with old and new values."""
+    marks = {"add": "+", "remove": "-", "alter": "~"}
+    lines = []
+    for change in changes:
+        lines.append(f"{marks[change.action]} {change.kind} {change.name}")
+        for field, (old, new) in change.fields.items():
+            if change.action == "alter":
+                lines.append(f"    {field}: {_short(old)} -> {_short(new)}")
+            else:
+                lines.append(f"    {field}: {_short(new if change.action == 'add' else old)}")
+    return lines
+
+
+def summary(changes: Sequence[Change]) -> str:
+    """One line: how many of each."""
+    count = {"add": 0, "remove": 0, "alter": 0}
+    for change in changes:
+        count[change.action] += 1
+    return f"{count['add']} to add, {count['remove']} to remove, {count['alter']} to alter"
+
+
+def _short(value: Any) -> str:
+    text = json.dumps(value, sort_keys=True)
+    return text if len(text) <= 100 else text[:97] + "..."
--- /dev/null
+++ b/sailhitch/daemon/state.py
@@ -0,0 +1,64 @@
+"""What is wanted of a gateway, in one plain form that can be compared, stored and digested.
+
+A state is a mapping of kinds ("pools", "nodes", ...) to objects by name, each a mapping of fields
+to plain values as JSON has them. Nodes are called `pool/id`. Order in the file means nothing.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Mapping
+from typing import Any, Final
+
+from .schema import FileError, OperatorFile, parse_value
+
+KINDS: Final = ("listeners", "classes", "tenants", "pools", "nodes", "routes")
+Object = Mapping[str, Any]
+State = Mapping[str, Mapping[str, Object]]
+
+EMPTY: Final[State] = {kind: {} for kind in KINDS}
+
+
+def from_file(made: OperatorFile) -> State:
+    """The state that a checked file asks for; what is fixed for the process is not in it."""
+    value = made.model_dump(mode="json", by_alias=True)
+    state: dict[str, dict[str, dict[str, Any]]] = {kind: {} for kind in KINDS}
+    for kind in ("listeners", "classes", "tenants", "routes"):
+        for part in value[kind]:
+            state[kind][part.pop("name")] = part
+    for pool in value["pools"]:
+        name = pool.pop("name")
+        for node in pool.pop("nodes"):
+            state["nodes"][f"{name}/{node.pop('id')}"] = node
+        state["pools"][name] = pool
+    return state
+
+
+def to_file(state: State, gateway: Mapping[str, Any]) -> OperatorFile:
+    """The checked file that asks for a state, with this gateway part. Raises FileError.
+
+    A plan that has been edited, or a state from disk, is held to the same rules as a file.
+    """
+    value: dict[str, Any] = {"version": 1, "gateway": dict(gateway)}
+    for kind in ("listeners", "classes", "tenants", "pools", "routes"):
+        value[kind] = [{"name": name, **part} for name, part in state[kind].items()]
+    nodes: dict[str, list[dict[str, Any]]] = {pool["name"]: [] for pool in value["pools"]}
+    for name, node in state["nodes"].items():
+        pool, _, node_id = name.partition("/")
+        if pool not in nodes:
+            raise FileError([f"nodes: {name!r}: no pool is called {pool!r}"])
+        nodes[pool].append({"id": node_id, **node})
+    for pool in value["pools"]:
+        pool["nodes"] = nodes[pool["name"]]
+    return parse_value(value)
+
+
+def canonical(value: Any) -> bytes:
+    """One text for one value: sorted keys, no blanks, no NaN."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False).encode()
+
+
+def digest(value: Any) -> str:
+    """SHA-256 of the canonical text, in hex."""
+    return hashlib.sha256(canonical(value)).hexdigest()
--- /dev/null
+++ b/tests/test_operator_file.py
@@ -0,0 +1,157 @@
+"""The operator file: what it takes, and what it says of what it does not take."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings
+
+from sailhitch.daemon.schema import (
+    FileError,
+    load_file,
+    parse_text,
+    parse_value,
+    say_duration,
+)
+from sailhitch.daemon.state import canonical, digest, from_file, to_file
+from tests.operator_files import FILE, values
+
+
+def problems(text: str) -> list[str]:
+    with pytest.raises(FileError) as caught:
+        parse_text(text)
+    return caught.value.problems
+
+
+def changed(old: str, new: str) -> list[str]:
+    assert old in FILE
+    return problems(FILE.replace(old, new, 1))
+
+
+def test_a_whole_file_is_read() -> None:
+    made = parse_text(FILE)
+    assert made.classes[1].aim == 2_500_000
+    assert made.pools[0].nodes[0].zone == "abuja-1"
+    assert made.routes[0].match.methods == ["POST"]
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ('name = "g1"', 'nmae = "g1"', "gateway.nmae: unknown key (did you mean 'name'?)"),
+        ("worth = 3.0", "wroth = 3.0", "classes[1].wroth: unknown key (did you mean 'worth'?)"),
+        ("path_prefix", "path_prefx", "routes[0].match.path_prefx: unknown key"),
+        ("weight = 1.0", "weight = 0", "pools[0].nodes[0].weight:"),
+        ("weight = 1.0", "weight = -1.0", "pools[0].nodes[0].weight:"),
+        ("weight = 1.0", "weight = nan", "pools[0].nodes[0].weight:"),
+        ("weight = 1.0", "weight = inf", "pools[0].nodes[0].weight:"),
+        ("weight = 1.0", 'weight = "1"', "pools[0].nodes[0].weight:"),
+        ('"2.5s"', '"2.5"', "classes[1].aim: not a duration"),
+        ('"2.5s"', "2500", "classes[1].aim: not a duration"),
+        ('"2.5s"', '"0s"', "classes[1].aim: not above 0"),
+        ('"2.5s"', '"9s"', "classes[1].aim: longer than the deadline"),
+        ('"unsafe"', '"unsfae"', "classes[1].effect:"),
+        ('"n2"', '"n1"', "pools[0].nodes[1].id: 'n1' is that of pools[0].nodes[0] too"),
+        ('"m1"', '"n1"', "pools[1].nodes[0].id: 'n1' is that of pools[0].nodes[0] too"),
+        (":9011", ":9002", "pools[1].nodes[0].address: '127.0.0.1:9002' is that of"),
+        (":9011", ":99011", "pools[1].nodes[0].address: not an address"),
+        ('"next"', '"claims"', "pools[1].name: 'claims' is that of pools[0] too"),
+        ("next = 0.05", "nxet = 0.05", "routes[0].pools: no pool is called 'nxet' (did you mean"),
+        ('class = "page"', 'class = "pgae"', "routes[1].class: no class is called 'pgae'"),
+        ("claims = 1.0", "claims = 0.0", "routes[1].pools: no pool has a weight above 0"),
+        ('"/payouts"', '"payouts"', "routes[0].match.path_prefix: not a path"),
+        ('"/payouts"', '"/a/../b"', "routes[0].match.path_prefix: a path with"),
+        ('["POST"]', '["post"]', "routes[0].match.methods[0]: not a method"),
+        ('address = "127.0.0.1:8080"', "", "listeners[0].address: required and missing"),
+        ("version = 1", "version = 7", "version: 7 is newer than this program knows"),
+        ("version = 1", 'version = "1"', "version:"),
+        ("version = 1", "", "version: required and missing"),
+    ],
+)
+def test_an_error_names_its_field(old: str, new: str, said: str) -> None:
+    found = changed(old, new)
+    assert any(line.startswith(said) for line in found), found
+
+
+def test_all_errors_come_at_once() -> None:
+    text = FILE.replace("weight = 1.0", "weight = nan").replace('"2.5s"', "1").replace("g1", "")
+    assert len(problems(text)) == 3
+    text = FILE.replace('"n2"', '"n1"').replace("next = 0.05", "nxet = 1.0")
+    assert len(problems(text)) == 2
+
+
+def test_two_routes_that_could_tie_are_named() -> None:
+    again = '[[routes]]\nname = "other"\nmatch = { path_prefix = "/payouts/", methods = ["PUT", '
+    again += '"POST"] }\nclass = "page"\npools = { claims = 1.0 }\n'
+    (said,) = problems(FILE + again)
+    assert said.startswith("routes[2].match: a request can match it and routes[0] ('payouts')")
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"a = [", "not TOML"),
+        (b"version = 1\n\xff = 2", "line 2: not UTF-8"),
+        (b"a = " + b"[" * 100_000, "not TOML"),
+        (b"", "version: required and missing"),
+    ],
+)
+def test_a_file_that_cannot_be_read_says_why(data: bytes, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "file.toml"
+    path.write_bytes(data)
+    with pytest.raises(FileError) as caught:
+        load_file(path)
+    assert str(path) in caught.value.problems[0]
+    assert any(said in line for line in caught.value.problems)
+
+
+def test_a_file_that_is_not_there_or_endless_is_refused(tmp_path: Path) -> None:
+    with pytest.raises(FileError, match="No such file"):
+        load_file(tmp_path / "none")
+    with pytest.raises(FileError, match="larger than"):
+        load_file("/dev/zero")
+
+
+@settings(max_examples=60, deadline=None)
+@given(values())
+def test_a_state_says_all_that_the_file_says(value: dict[str, object]) -> None:
+    made = parse_value(value)
+    state = from_file(made)
+    again = to_file(state, {"name": "g1"})
+    assert from_file(again) == state
+    assert digest(from_file(again)) == digest(state)
+
+
+def test_the_order_of_a_file_means_nothing() -> None:
+    made = parse_text(FILE)
+    value = made.model_dump(mode="json", by_alias=True)
+    for kind in ("classes", "pools", "routes"):
+        value[kind].reverse()
+    assert digest(from_file(parse_value(value))) == digest(from_file(made))
+
+
+def test_a_state_from_disk_is_held_to_the_files_rules() -> None:
+    made = parse_text(FILE)
+    state = {kind: dict(objects) for kind, objects in from_file(made).items()}
+    state["nodes"]["nowhere/n9"] = dict(state["nodes"]["claims/n1"])
+    with pytest.raises(FileError, match="no pool is called 'nowhere'"):
+        to_file(state, {"name": "g1"})
+    del state["nodes"]["nowhere/n9"]
+    state["classes"] = {}
+    with pytest.raises(FileError, match="no class is called"):
+        to_file(state, {"name": "g1"})
+
+
+@pytest.mark.parametrize(
+    ("time", "said"),
+    [(2_000_000, "2s"), (2_500_000, "2500ms"), (1500, "1500us"), (60_000_000, "60s")],
+)
+def test_a_duration_is_said_as_the_file_would(time: int, said: str) -> None:
+    assert say_duration(time) == said
+
+
+def test_one_value_has_one_text() -> None:
+    assert canonical({"b": 1, "a": [1.0, None]}) == b'{"a":[1.0,null],"b":1}'
+    with pytest.raises(ValueError, match=r"not JSON compliant|Out of range"):
+        canonical(float("nan"))
--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,136 @@
+"""Plans: the difference of two states, and what becomes of a plan that is not as it was made."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+
+from sailhitch.daemon.plan import (
+    MovedError,
+    Plan,
+    PlanError,
+    apply_changes,
+    check_base,
+    describe,
+    diff,
+    load_plan,
+    make_plan,
+    summary,
+)
+from sailhitch.daemon.schema import parse_text, parse_value
+from sailhitch.daemon.state import EMPTY, State, digest, from_file
+from tests.operator_files import FILE, values
+
+
+def state_of(value: dict[str, Any]) -> State:
+    return from_file(parse_value(value))
+
+
+A = from_file(parse_text(FILE))
+B = from_file(parse_text(FILE.replace("claims = 0.95, next = 0.05", "claims = 0.5, next = 0.5")))
+
+
+@settings(max_examples=150, deadline=None)
+@given(values(), values())
+def test_plans_lead_from_any_state_to_any_other_and_back(
+    one: dict[str, Any], other: dict[str, Any]
+) -> None:
+    a, b = state_of(one), state_of(other)
+    there = load_plan(make_plan("g1", 4, a, b).dump())
+    assert apply_changes(a, there.changes) == b
+    assert check_base(there, "g1", 4, a) == b
+    back = load_plan(make_plan("g1", 5, b, a).dump())
+    assert check_base(back, "g1", 5, b) == a
+    assert diff(a, a) == diff(b, b) == ()
+    assert (digest(a) == digest(b)) == (not there.changes)
+
+
+def test_a_plan_says_old_and_new_values() -> None:
+    lines = describe(diff(A, B))
+    assert lines == [
+        "~ routes payouts",
+        '    pools: {"claims": 0.95, "next": 0.05} -> {"claims": 0.5, "next": 0.5}',
+    ]
+    assert summary(diff(A, B)) == "0 to add, 0 to remove, 1 to alter"
+    added = describe(diff(EMPTY, A))
+    assert "+ nodes claims/n1" in added
+    assert '    address: "127.0.0.1:9001"' in added
+    assert "- nodes claims/n1" in describe(diff(A, EMPTY))
+
+
+def plan() -> dict[str, Any]:
+    return dict(json.loads(make_plan("g1", 7, A, B).dump()))
+
+
+def test_a_plan_edited_by_hand_is_refused() -> None:
+    value = plan()
+    value["changes"][0]["fields"]["pools"][1] = {"claims": 0.1, "next": 0.9}
+    with pytest.raises(PlanError, match="changed after it was made"):
+        load_plan(json.dumps(value))
+
+
+def test_a_plan_cut_short_is_refused_wherever_it_is_cut() -> None:
+    text = make_plan("g1", 7, A, B).dump()
+    for end in range(len(text) - 2):
+        with pytest.raises(PlanError):
+            load_plan(text[:end])
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("[]", "not a plan"),
+        ("{}", "not a plan"),
+        ('{"format": 2, "changes": []}', "format 2 is not 1"),
+        ('{"format": 1, "x": NaN}', "numbers that no plan holds"),
+        ("[" * 100_000, "not a plan"),
+    ],
+)
+def test_what_is_no_plan_is_refused_with_the_next_step(text: str, said: str) -> None:
+    with pytest.raises(PlanError, match=said):
+        load_plan(text)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"kind": "nonsense"}, {"action": "explode"}, {"fields": {"a": [1]}}, {"fields": 3}],
+)
+def test_a_plan_with_a_right_digest_and_wrong_changes_is_refused(change: dict[str, Any]) -> None:
+    value = plan()
+    value.pop("digest")
+    value["changes"][0] |= change
+    with pytest.raises(PlanError, match="not a plan"):
+        load_plan(json.dumps({**value, "digest": digest(value)}))
+
+
+def test_a_plan_for_another_gateway_is_refused() -> None:
+    with pytest.raises(PlanError, match="made for gateway 'g1', and this is 'g2'"):
+        check_base(load_plan(json.dumps(plan())), "g2", 7, A)
+
+
+def test_a_plan_is_refused_once_the_state_has_moved() -> None:
+    made = load_plan(json.dumps(plan()))
+    with pytest.raises(MovedError, match="serial 7, and the live state is 8"):
+        check_base(made, "g1", 8, A)
+    with pytest.raises(MovedError):
+        check_base(made, "g1", 7, B)
+
+
+def test_changes_that_do_not_fit_are_named() -> None:
+    changes = diff(A, B)
+    with pytest.raises(PlanError, match="routes payouts: is not there"):
+        apply_changes(EMPTY, changes)
+    with pytest.raises(PlanError, match=r"routes payouts\.pools: is "):
+        apply_changes(B, changes)
+    with pytest.raises(PlanError, match="listeners web: is there already"):
+        apply_changes(A, diff(EMPTY, A))
+
+
+def test_a_plan_that_does_not_lead_where_it_says_is_refused() -> None:
+    made = make_plan("g1", 7, A, B)
+    lying = Plan(made.gateway, made.serial, made.base, digest(A), made.changes)
+    with pytest.raises(PlanError, match="do not lead where it says"):
+        check_base(lying, "g1", 7, A)
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,221 @@
+"""Which route a request takes, against a search through all of them, and splits that keep keys."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sailhitch.daemon.routes import (
+    Asked,
+    Match,
+    PathError,
+    Route,
+    Routes,
+    Sticky,
+    bare_host,
+    choose_pool,
+    normal_path,
+    tied,
+)
+
+
+def route(name: str, **match: Any) -> Route:
+    return Route(name, Match(**match), "page", (("p", 1.0),))
+
+
+def found(routes: Routes, method: str, path: str, **more: Any) -> str | None:
+    one = routes.find(Asked(method, path, **more))
+    return None if one is None else one.name
+
+
+TABLE = Routes(
+    [
+        route("rest"),
+        route("claims", path_prefix="/claims"),
+        route("posts", path_prefix="/claims", methods=frozenset({"POST"})),
+        route("deep", path_prefix="/claims/new/"),
+        route("wide", path_prefix="/", host="*.example.org"),
+        route("exact", path_prefix="/", host="a.example.org"),
+        route("kano", path_prefix="/claims", tenant="kano"),
+        route("class", path_prefix="/claims", cls="bulk"),
+        route("beta", path_prefix="/claims", header=(("x-beta", "1"),)),
+    ]
+)
+
+
+@pytest.mark.parametrize(
+    ("asked", "name"),
+    [
+        (Asked("GET", "/"), "rest"),
+        (Asked("GET", "/claimsx"), "rest"),
+        (Asked("GET", "/claims"), "claims"),
+        (Asked("GET", "/claims/"), "claims"),
+        (Asked("GET", "/claims/7"), "claims"),
+        (Asked("POST", "/claims/7"), "posts"),
+        (Asked("POST", "/claims/new/1"), "deep"),
+        (Asked("GET", "/claims", "a.example.org"), "exact"),
+        (Asked("GET", "/claims", "b.example.org"), "wide"),
+        (Asked("GET", "/claims", "x.b.example.org"), "wide"),
+        (Asked("GET", "/claims", "example.org"), "claims"),
+        (Asked("POST", "/claims", tenant="kano"), "kano"),
+        (Asked("POST", "/claims", tenant="kano", cls="bulk"), "kano"),
+        (Asked("POST", "/claims", tenant="other", cls="bulk"), "class"),
+        (Asked("POST", "/claims", header={"x-beta": "1"}), "beta"),
+        (Asked("POST", "/claims", header={"x-beta": "2"}), "posts"),
+    ],
+)
+def test_the_most_specific_route_wins(asked: Asked, name: str) -> None:
+    one = TABLE.find(asked)
+    assert one is not None
+    assert one.name == name
+
+
+def test_nothing_matches_where_nothing_is_for_it() -> None:
+    assert found(Routes([]), "GET", "/") is None
+    assert found(Routes([route("a", path_prefix="/a")]), "GET", "/b") is None
+
+
+matches = st.builds(
+    Match,
+    path_prefix=st.sampled_from(["/", "/a", "/a/b", "/a/b/", "/c"]),
+    host=st.sampled_from([None, "*.x.org", "h.x.org", "*.org"]),
+    methods=st.sampled_from([frozenset(), frozenset({"GET"}), frozenset({"GET", "POST"})]),
+    header=st.sampled_from([(), (("n", "1"),), (("n", "2"),), (("m", "1"), ("n", "1"))]),
+    cls=st.sampled_from([None, "c"]),
+    tenant=st.sampled_from([None, "t", "u"]),
+)
+requests = st.builds(
+    Asked,
+    method=st.sampled_from(["GET", "POST", "PUT"]),
+    path=st.sampled_from(["/", "/a", "/a/b", "/a/b/c", "/ab", "/c/"]),
+    host=st.sampled_from(["", "h.x.org", "g.x.org", "y.org"]),
+    header=st.sampled_from([{}, {"n": "1"}, {"n": "1", "m": "1"}, {"n": "2"}]),
+    cls=st.sampled_from([None, "c", "d"]),
+    tenant=st.sampled_from([None, "t", "u"]),
+)
+
+
+def slow_fits(match: Match, asked: Asked) -> bool:
+    prefix = match.path_prefix.rstrip("/")
+    host = match.host
+    return (
+        (asked.path.rstrip("/") + "/").startswith(prefix + "/")
+        and (
+            host is None or host == asked.host or (host[0] == "*" and asked.host.endswith(host[1:]))
+        )
+        and (not match.methods or asked.method in match.methods)
+        and match.cls in (None, asked.cls)
+        and match.tenant in (None, asked.tenant)
+        and all(asked.header.get(n) == v for n, v in match.header)
+    )
+
+
+def _under(pattern: str, host: str) -> bool:
+    return pattern[0] == "*" and host.endswith(pattern[1:])
+
+
+def slow_order(match: Match) -> tuple[Any, ...]:
+    host = match.host or ""
+    return (
+        0 if not host else 2 if host[0] != "*" else 1, len(host),
+        len(match.path_prefix.rstrip("/")),
+        match.tenant is not None, match.cls is not None, len(match.header), bool(match.methods),
+    )  # fmt: skip
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(matches, max_size=8), st.lists(requests, min_size=1, max_size=10))
+def test_the_lookup_finds_what_a_search_finds_and_ties_are_all_told(
+    some: list[Match], asked: list[Asked]
+) -> None:
+    routes = [Route(str(i), match, "c", (("p", 1.0),)) for i, match in enumerate(some)]
+    pairs = {(a.name, b.name) for a, b in tied(routes)}
+    table = Routes(routes)
+    for one in asked:
+        fit = [r for r in routes if slow_fits(r.match, one)]
+        best = max((slow_order(r.match) for r in fit), default=None)
+        winners = [r.name for r in fit if slow_order(r.match) == best]
+        for i, name in enumerate(winners):
+            assert all((name, other) in pairs for other in winners[i + 1 :])
+        if len(winners) <= 1:
+            got = table.find(one)
+            assert [got.name] if got else winners == []
+
+
+@pytest.mark.parametrize(
+    ("target", "path"),
+    [
+        (b"/a/b?c=/../d", "/a/b"),
+        (b"/%61/%7Eb", "/a/~b"),
+        (b"/a%20b", "/a%20b"),
+        (b"/a%e9", "/a%E9"),
+        (b"*", "/"),
+        (b"http://host/a/b?c", "/a/b"),
+        (b"http://host", "/"),
+    ],
+)
+def test_a_path_is_read_in_one_way(target: bytes, path: str) -> None:
+    assert normal_path(target) == path
+
+
+@pytest.mark.parametrize(
+    "target",
+    [b"/a/../b", b"/./a", b"/a/%2e%2E/b", b"/a%2fb", b"/a%5Cb", b"/a%00", b"/a%", b"/a%4", b"/a%zz",
+     b"a/b", b"mailto:x"],
+)  # fmt: skip
+def test_a_path_that_two_readers_could_take_differently_is_refused(target: bytes) -> None:
+    with pytest.raises(PathError):
+        normal_path(target)
+
+
+def test_a_host_is_compared_without_its_port_and_case() -> None:
+    assert bare_host("A.Example.Org:8080") == "a.example.org"
+    assert bare_host("[::1]:80") == "[::1]"
+    assert bare_host("a.org.") == "a.org"
+
+
+KEYS = [str(i).encode() for i in range(4000)]
+
+
+def test_a_split_is_by_weight_and_stable_by_key() -> None:
+    few = [("claims", 0.95), ("next", 0.05)]
+    chosen = [choose_pool(few, key) for key in KEYS]
+    assert chosen == [choose_pool(list(reversed(few)), key) for key in KEYS]
+    assert 0.03 < chosen.count("next") / len(KEYS) < 0.07
+
+
+def test_a_split_that_changes_moves_no_key_that_need_not_move() -> None:
+    old = [("a", 0.6), ("b", 0.3), ("c", 0.1)]
+    new = [("a", 0.3), ("b", 0.3), ("c", 0.4)]
+    moved = [
+        (choose_pool(old, key), choose_pool(new, key))
+        for key in KEYS
+        if choose_pool(old, key) != choose_pool(new, key)
+    ]
+    assert {before for before, _ in moved} <= {"a", "b"}
+    assert {after for _, after in moved} <= {"b", "c"}
+    assert len(moved) < 0.4 * len(KEYS)
+    same = [("a", 6.0), ("b", 3.0), ("c", 1.0)]
+    assert all(choose_pool(old, key) == choose_pool(same, key) for key in KEYS)
+
+
+def test_a_pool_without_weight_gets_nothing() -> None:
+    assert {choose_pool([("a", 0.0), ("b", 1.0)], key) for key in KEYS} == {"b"}
+    with pytest.raises(ValueError, match="no pool"):
+        choose_pool([("a", 0.0)], b"k")
+
+
+def test_a_key_stays_with_its_pool_for_its_window_and_memory_is_bounded() -> None:
+    sticky = Sticky(most=10)
+    sticky.note(b"k", "claims", 0, 100)
+    assert sticky.get(b"k", 99) == "claims"
+    assert sticky.get(b"k", 100) is None
+    for i in range(50):
+        sticky.note(str(i).encode(), "p", 0, 1000)
+    assert len(sticky) == 10
+    assert sticky.get(b"49", 1) == "p"
+    sticky.note(b"late", "p", 5000, 6000)
+    assert len(sticky) == 1
