Let answers carry their status, and let a pool be retired

Ordinary HTTP services answer 201, 301, 404 and 500, and these are answers; the platform's hosts answer 200 or not at all. And a pool that is taken out of use must not keep what it holds till its time is up.

- `Answer` has a status; where a pool says so (`Reach.any_status`), what is below 500 is served, and a host's own 5xx goes to the client if nothing better comes, but for 503, which would promise what only the gateway knows.
HEAD gets the head alone; 204 and 304 say nothing of a length.
- `Gateway.retire`: what is held is refused at once and nothing is held any more; what is out goes on to its end.
- A listener is bound before it takes anybody in, and can be retired.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -232,6 +232,7 @@
                 del self.names[exchange.name]
             self.release_body(exchange)
             exchange.head = b""
+            exchange.fallback = None
             exchange.wake = 0
 
     def release_body(self, exchange: Exchange) -> None:
@@ -256,9 +257,13 @@
     def answer_failed(self, exchange: Exchange) -> None:
         """Failed, which promises nothing."""
         self.counters.failed += 1
-        late = self.clock() >= exchange.deadline
+        late, fallback = self.clock() >= exchange.deadline, exchange.fallback
         client = self._conclude(exchange)
-        if client is not None:
+        if client is None:
+            return
+        if fallback is not None:
+            client.serve(exchange, fallback)
+        else:
             client.fail(exchange, late)
 
     # --- Descriptors
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .seams import Carrier, Client, Pending
+from .terms import Answer
 
 if TYPE_CHECKING:
     from .pool import Pool
@@ -14,9 +15,9 @@
     """One client's request, from its last byte to its one answer and its last attempt's outcome."""
 
     __slots__ = (
-        "attempts", "body", "client", "closed", "cls", "deadline", "head", "id", "keep", "key",
-        "name", "old_http", "out", "pool", "repeat", "reserved", "tenant", "wait_ms", "wake",
-        "work",
+        "attempts", "bare", "body", "client", "closed", "cls", "deadline", "fallback", "head", "id",
+        "keep", "key", "name", "old_http", "out", "pool", "repeat", "reserved", "tenant",
+        "wait_ms", "wake", "work",
     )  # fmt: skip
 
     def __init__(self, client: Client) -> None:
@@ -31,6 +32,8 @@
         self.key: int | None = None
         self.repeat = False
         self.keep = True
+        self.bare = False  # only the head of its answer goes out (HEAD)
+        self.fallback: Answer | None = None  # a host's own word of failure, if nothing better comes
         self.old_http = False  # HTTP/1.0: closed unless asked otherwise
         self.deadline = self.wake = 0
         self.attempts = 0
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -14,6 +14,7 @@
     CANCELLED,
     CHANGES,
     CONNECT_FAILED,
+    ERROR,
     FAILED,
     FULL,
     GONE,
@@ -100,6 +101,11 @@
         """The process has been held up."""
         self._tell(None, lambda: self.module.stalled(now))
 
+    def retire(self) -> None:
+        """The pool is to go: what it holds is answered, and what is out goes on to its end."""
+        now = self.core.clock()
+        self._tell(None, lambda: self.module.retire(now))
+
     def reconfigure(self, settings: Settings, reach: Reach) -> None:
         """Go by other settings; requests taken go on under their class's old ones."""
         self.reach = reach
@@ -185,8 +191,13 @@
         core = self.core
         now = core.clock()
         latency = now - attempt.sent
-        if not exchange.closed and status == OK:
-            core.answer_served(exchange, answer)
+        if not exchange.closed:
+            if status == OK:
+                core.answer_served(exchange, answer)
+            elif status == ERROR and answer is not None and self.reach.any_status:
+                # Danger: passed on as it is, a host's 503 would say what this gateway's own says,
+                # that a repeat is harmless.
+                exchange.fallback = answer if answer.status != 503 else None
         self._count(attempt.server, status)
         closed = exchange.closed
         self._tell(
--- a/sailhitch/core/terms.py
+++ b/sailhitch/core/terms.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from ..front import Sizes
 from ..interface import Listed
@@ -13,7 +13,14 @@
 
 Address = tuple[str, int]
 Field = tuple[bytes, bytes, bytes]  # a field's name in lower case, as it came, and its value
-Answer = tuple[list[Field], "bytes | bytearray"]
+
+
+class Answer(NamedTuple):
+    """A host's whole answer."""
+
+    status: int
+    fields: list[Field]
+    body: bytes | bytearray
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,3 +63,5 @@
 
     connect_timeout: int
     idle_life: int  # a connection that has stood idle for so long is not used again
+    # Whether answers other than 200 are answers too. Where not, they count as the host's failure.
+    any_status: bool = False
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -10,6 +10,7 @@
 import errno
 import socket
 from collections import deque
+from http import HTTPStatus
 from typing import Final, cast
 
 import httptools
@@ -20,10 +21,11 @@
 from ..core.terms import Address, Answer, Field
 from ..front import Place, Reason, State, Verdict
 from .http import HOP, MAX_HEAD
-from .intake import OWN, READ, SINGLE, Intake, RejectError
+from .intake import READ, SINGLE, Intake, RejectError
 
 REASONS: Final = {
     400: b"400 Bad Request",
+    404: b"404 Not Found",
     408: b"408 Request Timeout",
     409: b"409 Conflict",
     413: b"413 Content Too Large",
@@ -32,6 +34,7 @@
     503: b"503 Service Unavailable",
     504: b"504 Gateway Timeout",
 }
+BODILESS: Final = (b"204", b"304")  # these say nothing of a length (RFC 9110, 8.6)
 ACCEPTS: Final = 64  # connections taken in before others get their turn
 ACCEPT_REST: Final = 0.05  # s
 SEND_BUFFER: Final = 256 * 1024  # bytes of an answer on their way, of which the system keeps count
@@ -354,15 +357,17 @@
                 raise RejectError(413, "body too large")
 
     def _build_head(self, exchange: Exchange, named: set[bytes]) -> None:
-        lines = [self.method + b" " + self.url + b" HTTP/1.1"]
+        method = b"GET" if exchange.bare else self.method
+        own = self.listener.intake.own
+        lines = [method + b" " + self.url + b" HTTP/1.1"]
         lines += [
             name + b": " + value
             for low, name, value in self.fields
-            if low not in OWN and (low not in named or low in READ)
+            if low not in own and (low not in named or low in READ)
         ]
-        if self.content_length is not None and self.method == b"POST":
+        if self.content_length is not None and method != b"GET":
             lines.append(b"Content-Length: %d" % self.content_length)
-        lines.append(b"")
+        lines.append(exchange.head)  # what the intake has to add, or nothing
         exchange.head = b"\r\n".join(lines)
 
     def _expect(self, value: bytes) -> None:
@@ -415,7 +420,10 @@
         self.core.door.taken(self.place, self.core.clock(), tenant)
         if pool is None:
             self.exchange = exchange
-            self._health(exchange)
+            if exchange.fallback is not None:
+                self.serve(exchange, exchange.fallback)
+            else:
+                self._health(exchange)
         elif exchange.name in self.core.names:
             # Guards against an id used twice at a time: hosts and clients could no longer tell the
             # two apart, and one client might be given the other's answer.
@@ -480,12 +488,14 @@
         parts = b"HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
             status, fields, self._connection(exchange, close), len(body),
         )  # fmt: skip
-        transport.write(parts + body)
+        if status[:3] in BODILESS:
+            parts = parts.replace(b"Content-Length: 0\r\n\r\n", b"\r\n")
+        transport.write(parts if exchange.bare else parts + body)
         self._owe(transport.get_write_buffer_size())
         self._after(close)
 
     def _closes(self, exchange: Exchange) -> bool:
-        return not exchange.keep or self.core.hanging_up
+        return not exchange.keep or self.core.hanging_up or self.listener.retired
 
     def _connection(self, exchange: Exchange, close: bool) -> bytes:
         if close:
@@ -510,8 +520,9 @@
 
     def serve(self, exchange: Exchange, answer: Answer) -> None:
         """A host's whole answer."""
-        fields, body = answer
-        self._answer(exchange, b"200 OK", _pass_on(fields), body)
+        status, fields, body = answer
+        line = b"200 OK" if status == 200 else _status_line(status)
+        self._answer(exchange, line, _pass_on(fields), body)
 
     def refuse(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away; `retry_after` in microseconds, 0 for no advice."""
@@ -531,6 +542,13 @@
     return b"Retry-After: %.3f\r\n" % (time / 1e6) if time > 0 else b""
 
 
+def _status_line(status: int) -> bytes:
+    try:
+        return b"%d %s" % (status, HTTPStatus(status).phrase.encode())
+    except ValueError:
+        return b"%d Other" % status
+
+
 def refusal(status: int, retry_after: int = 0) -> bytes:
     """An answer that ends its connection; `retry_after` in microseconds, 0 for no advice."""
     return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n" % (
@@ -576,7 +594,11 @@
         except OSError:
             self.sock.close()
             raise
-        core.loop.add_reader(self.sock, self._accept)
+        self.retired = False
+
+    def start(self) -> None:
+        """Take in whoever waits."""
+        self.core.loop.add_reader(self.sock, self._accept)
 
     def _accept(self, most: int = ACCEPTS) -> None:
         core = self.core
@@ -647,6 +669,18 @@
         finally:
             core.arriving -= 1
 
+    def retire(self) -> None:
+        """Stop for good: what has been taken is finished, and its connections end with it."""
+        self.close()
+        self.retired = True
+        for client in list(self.core.clients):
+            if isinstance(client, Downstream) and client.listener is self and client.is_idle():
+                client.close_idle(Reason.ANSWERED)
+
+    def discard(self) -> None:
+        """Let go of the address, with nobody taken in."""
+        self.sock.close()
+
     def close(self) -> None:
         """Stop listening; whoever has connected by now is let in."""
         self._accept(self.backlog)
--- a/sailhitch/net/intake.py
+++ b/sailhitch/net/intake.py
@@ -50,9 +50,12 @@
 class Intake(Protocol):
     """Reads what a request means."""
 
+    own: frozenset[bytes]  # fields that do not go on to hosts as they came
+
     def read(self, head: Head, found: dict[bytes, bytes], exchange: Exchange) -> bool:
         """Fill in the exchange; False for a question to the gateway itself, which no host gets.
 
+        Its answer is the exchange's `fallback`, or that of the health check where there is none.
         `found` has the last value of each field in `READ`. Raises RejectError.
         """
 
@@ -60,6 +63,8 @@
 class PlatformIntake:
     """Reads the platform's own fields (PROTOCOL): every request must bring them."""
 
+    own = OWN
+
     def __init__(self, pool: Pool, settings: Settings, wire: Wire) -> None:
         self.pool, self.settings, self.wire = pool, settings, wire
 
--- a/sailhitch/net/platform.py
+++ b/sailhitch/net/platform.py
@@ -33,7 +33,9 @@
 
     def listen(self, address: Address, backlog: int) -> Listener:
         """Take clients in; raises OSError."""
-        return Listener(self.core, self.intake, address, backlog)
+        listener = Listener(self.core, self.intake, address, backlog)
+        listener.start()
+        return listener
 
     def reconfigure(self, config: Config) -> None:
         """Go by a new configuration, with all that is open going on.
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -13,7 +13,7 @@
 from ..core.budget import MAX_ANSWER
 from ..core.exchange import Attempt
 from ..core.pool import Pool
-from ..core.terms import Address, Entry
+from ..core.terms import Address, Answer, Entry
 from ..interface import BUSY, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
 from .config import parse_load
 from .http import BODY, WHOLE, AnswerReader, MalformedError
@@ -146,7 +146,7 @@
         if not self.budget.take(len(data)):
             raise MalformedError("no room for the body")
         self.held += len(data)
-        if self.status != 200:
+        if self.status != 200 and not self.hosts.pool.reach.any_status:
             return
         if not self.body:
             self.body = data
@@ -184,6 +184,8 @@
         """What a whole answer means."""
         if self.declined:
             return BUSY
+        if self.hosts.pool.reach.any_status and self.status < 500 and self.unsent is None:
+            return OK
         if self.status != 200:
             self.hosts.pool.odd_status(self.host.id, self.status)
         if self.status != 200 or self.unsent is not None:
@@ -206,13 +208,14 @@
         self.attempt = attempt.conn = None
         if self.unsent is not None:
             self.keep, self.unsent = False, None
-        fields, body, load = self.fields, self.body, self.load
+        answer, load = Answer(self.status, self.fields, self.body), self.load
+        whole = self.phase == WHOLE
         self._clear()
         if self.keep and self.transport is not None and not self.transport.is_closing():
             self.hosts.give_back(self)
         else:
             self.close()
-        self.hosts.pool.ended(attempt, status, load, (fields, body))
+        self.hosts.pool.ended(attempt, status, load, answer if whole else None)
 
     def abandon(self) -> None:
         """Give up the attempt: its answer may still come, so the connection is never reused."""
--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -223,6 +223,7 @@
         self.backlog: list[tuple[int, int, Request]] = []
         self.held = 0
         self.drain_at = 0
+        self.retired = False
         self.waiting: list[tuple[int, int]] = []  # when a request has been silent for too long
         self.hedge_at = 0
         self.key_count: dict[int, int] = {}
@@ -281,6 +282,14 @@
         self._adopt(now, settings)
         self._regroup(now)
 
+    def retire(self, now: int) -> None:
+        """No server will come any more: what is held is given up at once, and nothing is held."""
+        self.retired = True
+        held, self.backlog, self.held = sorted(self.backlog), [], 0
+        for _, req, request in held:
+            if req in self.live:
+                self._finish(request, refuse=True)
+
     def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
         """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
         if mode == FAILED:
@@ -879,7 +888,7 @@
         return server.sent_seen > sent + self.class_r[request.at]
 
     def _hold(self, now: int, request: Request) -> None:
-        if now >= request.hold_until:
+        if now >= request.hold_until or self.retired:
             self._finish(request, refuse=True)
             return
         heapq.heappush(self.backlog, (request.hold_until, request.id, request))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -139,3 +139,25 @@
         world.request(req)
     world.run(500 * MS)
     assert len(world.port.sends()) < 100
+
+
+def test_a_module_that_retires_answers_what_it_holds_at_once_and_holds_nothing_more() -> None:
+    world = World()
+    world.request(7, SAFE)
+    world.request(8, KEYED_ALL)
+    assert world.port.ends(7) == world.port.ends(8) == []
+    world.gateway.retire(world.now)
+    assert world.port.ends(7) == world.port.ends(8) == ["refuse"]
+    world.request(9, SAFE)
+    assert world.port.ends(9) == ["refuse"]
+    world.run(6 * S)
+    assert all(len(world.port.ends(req)) == 1 for req in (7, 8, 9))
+
+
+def test_what_is_out_when_its_module_retires_goes_on_to_its_end() -> None:
+    world = World(server("a"))
+    world.request(7, UNSAFE)
+    world.gateway.retire(world.now)
+    assert world.port.ends(7) == []
+    world.outcome(7, 0, RESET)
+    assert world.port.ends(7) == ["fail"]
