--- /dev/null
+++ b/benchmarks/apply.py
@@ -0,0 +1,146 @@
+"""Plan and apply by the number of nodes, and what live requests feel of it.
+
+    python benchmarks/apply.py [--sizes 100 1000 10000] [--json]
+
+For each size: the time to read the file, to make a plan that alters a tenth of the nodes and to
+apply it, and the daemon's memory. Then p50 and p99 of live requests on five real nodes, with a
+hundred others that only stand in the list, while an apply runs every 100 ms, and with none
+running. Exit code 0.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import resource
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from sailhitch.daemon.plan import make_plan
+from sailhitch.daemon.schema import load_file
+from sailhitch.daemon.state import from_file
+from sailhitch.lab.load import Load
+from sailhitch.lab.node import Memory, Node
+from tests.daemons import Outside, file_text, file_value, free_port, part
+
+SECONDS = 8.0
+
+
+def listed(count: int, weight: float) -> list[dict[str, Any]]:
+    """Nodes that nobody is at; every tenth has this weight."""
+    return [
+        part(f"x{i}", f"127.{1 + i // 60_000}.{i // 250 % 250}.{1 + i % 250}:9000",
+             weight=weight if i % 10 == 0 else 1.0)
+        for i in range(count)
+    ]  # fmt: skip
+
+
+def memory_of(pid: int) -> float:
+    """Resident megabytes of a process."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * resource.getpagesize() / 1e6
+
+
+async def by_size(folder: Path, count: int) -> dict[str, float]:
+    port = free_port()
+    value = file_value([{"name": "p", "nodes": listed(count, 1.0)}], port, {"memory_mb": 512})
+    value["gateway"] |= {"state_dir": str(folder / "state"), "admin": str(folder / "g1.sock")}
+    daemon = Outside(folder, value)
+    other = folder / "other.toml"
+    other.write_text(file_text({**value, "pools": [{"name": "p", "nodes": listed(count, 2.0)}]}))
+    started = time.perf_counter()
+    await daemon.start()
+    assert daemon.program is not None
+    try:
+        up = time.perf_counter()
+        before = memory_of(daemon.program.pid)
+        wanted = from_file(load_file(other))
+        read = time.perf_counter()
+        live = await daemon.ask({"op": "state"})
+        asked = time.perf_counter()
+        plan = make_plan("g1", live["serial"], live["state"], wanted).dump()
+        planned = time.perf_counter()
+        answer = await daemon.ask({"op": "apply", "plan": plan})
+        done = time.perf_counter()
+        assert answer["ok"], answer
+        return {
+            "start_s": up - started, "read_s": read - up, "state_s": asked - read,
+            "plan_s": planned - asked, "apply_s": done - planned, "plan_kb": len(plan) / 1e3,
+            "memory_mb": before, "memory_after_mb": memory_of(daemon.program.pid),
+        }  # fmt: skip
+    finally:
+        await daemon.stop()
+
+
+async def live(folder: Path, applies: bool) -> dict[str, float]:
+    memory = Memory()
+    nodes = [Node(0.01, memory=memory, reports=True) for _ in range(5)]
+    for node in nodes:
+        await node.start()
+    port = free_port()
+
+    def value(weight: float) -> dict[str, Any]:
+        real = [part(f"n{i}", node.addr, weight=weight) for i, node in enumerate(nodes)]
+        # Another pool, so that requests never go to nodes that are not there.
+        pools = [{"name": "p", "nodes": real}, {"name": "q", "nodes": listed(100, weight)}]
+        found = file_value(pools, port)
+        found["gateway"] |= {"state_dir": str(folder / "state"), "admin": str(folder / "g1.sock")}
+        return found
+
+    daemon = Outside(folder, value(1.0))
+    await daemon.start()
+    count = 0
+    try:
+        async with Load(f"127.0.0.1:{port}", 16, pause=0.03) as load:
+            ends = time.monotonic() + SECONDS
+            while time.monotonic() < ends:
+                await asyncio.sleep(0.1)
+                if applies:
+                    plan = await daemon.plan(value(1.0 + count % 2))
+                    assert (await daemon.ask({"op": "apply", "plan": plan}))["ok"]
+                    count += 1
+            await load.finish()
+        return {
+            "p50_ms": load.quantile(0.5) * 1e3, "p99_ms": load.quantile(0.99) * 1e3,
+            "served": load.ends["served"], "asked": load.asked, "applies": count,
+        }  # fmt: skip
+    finally:
+        await daemon.stop()
+        for node in nodes:
+            node.stop()
+
+
+async def run(sizes: list[int]) -> dict[str, dict[str, float]]:
+    found: dict[str, dict[str, float]] = {}
+    for size in sizes:
+        with tempfile.TemporaryDirectory() as folder:
+            found[f"{size} nodes"] = await by_size(Path(folder), size)
+    for applies in (False, True):
+        with tempfile.TemporaryDirectory() as folder:
+            name = "live, applies every 100 ms" if applies else "live, none"
+            found[name] = await live(Path(folder), applies)
+    return found
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--sizes", type=int, nargs="*", default=[100, 1_000, 10_000])
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    found = asyncio.run(run(options.sizes))
+    if options.json:
+        print(json.dumps(found))
+        return 0
+    for name, values in found.items():
+        print(f"{name:28}", "  ".join(f"{k}={v:.3g}" for k, v in values.items()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/routes.py
@@ -0,0 +1,78 @@
+"""What a route lookup costs, by the number of routes.
+
+    python benchmarks/routes.py [--json]
+
+Three tables of each size: by path, by host, and by a header's value at one path. Prints
+microseconds a lookup, the time to build the table and to look for ties. Exit code 0.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from sailhitch.daemon.routes import Asked, Match, Route, Routes, tied
+
+SIZES = (10, 1_000, 10_000)
+LOOKUPS = 20_000
+
+
+def by_path(i: int) -> tuple[Match, Asked]:
+    return Match(path_prefix=f"/a/r{i}"), Asked("GET", f"/a/r{i}/claims/7", "h.example.org")
+
+
+def by_host(i: int) -> tuple[Match, Asked]:
+    return Match(host=f"h{i}.example.org"), Asked("GET", "/claims/7", f"h{i}.example.org")
+
+
+def by_header(i: int) -> tuple[Match, Asked]:
+    match = Match(path_prefix="/a", header=(("x-region", str(i)),))
+    return match, Asked("GET", "/a/claims/7", "h.example.org", {"x-region": str(i)})
+
+
+def measure(make: Callable[[int], tuple[Match, Asked]], size: int) -> dict[str, float]:
+    pairs = [make(i) for i in range(size)]
+    routes = [Route(f"r{i}", match, "c", (("p", 1.0),)) for i, (match, _) in enumerate(pairs)]
+    started = time.perf_counter()
+    table = Routes(routes)
+    built = time.perf_counter()
+    assert not list(tied(routes))
+    looked = time.perf_counter()
+    asked = [pair[1] for pair in random.Random(1).choices(pairs, k=LOOKUPS)]
+    begun = time.perf_counter()
+    for one in asked:
+        table.find(one)
+    ended = time.perf_counter()
+    return {
+        "lookup_us": (ended - begun) / LOOKUPS * 1e6,
+        "build_ms": (built - started) * 1e3,
+        "ties_ms": (looked - built) * 1e3,
+    }
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", action="store_true")
+    options = parser.parse_args()
+    found = {
+        f"{make.__name__} {size}": measure(make, size)
+        for make in (by_path, by_host, by_header)
+        for size in SIZES
+    }
+    if options.json:
+        print(json.dumps(found))
+        return 0
+    for name, values in found.items():
+        print(f"{name:18}", "  ".join(f"{k}={v:.2f}" for k, v in values.items()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sailhitch/daemon/admin.py
@@ -0,0 +1,245 @@
+"""The admin socket: a Unix socket, mode 0600, one request and one answer a connection.
+
+Both are one line of JSON: `{"op": "state" | "history" | "apply" | "hosts", ...}` and back `{"ok":
+true, ...}` or `{"ok": false, "code": ..., "error": ...}`. Who may speak is who may run the process:
+its own user and root, by the kernel's word (SO_PEERCRED), whatever the file's mode has become.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import json
+import os
+import pwd
+import socket
+import stat
+import struct
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final
+
+from ..core.pool import Pool
+from ..core.terms import Entry
+from .live import ApplyError, Live
+from .plan import MovedError, PlanError
+from .store import Applied, StoreError
+
+MOST: Final = 32 << 20  # bytes of a request; a plan for ten thousand nodes takes three
+PATIENCE: Final = 10.0  # s for a request to come whole, and for its answer to be taken
+CLIENTS: Final = 8  # at a time
+MOVED, PLAN, FAILED, BAD = "moved", "plan", "failed", "bad"
+
+
+class AdminError(Exception):
+    """The socket can't be had, or nobody answers; the text says what to do."""
+
+
+class Admin:
+    """Serves the admin socket."""
+
+    def __init__(self, live: Live, path: Path) -> None:
+        self.live, self.path = live, path
+        self.clients = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen; raises AdminError. A socket that nobody serves any more is taken over."""
+        _clear(self.path)
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        # Danger: a socket made with another mode and changed after that is open for a moment.
+        before = os.umask(0o177)
+        try:
+            sock.bind(str(self.path))
+        except OSError as error:
+            sock.close()
+            raise AdminError(f"admin: {self.path}: {error.strerror}") from None
+        finally:
+            os.umask(before)
+        self._server = await asyncio.start_unix_server(self._serve, sock=sock, limit=1 << 16)
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            with contextlib.suppress(OSError):
+                self.path.unlink()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.clients += 1
+        try:
+            async with asyncio.timeout(PATIENCE):
+                request = await self._read(reader, writer)
+            # Not within the time limit: an apply that has begun is carried to its end.
+            answer = await self._answer(request, writer)
+            writer.write(json.dumps(answer).encode() + b"\n")
+            async with asyncio.timeout(PATIENCE):
+                await writer.drain()
+        except _RefusedError as error:
+            with contextlib.suppress(OSError, TimeoutError):
+                writer.write(json.dumps(_error(BAD, str(error))).encode() + b"\n")
+                async with asyncio.timeout(1.0):
+                    await writer.drain()
+        except (OSError, TimeoutError):
+            pass  # it has gone, or never got on with it
+        finally:
+            self.clients -= 1
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> dict[str, Any]:
+        if self.clients > CLIENTS:
+            raise _RefusedError("too many admin clients at a time; try again")
+        uid = peer_uid(writer.get_extra_info("socket"))
+        if uid not in (os.getuid(), 0):
+            raise _RefusedError(f"user {uid} may not; ask as user {os.getuid()} or root")
+        data = bytearray()
+        while not data.endswith(b"\n"):
+            piece = await reader.read(1 << 16)
+            data += piece
+            if len(data) > MOST:
+                raise _RefusedError(f"request larger than {MOST >> 20} MiB")
+            if not piece:
+                raise _RefusedError("request cut short")
+        try:
+            value = json.loads(data)
+        except (ValueError, RecursionError):
+            raise _RefusedError("request is not JSON") from None
+        if not isinstance(value, dict):
+            raise _RefusedError("request is not an object")
+        return value
+
+    async def _answer(
+        self, request: dict[str, Any], writer: asyncio.StreamWriter
+    ) -> dict[str, Any]:
+        op = request.get("op")
+        if op == "state":
+            return self._state(request.get("serial"))
+        if op == "history":
+            return {"ok": True, "history": [_told(one) for one in self.live.history()]}
+        if op == "hosts":
+            return {"ok": True, "pools": hosts(self.live)}
+        if op == "apply":
+            by = _user(peer_uid(writer.get_extra_info("socket")))
+            # Danger: a client that goes away must not take an apply with it half-way.
+            return await asyncio.shield(self._apply(str(request.get("plan", "")), by))
+        return _error(BAD, f"op: not known: {str(op)[:40]!r}")
+
+    def _state(self, serial: Any) -> dict[str, Any]:
+        try:
+            one = self.live.applied if serial is None else self.live.at(int(serial))
+        except (StoreError, ValueError) as error:
+            return _error(FAILED, str(error))
+        name = self.live.gateway.name
+        return {"ok": True, "gateway": name, **_told(one), "state": one.state}
+
+    async def _apply(self, plan: str, by: str) -> dict[str, Any]:
+        try:
+            applied = await self.live.apply_plan(plan, by)
+        except MovedError as error:
+            return {**_error(MOVED, str(error)), "moved": self._since(plan)}
+        except PlanError as error:
+            return _error(PLAN, str(error))
+        except ApplyError as error:
+            return _error(FAILED, str(error))
+        return {"ok": True, **_told(applied)}
+
+    def _since(self, plan: str) -> list[dict[str, Any]]:
+        """What has been applied since a plan was made."""
+        serial = json.loads(plan).get("serial", 0)
+        return [_told(one) for one in self.live.history() if one.serial > serial]
+
+
+class _RefusedError(Exception):
+    """A client that is not served; the text says why."""
+
+
+def _error(code: str, text: str) -> dict[str, Any]:
+    return {"ok": False, "code": code, "error": text}
+
+
+def _told(one: Applied) -> dict[str, Any]:
+    return {"serial": one.serial, "when": one.when, "by": one.by, "summary": one.summary}
+
+
+def hosts(live: Live) -> dict[str, list[dict[str, Any]]]:
+    """All nodes as they are at this moment, by pool; those that leave too."""
+    found: dict[str, list[dict[str, Any]]] = {}
+    for pool in live.core.pools:
+        found.setdefault(pool.name, []).extend(
+            _host(pool, name, entry) for name, entry in pool.listed.items()
+        )
+    return found
+
+
+def _host(pool: Pool, name: str, entry: Entry) -> dict[str, Any]:
+    server = pool.module.servers.get(name)
+    return {
+        "node": name,
+        "address": f"{entry.addr[0]}:{entry.addr[1]}",
+        "state": entry.listed.state,
+        "weight": entry.listed.weight,
+        "failing": name in pool.failing,
+        "outstanding": 0 if server is None else server.outstanding,
+    }
+
+
+def peer_uid(sock: Any) -> int:
+    """The user at the other end of a Unix socket, by the kernel's word (unix(7), SO_PEERCRED)."""
+    data = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+    return int(struct.unpack("3i", data)[1])
+
+
+def _user(uid: int) -> str:
+    try:
+        return pwd.getpwuid(uid).pw_name
+    except KeyError:
+        return f"user {uid}"
+
+
+def _clear(path: Path) -> None:
+    """Remove a socket that nobody serves; raises AdminError for anything else that is there."""
+    try:
+        mode = path.lstat().st_mode
+    except FileNotFoundError:
+        return
+    except OSError as error:
+        raise AdminError(f"admin: {path}: {error.strerror}") from None
+    if not stat.S_ISSOCK(mode):
+        raise AdminError(f"admin: {path}: is there and no socket; remove it or name another")
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+        probe.settimeout(1.0)
+        try:
+            probe.connect(str(path))
+        except OSError as error:
+            if error.errno != errno.ECONNREFUSED:
+                raise AdminError(f"admin: {path}: {error.strerror or error}") from None
+            path.unlink(missing_ok=True)
+            return
+    raise AdminError(f"admin: {path}: another gateway serves it")
+
+
+# --- The other end
+
+
+def ask(path: str | Path, request: Mapping[str, Any], patience: float = 60.0) -> dict[str, Any]:
+    """One request to a running gateway, and its answer; raises AdminError."""
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+            sock.settimeout(patience)
+            sock.connect(str(path))
+            sock.sendall(json.dumps(request).encode() + b"\n")
+            with sock.makefile("rb") as file:
+                answer = json.loads(file.readline())
+    except TimeoutError:
+        raise AdminError(f"{path}: no answer within {patience:g} s") from None
+    except OSError as error:
+        raise AdminError(
+            f"{path}: {error.strerror or error}; is the gateway running, and is that its `admin`?"
+        ) from None
+    except ValueError:
+        raise AdminError(f"{path}: the answer was cut short") from None
+    if not isinstance(answer, dict):
+        raise AdminError(f"{path}: the answer is no object")
+    return answer
--- /dev/null
+++ b/sailhitch/daemon/cli.py
@@ -0,0 +1,258 @@
+"""The `sailhitch` command.
+
+Exit codes: 0 done, or nothing to do; 1 an error, said on standard error; 2 `plan` found changes (or
+the command line is wrong); 3 `apply` was refused, as the live state has moved.
+"""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+import json
+import os
+import sys
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Final
+
+from .admin import MOVED, AdminError, ask
+from .plan import Plan, PlanError, describe, load_plan, make_plan, summary
+from .schema import FileError, OperatorFile, load_file
+from .state import State, digest, from_file
+
+VERSION: Final = "0.2.0"
+DONE, ERROR, CHANGES, REFUSED = range(4)
+
+
+class CommandError(Exception):
+    """The command can't be carried out; the text says why and what to do."""
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Carry out one command; returns its exit code."""
+    parser = _parser()
+    options = parser.parse_args(arguments)
+    try:
+        return int(options.work(options))
+    except FileError as error:
+        return _failed(options, error.problems)
+    except (AdminError, CommandError, PlanError) as error:
+        return _failed(options, [str(error)])
+    except BrokenPipeError:
+        # Whoever read the output has enough of it.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ERROR
+
+
+def _failed(options: argparse.Namespace, problems: list[str]) -> int:
+    if getattr(options, "json", False):
+        print(json.dumps({"ok": False, "errors": problems}))
+    for problem in problems:
+        print(f"sailhitch: {problem}", file=sys.stderr)
+    return ERROR
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="sailhitch",
+        description="An HTTP gateway that goes by an operator file.",
+        epilog="Exit codes: 0 done, 1 error, 2 `plan` found changes, 3 `apply` was refused.",
+    )
+    parser.add_argument("--version", action="version", version=f"sailhitch {VERSION}")
+    commands = parser.add_subparsers(required=True, metavar="COMMAND")
+
+    def command(name: str, work: Any, text: str, live: bool = True) -> argparse.ArgumentParser:
+        one = commands.add_parser(name, help=text, description=text)
+        one.set_defaults(work=work)
+        one.add_argument("--json", action="store_true", help="print JSON")
+        if live:
+            one.add_argument(
+                "--admin", metavar="SOCKET", default=os.environ.get("SAILHITCH_ADMIN"),
+                help="the running gateway's admin socket (default: the file's, or SAILHITCH_ADMIN)",
+            )  # fmt: skip
+        return one
+
+    run = commands.add_parser("run", help="run a gateway by FILE", description="Run a gateway.")
+    run.set_defaults(work=_run)
+    run.add_argument("file", metavar="FILE")
+    check = command("check", _check, "check FILE and say everything that is wrong", live=False)
+    check.add_argument("file", metavar="FILE")
+    command("state", _state, "print the live state")
+    command("hosts", _hosts, "print the nodes as they are at this moment")
+    plan = command("plan", _plan, "print what FILE would change; exits 2 if there is anything")
+    plan.add_argument("file", metavar="FILE", nargs="?")
+    plan.add_argument("--to", metavar="SERIAL", type=int, help="plan back to an earlier state")
+    plan.add_argument("-o", "--output", metavar="PLAN", help="write the plan to this file")
+    apply = command("apply", _apply, "do exactly what PLAN says; exits 3 if the state has moved")
+    apply.add_argument("plan", metavar="PLAN")
+    command("history", _history, "print the states that have held")
+    return parser
+
+
+# --- Commands
+
+
+def _run(options: argparse.Namespace) -> int:
+    from .process import run_daemon  # the others need no loop, and start in half the time
+
+    return run_daemon(options.file)
+
+
+def _check(options: argparse.Namespace) -> int:
+    made = load_file(options.file)
+    warnings = _warnings(made)
+    state = from_file(made)
+    counts = {kind: len(objects) for kind, objects in state.items()}
+    if options.json:
+        found = {"ok": True, "digest": digest(state), "counts": counts, "warnings": warnings}
+        print(json.dumps(found))
+        return DONE
+    for warning in warnings:
+        print(f"sailhitch: warning: {warning}", file=sys.stderr)
+    print(f"{options.file}: good; " + ", ".join(f"{n} {kind}" for kind, n in counts.items()))
+    return DONE
+
+
+def _warnings(made: OperatorFile) -> list[str]:
+    found = []
+    if made.tenants and made.gateway.rate is None:
+        found.append("tenants: shares hold only where gateway.rate says what they are parts of")
+    if made.gateway.state_dir is None:
+        found.append("gateway.state_dir: not set; what is applied is lost with the process")
+    if made.gateway.admin is None:
+        found.append("gateway.admin: not set; nothing can be planned or applied")
+    used = {pool for route in made.routes for pool in route.pools}
+    found += [f"pools: no route leads to {p.name!r}" for p in made.pools if p.name not in used]
+    found += [f"pools: {p.name!r} has no nodes" for p in made.pools if not p.nodes]
+    return found
+
+
+def _state(options: argparse.Namespace) -> int:
+    live = _live(options, None)
+    if options.json:
+        print(json.dumps(live))
+        return DONE
+    print(f"gateway {live['gateway']}, serial {live['serial']}, {_when(live)} by {live['by']}")
+    for kind, objects in live["state"].items():
+        for name, fields in objects.items():
+            shown = " ".join(f"{f}={json.dumps(v)}" for f, v in fields.items() if v is not None)
+            print(f"{kind} {name}: {shown}")
+    return DONE
+
+
+def _hosts(options: argparse.Namespace) -> int:
+    pools = _asked(options, None, {"op": "hosts"})["pools"]
+    if options.json:
+        print(json.dumps(pools))
+        return DONE
+    for pool, nodes in pools.items():
+        for node in nodes:
+            failing = " failing" if node["failing"] else ""
+            print(
+                f"{pool}/{node['node']} {node['address']} {node['state']} "
+                f"weight={node['weight']:g} out={node['outstanding']}{failing}"
+            )
+    return DONE
+
+
+def _plan(options: argparse.Namespace) -> int:
+    if (options.file is None) == (options.to is None):
+        raise CommandError("plan: give either FILE or --to SERIAL")
+    made = None if options.file is None else load_file(options.file)
+    live = _live(options, made)
+    if made is None:
+        wanted: State = _asked(options, None, {"op": "state", "serial": options.to})["state"]
+    else:
+        wanted = from_file(made)
+        if made.gateway.name != live["gateway"]:
+            raise CommandError(
+                f"{options.file}: is for gateway {made.gateway.name!r}, "
+                f"and {live['gateway']!r} answers"
+            )
+    plan = make_plan(live["gateway"], live["serial"], live["state"], wanted)
+    if options.output is not None:
+        _write(Path(options.output), plan)
+    if options.json:
+        print(json.dumps(plan.body()))
+    else:
+        for line in describe(plan.changes):
+            print(line)
+        print(f"{summary(plan.changes)}, against serial {plan.serial}")
+    return CHANGES if plan.changes else DONE
+
+
+def _write(path: Path, plan: Plan) -> None:
+    try:
+        path.write_text(plan.dump())
+    except OSError as error:
+        raise CommandError(f"{path}: {error.strerror}") from None
+
+
+def _apply(options: argparse.Namespace) -> int:
+    try:
+        text = Path(options.plan).read_text()
+    except OSError as error:
+        raise CommandError(f"{options.plan}: {error.strerror}") from None
+    except UnicodeDecodeError:
+        raise CommandError(f"{options.plan}: not a plan") from None
+    plan = load_plan(text)  # an error is better said here, before anybody is asked
+    answer = ask(_socket(options, None), {"op": "apply", "plan": text})
+    if options.json:
+        print(json.dumps(answer))
+    if answer.get("ok"):
+        if not options.json:
+            print(f"applied: {summary(plan.changes)}; serial {answer['serial']}")
+        return DONE
+    if answer.get("code") == MOVED:
+        print(f"sailhitch: refused: {answer['error']}", file=sys.stderr)
+        for one in answer["moved"]:
+            print(
+                f"sailhitch:   serial {one['serial']}, {_when(one)} by {one['by']}: "
+                f"{one['summary']}",
+                file=sys.stderr,
+            )
+        print("sailhitch: make the plan anew and look at it", file=sys.stderr)
+        return REFUSED
+    raise CommandError(f"{options.plan}: {answer.get('error', 'no reason given')}")
+
+
+def _history(options: argparse.Namespace) -> int:
+    past = _asked(options, None, {"op": "history"})["history"]
+    if options.json:
+        print(json.dumps(past))
+        return DONE
+    for one in past:
+        print(f"{one['serial']:6} {_when(one)} {one['by']}: {one['summary']}")
+    return DONE
+
+
+# --- Asking the gateway
+
+
+def _socket(options: argparse.Namespace, made: OperatorFile | None) -> str:
+    path = options.admin or (made.gateway.admin if made is not None else None)
+    if not path:
+        raise CommandError("which gateway? give --admin SOCKET, or set SAILHITCH_ADMIN")
+    return str(path)
+
+
+def _asked(
+    options: argparse.Namespace, made: OperatorFile | None, request: Mapping[str, Any]
+) -> dict[str, Any]:
+    answer = ask(_socket(options, made), request)
+    if not answer.get("ok"):
+        raise CommandError(str(answer.get("error", "refused, with no reason given")))
+    return answer
+
+
+def _live(options: argparse.Namespace, made: OperatorFile | None) -> dict[str, Any]:
+    return _asked(options, made, {"op": "state"})
+
+
+def _when(one: Mapping[str, Any]) -> str:
+    when = datetime.datetime.fromtimestamp(one["when"] / 1e6, datetime.UTC)
+    return when.strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/sailhitch/daemon/intake.py
@@ -0,0 +1,123 @@
+"""What an ordinary HTTP request means: its route, and by that its class, deadline and pool."""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from ..core.exchange import Exchange
+from ..core.pool import Pool
+from ..core.terms import Answer
+from ..net.intake import OWN, READY_PATH, Head, RejectError, read_name, read_wait
+from ..settings import KEYED
+from .routes import Asked, PathError, Routes, Sticky, bare_host, choose_pool, normal_path
+from .tables import Tables
+
+_TEXT: Final = [(b"content-type", b"Content-Type", b"text/plain")]
+MOST_KEY: Final = 256  # bytes of an Idempotency-Key
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """All that a request's reading depends on, as of one serial; replaced as a whole."""
+
+    routes: Routes
+    pools: Mapping[str, Pool]
+    tables: Tables
+
+
+class RoutedIntake:
+    """Reads ordinary clients' requests by routes.
+
+    A client may bring the platform's fields: `Req-Id` and `Req-Deadline-Ms` hold within what the
+    class allows, `Req-Kind` and `Req-Owner` are only looked at by routes. What class a request has
+    is the route's word alone, and the node is told that one.
+    """
+
+    own = OWN | {b"req-kind"}
+
+    view: View  # set by the first switch, before anybody is taken in
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.sticky = Sticky()
+        self._prefix = secrets.token_hex(6)  # no two processes make the same id
+        self._count = itertools.count(1)
+
+    def read(self, head: Head, found: dict[bytes, bytes], exchange: Exchange) -> bool:
+        """Fill in the exchange. Raises RejectError."""
+        if head.url.partition(b"?")[0] == READY_PATH and b"req-id" not in found:
+            return False
+        view = self.view
+        route = view.routes.find(self._asked(head, found, view.routes))
+        if route is None:
+            exchange.fallback = Answer(404, _TEXT, b"no route matches\n")
+            return False
+        key = found.get(b"idempotency-key")
+        if key is not None and not 0 < len(key) <= MOST_KEY:
+            raise RejectError(400, "Idempotency-Key is empty or too long")
+        if head.method in (b"GET", b"HEAD") and head.has_body():
+            raise RejectError(400, "a body where the method has none")
+        exchange.cls, effect = view.tables.classify(route.cls, head.method, key is not None)
+        exchange.bare = head.method == b"HEAD"
+        exchange.tenant = view.tables.tenant(found.get(b"req-owner", b"").decode("latin-1"))
+        exchange.repeat = found.get(b"req-retry") == b"1"
+        self._name(exchange, found)
+        exchange.head += b"Req-Kind: %s\r\n" % route.cls.encode()
+        part = view.tables.class_part(route.cls)
+        longest = part.deadline // 1000
+        wait = found.get(b"req-deadline-ms")
+        exchange.wait_ms = longest if wait is None else min(read_wait(wait), longest)
+        keep = part.deadline + (part.deadline if part.window is None else part.window)
+        name = self._pool(route.pools, exchange, found, key if effect == KEYED else None, keep)
+        pool = view.pools.get(name)
+        if pool is None:
+            # Danger: another pool knows nothing of a first try that may have run in this one.
+            exchange.fallback = Answer(503, _TEXT, b"the pool that this key went to was removed\n")
+            return False
+        exchange.pool = pool
+        return True
+
+    def _asked(self, head: Head, found: dict[bytes, bytes], routes: Routes) -> Asked:
+        try:
+            path = normal_path(head.url)
+        except PathError as error:
+            raise RejectError(400, str(error)) from None
+        header: dict[str, str] = {}
+        if routes.fields:
+            for low, _, value in head.fields:
+                name = low.decode("latin-1")
+                if name in routes.fields:
+                    header.setdefault(name, value.decode("latin-1"))
+        cls, tenant = found.get(b"req-kind"), found.get(b"req-owner")
+        return Asked(
+            head.method.decode("latin-1"),
+            path,
+            bare_host(found.get(b"host", b"").decode("latin-1")),
+            header,
+            None if cls is None else cls.decode("latin-1"),
+            None if tenant is None else tenant.decode("latin-1"),
+        )
+
+    def _name(self, exchange: Exchange, found: dict[bytes, bytes]) -> None:
+        name = found.get(b"req-id")
+        if name is not None:
+            exchange.name = read_name(name)
+            return
+        exchange.name = f"{self._prefix}-{next(self._count):x}".encode()
+        exchange.head += b"Req-Id: %s\r\n" % exchange.name
+
+    def _pool(
+        self, pools: tuple[tuple[str, float], ...], exchange: Exchange,
+        found: dict[bytes, bytes], key: bytes | None, keep: int,
+    ) -> str:  # fmt: skip
+        """The pool by the split: stable by idempotency key or cookie, by chance without one."""
+        if key is None:
+            return choose_pool(pools, found.get(b"cookie") or exchange.name)
+        now = self.clock()
+        name = self.sticky.get(key, now) or choose_pool(pools, key)
+        self.sticky.note(key, name, now, now + keep)
+        return name
--- /dev/null
+++ b/sailhitch/daemon/process.py
@@ -0,0 +1,122 @@
+"""The daemon's process: start, signals, drain."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+
+import uvloop
+
+from ..core.core import Core
+from ..core.log import Log
+from .admin import Admin, AdminError
+from .live import ApplyError, Live, bounds
+from .schema import FileError, OperatorFile, load_file
+from .store import Step, Store, StoreError
+
+ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming until fronts have heard of it
+STEP = 0.02
+AFTERWARDS = 50_000  # us after the last answer that is surely out
+
+
+class StartError(Exception):
+    """The daemon can't start; the text says why and what to do."""
+
+
+class Daemon:
+    """A gateway that goes by an operator file."""
+
+    def __init__(self, path: str, made: OperatorFile, step: Step = lambda step: None) -> None:
+        self.path, self.gateway = path, made.gateway
+        self.made, self.step = made, step
+        self.log = Log(self.gateway.name)
+        self.stop = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, ready: Callable[[Live], None] = lambda live: None) -> None:
+        """Serve until SIGTERM has been honoured; raises StartError."""
+        loop = asyncio.get_running_loop()
+        core = Core(bounds(self.gateway, 1_000_000), loop, self.log)
+        store = admin = None
+        try:
+            if self.gateway.state_dir is not None:
+                store = Store(Path(self.gateway.state_dir), self.gateway.name)
+            live = Live(core, self.gateway, store, self.step)
+            core.begin()
+            applied = await live.start(self.made)
+            if self.gateway.admin is not None:
+                admin = Admin(live, Path(self.gateway.admin))
+                await admin.start()
+            self._signals(loop, live)
+            self.log.say(f"serial {applied.serial} ({applied.by}), {len(live.nodes)} nodes; ready")
+            core.ready = True
+            gc.collect()
+            gc.freeze()
+            ready(live)
+            await self.stop.wait()
+            await self._drain(core, live)
+        except (StoreError, ApplyError, AdminError) as error:
+            raise StartError(str(error)) from None
+        finally:
+            if admin is not None:
+                admin.close()
+            core.finish()
+            if store is not None:
+                store.close()
+
+    def _signals(self, loop: asyncio.AbstractEventLoop, live: Live) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, live)
+
+    def _reload(self, live: Live) -> None:
+        task = asyncio.get_running_loop().create_task(self._reread(live))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _reread(self, live: Live) -> None:
+        """SIGHUP: go to what the file says now, or stay as it was."""
+        try:
+            made = await asyncio.to_thread(load_file, self.path)
+            if made.gateway != self.gateway:
+                self.log.say("SIGHUP: [gateway] has changed; that holds from the next start on")
+            applied = await live.apply_file(made, "SIGHUP")
+            self.log.say(f"SIGHUP: serial {applied.serial}: {applied.summary}")
+        except (FileError, ApplyError) as error:
+            self.log.say(f"SIGHUP: nothing was changed: {error}")
+
+    async def _drain(self, core: Core, live: Live) -> None:
+        self.log.say("SIGTERM: draining")
+        core.drain()
+        await asyncio.sleep(ACCEPT_ON)
+        for listener in live.listeners.values():
+            listener.close()
+        await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
+        last = core.drain_since + core.last_answer() + AFTERWARDS
+        while core.hang_up() and core.clock() < last:
+            await asyncio.sleep(STEP)
+        core.say_stats(core.clock())
+        self.log.say("drained")
+
+
+def run_daemon(path: str, step: Step = lambda step: None) -> int:
+    """Run a gateway by an operator file; 0 after a drain, 1 where it can't start."""
+    try:
+        made = load_file(path)
+
+        async def main() -> None:
+            await Daemon(path, made, step).run()
+
+        uvloop.run(main())
+    except FileError as error:
+        for problem in error.problems:
+            print(f"sailhitch: {problem}", file=sys.stderr)
+        return 1
+    except StartError as error:
+        print(f"sailhitch: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/sailhitch/lab/demo.py
@@ -0,0 +1,170 @@
+"""`make run`: the daemon on an example file, five stand-in nodes, a short load, a fault half-way.
+
+    python -m sailhitch.lab.demo [--file FILE] [--seconds N] [--clients N] [--json]
+
+Half-way one node is killed and another begins to break connections after its effects. Exits 0 where
+nothing was lost or doubled, 1 otherwise or where something can't be started.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any, Final
+
+from ..daemon.admin import AdminError, ask
+from ..daemon.schema import FileError, OperatorFile, load_file
+from .load import FAILED, LOST, REFUSED, SERVED, Load
+from .node import Fault, Memory, Node, doubled
+
+EXAMPLE: Final = Path(__file__).resolve().parents[2] / "deploy/example.toml"
+START: Final = 15.0  # s for the daemon to answer
+
+
+class DemoError(Exception):
+    """Something can't be started; the text says what."""
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play it; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="sailhitch.lab.demo", description=__doc__)
+    parser.add_argument("--file", type=Path, default=EXAMPLE)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--clients", type=int, default=24)
+    parser.add_argument("--json", action="store_true", help="print the summary as JSON alone")
+    options = parser.parse_args(arguments)
+    try:
+        made = load_file(options.file)
+        found = asyncio.run(_play(made, options))
+    except (DemoError, AdminError, FileError) as error:
+        print(f"demo: {error}", file=sys.stderr)
+        return 1
+    _say(found, options.json)
+    return 1 if found[LOST] or found["doubled"] else 0
+
+
+async def _play(made: OperatorFile, options: argparse.Namespace) -> dict[str, Any]:
+    nodes = await _start_nodes(made)
+    try:
+        with tempfile.TemporaryDirectory(prefix="sailhitch-") as folder:
+            return await _with_daemon(made, nodes, folder, options)
+    finally:
+        for node in nodes.values():
+            node.stop()
+
+
+async def _start_nodes(made: OperatorFile) -> dict[str, Node]:
+    """A stand-in at each address of the file; a pool's nodes share what they remember."""
+    nodes: dict[str, Node] = {}
+    for pool in made.pools:
+        memory = Memory()
+        for part in pool.nodes:
+            node = Node(0.01, workers=16, memory=memory, reports=True, breaks_at=400)
+            try:
+                await node.start(int(part.address.rpartition(":")[2]))
+            except OSError as error:
+                raise DemoError(f"{part.id}: {part.address}: {error.strerror}") from None
+            nodes[part.id] = node
+    return nodes
+
+
+async def _with_daemon(
+    made: OperatorFile, nodes: dict[str, Node], folder: str, options: argparse.Namespace
+) -> dict[str, Any]:
+    file = options.file.resolve()
+    # From a checkout the package is found by where this process was started, which that one is not.
+    env = os.environ | {"PYTHONPATH": str(Path(__file__).resolve().parents[2])}
+    program = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "sailhitch.daemon.cli", "run", str(file), cwd=folder, env=env,
+        stderr=asyncio.subprocess.PIPE if options.json else None,
+    )  # fmt: skip
+    try:
+        socket = Path(folder) / (made.gateway.admin or "g1.sock")
+        await _answers(program, socket)
+        return await _loaded(made, nodes, socket, options)
+    finally:
+        if program.returncode is None:
+            program.terminate()
+        await program.wait()
+
+
+async def _answers(program: asyncio.subprocess.Process, socket: Path) -> None:
+    async with asyncio.timeout(START):
+        while True:
+            if program.returncode is not None:
+                raise DemoError("the daemon did not start")
+            try:
+                await asyncio.to_thread(ask, socket, {"op": "state"}, 1.0)
+                return
+            except AdminError:
+                await asyncio.sleep(0.05)
+
+
+async def _loaded(
+    made: OperatorFile, nodes: dict[str, Node], socket: Path, options: argparse.Namespace
+) -> dict[str, Any]:
+    addr = made.listeners[0].address
+    loop = asyncio.get_running_loop()
+    async with Load(addr, options.clients, pause=0.02) as load:
+        started = loop.time()
+        broken = False
+        while (now := loop.time() - started) < options.seconds:
+            await asyncio.sleep(min(1.0, options.seconds - now))
+            if not broken and loop.time() - started >= options.seconds / 2:
+                broken = True
+                _break(nodes, options.json)
+            if not options.json:
+                await _table(load, socket)
+        await load.finish()
+    return _summary(load, nodes)
+
+
+def _break(nodes: dict[str, Node], quiet: bool) -> None:
+    (_, first), (name, second), *_ = nodes.items()
+    count = iter(range(1 << 60))
+    second.script = lambda request: Fault.RESET_AFTER if next(count) % 3 == 0 else None
+    first.stop()
+    if not quiet:
+        print(f"-- {next(iter(nodes))} is killed; {name} breaks a third of its connections")
+
+
+async def _table(load: Load, socket: Path) -> None:
+    pools = (await asyncio.to_thread(ask, socket, {"op": "hosts"}, 5.0))["pools"]
+    hosts = " ".join(
+        f"{one['node']}={one['outstanding']}{'!' if one['failing'] else ''}"
+        for nodes in pools.values()
+        for one in nodes
+    )
+    ends = " ".join(f"{name}={load.ends[name]}" for name in (SERVED, REFUSED, FAILED, LOST))
+    print(f"{ends}  out: {hosts}", flush=True)
+
+
+def _summary(load: Load, nodes: dict[str, Node]) -> dict[str, Any]:
+    twice = len(doubled(list(nodes.values()))) + sum(n > 1 for n in load.answers.values())
+    return {
+        **{name: load.ends[name] for name in (SERVED, REFUSED, FAILED, LOST)},
+        "doubled": twice,
+        "p50_ms": round(load.quantile(0.5) * 1000, 1),
+        "p99_ms": round(load.quantile(0.99) * 1000, 1),
+    }
+
+
+def _say(found: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(found))
+        return
+    print("\nserved  refused  failed  lost  doubled  p50 ms  p99 ms")
+    print(
+        f"{found[SERVED]:6}  {found[REFUSED]:7}  {found[FAILED]:6}  {found[LOST]:4}  "
+        f"{found['doubled']:7}  {found['p50_ms']:6}  {found['p99_ms']:6}"
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sailhitch/lab/node.py
+++ b/sailhitch/lab/node.py
@@ -1,48 +1,209 @@
-"""A claims node: answers each request after a while and keeps a log of every effect."""
+"""A claims node: queue, cold start, drain, dedup groups, a log of every effect, faults by script.
+
+It speaks the platform's protocol: `Req-Id`, `Idempotency-Key`, `Srv-Load`, `Srv-Declined`. Times
+are seconds of the loop's clock.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Final, Self, cast
 
 import httptools
 
 NOT_FOUND: Final = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+DECLINED: Final = (
+    b"HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n"
+)
+WRONG: Final = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nwrong"
+
+
+class Fault(Enum):
+    """What goes wrong with one request."""
+
+    REFUSE = auto()  # turned away, and said so: it did not run
+    RESET_BEFORE = auto()  # the connection breaks before the effect
+    RESET_AFTER = auto()  # ...and after it
+    SILENT = auto()  # it runs, and no answer ever comes
+    SPOILT = auto()  # it runs, and what comes is no answer
+    HALF = auto()  # it runs, and half of its answer comes
+    ERROR = auto()  # it runs, and the answer is a 500
+    SLOW = auto()  # it runs, and its answer takes `slow` longer
+
+
+Script = Callable[[bytes], Fault | None]
+
+
+@dataclass(frozen=True, slots=True)
+class Effect:
+    """One thing that was done: for which request, under which key, and when."""
+
+    name: bytes
+    key: bytes
+    at: float
+    safe: bool  # of a method that may happen any number of times (RFC 9110, 9.2.1)
+
+
+class Memory:
+    """What a dedup group remembers: keys whose effect has happened, for a while."""
+
+    def __init__(self, window: float = 60.0, most: int = 100_000) -> None:
+        self.window, self.most = window, most
+        self._known: OrderedDict[bytes, float] = OrderedDict()
+
+    def knows(self, key: bytes, now: float) -> bool:
+        at = self._known.get(key)
+        return at is not None and now - at < self.window
+
+    def note(self, key: bytes, now: float) -> None:
+        self._known[key] = now
+        if len(self._known) > self.most:
+            self._known.popitem(last=False)
 
 
 class Node:
-    """Listens on a loopback port. `delay` in seconds and `size` of answers may change at any time.
+    """Listens on a loopback port. All that its constructor takes may be changed at any time.
 
-    `effects` counts how often each request id has run.
+    `workers` requests are in work at a time (0: any number), each for `delay`; for `cold` after its
+    start it has `cold_share` of its speed, rising evenly to the whole, and with more than
+    `breaks_at` requests held at a time it falls over: it answers nothing any more, and `fell` says
+    so.
     """
 
-    def __init__(self, delay: float = 0.0, size: int = 32) -> None:
-        self.delay, self.size = delay, size
-        self.effects: Counter[bytes] = Counter()
+    def __init__(
+        self, delay: float = 0.0, size: int = 32, *, workers: int = 0, cold: float = 0.0,
+        cold_share: float = 0.3, breaks_at: int = 0, memory: Memory | None = None,
+        reports: bool = False, slow: float = 1.0, script: Script | None = None,
+    ) -> None:  # fmt: skip
+        self.delay, self.size, self.workers = delay, size, workers
+        self.cold, self.cold_share, self.breaks_at = cold, cold_share, breaks_at
+        self.memory, self.reports, self.slow, self.script = memory, reports, slow, script
+        self.effects: Counter[bytes] = Counter()  # by request id
+        self.log: list[Effect] = []
         self.connections = 0
+        self.seen = 0  # requests
+        self.peak = 0  # of requests held at a time
+        self.fell = False
+        self.started = self.drained_at = 0.0
+        self.late: list[tuple[bytes, float]] = []  # what came after a drain, and how long after
         self.addr = ""
+        self._held = self._working = 0
+        self._queue: deque[Callable[[], None]] = deque()
         self._server: asyncio.Server | None = None
         self._open: set[_Connection] = set()
 
     async def __aenter__(self) -> Self:
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Connection(self), "127.0.0.1", 0)
-        self.addr = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        await self.start()
         return self
 
     async def __aexit__(self, *_: object) -> None:
+        self.stop()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen, at a free port or at this one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _Connection(self), "127.0.0.1", port)
+        self.addr = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.started = loop.time()
+
+    def stop(self) -> None:
+        """End at once, as a process that is killed."""
         assert self._server is not None
         self._server.close()
         for connection in list(self._open):
             connection.transport.abort()
 
+    def drain(self) -> None:
+        """From now on whatever comes is noted in `late`; it is served all the same."""
+        self.drained_at = asyncio.get_running_loop().time()
+
+    # --- One request
+
+    def take(self, connection: _Connection, name: bytes, key: bytes) -> None:
+        """A request has come whole."""
+        now = asyncio.get_running_loop().time()
+        self.seen += 1
+        if self.drained_at:
+            self.late.append((name, now - self.drained_at))
+        fault = self.script(name) if self.script is not None else None
+        if fault == Fault.REFUSE:
+            connection.write(DECLINED)
+        elif fault == Fault.RESET_BEFORE:
+            connection.transport.abort()
+        else:
+            self._enqueue(lambda: self._work(connection, name, key, fault))
+
+    def _enqueue(self, work: Callable[[], None]) -> None:
+        self._held += 1
+        self.peak = max(self.peak, self._held)
+        if self.breaks_at and self._held > self.breaks_at:
+            self.fell = True
+        if self.fell:
+            return
+        if self.workers and self._working >= self.workers:
+            self._queue.append(work)
+            return
+        work()
+
+    def _work(self, connection: _Connection, name: bytes, key: bytes, fault: Fault | None) -> None:
+        self._working += 1
+        loop = asyncio.get_running_loop()
+        time = self.delay / self._speed(loop.time() - self.started)
+        time += self.slow if fault == Fault.SLOW else 0.0
+        loop.call_later(time, self._done, connection, name, key, fault)
+
+    def _speed(self, age: float) -> float:
+        if age >= self.cold:
+            return 1.0
+        return self.cold_share + (1.0 - self.cold_share) * age / self.cold
+
+    def _done(self, connection: _Connection, name: bytes, key: bytes, fault: Fault | None) -> None:
+        self._working -= 1
+        self._held -= 1
+        self._have_effect(connection, name, key)
+        if fault == Fault.RESET_AFTER:
+            connection.transport.abort()
+        elif fault != Fault.SILENT:
+            connection.write(self._answer(name, fault))
+            if fault in (Fault.SPOILT, Fault.HALF):
+                connection.transport.close()
+        if self._queue:
+            self._queue.popleft()()
+
+    def _have_effect(self, connection: _Connection, name: bytes, key: bytes) -> None:
+        now = asyncio.get_running_loop().time()
+        if key and self.memory is not None:
+            if self.memory.knows(key, now):
+                return
+            self.memory.note(key, now)
+        self.effects[name] += 1
+        self.log.append(Effect(name, key, now, connection.safe))
+
+    def _answer(self, name: bytes, fault: Fault | None) -> bytes:
+        if fault == Fault.ERROR:
+            return WRONG
+        if fault == Fault.SPOILT:
+            return b"\x00\x01 this is no answer\r\n\r\n"
+        body = (name + b" ").ljust(self.size, b".")
+        load = b""
+        if self.reports:
+            load = b"Srv-Load: queue=%d, inflight=%d, mean_ms=%.3f\r\n" % (
+                len(self._queue), self._held, self.delay * 1000,
+            )  # fmt: skip
+        whole = b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (load, len(body), body)
+        return whole[: len(whole) - len(body) // 2] if fault == Fault.HALF else whole
+
 
 class _Connection(asyncio.Protocol):
     def __init__(self, node: Node) -> None:
         self.node = node
         self.parser = httptools.HttpRequestParser(self)
-        self.name = b""
+        self.name = self.key = b""
+        self.safe = True
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -60,21 +221,35 @@
             self.transport.abort()
 
     def on_message_begin(self) -> None:
-        self.name = b""
+        self.name = self.key = b""
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"req-id":
+        low = name.lower()
+        if low == b"req-id":
             self.name = value
+        elif low == b"idempotency-key":
+            self.key = value
 
     def on_message_complete(self) -> None:
         if not self.name:
             self.transport.write(NOT_FOUND)
             return
-        self.node.effects[self.name] += 1
-        asyncio.get_running_loop().call_later(self.node.delay, self._answer, self.name)
+        self.safe = self.parser.get_method() in (b"GET", b"HEAD")
+        self.node.take(self, self.name, self.key)
 
-    def _answer(self, name: bytes) -> None:
-        if self.transport.is_closing():
-            return
-        body = (name + b" ").ljust(self.node.size, b".")
-        self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    def write(self, data: bytes) -> None:
+        if not self.transport.is_closing():
+            self.transport.write(data)
+
+
+def doubled(nodes: list[Node]) -> list[bytes]:
+    """Request ids, and keys where there are some, whose effect happened more than once.
+
+    Safe requests do not count.
+    """
+    count: Counter[bytes] = Counter()
+    for node in nodes:
+        for effect in node.log:
+            if not effect.safe:
+                count[effect.key or effect.name] += 1
+    return [name for name, times in count.items() if times > 1]
--- /dev/null
+++ b/tests/daemons.py
@@ -0,0 +1,214 @@
+"""The operator's daemon for tests: in this process, or as one of its own that can be killed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import sys
+from collections.abc import AsyncIterator, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from sailhitch.core.core import Core
+from sailhitch.core.log import Log
+from sailhitch.daemon.admin import Admin, ask
+from sailhitch.daemon.live import Live, bounds
+from sailhitch.daemon.plan import make_plan
+from sailhitch.daemon.schema import OperatorFile, parse_value
+from sailhitch.daemon.state import from_file
+from sailhitch.daemon.store import Step, Store
+from sailhitch.lab.node import Node
+from tests.sockets import PATIENCE, Client, dial, free_port
+
+CLASSES = [
+    {"name": "page", "aim": "1s", "deadline": "3s"},
+    {"name": "payout", "effect": "unsafe", "aim": "2s", "deadline": "3s", "worth": 3.0},
+    {
+        "name": "filing", "effect": "keyed", "aim": "2s", "deadline": "3s", "dedup": "pool",
+        "window": "60s",
+    },
+]  # fmt: skip
+ROUTES: list[dict[str, Any]] = [
+    {"name": "payouts", "match": {"path_prefix": "/payouts"}, "class": "payout"},
+    {
+        "name": "filings",
+        "match": {"path_prefix": "/claims", "methods": ["POST"]},
+        "class": "filing",
+    },
+    {"name": "rest", "class": "page"},
+]
+
+
+def part(name: str, addr: str, **more: Any) -> dict[str, Any]:
+    return {"id": name, "address": addr, **more}
+
+
+def pool(name: str, nodes: Mapping[str, str | Node], **more: Any) -> dict[str, Any]:
+    parts = [part(i, n.addr if isinstance(n, Node) else n) for i, n in nodes.items()]
+    return {"name": name, "nodes": parts, **more}
+
+
+def file_value(
+    pools: Sequence[dict[str, Any]], port: int, gateway: Mapping[str, Any] = {}, **changes: Any
+) -> dict[str, Any]:
+    """A file's value: one listener, three classes, and routes to the first pool."""
+    first = pools[0]["name"] if pools else "none"
+    routes = [{"pools": {first: 1.0}, **route} for route in ROUTES]
+    return {
+        "version": 1,
+        "gateway": {"name": "g1", "cold_time": "500ms", "memory_mb": 128, **gateway},
+        "listeners": [{"name": "web", "address": f"127.0.0.1:{port}"}],
+        "classes": CLASSES,
+        "pools": list(pools),
+        "routes": routes,
+        **changes,
+    }
+
+
+def file_text(value: Mapping[str, Any]) -> str:
+    """As TOML; JSON's scalars, lists and inline tables are TOML's too, but for the colon."""
+    lines = [f"version = {value['version']}"]
+    for kind, parts in value.items():
+        if kind != "version":
+            lines.append(f"{kind} = {_inline(parts)}")
+    return "\n".join(lines) + "\n"
+
+
+def _inline(value: Any) -> str:
+    if isinstance(value, Mapping):
+        return "{ " + ", ".join(f"{json.dumps(k)} = {_inline(v)}" for k, v in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(_inline(one) for one in value) + "]"
+    return json.dumps(value)
+
+
+class Inside:
+    """A daemon in this process."""
+
+    def __init__(self, live: Live, port: int, admin: Admin) -> None:
+        self.live, self.port, self.admin = live, port, admin
+        self.addr = f"127.0.0.1:{port}"
+
+    async def client(self) -> Client:
+        return await dial(self.addr)
+
+    def plan(self, value: Mapping[str, Any]) -> str:
+        """A plan from the live state to what a file asks for."""
+        wanted = from_file(made(value))
+        live = self.live
+        plan = make_plan(live.gateway.name, live.applied.serial, live.applied.state, wanted)
+        return plan.dump()
+
+    async def go(self, value: Mapping[str, Any]) -> None:
+        await self.live.apply_plan(self.plan(value), "test")
+
+
+def made(value: Mapping[str, Any]) -> OperatorFile:
+    return parse_value(json.loads(json.dumps(value)))
+
+
+@contextlib.asynccontextmanager
+async def inside(
+    tmp_path: Path, value: Mapping[str, Any], step: Step = lambda step: None, stored: bool = False
+) -> AsyncIterator[Inside]:
+    """A daemon that goes by this file's value."""
+    whole = made(value)
+    gateway = whole.gateway
+    core = Core(bounds(gateway, 1_000_000), asyncio.get_running_loop(), Log("g1"))
+    store = Store(tmp_path / "state", gateway.name) if stored else None
+    live = Live(core, gateway, store, step)
+    core.begin()
+    admin = Admin(live, tmp_path / "g1.sock")
+    try:
+        await live.start(whole)
+        await admin.start()
+        core.ready = True
+        port = int(whole.listeners[0].address.rpartition(":")[2])
+        yield Inside(live, port, admin)
+    finally:
+        admin.close()
+        for listener in live.listeners.values():
+            listener.close()
+        core.finish()
+        if store is not None:
+            store.close()
+    assert core.counters.panics == core.counters.faults == 0
+
+
+KILLER = """
+import os, signal, sys
+from sailhitch.daemon.process import run_daemon
+at = sys.argv[2]
+armed = os.environ["ARMED"]
+def step(name):
+    if name == at and os.path.exists(armed):
+        os.kill(os.getpid(), getattr(signal, sys.argv[3]))
+sys.exit(run_daemon(sys.argv[1], step))
+"""
+
+
+class Outside:
+    """A daemon as a process of its own."""
+
+    def __init__(self, path: Path, value: Mapping[str, Any]) -> None:
+        self.path, self.value = path, value
+        self.admin = path / "g1.sock"
+        self.file = path / "g1.toml"
+        self.armed = path / "armed"
+        self.log = path / "log"
+        self.program: asyncio.subprocess.Process | None = None
+
+    async def start(self, kill_at: str = "", number: str = "SIGKILL") -> None:
+        """Start, and wait until it answers; it kills itself at a step once `armed` is there."""
+        self.file.write_text(file_text(self.value))
+        self.armed.unlink(missing_ok=True)
+        with open(self.log, "ab") as log:
+            self.program = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", KILLER, str(self.file), kill_at or "never", number,
+                env=os.environ | {"ARMED": str(self.armed)}, stderr=log,
+            )  # fmt: skip
+        async with asyncio.timeout(PATIENCE):
+            while not await self._answers():
+                assert self.program.returncode is None, self.log.read_text()
+                await asyncio.sleep(0.02)
+
+    async def _answers(self) -> bool:
+        try:
+            return bool((await self.ask({"op": "state"}))["ok"])
+        except Exception:
+            return False
+
+    async def ask(self, request: Mapping[str, Any]) -> dict[str, Any]:
+        return await asyncio.to_thread(ask, self.admin, request, PATIENCE)
+
+    async def plan(self, value: Mapping[str, Any]) -> str:
+        live = await self.ask({"op": "state"})
+        wanted = from_file(made(value))
+        return make_plan("g1", live["serial"], live["state"], wanted).dump()
+
+    async def wait(self) -> int:
+        assert self.program is not None
+        async with asyncio.timeout(PATIENCE):
+            return await self.program.wait()
+
+    async def stop(self) -> None:
+        if self.program is not None and self.program.returncode is None:
+            self.program.kill()
+            await self.program.wait()
+
+
+@contextlib.asynccontextmanager
+async def outside(tmp_path: Path, value: Mapping[str, Any]) -> AsyncIterator[Outside]:
+    gateway = value["gateway"] | {
+        "state_dir": str(tmp_path / "state"), "admin": str(tmp_path / "g1.sock"),
+    }  # fmt: skip
+    daemon = Outside(tmp_path, {**value, "gateway": gateway})
+    try:
+        yield daemon
+    finally:
+        await daemon.stop()
+
+
+__all__ = ["free_port"]
--- /dev/null
+++ b/tests/test_apply.py
@@ -0,0 +1,755 @@
+"""Plan and apply on a live gateway: what moves, what drains, what fails and changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sailhitch.daemon.live import ApplyError
+from sailhitch.daemon.plan import MovedError, PlanError
+from sailhitch.daemon.store import Store, StoreError
+from sailhitch.lab.load import Load
+from sailhitch.lab.node import Fault, Memory, Node, doubled
+from tests.daemons import Inside, file_value, free_port, inside, outside, part, pool
+from tests.sockets import PATIENCE, Client, until
+from tests.test_daemon import get, post
+
+
+def run(work: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(4 * PATIENCE):
+            await work()
+
+    asyncio.run(limited())
+
+
+# --- What has moved
+
+
+def test_a_plan_made_before_another_apply_is_refused_and_told_what_moved(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b, Node() as c:
+            port = free_port()
+            value = file_value([pool("p", {"a": a})], port)
+            async with inside(tmp_path, value) as it:
+                first = it.plan(file_value([pool("p", {"a": a, "b": b})], port))
+                second = it.plan(file_value([pool("p", {"a": a, "c": c})], port))
+                await it.live.apply_plan(first, "one")
+                with pytest.raises(MovedError, match="serial 1, and the live state is 2"):
+                    await it.live.apply_plan(second, "two")
+                answer = await _ask(it, {"op": "apply", "plan": second})
+                assert answer["code"] == "moved"
+                (moved,) = answer["moved"]
+                assert (moved["serial"], moved["by"]) == (2, "one")
+                assert moved["summary"] == "1 to add, 0 to remove, 0 to alter"
+                assert {n.addr for n in (a, b)} == {
+                    f"127.0.0.1:{e.addr[1]}" for e in it.live.pools["p"].listed.values()
+                }
+
+    run(work)
+
+
+def test_of_two_applies_at_once_one_is_refused(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b, Node() as c:
+            port = free_port()
+            async with inside(tmp_path, file_value([pool("p", {"a": a})], port)) as it:
+                plans = [
+                    it.plan(file_value([pool("p", {"a": a, "x": other})], port)) for other in (b, c)
+                ]
+                ends = await asyncio.gather(
+                    *(it.live.apply_plan(plan, "t") for plan in plans), return_exceptions=True
+                )
+                assert sorted(type(end).__name__ for end in ends) == ["Applied", "MovedError"]
+                assert it.live.applied.serial == 2
+
+    run(work)
+
+
+def test_a_plan_of_nothing_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a:
+            value = file_value([pool("p", {"a": a})], free_port())
+            async with inside(tmp_path, value) as it:
+                await it.go(value)
+                assert it.live.applied.serial == 1
+
+    run(work)
+
+
+def test_the_way_back_is_a_plan_too(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            async with inside(tmp_path, file_value([pool("p", {"a": a})], port)) as it:
+                await it.go(file_value([pool("p", {"a": a, "b": b})], port))
+                answer = await _ask(it, {"op": "state", "serial": 1})
+                assert set(answer["state"]["nodes"]) == {"p/a"}
+                missing = await _ask(it, {"op": "state", "serial": 77})
+                assert "serial 77: not known" in missing["error"]
+
+    run(work)
+
+
+# --- Nodes
+
+
+def test_a_removed_node_gets_nothing_new_and_finishes_what_it_has(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node(0.2) as a, Node(0.01) as b:
+            port = free_port()
+            value = file_value([pool("p", {"a": a, "b": b})], port)
+            async with inside(tmp_path, value) as it, Load(it.addr, 8) as load:
+                await until(lambda: a.seen > 5 and b.seen > 5)
+                await it.go(file_value([pool("p", {"b": b})], port))
+                a.drain()
+                served = load.ends["served"]
+                await until(lambda: load.ends["served"] > served + 50)
+                assert a.late == []
+                await until(lambda: "a" not in it.live.pools["p"].listed)
+                await load.finish()
+                assert set(load.ends) == {"served"}
+                assert not doubled([a, b])
+
+    run(work)
+
+
+def test_a_node_that_comes_back_or_moves_is_a_new_and_cold_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b, Node() as c, Node() as w:
+            port = free_port()
+            gateway = {"cold_time": "60s"}
+            both = file_value([pool("p", {"a": a, "b": b, "w": w})], port, gateway)
+            async with inside(tmp_path, both) as it:
+                module = it.live.pools["p"].module
+                assert not module.cold
+                await it.go(file_value([pool("p", {"b": b, "w": w})], port, gateway))
+                await it.go(both)
+                assert [server.name for server in module.cold] == ["a~2"]
+                await it.go(file_value([pool("p", {"a": a, "b": c, "w": w})], port, gateway))
+                assert {server.name for server in module.cold} == {"a~2", "b~2"}
+                heavier = [part("a", a.addr, weight=2.0, zone="z"), part("b", c.addr)]
+                heavier.append(part("w", w.addr))
+                await it.go(file_value([{"name": "p", "nodes": heavier}], port, gateway))
+                assert {server.name for server in module.cold} == {"a~2", "b~2"}
+                client = await it.client()
+                assert (await client.ask(get()))[0] == 200
+
+    run(work)
+
+
+def test_a_new_node_is_not_pushed_over(tmp_path: Path) -> None:
+    async def work() -> None:
+        memory = Memory()
+        nodes = [Node(0.005, workers=4, memory=memory, reports=True) for _ in range(3)]
+        new = Node(0.005, workers=4, cold=1.0, breaks_at=12, memory=memory, reports=True)
+        for node in nodes:
+            await node.start()
+        port = free_port()
+        named = {f"n{i}": node for i, node in enumerate(nodes)}
+        gateway = {"cold_time": "1s"}
+        value = file_value([pool("p", named)], port, gateway)
+        async with inside(tmp_path, value) as it, Load(it.addr, 16) as load:
+            await until(lambda: load.ends["served"] > 300)
+            await new.start()
+            await it.go(file_value([pool("p", {**named, "new": new})], port, gateway))
+            await until(lambda: new.seen > 300)
+            await load.finish()
+            assert not new.fell
+            assert load.ends["served"] == load.asked
+        for node in [*nodes, new]:
+            node.stop()
+
+    run(work)
+
+
+def test_a_keyed_retry_does_not_go_to_what_came_in_a_nodes_place(tmp_path: Path) -> None:
+    async def work() -> None:
+        hold = asyncio.Event()
+
+        def script(name: bytes) -> Fault:
+            hold.set()
+            return Fault.SLOW
+
+        async with Node(slow=0.5, script=script) as old, Node() as new:
+            port = free_port()
+            classes = [{"name": "filing", "effect": "keyed", "aim": "2s", "deadline": "3s"}]
+            routes = [{"name": "r", "class": "filing", "pools": {"p": 1.0}}]
+            more: dict[str, Any] = {"classes": classes, "routes": routes}
+            value = file_value([pool("p", {"a": old})], port, **more)
+            async with inside(tmp_path, value) as it:
+                client = await it.client()
+                client.send(post("/c", "Idempotency-Key: k\r\n"))
+                await hold.wait()
+                await it.go(file_value([pool("p", {"a": new})], port, **more))
+                old.stop()  # it may have run, and its place is taken by another
+                status, _ = await client.answer()
+                assert status == 502
+                assert new.seen == 0
+                assert (await client.ask(post("/c", "Idempotency-Key: l\r\n")))[0] == 200
+
+    run(work)
+
+
+# --- Pools, classes, listeners
+
+
+def test_a_removed_pool_ends_what_it_has_taken(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node(0.5) as a, Node() as b:
+            port = free_port()
+            classes = [{"name": "page", "aim": "2s", "deadline": "3s"}]
+
+            def value(name: str, node: Node) -> dict[str, Any]:
+                routes = [{"name": "r", "class": "page", "pools": {name: 1.0}}]
+                return file_value(
+                    [pool(name, {f"{name}1": node})], port, classes=classes, routes=routes
+                )
+
+            async with inside(tmp_path, value("old", a)) as it:
+                unsafe, keyed, late = [await it.client() for _ in range(3)]
+                unsafe.send(post("/x"))
+                keyed.send(post("/x", "Idempotency-Key: k\r\n"))
+                await until(lambda: a.seen == 2)
+                await it.go(value("new", b))
+                assert len(it.live.core.pools) == 2
+                # A repeat of a key that the old pool may have run is no other pool's business.
+                assert (await late.ask(post("/x", "Idempotency-Key: k\r\n")))[0] == 503
+                assert (await late.ask(post("/x", "Idempotency-Key: l\r\n")))[0] == 200
+                assert (await unsafe.answer())[0] == 200
+                assert (await keyed.answer())[0] == 200
+                await until(lambda: len(it.live.core.pools) == 1)
+                assert b.seen == 1
+                assert not doubled([a, b])
+
+    run(work)
+
+
+def test_a_removed_pools_backlog_is_answered_at_once(tmp_path: Path) -> None:
+    async def work() -> None:
+        port = free_port()
+        async with Node() as b:
+            value = file_value([pool("old", {})], port)
+            async with inside(tmp_path, value) as it:
+                client = await it.client()
+                client.send(post("/claims", "Idempotency-Key: k\r\n"))
+                await until(lambda: len(it.live.core.live) == 1)
+                routes = [{"name": "r", "class": "page", "pools": {"new": 1.0}}]
+                await it.go(file_value([pool("new", {"b": b})], port, routes=routes))
+                assert not it.live.core.live  # before anything else has its turn
+                assert (await client.answer())[0] == 503
+                await until(lambda: len(it.live.core.pools) == 1)
+
+    run(work)
+
+
+def test_a_cut_deadline_holds_for_new_requests_and_not_for_open_ones(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node(0.6) as a:
+            port = free_port()
+
+            def value(deadline: str, aim: str) -> dict[str, Any]:
+                classes = [{"name": "page", "aim": aim, "deadline": deadline}]
+                routes = [{"name": "r", "class": "page", "pools": {"p": 1.0}}]
+                return file_value([pool("p", {"a": a})], port, classes=classes, routes=routes)
+
+            async with inside(tmp_path, value("3s", "2s")) as it:
+                old, new = await it.client(), await it.client()
+                old.send(post("/x"))
+                await until(lambda: a.seen == 1)
+                await it.go(value("200ms", "150ms"))
+                new.send(post("/x"))
+                assert (await new.answer())[0] in (502, 504)
+                assert (await old.answer())[0] == 200
+
+    run(work)
+
+
+def test_a_listeners_taken_port_leaves_everything_as_it_was(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b, Node() as c:
+            port = free_port()
+            with socket.socket() as taken:
+                taken.bind(("127.0.0.1", 0))
+                taken.listen()
+                other = taken.getsockname()[1]
+                value = file_value([pool("p", {"a": a, "b": b})], port)
+                async with inside(tmp_path, value, stored=True) as it:
+                    wanted = file_value([pool("p", {"b": b, "c": c}), pool("q", {})], port)
+                    wanted["listeners"] = [
+                        {"name": "web", "address": f"127.0.0.1:{free_port()}"},
+                        {"name": "more", "address": f"127.0.0.1:{other}"},
+                    ]
+                    wanted["classes"] = [{**one, "worth": 2.0} for one in wanted["classes"]]
+                    before = _descriptors()
+                    with pytest.raises(ApplyError, match=r"listeners\[1\] 'more'.*in use"):
+                        await it.go(wanted)
+                    assert _descriptors() == before
+                    assert it.live.applied.serial == 1
+                    assert it.live.store is not None
+                    assert it.live.store.serials() == [1]
+                    assert set(it.live.pools["p"].listed) == {"a", "b"}
+                    client = await it.client()
+                    assert (await client.ask(get()))[0] == 200
+
+    run(work)
+
+
+def _descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_a_removed_listener_finishes_what_it_has_taken(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node(0.3) as a:
+            port, more = free_port(), free_port()
+            value = file_value([pool("p", {"a": a})], port)
+            both = {
+                **value,
+                "listeners": [
+                    *value["listeners"],
+                    {"name": "more", "address": f"127.0.0.1:{more}"},
+                ],
+            }
+            async with inside(tmp_path, both) as it:
+                busy = Client(*await asyncio.open_connection("127.0.0.1", more))
+                idle = Client(*await asyncio.open_connection("127.0.0.1", more))
+                assert (await idle.ask(get()))[0] == 200
+                busy.send(get())
+                await until(lambda: a.seen == 2)
+                await it.go(value)
+                assert await idle.rest() == b""
+                assert (await busy.answer())[0] == 200
+                assert await busy.rest() == b""
+                with pytest.raises(OSError, match=r"refused|111"):
+                    await asyncio.open_connection("127.0.0.1", more)
+                client = await it.client()
+                assert (await client.ask(get()))[0] == 200
+
+    run(work)
+
+
+def test_a_listener_with_another_name_goes_on(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a:
+            value = file_value([pool("p", {"a": a})], free_port())
+            async with inside(tmp_path, value) as it:
+                client = await it.client()
+                assert (await client.ask(get()))[0] == 200
+                renamed = [{**value["listeners"][0], "name": "other"}]
+                await it.go({**value, "listeners": renamed})
+                assert (await client.ask(get()))[0] == 200
+                assert set(it.live.listeners) == {"other"}
+
+    run(work)
+
+
+# --- Under load
+
+
+def test_fifty_applies_in_a_row_lose_and_double_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        memory = Memory()
+        nodes = {f"n{i}": Node(0.003, memory=memory, reports=True) for i in range(6)}
+        for node in nodes.values():
+            await node.start()
+        port = free_port()
+        names = list(nodes)
+        gateway = {"cold_time": "100ms"}
+
+        def value(i: int) -> dict[str, Any]:
+            out = {names[i % 6], names[(i // 2 + 3) % 6]}
+            here = [
+                part(name, node.addr, weight=1.0 + (i + j) % 3)
+                for j, (name, node) in enumerate(nodes.items())
+                if name not in out
+            ]
+            classes = file_value([], port)["classes"]
+            worth = [{**one, "worth": 1.0 + i % 2} for one in classes]
+            return file_value([{"name": "p", "nodes": here}], port, gateway, classes=worth)
+
+        async with inside(tmp_path, value(0), stored=True) as it, Load(it.addr, 10) as load:
+            for i in range(1, 51):
+                asked = load.asked
+                await it.go(value(i))
+                await until(lambda asked=asked: load.asked > asked + 10)  # type: ignore[misc]
+            await load.finish()
+            assert it.live.applied.serial == 51
+            assert load.ends["served"] == load.asked > 500
+            assert max(load.answers.values()) == 1
+            assert not load.wrong
+            assert not doubled(list(nodes.values()))
+            await until(lambda: not it.live.leaving)
+        for node in nodes.values():
+            node.stop()
+
+    run(work)
+
+
+# --- The disk
+
+
+def test_a_disk_that_takes_nothing_more_leaves_the_old_state(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            async with inside(tmp_path, file_value([pool("p", {"a": a})], port), stored=True) as it:
+                real = os.fsync
+
+                def full(number: int) -> None:
+                    raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+
+                monkeypatch.setattr(os, "fsync", full)
+                wanted = file_value([pool("p", {"a": a, "b": b})], port)
+                wanted["listeners"].append({"name": "x", "address": f"127.0.0.1:{free_port()}"})
+                before = _descriptors()
+                with pytest.raises(ApplyError, match="No space left on device; nothing was chang"):
+                    await it.go(wanted)
+                assert _descriptors() == before
+                monkeypatch.setattr(os, "fsync", real)
+                assert sorted(os.listdir(tmp_path / "state")) == ["lock", "state-00000001.json"]
+                assert set(it.live.pools["p"].listed) == {"a"}
+                await it.go(wanted)
+                assert it.live.applied.serial == 2
+
+    run(work)
+
+
+def _stored(tmp_path: Path) -> Path:
+    """A directory with two applied states."""
+
+    async def work() -> None:
+        port = free_port()
+        async with inside(tmp_path, file_value([pool("p", {})], port), stored=True) as it:
+            await it.go(file_value([pool("p", {}), pool("q", {})], port))
+
+    run(work)
+    return tmp_path / "state"
+
+
+def test_a_state_file_that_is_half_there_is_told_with_the_next_step(tmp_path: Path) -> None:
+    path = _stored(tmp_path)
+    last = path / "state-00000002.json"
+    whole = last.read_bytes()
+    for data in (whole[: len(whole) // 2], b"", whole.replace(b'"q"', b'"r"'), b"[]"):
+        last.write_bytes(data)
+        store = Store(path, "g1")
+        with pytest.raises(StoreError, match=r"damaged.*remove it to go on from serial 1"):
+            store.last()
+        store.close()
+    last.unlink()
+    store = Store(path, "g1")
+    applied = store.last()
+    assert applied is not None
+    assert applied.serial == 1
+    store.close()
+
+
+def test_a_state_file_of_a_newer_version_or_another_gateway_is_refused(tmp_path: Path) -> None:
+    path = _stored(tmp_path)
+    last = path / "state-00000002.json"
+    value = json.loads(last.read_bytes())
+    last.write_text(json.dumps({**value, "format": 2}))
+    store = Store(path, "g1")
+    with pytest.raises(StoreError, match="newer version"):
+        store.last()
+    store.close()
+    last.write_text(json.dumps(value))
+    store = Store(path, "g2")
+    with pytest.raises(StoreError, match="of gateway 'g1', not 'g2'"):
+        store.last()
+    store.close()
+
+
+def test_a_directory_that_cannot_be_used_is_named(tmp_path: Path) -> None:
+    (tmp_path / "file").write_text("")
+    with pytest.raises(StoreError, match=r"state_dir: .*file"):
+        Store(tmp_path / "file", "g1")
+    store = Store(tmp_path / "state", "g1")
+    with pytest.raises(StoreError, match="another gateway holds it"):
+        Store(tmp_path / "state", "g1")
+    store.close()
+    if os.getuid() != 0:  # root writes where nobody may
+        (tmp_path / "state").chmod(0o500)
+        with pytest.raises(StoreError, match="Permission denied"):
+            Store(tmp_path / "state" / "deeper", "g1")
+
+
+def test_only_so_many_states_are_kept(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("sailhitch.daemon.store.KEPT", 3)
+
+    async def work() -> None:
+        port = free_port()
+        async with inside(tmp_path, file_value([pool("p", {})], port), stored=True) as it:
+            for i in range(5):
+                await it.go(file_value([pool("p", {}), pool(f"q{i}", {})], port))
+            assert [one.serial for one in it.live.history()] == [4, 5, 6]
+
+    run(work)
+
+
+# --- Killed
+
+
+STEPS = [
+    "checked", "bound", "half written", "written", "synced", "renamed", "committed", "switched",
+]  # fmt: skip
+HOLDS = {step: 1 if i < 5 else 2 for i, step in enumerate(STEPS)}
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_an_apply_killed_at_any_step_leaves_the_old_or_the_new_state_whole(
+    step: str, tmp_path: Path
+) -> None:
+    async def work() -> None:
+        memory = Memory()
+        async with Node(0.002, memory=memory) as a, Node(0.002, memory=memory) as b:
+            port = free_port()
+            old = file_value([pool("p", {"a": a})], port)
+            new = file_value([pool("p", {"b": b}), pool("q", {})], port)
+            async with outside(tmp_path, old) as it:
+                await it.start(kill_at=step)
+                async with Load(f"127.0.0.1:{port}", 4) as load:
+                    await until(lambda: load.ends["served"] > 20)
+                    plan = await it.plan(new)
+                    it.armed.touch()
+                    with pytest.raises(Exception, match=r"cut short|reset|no answer|Connection"):
+                        await it.ask({"op": "apply", "plan": plan})
+                    assert await it.wait() == -signal.SIGKILL
+                    await it.start()
+                    served = load.ends["served"]
+                    await until(lambda: load.ends["served"] > served + 20)
+                    await load.finish()
+                live = await it.ask({"op": "state"})
+                assert live["serial"] == HOLDS[step]
+                nodes, pools = set(live["state"]["nodes"]), set(live["state"]["pools"])
+                assert (nodes, pools) == (
+                    ({"p/a"}, {"p"}) if live["serial"] == 1 else ({"p/b"}, {"p", "q"})
+                )
+                hosts = await it.ask({"op": "hosts"})
+                assert {n["node"] for n in hosts["pools"]["p"]} == {
+                    "a" if live["serial"] == 1 else "b"
+                }
+                assert not doubled([a, b])
+                assert max(load.answers.values()) == 1
+                assert not [n for n in os.listdir(tmp_path / "state") if n.startswith(".")]
+
+    run(work)
+
+
+@pytest.mark.parametrize("number", ["SIGTERM", "SIGHUP"])
+@pytest.mark.parametrize("step", ["bound", "written", "committed"])
+def test_an_apply_goes_on_through_a_signal(number: str, step: str, tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            old = file_value([pool("p", {"a": a})], port)
+            new = file_value([pool("p", {"a": a, "b": b})], port)
+            async with outside(tmp_path, old) as it:
+                await it.start(kill_at=step, number=number)
+                plan = await it.plan(new)
+                it.armed.touch()
+                answer = await it.ask({"op": "apply", "plan": plan})
+                assert answer["ok"]
+                if number == "SIGTERM":
+                    assert await it.wait() == 0
+                    await it.start()
+                    assert (await it.ask({"op": "state"}))["serial"] == 2
+                else:
+                    # The file is still the old one: what SIGHUP asks for comes after the apply.
+                    async with asyncio.timeout(PATIENCE):
+                        while (await it.ask({"op": "state"}))["serial"] < 3:
+                            await asyncio.sleep(0.02)
+                    last = (await it.ask({"op": "history"}))["history"][-1]
+                    assert last["by"] == "SIGHUP"
+
+    run(work)
+
+
+def test_sighup_goes_by_the_file_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            async with outside(tmp_path, file_value([pool("p", {"a": a})], port)) as it:
+                await it.start()
+                assert it.program is not None
+                plan = await it.plan(file_value([pool("p", {"b": b})], port))
+                whole = it.file.read_text()
+                it.file.write_text("version = 1\nnonsense")
+                it.program.send_signal(signal.SIGHUP)
+                await until(lambda: "SIGHUP: nothing was changed" in it.log.read_text())
+                it.file.write_text(whole.replace('"a"', '"c"'))
+                it.program.send_signal(signal.SIGHUP)
+                await until(lambda: "SIGHUP: serial 2" in it.log.read_text())
+                answer = await it.ask({"op": "apply", "plan": plan})
+                assert answer["code"] == "moved"
+                assert [one["by"] for one in answer["moved"]] == ["SIGHUP"]
+                it.program.send_signal(signal.SIGTERM)
+                assert await it.wait() == 0
+
+    run(work)
+
+
+# --- The admin socket
+
+
+async def _ask(it: Inside, request: dict[str, Any]) -> dict[str, Any]:
+    reader, writer = await asyncio.open_unix_connection(str(it.admin.path), limit=1 << 24)
+    writer.write(json.dumps(request).encode() + b"\n")
+    async with asyncio.timeout(PATIENCE):
+        answer = json.loads(await reader.readline())
+    writer.close()
+    return dict(answer)
+
+
+async def _say(it: Inside, data: bytes, end: bool = True) -> dict[str, Any]:
+    reader, writer = await asyncio.open_unix_connection(str(it.admin.path))
+    writer.write(data)
+    if end:
+        writer.write_eof()
+    async with asyncio.timeout(PATIENCE):
+        answer = json.loads(await reader.readline())
+    writer.close()
+    return dict(answer)
+
+
+def admin(tmp_path: Path, act: Callable[[Inside], Awaitable[None]]) -> None:
+    async def work() -> None:
+        async with inside(tmp_path, file_value([pool("p", {})], free_port())) as it:
+            await act(it)
+            assert (await _ask(it, {"op": "state"}))["ok"]
+
+    run(work)
+
+
+@pytest.mark.parametrize(
+    ("data", "said"),
+    [
+        (b"", "cut short"),
+        (b'{"op": "state"}', "cut short"),
+        (b"nonsense\n", "not JSON"),
+        (b"[" * 100_000 + b"\n", "not JSON"),
+        (b"[1]\n", "not an object"),
+        (b'{"op": "explode"}\n', "not known"),
+        (b'{"op": "state", "serial": "x"}\n', "invalid literal"),
+        (b'{"op": "apply", "plan": "{}"}\n', "not a plan"),
+        (b'{"op": "apply"}\n', "not a plan"),
+    ],
+)
+def test_an_admin_request_out_of_form_is_told_so(data: bytes, said: str, tmp_path: Path) -> None:
+    async def act(it: Inside) -> None:
+        answer = await _say(it, data)
+        assert not answer["ok"]
+        assert said in answer["error"]
+
+    admin(tmp_path, act)
+
+
+def test_an_admin_client_with_sixty_megabytes_is_stopped(tmp_path: Path) -> None:
+    async def act(it: Inside) -> None:
+        reader, writer = await asyncio.open_unix_connection(str(it.admin.path))
+        try:
+            for _ in range(60):
+                writer.write(b"x" * (1 << 20))
+                await writer.drain()
+        except OSError:
+            pass  # it is no longer read
+        async with asyncio.timeout(PATIENCE):
+            try:
+                said = await reader.readline()
+            except OSError:
+                said = b""
+        assert b"larger than 32 MiB" in said or said == b""
+        assert it.live.applied.serial == 1
+
+    admin(tmp_path, act)
+
+
+def test_an_admin_client_that_says_nothing_is_let_go(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sailhitch.daemon.admin.PATIENCE", 0.2)
+
+    async def act(it: Inside) -> None:
+        silent = [await asyncio.open_unix_connection(str(it.admin.path)) for _ in range(12)]
+        async with asyncio.timeout(PATIENCE):
+            ends = [await reader.read() for reader, _ in silent]
+        assert sum(b"too many" in end for end in ends) == 4
+        await until(lambda: it.admin.clients == 0)
+        for _, writer in silent:
+            writer.close()
+
+    admin(tmp_path, act)
+
+
+def test_another_user_is_refused_by_the_kernels_word(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def act(it: Inside) -> None:
+        assert it.admin.path.stat().st_mode & 0o777 == 0o600
+        with monkeypatch.context() as patch:
+            patch.setattr("sailhitch.daemon.admin.peer_uid", lambda sock: 12345)
+            answer = await _ask(it, {"op": "state"})
+        assert "user 12345 may not" in answer["error"]
+
+    admin(tmp_path, act)
+
+
+def test_a_stale_socket_is_taken_over_and_a_live_one_or_a_file_is_not(tmp_path: Path) -> None:
+    async def work() -> None:
+        path = tmp_path / "g1.sock"
+        with socket.socket(socket.AF_UNIX) as stale:
+            stale.bind(str(path))
+        value = file_value([pool("p", {})], free_port())
+        async with inside(tmp_path, value):
+            with pytest.raises(Exception, match="another gateway serves it"):
+                async with inside(tmp_path, file_value([pool("p", {})], free_port())):
+                    pass
+        path.unlink(missing_ok=True)
+        path.write_text("notes")
+        with pytest.raises(Exception, match="is there and no socket"):
+            async with inside(tmp_path, file_value([pool("p", {})], free_port())):
+                pass
+        assert path.read_text() == "notes"
+
+    run(work)
+
+
+def test_an_admin_client_that_leaves_takes_no_apply_with_it(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            value = file_value([pool("p", {"a": a})], port)
+            async with inside(tmp_path, value, stored=True) as it:
+                plan = it.plan(file_value([pool("p", {"a": a, "b": b})], port))
+                _, writer = await asyncio.open_unix_connection(str(it.admin.path))
+                writer.write(json.dumps({"op": "apply", "plan": plan}).encode() + b"\n")
+                await writer.drain()
+                writer.transport.abort()
+                await until(lambda: it.live.applied.serial == 2)
+
+    run(work)
+
+
+def test_a_plan_edited_by_hand_changes_nothing(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            async with inside(tmp_path, file_value([pool("p", {"a": a})], port)) as it:
+                plan = it.plan(file_value([pool("p", {"a": a, "b": b})], port))
+                with pytest.raises(PlanError, match="changed after it was made"):
+                    await it.live.apply_plan(plan.replace(b.addr, "127.0.0.1:1"), "t")
+                assert it.live.applied.serial == 1
+
+    run(work)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,142 @@
+"""The `sailhitch` command: what it prints, and with which code it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sailhitch.daemon.cli import main
+from sailhitch.lab.node import Node
+from tests.daemons import Inside, file_text, file_value, free_port, inside, pool
+from tests.operator_files import FILE
+
+
+def test_help_names_the_commands_and_codes(capsys: pytest.CaptureFixture[str]) -> None:
+    for arguments in (["--help"], ["plan", "--help"], ["run", "--help"]):
+        with pytest.raises(SystemExit) as caught:
+            main(arguments)
+        assert caught.value.code == 0
+    said = capsys.readouterr().out
+    assert "Exit codes: 0 done, 1 error, 2 `plan` found changes, 3 `apply` was refused." in said
+    for command in ("run", "check", "state", "plan", "apply", "history", "hosts"):
+        assert f"\n    {command} " in said
+
+
+@pytest.mark.parametrize("arguments", [[], ["explode"], ["check"], ["apply"]])
+def test_a_wrong_command_line_is_told(arguments: list[str]) -> None:
+    with pytest.raises(SystemExit) as caught:
+        main(arguments)
+    assert caught.value.code == 2
+
+
+def test_check_says_what_is_wrong_and_what_is_doubtful(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "g.toml"
+    path.write_text(FILE)
+    assert main(["check", str(path)]) == 0
+    said = capsys.readouterr()
+    assert "good; 1 listeners, 2 classes, 1 tenants, 2 pools, 3 nodes, 2 routes" in said.out
+    assert "shares hold only where gateway.rate" in said.err
+    path.write_text(FILE.replace("worth", "wroth").replace('"g1"', '""'))
+    assert main(["check", str(path)]) == 1
+    assert len(capsys.readouterr().err.splitlines()) == 2
+    assert main(["check", "--json", str(path)]) == 1
+    assert len(json.loads(capsys.readouterr().out)["errors"]) == 2
+
+
+def test_a_gateway_that_is_not_there_is_told_with_the_next_step(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("SAILHITCH_ADMIN", raising=False)
+    assert main(["state"]) == 1
+    assert "give --admin SOCKET" in capsys.readouterr().err
+    assert main(["state", "--admin", str(tmp_path / "none")]) == 1
+    assert "is the gateway running" in capsys.readouterr().err
+    assert main(["apply", str(tmp_path / "none")]) == 1
+    assert "No such file" in capsys.readouterr().err
+    assert main(["plan", "--admin", "x"]) == 1
+    assert "give either FILE or --to SERIAL" in capsys.readouterr().err
+
+
+def test_run_refuses_a_bad_file_and_a_taken_port(tmp_path: Path) -> None:
+    path = tmp_path / "g.toml"
+    command = [sys.executable, "-m", "sailhitch.daemon.cli", "run", str(path)]
+    path.write_text("version = 1\n")
+    found = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert (found.returncode, "gateway: required and missing" in found.stderr) == (1, True)
+    import socket
+
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        path.write_text(file_text(file_value([pool("p", {})], taken.getsockname()[1])))
+        found = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert found.returncode == 1
+    assert "listeners[0] 'web'" in found.stderr
+    assert "in use" in found.stderr
+
+
+def test_a_change_from_plan_to_apply_and_back(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, plan = tmp_path / "g.toml", tmp_path / "plan"
+
+    async def command(it: Inside, *arguments: str) -> tuple[int, str, str]:
+        code = await asyncio.to_thread(main, [*arguments, "--admin", str(it.admin.path)])
+        said = capsys.readouterr()
+        return code, said.out, said.err
+
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            old = file_value([pool("p", {"a": a})], port)
+            new: dict[str, Any] = file_value([pool("p", {"a": a, "b": b})], port)
+            path.write_text(file_text(old))
+            async with inside(tmp_path, old) as it:
+                code, out, _ = await command(it, "plan", str(path))
+                assert (code, out) == (
+                    0, "0 to add, 0 to remove, 0 to alter, against serial 1\n",
+                )  # fmt: skip
+                path.write_text(file_text(new))
+                code, out, _ = await command(it, "plan", str(path), "-o", str(plan))
+                assert code == 2
+                assert out.startswith("+ nodes p/b\n")
+                stale = plan.read_text()
+                code, out, _ = await command(it, "apply", str(plan))
+                assert (code, out) == (
+                    0, "applied: 1 to add, 0 to remove, 0 to alter; serial 2\n",
+                )  # fmt: skip
+                plan.write_text(stale)
+                code, _, err = await command(it, "apply", str(plan))
+                assert code == 3
+                assert "refused: made against serial 1, and the live state is 2" in err
+                assert "serial 2, " in err
+                code, out, _ = await command(it, "apply", str(plan), "--json")
+                assert (code, json.loads(out)["code"]) == (3, "moved")
+                code, out, _ = await command(it, "plan", "--to", "1", "-o", str(plan))
+                assert (code, out.splitlines()[0]) == (2, "- nodes p/b")
+                assert (await command(it, "apply", str(plan)))[0] == 0
+                code, out, _ = await command(it, "history")
+                assert [line.split()[0] for line in out.splitlines()] == ["1", "2", "3"]
+                code, out, _ = await command(it, "state")
+                assert "gateway g1, serial 3" in out
+                assert "nodes p/a: address=" in out
+                code, out, _ = await command(it, "hosts", "--json")
+                assert {one["node"] for one in json.loads(out)["p"]} >= {"a"}
+                plan.write_text(stale.replace('"p/b"', '"p/c"'))
+                code, _, err = await command(it, "apply", str(plan))
+                assert code == 1
+                assert "changed after it was made" in err
+                path.write_text(file_text({**old, "gateway": {"name": "g9"}}))
+                code, _, err = await command(it, "plan", str(path))
+                assert code == 1
+                assert "is for gateway 'g9', and 'g1' answers" in err
+
+    asyncio.run(work())
