Tell what contradicts itself beside what is out of form, at once

A file with a bad weight and a pool that nobody knows showed the second error only after the first was mended: pydantic stops before the checks across fields. Fields out of form are now replaced by ones in form and the rest is looked at too, with nothing said twice and nobody blamed who refers to what has lost its name.

The new test, with five errors of both sorts in one file, fails without it.

--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
+import copy
 import difflib
 import re
 import tomllib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Annotated, Any, Final, Literal
 
@@ -251,14 +252,51 @@
     try:
         made = OperatorFile.model_validate(value)
     except ValidationError as error:
-        raise FileError([_said(value, one) for one in error.errors()]) from None
+        raise FileError(_all_said(value, error.errors())) from None
     problems = list(_contradictions(made))
     if problems:
         raise FileError(problems)
     return made
 
 
-def _said(value: Any, error: ErrorDetails) -> str:
+def _all_said(value: dict[str, Any], errors: list[ErrorDetails]) -> list[str]:
+    """All that is wrong: what is out of form, and what else contradicts itself beside that.
+
+    Fields out of form are replaced by ones that are in it, so that the rest can be looked at, and
+    nothing is said of them a second time.
+    """
+    problems = [_said(one) for one in errors]
+    mended = copy.deepcopy(value)
+    for i, error in enumerate(errors):
+        _mend(mended, [part for part in error["loc"] if part != "[key]"], i)
+    try:
+        made = OperatorFile.model_validate(mended)
+    except ValidationError:
+        return problems  # too far out of form to say more
+    bad = tuple(_where(part for part in one["loc"] if part != "[key]") for one in errors)
+    others = (line for line in _contradictions(made) if not line.startswith(bad))
+    # Danger: who refers to what has lost its name here is not to blame.
+    lost = any(one["loc"][-1] in ("name", "id") for one in errors)
+    return problems + [line for line in others if not (lost and " is called " in line)]
+
+
+def _mend(value: Any, loc: list[int | str], number: int) -> None:
+    """Take a field out, or put in one that is in form where it can't be done without."""
+    for part in loc[:-1]:
+        try:
+            value = value[part]
+        except (KeyError, IndexError, TypeError):
+            return
+    last = loc[-1] if loc else ""
+    if isinstance(value, dict):
+        value.pop(last, None)
+        if last in _IN_FORM:
+            value[last] = _IN_FORM[str(last)](number)
+    elif isinstance(value, list) and isinstance(last, int) and last < len(value):
+        value[last] = "GET"  # the only lists of plain values are of methods
+
+
+def _said(error: ErrorDetails) -> str:
     """One of pydantic's errors, with the path as the file has it."""
     loc = [p for p in error["loc"] if p != "[key]"]
     where = _where(loc)
@@ -278,6 +316,14 @@
     return text or "file"
 
 
+# Values in form for fields that can't be left out; no two are the same.
+_IN_FORM: Final[dict[str, Callable[[int], Any]]] = {
+    "version": lambda i: VERSION, "gateway": lambda i: {"name": f"x{i}"},
+    "name": lambda i: f"out-of-form-{i}", "id": lambda i: f"out-of-form-{i}",
+    "address": lambda i: f"127.255.255.{i % 250}:{1 + i // 250}", "aim": lambda i: "1us",
+    "deadline": lambda i: "24h", "share": lambda i: 0.5, "class": lambda i: f"out-of-form-{i}",
+    "pools": lambda i: {f"out-of-form-{i}": 1.0},
+}  # fmt: skip
 _PARTS: Final[dict[str, type[_Part]]] = {
     "gateway": GatewayPart, "listeners": ListenerPart, "classes": ClassPart,
     "tenants": TenantPart, "pools": PoolPart, "nodes": NodePart, "routes": RoutePart,
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -81,6 +81,21 @@
     assert len(problems(text)) == 2
 
 
+def test_what_contradicts_itself_is_told_beside_what_is_out_of_form() -> None:
+    text = FILE.replace("weight = 1.0", "weight = nan").replace("worth", "wroth")
+    text = text.replace('"n2"', '"n1"').replace("next = 0.05", "nxet = 1.0").replace(":9011", ":x")
+    said = problems(text)
+    starts = [line.partition(":")[0] for line in said]
+    assert starts == [
+        "classes[1].wroth", "pools[0].nodes[0].weight", "pools[1].nodes[0].address",
+        "pools[0].nodes[1].id", "routes[0].pools",
+    ]  # fmt: skip
+    # Of a class whose name is out of form nobody is said to name it wrongly.
+    said = problems(FILE.replace('name = "payout"', 'name = "pay out"'))
+    assert len(said) == 1
+    assert said[0].startswith("classes[1].name: not a name")
+
+
 def test_two_routes_that_could_tie_are_named() -> None:
     again = '[[routes]]\nname = "other"\nmatch = { path_prefix = "/payouts/", methods = ["PUT", '
     again += '"POST"] }\nclass = "page"\npools = { claims = 1.0 }\n'
