--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -10,11 +10,11 @@
 
 import uvloop
 
+from . import __version__
 from .core.log import Log
 from .net.config import Config, ConfigError, load_config, reload_config
 from .net.platform import Platform
 
-VERSION = "0.1.0"
 USAGE = """usage: python -m sailhitch [--help | --version]
 
 One real gateway. It is told all it needs by the environment: EDGE_CONFIG (a JSON file), EDGE_NAME,
@@ -65,7 +65,7 @@
     loop.add_signal_handler(signal.SIGHUP, Reloader(platform, log).reload)
     server = platform.listen(config.listen, BACKLOG)
     log.say(
-        f"sailhitch {VERSION} listens on {config.listen[0]}:{config.listen[1]}; "
+        f"sailhitch {__version__} listens on {config.listen[0]}:{config.listen[1]}; "
         f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
         f"{len(config.known.entries)} hosts known"
     )
@@ -101,7 +101,7 @@
         print(USAGE)
         return 0
     if arguments == ["--version"]:
-        print(f"sailhitch {VERSION}")
+        print(f"sailhitch {__version__}")
         return 0
     if arguments:
         print(f"sailhitch: unknown argument: {arguments[0]}", file=sys.stderr)
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -13,14 +13,14 @@
 import sys
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
+from .. import __version__
 from .admin import MOVED, AdminError, ask
 from .plan import Plan, PlanError, describe, load_plan, make_plan, summary
 from .schema import FileError, OperatorFile, load_file
 from .state import State, digest, from_file
 
-VERSION: Final = "0.2.0"
 DONE, ERROR, CHANGES, REFUSED = range(4)
 
 
@@ -58,7 +58,7 @@
         description="An HTTP gateway that goes by an operator file.",
         epilog="Exit codes: 0 done, 1 error, 2 `plan` found changes, 3 `apply` was refused.",
     )
-    parser.add_argument("--version", action="version", version=f"sailhitch {VERSION}")
+    parser.add_argument("--version", action="version", version=f"sailhitch {__version__}")
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
 
     def command(name: str, work: Any, text: str, live: bool = True) -> argparse.ArgumentParser:
