--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -401,6 +401,38 @@
     run(work)
 
 
+def test_two_thousand_routes_and_ten_thousand_nodes_come_and_go(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node(0.002) as a:
+            port = free_port()
+            small = file_value([pool("p", {"a": a}), pool("q", {})], port)
+            many = [
+                part(f"x{i}", f"127.{1 + i // 62_500}.{i // 250 % 250}.{1 + i % 250}:9000")
+                for i in range(10_000)
+            ]
+            large = file_value([pool("p", {"a": a}), {"name": "q", "nodes": many}], port)
+            large["routes"] += [
+                {
+                    "name": f"r{i}", "match": {"path_prefix": f"/r{i}"}, "class": "payout",
+                    "pools": {"p": 1.0},
+                }
+                for i in range(2000)
+            ]  # fmt: skip
+            async with inside(tmp_path, small, stored=True) as it, Load(it.addr, 2) as load:
+                await it.go(large)
+                assert len(it.live.pools["q"].listed) == 10_000
+                client = await it.client()
+                assert (await client.ask(get("/r1999/x")))[0] == 200
+                answer = await _ask(it, {"op": "state"})
+                assert len(answer["state"]["nodes"]) == 10_001
+                await it.go(small)
+                await until(lambda: not it.live.pools["q"].listed)
+                await load.finish()
+                assert load.ends["served"] == load.asked > 0
+
+    run(work)
+
+
 # --- The disk
 
 
