--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -61,21 +61,21 @@
     parser.add_argument("--version", action="version", version=f"sailhitch {__version__}")
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
 
-    def command(name: str, work: Any, text: str, live: bool = True) -> argparse.ArgumentParser:
+    def command(name: str, work: Any, text: str, admin: str = "") -> argparse.ArgumentParser:
         one = commands.add_parser(name, help=text, description=text)
         one.set_defaults(work=work)
         one.add_argument("--json", action="store_true", help="print JSON")
-        if live:
-            one.add_argument(
-                "--admin", metavar="SOCKET", default=os.environ.get("SAILHITCH_ADMIN"),
-                help="the running gateway's admin socket (default: the file's, or SAILHITCH_ADMIN)",
-            )  # fmt: skip
+        said = "the running gateway's admin socket (default: the file's, or SAILHITCH_ADMIN)"
+        default = None if admin else os.environ.get("SAILHITCH_ADMIN")
+        one.add_argument("--admin", metavar="SOCKET", default=default, help=admin or said)
         return one
 
-    run = commands.add_parser("run", help="run a gateway by FILE", description="Run a gateway.")
-    run.set_defaults(work=_run)
+    run = command("run", _run, "run a gateway by FILE", "serve this admin socket, not the file's")
     run.add_argument("file", metavar="FILE")
-    check = command("check", _check, "check FILE and say everything that is wrong", live=False)
+    check = command(
+        "check", _check, "check FILE and say everything that is wrong",
+        "also say whether the gateway with this admin socket is as FILE says",
+    )  # fmt: skip
     check.add_argument("file", metavar="FILE")
     command("state", _state, "print the live state")
     command("hosts", _hosts, "print the nodes as they are at this moment")
@@ -95,7 +95,7 @@
 def _run(options: argparse.Namespace) -> int:
     from .process import run_daemon  # the others need no loop, and start in half the time
 
-    return run_daemon(options.file)
+    return run_daemon(options.file, admin=options.admin, as_json=options.json)
 
 
 def _check(options: argparse.Namespace) -> int:
@@ -103,13 +103,16 @@
     warnings = _warnings(made)
     state = from_file(made)
     counts = {kind: len(objects) for kind, objects in state.items()}
+    same = None if options.admin is None else _live(options, made)["state"] == state
     if options.json:
         found = {"ok": True, "digest": digest(state), "counts": counts, "warnings": warnings}
-        print(json.dumps(found))
+        print(json.dumps(found if same is None else {**found, "live": same}))
         return DONE
     for warning in warnings:
         print(f"sailhitch: warning: {warning}", file=sys.stderr)
     print(f"{options.file}: good; " + ", ".join(f"{n} {kind}" for kind, n in counts.items()))
+    if same is not None:
+        print("the gateway is as the file says" if same else "the gateway differs; see `plan`")
     return DONE
 
 
--- a/sailhitch/daemon/process.py
+++ b/sailhitch/daemon/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import json
 import signal
 import sys
 from collections.abc import Callable
@@ -31,8 +32,15 @@
 class Daemon:
     """A gateway that goes by an operator file."""
 
-    def __init__(self, path: str, made: OperatorFile, step: Step = lambda step: None) -> None:
+    def __init__(
+        self,
+        path: str,
+        made: OperatorFile,
+        step: Step = lambda step: None,
+        admin: str | None = None,
+    ) -> None:
         self.path, self.gateway = path, made.gateway
+        self.admin = admin or made.gateway.admin
         self.made, self.step = made, step
         self.log = Log(self.gateway.name)
         self.stop = asyncio.Event()
@@ -49,8 +57,8 @@
             live = Live(core, self.gateway, store, self.step)
             core.begin()
             applied = await live.start(self.made)
-            if self.gateway.admin is not None:
-                admin = Admin(live, Path(self.gateway.admin))
+            if self.admin is not None:
+                admin = Admin(live, Path(self.admin))
                 await admin.start()
             self._signals(loop, live)
             self.log.say(f"serial {applied.serial} ({applied.by}), {len(live.nodes)} nodes; ready")
@@ -108,13 +116,24 @@
         self.log.say("drained")
 
 
-def run_daemon(path: str, step: Step = lambda step: None) -> int:
-    """Run a gateway by an operator file; 0 after a drain, 1 where it can't start."""
+def run_daemon(
+    path: str, step: Step = lambda step: None, admin: str | None = None, as_json: bool = False
+) -> int:
+    """Run a gateway by an operator file; 0 after a drain, 1 where it can't start.
+
+    `as_json` has it print one line on standard output once it is ready.
+    """
+
+    def ready(live: Live) -> None:
+        if as_json:
+            found = {"ok": True, "gateway": live.gateway.name, "serial": live.applied.serial}
+            print(json.dumps(found), flush=True)
+
     try:
         made = load_file(path)
 
         async def main() -> None:
-            await Daemon(path, made, step).run()
+            await Daemon(path, made, step, admin).run(ready)
 
         uvloop.run(main())
     except FileError as error:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -83,6 +83,33 @@
     assert "in use" in found.stderr
 
 
+def test_run_tells_a_machine_when_it_is_ready_and_serves_the_socket_it_is_given(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path, socket = tmp_path / "g.toml", tmp_path / "other.sock"
+    value = file_value([pool("p", {})], free_port())
+    path.write_text(file_text(value))
+    command = [sys.executable, "-m", "sailhitch.daemon.cli", "run", str(path), "--json"]
+    with subprocess.Popen(
+        [*command, "--admin", str(socket)], stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+    ) as program:
+        assert program.stdout is not None
+        try:
+            ready = json.loads(program.stdout.readline())
+            assert ready == {"ok": True, "gateway": "g1", "serial": 1}
+            assert main(["check", str(path), "--admin", str(socket)]) == 0
+            assert "the gateway is as the file says" in capsys.readouterr().out
+            path.write_text(file_text({**value, "pools": [pool("p", {}), pool("q", {})]}))
+            assert main(["check", str(path), "--admin", str(socket)]) == 0
+            assert "the gateway differs" in capsys.readouterr().out
+            assert main(["check", "--json", str(path), "--admin", str(socket)]) == 0
+            assert json.loads(capsys.readouterr().out)["live"] is False
+            program.terminate()
+            assert program.wait(60) == 0
+        finally:
+            program.kill()
+
+
 def test_a_change_from_plan_to_apply_and_back(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
