Say once what both wirings said twice, and keep slow looks off the loop

Read through as a whole, the daemon had written again what was there, and held requests up where it need not.

- The drain and the collector's settings of both processes are one piece (`core/process.py`); the daemon had left the collector's threshold out and has it now.
Reading an address and the idle life of a host's connection are one piece each (`core/terms.py`).
- Listeners by address, the window of a class, the path of an error and the step that nobody watches are each said once; `MovedError` carries the serial, so the plan is not read a second time for it.
- Gone, as dead: sorting of what comes sorted, a table of routes by name, a second numbering of the zone, a 404 that no rejection gives.
- The difference of two states and all reads of stored states happen in a thread; a state is compared, not diffed, to see whether anything changed.

No answer, bound or check is altered.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import os
 import signal
 import sys
@@ -12,6 +11,7 @@
 
 from . import __version__
 from .core.log import Log
+from .core.process import drain, settle_memory
 from .net.config import Config, ConfigError, load_config, reload_config
 from .net.platform import Platform
 
@@ -21,9 +21,6 @@
 EDGE_LISTEN and EDGE_DISCOVERY. SIGHUP makes it read EDGE_CONFIG anew; SIGTERM drains it."""
 BACKLOG = 4096
 FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
-ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming for 0.4 s
-STEP = 0.02
-AFTERWARDS = 50_000  # us after the last answer that is surely out
 REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
 
 
@@ -69,26 +66,14 @@
         f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
         f"{len(config.known.entries)} hosts known"
     )
-    # What is alive by now lives as long as the process: the collector need not look at it again.
-    gc.collect()
-    gc.freeze()
-    # Danger: what connections leave in cycles is only freed by a look at the oldest generation,
-    # which must come often enough that it doesn't add up over a long day.
-    gc.set_threshold(10_000, 10, 10)
+    settle_memory()
     waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
     await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
     core.ready = not stop.is_set()
     log.say("ready")
     await stop.wait()
     log.say("SIGTERM: draining")
-    core.drain()
-    await asyncio.sleep(ACCEPT_ON)
-    server.close()
-    await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
-    # Peers that never get on with it must not keep the process from its end.
-    last = core.drain_since + core.last_answer() + AFTERWARDS
-    while core.hang_up() and core.clock() < last:
-        await asyncio.sleep(STEP)
+    await drain(core, server.close)
     watch.cancel()
     core.say_stats(core.clock())
     core.finish()
--- /dev/null
+++ b/sailhitch/core/process.py
@@ -0,0 +1,36 @@
+"""What every gateway's process does at its start and its end, whatever it is wired from."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+from collections.abc import Callable
+from typing import Final
+
+from .core import Core
+
+ACCEPT_ON: Final = 0.6  # s after SIGTERM; new connections go on coming for 0.4 s
+STEP: Final = 0.02
+AFTERWARDS: Final = 50_000  # us after the last answer that is surely out
+
+
+def settle_memory() -> None:
+    """Called once all that lives as long as the process is there."""
+    # The collector need not look at that again.
+    gc.collect()
+    gc.freeze()
+    # Danger: what connections leave in cycles is only freed by a look at the oldest generation,
+    # which must come often enough that it doesn't add up over a long day.
+    gc.set_threshold(10_000, 10, 10)
+
+
+async def drain(core: Core, stop_listening: Callable[[], None]) -> None:
+    """SIGTERM: serve on for a while, take nobody new in, and return when nothing is owed."""
+    core.drain()
+    await asyncio.sleep(ACCEPT_ON)
+    stop_listening()
+    await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
+    # Peers that never get on with it must not keep the process from its end.
+    last = core.drain_since + core.last_answer() + AFTERWARDS
+    while core.hang_up() and core.clock() < last:
+        await asyncio.sleep(STEP)
--- a/sailhitch/core/terms.py
+++ b/sailhitch/core/terms.py
@@ -11,6 +11,8 @@
 RESERVE: Final = 36  # descriptors for the loop, the listener, discovery, the log and files
 SEATS: Final = 3  # fronts deal out one part in so many of the descriptors for requests
 
+IDLE_MARGIN: Final = 3_000_000  # a connection is dropped so long before its host would drop it
+
 Address = tuple[str, int]
 Field = tuple[bytes, bytes, bytes]  # a field's name in lower case, as it came, and its value
 
@@ -23,6 +25,21 @@
     body: bytes | bytearray
 
 
+def read_address(text: str) -> Address | None:
+    """`host:port` with a numeric IPv4 host, as there is no DNS; None for anything else."""
+    host, colon, port = text.rpartition(":")
+    octets = host.split(".")
+    fine = len(octets) == 4 and all(o.isascii() and o.isdigit() and int(o) < 256 for o in octets)
+    if not (colon and fine and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        return None
+    return host, int(port)
+
+
+def idle_life(idle_timeout: int) -> int:
+    """How long a connection is kept that its host drops after so long."""
+    return max(idle_timeout // 2, idle_timeout - IDLE_MARGIN)
+
+
 @dataclass(frozen=True, slots=True)
 class Entry:
     """A host as a source of members lists it: for the module, and where to reach it."""
--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -115,9 +115,9 @@
     ) -> dict[str, Any]:
         op = request.get("op")
         if op == "state":
-            return self._state(request.get("serial"))
+            return await self._state(request.get("serial"))
         if op == "history":
-            return {"ok": True, "history": [_told(one) for one in self.live.history()]}
+            return {"ok": True, "history": await self._since(0)}
         if op == "hosts":
             return {"ok": True, "pools": hosts(self.live)}
         if op == "apply":
@@ -126,9 +126,11 @@
             return await asyncio.shield(self._apply(str(request.get("plan", "")), by))
         return _error(BAD, f"op: not known: {str(op)[:40]!r}")
 
-    def _state(self, serial: Any) -> dict[str, Any]:
+    async def _state(self, serial: Any) -> dict[str, Any]:
+        one = self.live.applied
         try:
-            one = self.live.applied if serial is None else self.live.at(int(serial))
+            if serial is not None:
+                one = await asyncio.to_thread(self.live.at, int(serial))
         except (StoreError, ValueError) as error:
             return _error(FAILED, str(error))
         name = self.live.gateway.name
@@ -138,17 +140,17 @@
         try:
             applied = await self.live.apply_plan(plan, by)
         except MovedError as error:
-            return {**_error(MOVED, str(error)), "moved": self._since(plan)}
+            return {**_error(MOVED, str(error)), "moved": await self._since(error.since)}
         except PlanError as error:
             return _error(PLAN, str(error))
         except ApplyError as error:
             return _error(FAILED, str(error))
         return {"ok": True, **_told(applied)}
 
-    def _since(self, plan: str) -> list[dict[str, Any]]:
-        """What has been applied since a plan was made."""
-        serial = json.loads(plan).get("serial", 0)
-        return [_told(one) for one in self.live.history() if one.serial > serial]
+    async def _since(self, serial: int) -> list[dict[str, Any]]:
+        """What has been applied after that serial; from disk, so in a thread."""
+        past = await asyncio.to_thread(self.live.history)
+        return [_told(one) for one in past if one.serial > serial]
 
 
 class _RefusedError(Exception):
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -45,7 +45,7 @@
 
 
 def _failed(options: argparse.Namespace, problems: list[str]) -> int:
-    if getattr(options, "json", False):
+    if options.json:
         print(json.dumps({"ok": False, "errors": problems}))
     for problem in problems:
         print(f"sailhitch: {problem}", file=sys.stderr)
--- a/sailhitch/daemon/intake.py
+++ b/sailhitch/daemon/intake.py
@@ -71,8 +71,10 @@
         longest = part.deadline // 1000
         wait = found.get(b"req-deadline-ms")
         exchange.wait_ms = longest if wait is None else min(read_wait(wait), longest)
-        keep = part.deadline + (part.deadline if part.window is None else part.window)
-        pool = self._pool(route.pools, exchange, found, key if effect == KEYED else None, keep)
+        if effect == KEYED and key is not None:
+            pool = self._keyed_pool(route.pools, key, part.deadline + part.remembered())
+        else:
+            pool = view.pools[choose_pool(route.pools, found.get(b"cookie") or exchange.name)]
         if view.pools.get(pool.name) is not pool:
             # Danger: another pool knows nothing of a first try that may have run in this one.
             exchange.fallback = Answer(503, _TEXT, b"the pool that this key went to was removed\n")
@@ -109,19 +111,13 @@
         exchange.name = f"{self._prefix}-{next(self._count):x}".encode()
         exchange.head += b"Req-Id: %s\r\n" % exchange.name
 
-    def _pool(
-        self, pools: tuple[tuple[str, float], ...], exchange: Exchange,
-        found: dict[bytes, bytes], key: bytes | None, keep: int,
-    ) -> Pool:  # fmt: skip
-        """The pool by the split: stable by idempotency key or cookie, by chance without one.
+    def _keyed_pool(self, pools: tuple[tuple[str, float], ...], key: bytes, keep: int) -> Pool:
+        """The pool that a key went to within `keep`, else the one that the split gives it.
 
         For a key that has gone to a pool it is that one, also if it is gone or another has taken
         its name.
         """
-        here = self.view.pools
-        if key is None:
-            return here[choose_pool(pools, found.get(b"cookie") or exchange.name)]
         now = self.clock()
-        pool = self.sticky.get(key, now) or here[choose_pool(pools, key)]
+        pool = self.sticky.get(key, now) or self.view.pools[choose_pool(pools, key)]
         self.sticky.note(key, pool, now, now + keep)
         return pool
--- a/sailhitch/daemon/live.py
+++ b/sailhitch/daemon/live.py
@@ -14,7 +14,7 @@
 
 from ..core.core import Core
 from ..core.pool import Pool
-from ..core.terms import Address, Bounds, Entry, Reach, Roster
+from ..core.terms import Address, Bounds, Entry, Reach, Roster, idle_life
 from ..interface import DRAINING, FULL, READY, Listed
 from ..net.downstream import Listener
 from ..net.upstream import Hosts
@@ -24,23 +24,18 @@
 from .routes import Routes
 from .schema import FileError, GatewayPart, NodePart, OperatorFile, PoolPart, as_route
 from .state import EMPTY, State, from_file, to_file
-from .store import Applied, Step, Store, StoreError
+from .store import Applied, Step, Store, StoreError, unwatched
 from .tables import Tables
 
 BACKLOG: Final = 1024
 MAX_OPEN: Final = 20_000
 SETTLE: Final = 0.25  # s between two looks at what is leaving
-IDLE_MARGIN: Final = 3_000_000  # a connection is dropped so long before its node would drop it
 
 
 class ApplyError(Exception):
     """An apply came to nothing; the old state is whole. The text says why and what to do."""
 
 
-def _nothing(step: str) -> None:
-    """No test is watching."""
-
-
 @dataclass(slots=True)
 class Node:
     """A node as the module knows it: one life of an id at an address."""
@@ -68,7 +63,7 @@
     """What is, and how it becomes what is wanted."""
 
     def __init__(
-        self, core: Core, gateway: GatewayPart, store: Store | None, step: Step = _nothing
+        self, core: Core, gateway: GatewayPart, store: Store | None, step: Step = unwatched
     ) -> None:
         self.core, self.gateway, self.store, self.step = core, gateway, store, step
         self.tables: Tables | None = None
@@ -130,20 +125,15 @@
         """Go to what a file asks for; raises ApplyError."""
         async with self._switching:
             state = from_file(made)
-            if not diff(self.applied.state, state):
+            if state == self.applied.state:
                 return self.applied
             return await self._change(state, by, None)
 
     async def _change(self, state: State, by: str, born: Mapping[str, int] | None) -> Applied:
         """Prepare, commit, switch. Nothing is awaited between the commit's end and the switch."""
-        now = self.core.clock()
-        old = self.applied
-        applied = Applied(
-            old.serial + 1, now, by, state, summary(diff(old.state, state)),
-            self._born(state, now) if born is None else born,
-        )  # fmt: skip
+        # In threads: thousands of nodes take longer to look at than requests may be held up.
+        applied = await asyncio.to_thread(self._following, state, by, born)
         self.step("checked")
-        # In a thread: thousands of nodes take longer to check than requests may be held up.
         made, routes = await asyncio.to_thread(self._parse, state)
         prepared = self._prepare(applied, made, routes)
         self.step("bound")
@@ -157,6 +147,13 @@
         self.step("switched")
         return applied
 
+    def _following(self, state: State, by: str, born: Mapping[str, int] | None) -> Applied:
+        now, old = self.core.clock(), self.applied
+        return Applied(
+            old.serial + 1, now, by, state, summary(diff(old.state, state)),
+            self._born(state, now) if born is None else born,
+        )  # fmt: skip
+
     def _parse(self, state: State) -> tuple[OperatorFile, Routes]:
         try:
             made = to_file(state, self.gateway.model_dump(mode="json"))
@@ -195,9 +192,9 @@
     def _bind(self, made: OperatorFile) -> dict[str, Listener]:
         """The listeners that are not there yet, bound and not taking anybody in."""
         bound: dict[str, Listener] = {}
-        here = {_listener_key(self.applied.state["listeners"][n]): n for n in self.listeners}
+        here = self._by_address()
         for i, part in enumerate(made.listeners):
-            if here.get((part.address, part.protocol)) is not None:
+            if (part.address, part.protocol) in here:
                 continue
             try:
                 bound[part.name] = Listener(self.core, self.intake, _address(part.address), BACKLOG)
@@ -280,10 +277,7 @@
 
     def _switch_listeners(self, made: OperatorFile, bound: Mapping[str, Listener]) -> None:
         """Listeners go by their address: one that only has another name goes on as it was."""
-        old = {
-            _listener_key(self.applied.state["listeners"][name]): listener
-            for name, listener in self.listeners.items()
-        }
+        old = self._by_address()
         self.listeners = {}
         for part in made.listeners:
             listener = old.pop((part.address, part.protocol), None)
@@ -294,6 +288,16 @@
         for listener in old.values():
             listener.retire()
 
+    def _by_address(self) -> dict[tuple[str, str], Listener]:
+        """The listeners that are, by address and protocol."""
+        said = self.applied.state["listeners"]
+        return {(said[n]["address"], said[n]["protocol"]): one for n, one in self.listeners.items()}
+
+    def stop_listening(self) -> None:
+        """Take nobody new in; whoever is inside is served on."""
+        for listener in self.listeners.values():
+            listener.close()
+
     # --- What leaves
 
     def _settle_soon(self) -> None:
@@ -345,8 +349,7 @@
 
 
 def _reach(pool: PoolPart) -> Reach:
-    idle = pool.idle_timeout
-    return Reach(pool.connect_timeout, max(idle // 2, idle - IDLE_MARGIN), any_status=True)
+    return Reach(pool.connect_timeout, idle_life(pool.idle_timeout), any_status=True)
 
 
 def _address(text: str) -> Address:
@@ -354,10 +357,6 @@
     return host, int(port)
 
 
-def _listener_key(part: Mapping[str, Any]) -> tuple[str, str]:
-    return part["address"], part["protocol"]
-
-
 def _same_life(old: Mapping[str, Any], new: Mapping[str, Any]) -> bool:
     """Whether a node goes on as it was: another weight or zone does not make it new.
 
--- a/sailhitch/daemon/plan.py
+++ b/sailhitch/daemon/plan.py
@@ -22,7 +22,11 @@
 
 
 class MovedError(Exception):
-    """The live state is not the one that a plan was made against."""
+    """The live state is not the one that a plan was made against; `since` is that one's serial."""
+
+    def __init__(self, since: int, serial: int) -> None:
+        super().__init__(f"made against serial {since}, and the live state is {serial}")
+        self.since = since
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +169,7 @@
     if plan.gateway != gateway:
         raise PlanError(f"it was made for gateway {plan.gateway!r}, and this is {gateway!r}")
     if plan.serial != serial or plan.base != digest(state):
-        raise MovedError(f"made against serial {plan.serial}, and the live state is {serial}")
+        raise MovedError(plan.serial, serial)
     made = apply_changes(state, plan.changes)
     if digest(made) != plan.result:
         raise PlanError("its changes do not lead where it says: make it anew")
--- a/sailhitch/daemon/process.py
+++ b/sailhitch/daemon/process.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import json
 import signal
 import sys
@@ -14,15 +13,12 @@
 
 from ..core.core import Core
 from ..core.log import Log
+from ..core.process import drain, settle_memory
 from .admin import Admin, AdminError
 from .live import ApplyError, Live, bounds
 from .schema import FileError, OperatorFile, load_file
 from .state import from_file
-from .store import Step, Store, StoreError
-
-ACCEPT_ON = 0.6  # s after SIGTERM; new connections go on coming until fronts have heard of it
-STEP = 0.02
-AFTERWARDS = 50_000  # us after the last answer that is surely out
+from .store import Step, Store, StoreError, unwatched
 
 
 class StartError(Exception):
@@ -36,7 +32,7 @@
         self,
         path: str,
         made: OperatorFile,
-        step: Step = lambda step: None,
+        step: Step = unwatched,
         admin: str | None = None,
     ) -> None:
         self.path, self.gateway = path, made.gateway
@@ -67,8 +63,7 @@
                     f"the last applied state holds; {self.path} differs: `sailhitch plan` shows how"
                 )
             core.ready = True
-            gc.collect()
-            gc.freeze()
+            settle_memory()
             ready(live)
             await self.stop.wait()
             await self._drain(core, live)
@@ -104,20 +99,13 @@
 
     async def _drain(self, core: Core, live: Live) -> None:
         self.log.say("SIGTERM: draining")
-        core.drain()
-        await asyncio.sleep(ACCEPT_ON)
-        for listener in live.listeners.values():
-            listener.close()
-        await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
-        last = core.drain_since + core.last_answer() + AFTERWARDS
-        while core.hang_up() and core.clock() < last:
-            await asyncio.sleep(STEP)
+        await drain(core, live.stop_listening)
         core.say_stats(core.clock())
         self.log.say("drained")
 
 
 def run_daemon(
-    path: str, step: Step = lambda step: None, admin: str | None = None, as_json: bool = False
+    path: str, step: Step = unwatched, admin: str | None = None, as_json: bool = False
 ) -> int:
     """Run a gateway by an operator file; 0 after a drain, 1 where it can't start.
 
--- a/sailhitch/daemon/routes.py
+++ b/sailhitch/daemon/routes.py
@@ -159,6 +159,7 @@
         self.names: set[str] = set()  # of header fields that some route is found by
 
     def add(self, order: int, route: Route) -> None:
+        """Take one in; they come in their order, most specific first."""
         match = route.match
         if match.tenant is not None:
             key = ("tenant", match.tenant)
@@ -172,10 +173,6 @@
             key = ("any", "")
         self.by.setdefault(key, []).append((order, route))
 
-    def sort(self) -> None:
-        for routes in self.by.values():
-            routes.sort(key=lambda one: one[0])
-
     def find(self, asked: Asked) -> Route | None:
         found: tuple[int, Route] | None = None
         for key in self._keys(asked):
@@ -212,16 +209,12 @@
     """The table of routes; never changed once made."""
 
     def __init__(self, routes: Sequence[Route]) -> None:
-        self.names = {route.name: route for route in routes}
         self.fields = frozenset(n for route in routes for n, _ in route.match.header)
         self._places: dict[str | None, dict[str, _Place]] = {}
         for i, route in enumerate(sorted(routes, key=lambda r: _rank(r.match), reverse=True)):
             match = route.match
             at = self._places.setdefault(match.host, {})
             at.setdefault(_segments(match.path_prefix), _Place()).add(i, route)
-        for places in self._places.values():
-            for place in places.values():
-                place.sort()
 
     def find(self, asked: Asked) -> Route | None:
         """The route that wins, or None where none matches."""
--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -26,6 +26,7 @@
 )
 from pydantic_core import ErrorDetails
 
+from ..core.terms import read_address
 from .routes import Match, Route, tied
 
 MAX_FILE: Final = 64 << 20  # bytes; ten thousand nodes take one
@@ -63,12 +64,11 @@
 
 
 def _address(value: str) -> str:
-    host, colon, port = value.rpartition(":")
-    octets = host.split(".")
-    fine = len(octets) == 4 and all(o.isascii() and o.isdigit() and int(o) < 256 for o in octets)
-    if not (colon and fine and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    address = read_address(value)
+    if address is None:
         raise ValueError('not an address such as "127.0.0.1:8080"')
-    return f"{'.'.join(str(int(o)) for o in octets)}:{int(port)}"
+    host, port = address
+    return f"{'.'.join(str(int(o)) for o in host.split('.'))}:{port}"
 
 
 def _path(value: str) -> str:
@@ -149,6 +149,10 @@
     dedup: Literal["pool", "zone", "cell"] = "cell"
     window: Duration | None = None
 
+    def remembered(self) -> int:
+        """How long nodes remember a key, in microseconds."""
+        return self.deadline if self.window is None else self.window
+
 
 class TenantPart(_Part):
     """Who requests belong to, and the share of the traffic that is theirs."""
@@ -268,12 +272,12 @@
     problems = [_said(one) for one in errors]
     mended = copy.deepcopy(value)
     for i, error in enumerate(errors):
-        _mend(mended, [part for part in error["loc"] if part != "[key]"], i)
+        _mend(mended, _loc(error), i)
     try:
         made = OperatorFile.model_validate(mended)
     except ValidationError:
         return problems  # too far out of form to say more
-    bad = tuple(_where(part for part in one["loc"] if part != "[key]") for one in errors)
+    bad = tuple(_where(_loc(one)) for one in errors)
     others = (line for line in _contradictions(made) if not line.startswith(bad))
     # Danger: who refers to what has lost its name here is not to blame.
     lost = any(one["loc"][-1] in ("name", "id") for one in errors)
@@ -298,7 +302,7 @@
 
 def _said(error: ErrorDetails) -> str:
     """One of pydantic's errors, with the path as the file has it."""
-    loc = [p for p in error["loc"] if p != "[key]"]
+    loc = _loc(error)
     where = _where(loc)
     if error["type"] == "extra_forbidden":
         return f"{where}: unknown key{_nearest(str(loc[-1]), _known_keys(loc[:-1]))}"
@@ -309,6 +313,11 @@
     return f"{where}: {text}: {shown[:80]}"
 
 
+def _loc(error: ErrorDetails) -> list[int | str]:
+    """Where in the file an error is; pydantic marks keys of its own."""
+    return [part for part in error["loc"] if part != "[key]"]
+
+
 def _where(loc: Iterable[int | str]) -> str:
     text = ""
     for part in loc:
--- a/sailhitch/daemon/store.py
+++ b/sailhitch/daemon/store.py
@@ -25,6 +25,10 @@
 Step = Callable[[str], None]
 
 
+def unwatched(step: str) -> None:
+    """No test is watching."""
+
+
 class StoreError(Exception):
     """The state directory can't be used; the text says why and what to do."""
 
--- a/sailhitch/daemon/tables.py
+++ b/sailhitch/daemon/tables.py
@@ -58,7 +58,6 @@
 
     def settings(self, gateway: GatewayPart) -> Settings:
         """What every pool's module is told."""
-        self.zones.of(gateway.zone)
         classes = tuple(
             _request_class(part, effect) for part in self._parts.values() for effect in EFFECTS
         )
@@ -136,7 +135,7 @@
         late_worth=part.late_worth,
         effect=effect,
         group="all" if part.dedup == "pool" else part.dedup,
-        window=part.deadline if part.window is None else part.window,
+        window=part.remembered(),
         stream=False,
         aim_stretch=0.0,
     )
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -8,7 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final
 
-from ..core.terms import Address, Bounds, Entry, Reach, Roster
+from ..core.terms import Address, Bounds, Entry, Reach, Roster, idle_life, read_address
 from ..interface import DRAINING, GONE, READY, Listed
 from ..settings import Settings, SettingsError, parse_settings
 
@@ -72,18 +72,15 @@
 
     def reach(self) -> Reach:
         """How hosts are reached: a connection is kept for less than the host keeps it."""
-        idle = self.wire.conn_idle
-        return Reach(self.wire.connect_timeout, max(idle // 2, idle - 3_000_000))
+        return Reach(self.wire.connect_timeout, idle_life(self.wire.conn_idle))
 
 
 def parse_address(field: str, text: Any) -> Address:
     """`host:port` with a numeric IPv4 host, as there is no DNS."""
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    octets = host.split(".")
-    fine = len(octets) == 4 and all(o.isascii() and o.isdigit() and int(o) < 256 for o in octets)
-    if not (colon and fine and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    address = read_address(text) if isinstance(text, str) else None
+    if address is None:
         raise ConfigError(f"{field}: not an address like 10.0.0.1:3000: {str(text)[:80]!r}")
-    return host, int(port)
+    return address
 
 
 def parse_entry(value: Any, wire: Wire) -> Entry:
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -25,7 +25,6 @@
 
 REASONS: Final = {
     400: b"400 Bad Request",
-    404: b"404 Not Found",
     408: b"408 Request Timeout",
     409: b"409 Conflict",
     413: b"413 Content Too Large",
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -129,8 +129,7 @@
         yield Inside(live, port, admin)
     finally:
         admin.close()
-        for listener in live.listeners.values():
-            listener.close()
+        live.stop_listening()
         core.finish()
         if store is not None:
             store.close()
