Let staff take a host out, over whatever discovery says, and put it back cold

A ban is state of its own in front of the module: what is listed ready is told as draining until one call ends it, and then as started at that moment unless the list has told of a start since, as the list is late and a cold host taken for a warm one is pushed over. The module forgets a host whose start has changed in whatever state it is listed, or a host restarted while out would come back with its old averages. It also learns what part of the gateway's clients comes to it, for limits on rates.

Ruled out: removing the host from the list, which leaves its outcomes with nobody.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..interface import (
+    BY_HAND,
     CANCELLED,
     CHANGES,
     CONNECT_FAILED,
@@ -27,6 +28,7 @@
 from ..policy import Gateway
 from ..settings import Settings
 from .exchange import Attempt, Exchange
+from .maintenance import Maintenance, Told
 from .seams import Transport
 from .terms import Answer, Entry, Reach, Roster
 
@@ -42,7 +44,8 @@
         transport: Callable[[Pool], Transport],
     ) -> None:  # fmt: skip
         self.core, self.name, self.settings, self.reach = core, name, settings, reach
-        self.listed: dict[str, Entry] = {}
+        self.listed: dict[str, Entry] = {}  # as the list has them
+        self.maintenance = Maintenance()
         self.failing: set[str] = set()  # hosts whose last attempt failed; for the log only
         self.watch_wanted: Callable[[bool], None] = lambda on: None
         self._inside = False
@@ -241,20 +244,63 @@
                 gone.append(name)
             else:
                 self.listed[name] = entry
-                self.transport.list_host(entry)
-        entries = [e.listed for e in roster.entries]
-        if mode != CHANGES:
+        self.maintenance.saw(e.listed.server for e in roster.entries)
+        entries = [self._told(e).listed for e in roster.entries]
+        if mode in (FULL, RESTORED):
             named = {e.listed.server for e in roster.entries} | roster.bad_ids
             gone += [name for name in self.listed if name not in named]
             # A host whose entry can't be read stays as it was.
-            entries += [self.listed[n].listed for n in sorted(roster.bad_ids) if n in self.listed]
+            left = [self.listed[n] for n in sorted(roster.bad_ids) if n in self.listed]
+            entries += [self.maintenance.over(e.listed) for e in left]
         for name in gone:
             self.listed.pop(name, None)
             self.failing.discard(name)
+            self.maintenance.gone(name)
             self.transport.drop_host(name)
         now = self.core.clock()
         self._tell(None, lambda: self.module.members(now, mode, entries))
 
+    def _told(self, entry: Entry) -> Entry:
+        """An entry as module and transport hear it, with what staff have said over it."""
+        over = self.maintenance.over(entry.listed)
+        told = entry if over is entry.listed else Entry(over, entry.addr)
+        if over.state != GONE:
+            self.transport.list_host(told)
+        return told
+
+    def by_hand(self, name: str, out: bool) -> None:
+        """Staff take a host out, or put it back."""
+        if out:
+            self.take_out(name)
+        else:
+            self.put_back(name)
+
+    def take_out(self, name: str) -> Told:
+        """Staff take a host out; from here on it is sent nothing new."""
+        told = self.maintenance.enter(name, self.core.clock())
+        self._retell(name, told)
+        return told
+
+    def put_back(self, name: str) -> Told:
+        """Staff put a host back; it is used again from here on, as one that has just started."""
+        told = self.maintenance.leave(name, self.core.clock())
+        self._retell(name, told)
+        return told
+
+    def _retell(self, name: str, told: Told) -> None:
+        if told is Told.CHANGED:
+            self.retell([name])
+
+    def retell(self, names: list[str]) -> None:
+        """What staff have said of these has changed."""
+        entries = tuple(self.listed[name] for name in names if name in self.listed)
+        if entries:
+            self.take_list(Roster(0, False, entries, 0, frozenset()), BY_HAND)
+
+    def share(self, part: float) -> None:
+        """The part of the gateway's clients that comes to this process."""
+        self._tell(None, lambda: self.module.share(part))
+
     def list_news(self, roster: Roster) -> None:
         """A source of members has answered: the whole list, or what has changed."""
         self.take_list(roster, FULL if roster.full else CHANGES)
--- a/sailhitch/interface.py
+++ b/sailhitch/interface.py
@@ -12,6 +12,7 @@
 READY, DRAINING, GONE = "ready", "draining", "gone"
 # What kind of news a list event is.
 CHANGES, FULL, RESTORED, FAILED = "changes", "full", "restored", "failed"
+BY_HAND = "by_hand"  # changes that staff have made; they say nothing of the watch on the list
 # How an attempt ended.
 OK, ERROR, BUSY, TIMEOUT = "ok", "error", "full", "timeout"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -20,10 +20,11 @@
 
 from .interface import (
     BUSY,
-    CHANGES,
+    BY_HAND,
     CONNECT_FAILED,
     ERROR,
     FAILED,
+    FULL,
     GONE,
     MOOT,
     NEVER_RAN,
@@ -224,6 +225,7 @@
         self.held = 0
         self.drain_at = 0
         self.retired = False
+        self.part = 1.0  # of what comes to the gateway
         self.waiting: list[tuple[int, int]] = []  # when a request has been silent for too long
         self.hedge_at = 0
         self.key_count: dict[int, int] = {}
@@ -282,6 +284,14 @@
         self._adopt(now, settings)
         self._regroup(now)
 
+    def share(self, part: float) -> None:
+        """Another process of this gateway serves beside this one; this part of what comes is here.
+
+        Limits on rates are the gateway's. Cold servers need nothing here: what they get is a share
+        of what comes, and the parts add up.
+        """
+        self.part = part
+
     def retire(self, now: int) -> None:
         """No server will come any more: what is held is given up at once, and nothing is held."""
         self.retired = True
@@ -303,10 +313,10 @@
                 # Danger: all gateways start together and discovery's capacity is fixed.
                 spread = self.settings.rules.ask_within * WATCH_SPREAD
                 self.port.set_timer(WATCH_TIMER, now + int(self.random.random() * spread))
-        else:
+        elif mode != BY_HAND:
             self.watching = True
             self.watch_wait = WATCH_BACKOFF
-        if mode != CHANGES:
+        if mode in (FULL, RESTORED):
             listed = {e.server for e in entries}
             for server in self.servers.values():
                 if server.name not in listed:
@@ -316,7 +326,7 @@
             if known is None:
                 self.servers[entry.server] = Server(entry)
             else:
-                restarted = entry.boot != known.boot and entry.state == READY
+                restarted = entry.boot != known.boot
                 known.list_as(entry)
                 if restarted:
                     known.forget()
@@ -628,7 +638,9 @@
     def _token(self, now: int, server: Server) -> bool:
         """Grow the rate along the cubic, accrue tokens since the last look, tell if one is left."""
         srate = server.rate.grow(now)
-        server.tokens = min(BURST, server.tokens + srate * (now - server.t_token) * 1e-6)
+        server.tokens = min(
+            BURST, server.tokens + srate * self.part * (now - server.t_token) * 1e-6
+        )
         server.t_token = now
         return server.tokens >= 1.0
 
@@ -792,7 +804,7 @@
         if fleet.srate == math.inf:
             return False
         total = sum(arrivals)
-        surplus = total - fleet.grow(now) * ARRIVAL_TAU * 1e-6
+        surplus = total - fleet.grow(now) * self.part * ARRIVAL_TAU * 1e-6
         if surplus <= 0.0:
             if now - fleet.t_cut > 3 * FLEET_SADDLE:
                 fleet.srate = math.inf
@@ -804,7 +816,7 @@
         """Whether this tenant sends more than its share, as far as this gateway can tell."""
         if tenant >= len(self.tenant_tokens):
             return False
-        rate = self.settings.tenants[tenant].quota_per_s / self.settings.gateways
+        rate = self.settings.tenants[tenant].quota_per_s / self.settings.gateways * self.part
         tokens = self.tenant_tokens[tenant] + rate * (now - self.tenant_t[tenant]) * 1e-6
         tokens = min(tokens, max(2.0, rate * 2.0))
         self.tenant_t[tenant] = now
