Answer the operators' calls at a door of their own

Staff ask whether a process serves and take hosts out by HTTP, owed an answer within a second under any load. The door has twelve places of its own; the oldest caller that has not said what it wants makes room for the next. What a call says is read and decided without I/O.

Tests: every call with its status however it is cut, noise, and 48 silent callers beside whom each call is answered. Ruled out: paths on the clients' address, which crowd and drain with clients.

--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,95 @@
+"""The operators' door: what a call says, and that nobody can hold it shut."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sailhitch.control.calls import MAX_CALL, Call
+from sailhitch.control.desk import SEATS, Desk
+from sailhitch.core.log import Log
+from tests.generations import call
+from tests.sockets import dial, free_port
+
+
+class Acts:
+    """Knows one host, and keeps what was asked of it."""
+
+    def __init__(self) -> None:
+        self.said: list[tuple[str, str]] = []
+        self.serves = True
+
+    def serving(self) -> bool:
+        return self.serves
+
+    def enter(self, target: str) -> bool:
+        self.said.append(("enter", target))
+        return target == "s/1 a"
+
+    def leave(self, target: str) -> bool:
+        self.said.append(("leave", target))
+        return target == "s/1 a"
+
+
+@pytest.mark.parametrize(
+    ("line", "status"),
+    [
+        ("GET /status", 200),
+        ("HEAD /status", 200),
+        ("POST /status", 405),
+        ("POST /maintenance/enter?target=s%2F1+a", 200),
+        ("POST /maintenance/exit?target=s%2F1%20a&by=us", 200),
+        ("POST /maintenance/enter?target=unknown", 404),
+        ("POST /maintenance/exit?target=unknown", 404),
+        ("GET /maintenance/enter?target=s%2F1+a", 405),
+        ("POST /maintenance/enter", 400),
+        ("POST /maintenance/enter?target=", 400),
+        ("POST /maintenance/enter?target=a&target=b", 400),
+        ("POST /maintenance/enter?target=%ff", 400),
+        ("POST /maintenance", 404),
+        ("POST //[", 400),
+        ("POST /" + "a" * MAX_CALL, 413),
+        ("nonsense", 400),
+    ],
+)
+def test_each_call_has_its_answer_however_it_is_cut(line: str, status: int) -> None:
+    data = f"{line} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode()
+    for step in (1, 7, len(data)):
+        reader, reply = Call(Acts()), None
+        for at in range(0, len(data), step):
+            reply = reply or reader.feed(data[at : at + step])
+        assert reply is not None
+        assert reply.status == status
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.binary(max_size=300), st.integers(0, 3))
+def test_whatever_comes_is_read_or_refused(noise: bytes, lines: int) -> None:
+    start = b"POST /maintenance/enter?target=x HTTP/1.1\r\nContent-Length: 3\r\n"
+    reply = Call(Acts()).feed(start[: len(start) * lines // 3] + noise)
+    assert reply is None or 200 <= reply.status < 600
+
+
+def test_callers_who_say_nothing_hold_nobody_up() -> None:
+    async def play() -> None:
+        acts = Acts()
+        desk = Desk(acts, Log("n0"))
+        port = free_port()
+        await desk.listen(("127.0.0.1", port))
+        addr = f"127.0.0.1:{port}"
+        silent = [await dial(addr) for _ in range(4 * SEATS)]
+        for one in silent[::2]:
+            one.send(b"POST /maintenance/ent")
+        for _ in range(30):
+            assert await call(addr, "/maintenance/enter?target=s%2F1%20a") == 200
+        assert await call(addr, "/status", "GET") == 200
+        acts.serves = False
+        assert await call(addr, "/status", "GET") == 503
+        assert len(desk.callers) <= SEATS
+        assert b" 408 " in await silent[0].rest()
+        desk.close()
+
+    asyncio.run(play())
