Be one gateway in two processes: adopt the socket, pass on state and connections

The platform starts the next process beside the one that serves, on a socket that it holds. The second one ended with 2, as the address was taken. Now it adopts the socket by EDGE_SOCKET_FD, asks the process before it over a Unix socket in TMPDIR for the list, bans and ids, and says yes once it serves. From SIGTERM on the old one takes nobody in and passes on each connection as it falls idle, by SCM_RIGHTS, unread bytes and all. Bans travel both ways while the link stands and are kept in a file for a process that finds nobody. Memory and descriptors are shared by what each sees itself. msgspec writes and checks the state; it is loaded only where the platform holds the socket.

Ruled out: closing connections for clients to come back, which loses what crosses the close.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -5,20 +5,29 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from . import __version__
 from .core.log import Log
-from .core.process import drain, settle_memory
-from .net.config import Config, ConfigError, load_config, reload_config
+from .core.process import drain, finish, settle_memory
+from .net.config import Config, ConfigError, adopt_socket, load_config, reload_config
+from .net.downstream import Listener
 from .net.platform import Platform
 
+if TYPE_CHECKING:
+    from .control.desk import Desk
+    from .handover.succession import Succession
+
 USAGE = """usage: python -m sailhitch [--help | --version]
 
 One real gateway. It is told all it needs by the environment: EDGE_CONFIG (a JSON file), EDGE_NAME,
-EDGE_LISTEN and EDGE_DISCOVERY. SIGHUP makes it read EDGE_CONFIG anew; SIGTERM drains it."""
+EDGE_LISTEN and EDGE_DISCOVERY; EDGE_OPERATOR is where staff call, and EDGE_SOCKET_FD a descriptor
+that clients come to, held by whoever starts it. SIGHUP makes it read EDGE_CONFIG anew; SIGTERM
+drains it."""
 BACKLOG = 4096
 FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
 REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
@@ -49,8 +58,8 @@
         self.log.say(f"SIGHUP: new configuration, discovery at {host}:{port}")
 
 
-async def serve(config: Config, log: Log) -> None:
-    """Run one gateway until SIGTERM has been honoured."""
+async def serve(config: Config, log: Log, held: socket.socket | None = None) -> None:
+    """Run one gateway until SIGTERM has been honoured; `held` is a socket that clients come to."""
     loop = asyncio.get_running_loop()
     platform = Platform(config, loop, log)
     core, discovery = platform.core, platform.discovery
@@ -58,9 +67,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     platform.begin()
+    listener = platform.listen(config.listen, BACKLOG, held)
+    succession = await _succeed(platform, listener) if held is not None else None
+    desk = await _open_desk(config, platform, succession)
     watch = loop.create_task(discovery.run())
     loop.add_signal_handler(signal.SIGHUP, Reloader(platform, log).reload)
-    server = platform.listen(config.listen, BACKLOG)
+    if held is None:
+        listener.start()
     log.say(
         f"sailhitch {__version__} listens on {config.listen[0]}:{config.listen[1]}; "
         f"cores {config.cores:g}, memory {config.memory_mb} MB, sockets {config.sockets}, "
@@ -69,17 +82,59 @@
     settle_memory()
     waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
     await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
+    if held is not None:
+        listener.start()  # until now whoever comes was another process's to serve
     core.ready = not stop.is_set()
+    if succession is not None:
+        succession.ready()
     log.say("ready")
     await stop.wait()
     log.say("SIGTERM: draining")
-    await drain(core, server.close)
+    if succession is not None and succession.can_pass_on():
+        await succession.pass_on()
+        await finish(core)
+    else:
+        await drain(core, listener.close)
     watch.cancel()
     core.say_stats(core.clock())
+    if desk is not None:
+        desk.close()
+    if succession is not None:
+        succession.close()
     core.finish()
     log.say("drained")
 
 
+async def _succeed(platform: Platform, listener: Listener) -> Succession | None:
+    """Where the platform holds clients' socket it may start a process beside this one."""
+    folder = os.environ.get("TMPDIR")
+    if not folder:
+        platform.core.logger.say("TMPDIR: not set, so no process before or after is known")
+        return None
+    # Not before it is asked for: the line that has none of this loads none of it.
+    from .handover.files import Places
+    from .handover.succession import Succession
+
+    succession = Succession(platform, listener, Places(folder, platform.config.name))
+    await succession.inherit()
+    succession.open()
+    return succession
+
+
+async def _open_desk(
+    config: Config, platform: Platform, succession: Succession | None
+) -> Desk | None:
+    if config.operator is None:
+        return None
+    from .control.desk import Desk
+    from .control.staff import Staff
+
+    pool = platform.pool
+    desk = Desk(Staff(pool, succession.said if succession else pool.by_hand), pool.core.logger)
+    await desk.listen(config.operator)
+    return desk
+
+
 def main(arguments: list[str]) -> int:
     """Run the gateway; 0 after a drain, 2 where it is told something bad."""
     if arguments in (["--help"], ["-h"]):
@@ -95,13 +150,14 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load_config(os.environ)
+        held = None if config.held_socket is None else adopt_socket(config.held_socket)
     except ConfigError as error:
         print(f"sailhitch: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config, Log(config.name)))
+        uvloop.run(serve(config, Log(config.name), held))
     except OSError as error:
-        print(f"sailhitch: EDGE_LISTEN: {error.strerror or error}", file=sys.stderr)
+        print(f"sailhitch: can't listen: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -66,6 +66,8 @@
         self.ready = False
         self.drain_since = 0
         self.hanging_up = False  # no connection is kept any more
+        # Takes connections that fall idle, where another process of this gateway goes on with them.
+        self.passing: Callable[[Connection], bool] | None = None
         self.wheel: Wheel[Due] = Wheel(
             loop, self.clock, self._fire, self._fire_failed, self._stalled, _moot
         )
--- a/sailhitch/core/process.py
+++ b/sailhitch/core/process.py
@@ -30,6 +30,11 @@
     await asyncio.sleep(ACCEPT_ON)
     stop_listening()
     await asyncio.sleep((core.drain_since + core.drain_hold() - core.clock()) / 1e6)
+    await finish(core)
+
+
+async def finish(core: Core) -> None:
+    """Draining: each answer is a connection's last. Returns when nothing is owed, or time is up."""
     # Peers that never get on with it must not keep the process from its end.
     last = core.drain_since + core.last_answer() + AFTERWARDS
     while core.hang_up() and core.clock() < last:
--- a/sailhitch/core/seams.py
+++ b/sailhitch/core/seams.py
@@ -48,6 +48,12 @@
     def abort(self) -> None:
         """Close at once, whatever is open."""
 
+    def detach(self) -> int | None:
+        """Give the connection away between two requests: a descriptor of it, the caller's to close.
+
+        None while anything is owed or read of it.
+        """
+
 
 class Carrier(Protocol):
     """What carries an attempt."""
--- a/sailhitch/core/terms.py
+++ b/sailhitch/core/terms.py
@@ -68,10 +68,15 @@
     max_open: int  # requests
     longest_deadline: int
     retry_most: int = 0  # advice may name no later time to come back; 0 for no advice
+    seats: int = 0  # connections that fronts deal out for requests; 0: by the descriptors
+
+    def seats_dealt(self) -> int:
+        """Connections that fronts deal out for requests."""
+        return self.seats or max(1, self.sockets // SEATS)
 
     def sizes(self) -> Sizes:
         """What they leave to clients and hosts."""
-        return Sizes(max(8, self.sockets - RESERVE), max(1, self.sockets // SEATS))
+        return Sizes(max(8, self.sockets - RESERVE), self.seats_dealt())
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailhitch/front/door.py
+++ b/sailhitch/front/door.py
@@ -69,6 +69,7 @@
     ROOM = 6  # worth less than its descriptor
     ANSWERED = 7  # closed with its answer: asked for, or draining
     REJECTED = 8  # out of form
+    MOVED = 9  # passed on to another process of this gateway; its client sees nothing of it
 
 
 class Verdict(IntEnum):
@@ -246,6 +247,15 @@
         self.figures.opened += 1
         return place
 
+    def adopted(self, now: int, address: str) -> Place:
+        """One is let in that another process of this gateway has served before."""
+        place = self.opened(now, address)
+        place.source.unproven -= 1
+        place.asked = 1
+        place.kind = Kind.ONCE
+        self._enter(place, _IDLE)
+        return place
+
     def reading(self, place: Place, now: int, body: bool) -> None:
         """Some of a request has come, and not all: of its head, or all of that and not the body."""
         state = _BODY if body else _HEAD
--- /dev/null
+++ b/sailhitch/handover/files.py
@@ -0,0 +1,44 @@
+"""What is kept beside the processes: the way to the one that serves, and bans."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from pathlib import Path
+from typing import Final
+
+from .legacy import HandoverError, Legacy, pack, unpack
+
+MOST: Final = 4 << 20
+
+
+class Places:
+    """Where a gateway's processes find one another."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        safe = "".join(c if c.isalnum() or c in "-_." else "_" for c in name)[:40]
+        self.folder = Path(folder)
+        self.socket = self.folder / f"sailhitch-{safe}.sock"
+        self.bans = self.folder / f"sailhitch-{safe}.bans"
+
+    def keep(self, legacy: Legacy) -> None:
+        """Keep bans, whole or as they were; raises OSError."""
+        fresh = self.bans.with_suffix(f".{os.getpid()}")
+        try:
+            fresh.write_bytes(pack(legacy))
+            os.replace(fresh, self.bans)
+        except OSError:
+            with contextlib.suppress(OSError):
+                fresh.unlink()
+            raise
+
+    def kept(self) -> Legacy | None:
+        """What was kept, None if nothing; raises HandoverError or OSError."""
+        try:
+            with self.bans.open("rb") as file:
+                data = file.read(MOST + 1)
+        except FileNotFoundError:
+            return None
+        if len(data) > MOST:
+            raise HandoverError("too long")
+        return unpack(data)
--- /dev/null
+++ b/sailhitch/handover/legacy.py
@@ -0,0 +1,157 @@
+"""What the old process tells the new one, and its form on the wire. No I/O.
+
+A frame is one message of a `SOCK_SEQPACKET` socket: a kind, then a payload. State is longer than a
+message may be, so it comes in pieces, closed by one that has its length and digest: it is taken
+whole or not at all.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+
+from ..core.maintenance import Maintenance, Returned
+from ..core.terms import Entry, Roster
+from ..interface import Listed
+
+FORM: Final = 1  # of what follows; another is left alone
+MAGIC: Final = b"sailhitch"
+PIECE: Final = 32 * 1024  # of state in a frame
+MOST: Final = 16 << 20  # of state; more is none
+
+# What a frame holds.
+HELLO, STATE, WHOLE, READY, BAN, CLIENT, DRAINING, HOLDS = b"HSWRBCDN"
+
+
+class HandoverError(ValueError):
+    """What the other process said can't be used; the text says why."""
+
+
+class Host(msgspec.Struct, array_like=True, frozen=True):
+    """A host as the list has it."""
+
+    id: str
+    address: tuple[str, int]
+    weight: float
+    zone: int
+    cell: int
+    state: str
+    boot: int
+    kind: int
+
+
+class Legacy(msgspec.Struct, frozen=True):
+    """All that is told at once. Times are microseconds since 1970, as the core's clock has them."""
+
+    ever: list[str]  # ids ever listed, the latest last
+    bans: dict[str, int]
+    returned: dict[str, tuple[int, int]]
+    version: int = 0  # of the list
+    hosts: list[Host] = []  # empty where no list has come
+
+
+class Ban(msgspec.Struct, array_like=True, frozen=True):
+    """What staff have just said of a host."""
+
+    host: str
+    out: bool
+    at: int
+
+
+def bans_of(maintenance: Maintenance) -> Legacy:
+    """What staff have said, without the list."""
+    returned = {name: (back.entered, back.left) for name, back in maintenance.returned.items()}
+    return Legacy(list(maintenance.ever), dict(maintenance.bans), returned)
+
+
+def with_hosts(legacy: Legacy, version: int, entries: Iterator[Entry]) -> Legacy:
+    """The same with the list."""
+    hosts = [Host(e.listed.server, e.addr, *e.listed[1:]) for e in entries]
+    return msgspec.structs.replace(legacy, version=version, hosts=hosts)
+
+
+def take_bans(legacy: Legacy, maintenance: Maintenance) -> None:
+    """Go by what staff have said to the other process."""
+    maintenance.saw(legacy.ever)
+    maintenance.bans.update(legacy.bans)
+    for name, (entered, left) in legacy.returned.items():
+        maintenance.returned[name] = Returned(entered, left)
+
+
+def roster_of(legacy: Legacy) -> Roster | None:
+    """The list as the other process had it; None where it had none."""
+    if not legacy.hosts:
+        return None
+    entries = tuple(
+        Entry(Listed(h.id, h.weight, h.zone, h.cell, h.state, h.boot, h.kind), h.address)
+        for h in legacy.hosts
+    )
+    return Roster(legacy.version, True, entries, 0, frozenset())
+
+
+def pack(legacy: Legacy) -> bytes:
+    """State as bytes that say where they end and whether they are whole."""
+    return seal(msgspec.msgpack.encode(legacy))
+
+
+def seal(body: bytes) -> bytes:
+    """Bytes with their form, length and digest before them."""
+    digest = hashlib.blake2b(body, digest_size=16).digest()
+    return MAGIC + bytes((FORM,)) + len(body).to_bytes(4, "big") + digest + body
+
+
+def unpack(data: bytes) -> Legacy:
+    """What `pack` made; raises HandoverError for anything else, also for any part of it."""
+    head = len(MAGIC) + 1 + 4 + 16
+    if len(data) < head or not data.startswith(MAGIC):
+        raise HandoverError("not a gateway's state")
+    if data[len(MAGIC)] != FORM:
+        raise HandoverError(f"state of form {data[len(MAGIC)]}; this one reads {FORM}")
+    size = int.from_bytes(data[len(MAGIC) + 1 : len(MAGIC) + 5], "big")
+    body = data[head:]
+    if len(body) != size or seal(body) != data:
+        raise HandoverError("state that was cut or changed on its way")
+    try:
+        return msgspec.msgpack.decode(body, type=Legacy)
+    except msgspec.MsgspecError as error:
+        raise HandoverError(f"state: {error}") from None
+
+
+def frames(data: bytes) -> Iterator[bytes]:
+    """State as frames."""
+    for at in range(0, len(data), PIECE):
+        yield bytes((STATE,)) + data[at : at + PIECE]
+    yield bytes((WHOLE,))
+
+
+class Pieces:
+    """Puts state together from its frames."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+
+    def add(self, piece: bytes) -> None:
+        """One more; raises HandoverError."""
+        self._held += piece
+        if len(self._held) > MOST:
+            raise HandoverError("state without end")
+
+    def whole(self) -> Legacy:
+        """All have come; raises HandoverError."""
+        return unpack(bytes(self._held))
+
+
+def ban_frame(ban: Ban) -> bytes:
+    """A ban, or its end, as a frame."""
+    return bytes((BAN,)) + msgspec.msgpack.encode(ban)
+
+
+def read_ban(payload: bytes) -> Ban:
+    """What `ban_frame` made; raises HandoverError."""
+    try:
+        return msgspec.msgpack.decode(payload, type=Ban)
+    except msgspec.MsgspecError as error:
+        raise HandoverError(f"a ban: {error}") from None
--- /dev/null
+++ b/sailhitch/handover/shares.py
@@ -0,0 +1,53 @@
+"""How two processes share what one gateway may use. No I/O, and nothing to agree on.
+
+Memory for bodies: each goes by its even part, whatever the other does. Descriptors: each goes by
+what the other says it holds, with a margin for what both open until the next word of it, and has a
+least part that is its own. Rates: by who takes clients in, half each while both do, and all for the
+new one once the old has stopped. The one that is left goes by the whole, whoever ended and however.
+What one held above its part goes as anything above a limit does.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Final
+
+from ..core.terms import Bounds
+
+LEAST: Final = 4  # one part in so many of the descriptors is any process's own
+MARGIN: Final = 16
+
+
+@dataclass(slots=True)
+class Share:
+    """One process's part, by what it sees itself."""
+
+    before: bool = False  # a predecessor lives...
+    before_drains: bool = False  # ...and takes nobody in any more
+    after: bool = False  # a successor lives
+    after_ready: bool = False  # ...and takes clients in
+    drains: bool = False  # this process takes nobody in any more
+
+    def processes(self) -> int:
+        """How many share."""
+        return 1 + self.before + self.after
+
+    def bounds(self, whole: Bounds, others: int) -> Bounds:
+        """What this process may use of what the gateway may, the others holding so many
+        descriptors."""
+        count = self.processes()
+        if count == 1:
+            return whole
+        left = whole.sockets - others - MARGIN
+        return replace(
+            whole,
+            memory_mb=whole.memory_mb // count,
+            sockets=max(whole.sockets // LEAST, left),
+            # Fronts deal out connections to the gateway, whichever process takes them.
+            seats=whole.seats_dealt(),
+        )
+
+    def intake(self) -> float:
+        """The part of the gateway's clients that comes here."""
+        others = (self.before and not self.before_drains) + (self.after and self.after_ready)
+        return 1.0 / (1 + others)
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
@@ -58,6 +59,8 @@
     known: Roster
     settings: Settings
     wire: Wire
+    operator: Address | None = None  # where the operators call
+    held_socket: int | None = None  # a descriptor on which clients' connections come, held for us
 
     def bounds(self) -> Bounds:
         """What the process may use."""
@@ -189,6 +192,28 @@
     return value
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) < 7):
+        raise ConfigError(f"EDGE_SOCKET_FD: not the number of a descriptor: {text[:80]!r}")
+    return int(text)
+
+
+def adopt_socket(descriptor: int) -> socket.socket:
+    """The listening socket that the platform holds; raises ConfigError where it is none."""
+    field = f"EDGE_SOCKET_FD: descriptor {descriptor}"
+    try:
+        sock = socket.socket(fileno=descriptor)
+    except OSError as error:
+        raise ConfigError(f"{field}: {error.strerror}") from None
+    stream = sock.type == socket.SOCK_STREAM and sock.family == socket.AF_INET
+    if not stream or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise ConfigError(f"{field}: not a listening TCP socket")
+    return sock
+
+
 def parse_config(value: Any, env: Mapping[str, str]) -> Config:
     """The configuration file's object, with the environment's word first where it says something.
 
@@ -232,6 +257,7 @@
         raise ConfigError("EDGE_NAME: required and missing")
     listen = env.get("EDGE_LISTEN") or value.get("listen")
     discovery = env.get("EDGE_DISCOVERY") or value.get("discovery")
+    operator = env.get("EDGE_OPERATOR") or value.get("operator") or None
     return Config(
         name=name,
         listen=parse_address("EDGE_LISTEN", listen),
@@ -243,6 +269,8 @@
         known=roster,
         settings=settings,
         wire=wire,
+        operator=None if operator is None else parse_address("EDGE_OPERATOR", operator),
+        held_socket=_descriptor(env.get("EDGE_SOCKET_FD")),
     )
 
 
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -130,6 +130,16 @@
         else:
             self._wanted.clear()
 
+    def inherit(self, version: int) -> None:
+        """Another process of this gateway has told its list; the watch goes on from there.
+
+        Guards against news between its list and this process's first call: what discovery told the
+        gateway counts as told to this process moments after its start, so it asks at once.
+        """
+        self.version = version
+        self.heard.set()
+        self._wanted.set()
+
     def reconfigure(self, config: Config) -> None:
         """Read lists in the terms of another configuration, from where it says."""
         self.wire = config.wire
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import errno
+import os
 import socket
 from collections import deque
 from http import HTTPStatus
@@ -172,6 +173,24 @@
         transport.close()
         return True
 
+    def detach(self) -> int | None:
+        """Give the connection away between two requests: a descriptor of it, the caller's to close.
+
+        Bytes that the loop has not read stay with the descriptor. None while anything is owed.
+        """
+        transport = self.transport
+        if transport is None or self.phase != IDLE or not self.is_idle():
+            return None
+        if transport.is_closing() or transport.get_write_buffer_size():
+            return None
+        try:
+            descriptor = os.dup(self.sock.fileno())
+        except OSError:
+            return None
+        self._leave(Reason.MOVED)
+        transport.abort()  # of this process's descriptor only: the connection stands
+        return descriptor
+
     def _leave(self, reason: Reason) -> None:
         """Say no more after this."""
         self.phase = CLOSING
@@ -516,6 +535,8 @@
             self.core.door.answered(self.place, now, self.owed)
             if self.phase != IDLE:
                 self.core.door.reading(self.place, now, self.phase == BODY)
+            elif self.core.passing is not None:
+                self.core.passing(self)
 
     def serve(self, exchange: Exchange, answer: Answer) -> None:
         """A host's whole answer."""
@@ -579,21 +600,28 @@
     clients in a crowd; those that are inside go on being served.
     """
 
-    def __init__(self, core: Core, intake: Intake, address: Address, backlog: int) -> None:
+    def __init__(
+        self, core: Core, intake: Intake, address: Address, backlog: int,
+        held: socket.socket | None = None,
+    ) -> None:  # fmt: skip
+        """Listen at an address, or on a socket that listens there and is held by others too."""
         self.core, self.intake, self.backlog = core, intake, backlog
         self.tasks: set[asyncio.Task[None]] = set()
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.retired = False
+        self.sock = held or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         # Connections inherit it. By itself the system takes megabytes of an answer for a client
         # that reads none of it, which show in no budget.
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        if held is not None:
+            self.sock.setblocking(False)
+            return
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             self.sock.bind(address)
             self.sock.listen(backlog)
         except OSError:
             self.sock.close()
             raise
-        self.retired = False
 
     def start(self) -> None:
         """Take in whoever waits."""
@@ -617,13 +645,22 @@
                 self._rest()
                 return
             if way == Verdict.ADMIT and core.door.admits(core.clock(), peer[0]):
-                self._let_in(sock, peer[0])
+                self._let_in(sock, core.door.opened(core.clock(), peer[0]))
             else:
                 self._turn_away(sock)
 
-    def _let_in(self, sock: socket.socket, address: str) -> None:
+    def adopt(self, descriptor: int) -> None:
+        """Go on with a connection that another process of this gateway gives away; idle so far."""
+        sock = socket.socket(fileno=descriptor)
+        try:
+            address = sock.getpeername()[0]
+        except OSError:
+            sock.close()  # its client has gone meanwhile
+            return
+        self._let_in(sock, self.core.door.adopted(self.core.clock(), address))
+
+    def _let_in(self, sock: socket.socket, place: Place) -> None:
         core = self.core
-        place = core.door.opened(core.clock(), address)
         core.arriving += 1
         # Danger: the loop itself holds a task by a weak reference only.
         task = core.loop.create_task(self._serve(sock, place))
@@ -676,6 +713,11 @@
             if isinstance(client, Downstream) and client.listener is self and client.is_idle():
                 client.close_idle(Reason.ANSWERED)
 
+    def leave_to_others(self) -> None:
+        """Take nobody in any more; who waits is left to others who hold this socket."""
+        self.core.loop.remove_reader(self.sock)
+        self.sock.close()
+
     def discard(self) -> None:
         """Let go of the address, with nobody taken in."""
         self.sock.close()
--- a/sailhitch/net/platform.py
+++ b/sailhitch/net/platform.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Callable
 
 from ..core.core import Core
 from ..core.log import Log
 from ..core.pool import Pool
-from ..core.terms import Address
+from ..core.terms import Address, Bounds, Roster
+from ..interface import RESTORED
 from .config import Config
 from .discovery import Discovery
 from .downstream import Listener
@@ -25,17 +28,26 @@
         self.core.pools.append(self.pool)
         self.intake = PlatformIntake(self.pool, config.settings, config.wire)
         self.discovery = Discovery(self.pool, config)
+        # What of the gateway's bounds is this process's, where it has another beside it.
+        self.fit: Callable[[Bounds], Bounds] = lambda whole: whole
 
     def begin(self) -> None:
         """Start with the list as last known; nothing is listened for yet."""
         self.core.begin()
         self.pool.start(self.config.known)
 
-    def listen(self, address: Address, backlog: int) -> Listener:
-        """Take clients in; raises OSError."""
-        listener = Listener(self.core, self.intake, address, backlog)
-        listener.start()
-        return listener
+    def inherit(self, roster: Roster) -> None:
+        """Go by the list of the process before this one, which is newer than the file's."""
+        self.pool.take_list(roster, RESTORED)
+        self.discovery.inherit(roster.version)
+
+    def listen(self, address: Address, backlog: int, held: socket.socket | None = None) -> Listener:
+        """Where clients come; they are taken in once it is started. Raises OSError."""
+        return Listener(self.core, self.intake, address, backlog, held)
+
+    def resize(self) -> None:
+        """Go by what is this process's of the bounds as they are."""
+        self.core.reconfigure(self.fit(self.config.bounds()))
 
     def reconfigure(self, config: Config) -> None:
         """Go by a new configuration, with all that is open going on.
@@ -44,7 +56,7 @@
         and seed belong to the process. They stay.
         """
         self.config = config
-        self.core.reconfigure(config.bounds())
+        self.resize()
         self.intake.settings, self.intake.wire = config.settings, config.wire
         self.pool.reconfigure(config.settings, config.reach())
         self.discovery.reconfigure(config)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -214,6 +214,7 @@
     platform.begin()
     watch = loop.create_task(platform.discovery.run()) if discovery else None
     server = platform.listen(("127.0.0.1", 0), 100)
+    server.start()
     platform.core.ready = True
     try:
         yield Gate(platform, f"127.0.0.1:{server.sock.getsockname()[1]}")
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,218 @@
+"""What one process leaves to the next: whole or nothing, and nobody notices."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sailhitch.core.terms import Bounds
+from sailhitch.handover.files import Places
+from sailhitch.handover.legacy import (
+    STATE,
+    WHOLE,
+    HandoverError,
+    Host,
+    Legacy,
+    Pieces,
+    frames,
+    pack,
+    unpack,
+)
+from sailhitch.handover.shares import Share
+from tests.generations import Site, hosted, site, told
+from tests.sockets import Server, Writer, answer, config_value, request, until
+
+LEGACY = Legacy(
+    ["a", "b"], {"a": 5}, {"b": (1, 2)}, 7,
+    [Host("a", ("127.0.0.1", 1), 1.0, 0, 0, "ready", 0, 0)] * 2000,
+)  # fmt: skip
+
+
+def test_state_is_put_together_from_its_frames() -> None:
+    pieces = Pieces()
+    *parts, end = frames(pack(LEGACY))
+    for part in parts:
+        assert part[0] == STATE
+        pieces.add(part[1:])
+    assert end == bytes((WHOLE,))
+    assert pieces.whole() == LEGACY
+
+
+@given(st.integers(0, 1 << 20), st.integers(0, 255), st.booleans())
+def test_state_that_is_cut_or_changed_is_taken_for_nothing(at: int, other: int, cut: bool) -> None:
+    data = bytearray(pack(LEGACY))
+    at %= len(data)
+    if cut:
+        del data[at:]
+    elif data[at] != other:
+        data[at] = other
+    else:
+        return
+    with pytest.raises(HandoverError):
+        unpack(bytes(data))
+
+
+def test_bans_are_kept_whole_or_as_they_were(tmp_path: Path) -> None:
+    places = Places(str(tmp_path), "../n 0")
+    assert places.kept() is None
+    places.keep(LEGACY)
+    assert places.kept() == LEGACY
+    places.bans.write_bytes(places.bans.read_bytes()[:-1])
+    with pytest.raises(HandoverError):
+        places.kept()
+    gone = Places(str(tmp_path / "none"), "n0")
+    with pytest.raises(OSError, match="none"):
+        gone.keep(LEGACY)
+
+
+@given(st.integers(0, 384), st.integers(0, 384))
+def test_what_both_may_hold_is_no_more_than_the_whole_once_each_has_heard(a: int, b: int) -> None:
+    whole = Bounds(80, 384, 100, 3_000_000)
+    old, new = Share(after=True, after_ready=True), Share(before=True)
+    a, b = min(a, 300), min(b, 300)
+    mine, theirs = old.bounds(whole, b), new.bounds(whole, a)
+    assert mine.memory_mb + theirs.memory_mb <= whole.memory_mb
+    assert mine.sockets <= max(whole.sockets // 4, whole.sockets - b)
+    assert mine.seats_dealt() == whole.seats_dealt()
+    assert old.intake() + new.intake() == 1.0
+    new.before_drains = True
+    assert new.intake() == 1.0
+    assert Share().bounds(whole, a) is whole
+
+
+async def slow(message: bytes, writer: Writer) -> None:
+    await asyncio.sleep(0.4)
+    writer.write(answer(b"slow"))
+
+
+def test_clients_see_nothing_of_an_upgrade(tmp_path: Path) -> None:
+    async def play() -> None:
+        host = Server(slow)
+        async with hosted(tmp_path, a=host) as it:
+            old = await it.ready()
+            idle, busy, half = [await it.client() for _ in range(3)]
+            assert await idle.ask(request("i0")) == (200, b"slow")
+            assert await busy.ask(request("b0")) == (200, b"slow")
+            half.send(request("h1", b"effect")[:-3])
+            new = await it.ready()
+            busy.send(request("b1", b"effect"))
+            await until(lambda: len(host.seen) == 3)
+            ending = asyncio.create_task(old.end())
+            await told(old, "draining")
+            late = await it.client()
+            assert await late.ask(request("l1")) == (200, b"slow")
+            assert await busy.answer() == (200, b"slow")
+            half.send(request("h1", b"effect")[-3:])
+            assert await half.answer() == (200, b"slow")
+            assert await ending == 0
+            for client in (idle, busy, half, late):
+                assert await client.ask(request("x", b"effect")) == (200, b"slow")
+            assert new.program.returncode is None
+            assert len({m.split(b"Req-Id: ")[1].split(b"\r")[0] for m in host.seen}) == 6
+
+    asyncio.run(play())
+
+
+def test_bans_outlast_processes_and_are_heard_by_both(tmp_path: Path) -> None:
+    async def play() -> None:
+        a = Server()
+        async with hosted(tmp_path, a=a, b=Server(), c=Server()) as it:
+            first = await it.ready()
+            assert await first.out("a") == 200
+            assert await first.out("a") == 200
+            assert await first.out("never") == 404
+            second = await it.ready()
+            assert await first.out("b") == 200  # after the state has passed
+            assert await second.back("b") == 200
+            assert await first.end() == 0
+            assert await _hosts_asked(it, a) == 0
+            # One that dies leaves what is kept in the file.
+            await second.end(signal.SIGKILL)
+            third = await it.ready()
+            assert await _hosts_asked(it, a) == 0
+            assert await third.back("a") == 200
+            async with asyncio.timeout(30):
+                while not await _hosts_asked(it, a):
+                    pass
+
+    asyncio.run(play())
+
+
+async def _hosts_asked(it: Site, host: Server) -> int:
+    """How many of some requests that host gets."""
+    before = len(host.seen)
+    client = await it.client()
+    for _ in range(30):
+        assert (await client.ask(request(f"q{os.urandom(6).hex()}")))[0] == 200
+    client.writer.close()
+    return len(host.seen) - before
+
+
+def test_a_successor_that_never_gets_ready_or_dies_leaves_the_gateway_whole(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with hosted(tmp_path, a=Server()) as it:
+            old = await it.ready()
+            client = await it.client()
+            assert await client.ask(request("r0")) == (200, b"served")
+            failed = await it.start(EDGE_CONFIG=str(tmp_path / "none"))
+            assert await failed.program.wait() == 2
+            killed = await it.ready()
+            await killed.end(signal.SIGKILL)
+            await told(old, "would follow has ended")
+            for i in range(20):
+                fresh = await it.client()
+                # What was in the dead one's hands is lost with it; nobody else's is.
+                assert await fresh.ask(request(f"f{i}")) == (200, b"served")
+            assert await client.ask(request("r1")) == (200, b"served")
+            # One that is ended with nobody after it drains as ever.
+            assert await old.end() == 0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("descriptor", ["x", "999", "0"])
+def test_a_descriptor_that_is_no_listening_socket_is_named(tmp_path: Path, descriptor: str) -> None:
+    async def play() -> None:
+        async with site(tmp_path, config_value("127.0.0.1:9")) as it:
+            failed = await it.start(EDGE_SOCKET_FD=descriptor)
+            assert await failed.program.wait() == 2
+            assert "EDGE_SOCKET_FD" in failed.log.read_text()
+
+    asyncio.run(play())
+
+
+def test_upgrades_one_after_the_other_under_load_lose_and_double_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        host = Server()
+        async with hosted(tmp_path, a=host) as it:
+            newest = await it.ready()
+            asked = done = 0
+            over = asyncio.Event()
+
+            async def load(name: str) -> None:
+                nonlocal asked, done
+                client = await it.client()
+                while not over.is_set():
+                    asked += 1
+                    got = await client.ask(request(f"{name}-{asked}", b"effect"))
+                    assert got == (200, b"served")
+                    done += 1
+                    await asyncio.sleep(0.002)
+
+            tasks = [asyncio.create_task(load(f"c{i}")) for i in range(8)]
+            for _ in range(3):
+                old, newest = newest, await it.ready()
+                assert await old.end() == 0
+            over.set()
+            await asyncio.gather(*tasks)
+            assert asked == done == len(host.seen)
+
+    asyncio.run(play())
