Take new settings whole or not at all, and let requests keep their class

A new file must now have the shape of the one it replaces and sound figures; all that is wrong is logged, a line each, and nothing is taken. For 1.1 s the form of a class that has just gone or changed is taken too, under the stricter effect. The module keeps what it knows by class, tenant and worth, where it used to start anew and be blind for two seconds.

Ruled out: a list of required keys in the program, which says nothing of keys it does not read.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -30,6 +30,7 @@
 drains it."""
 BACKLOG = 4096
 FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
+MOST_WRONG = 12  # lines about one file
 REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
 
 
@@ -45,11 +46,15 @@
             self._again.cancel()
             self._again = None
         try:
-            config = reload_config(os.environ)
+            config = reload_config(os.environ, self.platform.config)
             self.platform.reconfigure(config)
         except Exception as error:
             # Whatever is wrong with the file, the gateway goes on as it was.
-            self.log.say(f"SIGHUP: the old configuration stays: {error}")
+            wrong = str(error).splitlines() or [type(error).__name__]
+            more = f" ({len(wrong)} things are wrong)" if len(wrong) > 1 else ""
+            self.log.say(f"SIGHUP: the old configuration stays{more}: {wrong[0]:.200}")
+            for line in wrong[1:MOST_WRONG]:
+                self.log.say(f"SIGHUP: also {line:.200}")
             if tries < len(REREAD):
                 loop = asyncio.get_running_loop()
                 self._again = loop.call_later(REREAD[tries], self.reload, tries + 1)
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..settings import RequestClass
 from .seams import Carrier, Client, Pending
 from .terms import Answer
 
@@ -15,8 +16,8 @@
     """One client's request, from its last byte to its one answer and its last attempt's outcome."""
 
     __slots__ = (
-        "attempts", "bare", "body", "client", "closed", "cls", "deadline", "fallback", "head", "id",
-        "keep", "key", "name", "old_http", "out", "pool", "repeat", "reserved", "tenant",
+        "attempts", "bare", "body", "client", "closed", "deadline", "fallback", "head", "id",
+        "keep", "key", "kind", "name", "old_http", "out", "pool", "repeat", "reserved", "tenant",
         "wait_ms", "wake", "work",
     )  # fmt: skip
 
@@ -28,7 +29,8 @@
         self.head = b""  # all of the head that goes on but for the deadline
         self.body: bytes | bytearray = b""
         self.reserved = 0  # of the budget for bodies
-        self.cls = self.tenant = self.work = self.wait_ms = 0
+        self.kind: RequestClass | None = None  # its class as it was when its head came
+        self.tenant = self.work = self.wait_ms = 0
         self.key: int | None = None
         self.repeat = False
         self.keep = True
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from ..interface import (
@@ -26,8 +27,9 @@
     Report,
 )
 from ..policy import Gateway
-from ..settings import Settings
+from ..settings import RequestClass, Settings
 from .exchange import Attempt, Exchange
+from .kinds import Kinds
 from .maintenance import Maintenance, Told
 from .seams import Transport
 from .terms import Answer, Entry, Reach, Roster
@@ -44,6 +46,7 @@
         transport: Callable[[Pool], Transport],
     ) -> None:  # fmt: skip
         self.core, self.name, self.settings, self.reach = core, name, settings, reach
+        self.kinds = Kinds(settings.classes)
         self.listed: dict[str, Entry] = {}  # as the list has them
         self.maintenance = Maintenance()
         self.failing: set[str] = set()  # hosts whose last attempt failed; for the log only
@@ -84,10 +87,16 @@
 
     def request(self, exchange: Exchange, now: int) -> None:
         """A request of this pool has come whole."""
+        kind = exchange.kind
+        assert kind is not None
+        number = self.kinds.number(kind)
+        if number is None:  # it took longer to come than any class that has gone is remembered
+            self.core.answer_failed(exchange)
+            return
         self._tell(
             exchange,
             lambda: self.module.request(
-                now, exchange.id, exchange.cls, exchange.deadline, exchange.work, exchange.key,
+                now, exchange.id, number, exchange.deadline, exchange.work, exchange.key,
                 exchange.tenant, exchange.repeat,
             ),
         )  # fmt: skip
@@ -109,13 +118,19 @@
         now = self.core.clock()
         self._tell(None, lambda: self.module.retire(now))
 
-    def reconfigure(self, settings: Settings, reach: Reach) -> None:
-        """Go by other settings; requests taken go on under their class's old ones."""
+    def reconfigure(
+        self, settings: Settings, reach: Reach, also: Sequence[RequestClass] = ()
+    ) -> None:
+        """Go by other settings; requests taken go on under their class as it was.
+
+        `also` are classes that requests may come under for a while besides those of the settings.
+        """
         self.reach = reach
         if settings != self.settings:
             self.settings = settings
             now = self.core.clock()
-            self._tell(None, lambda: self.module.reconfigure(now, settings))
+            whole = replace(settings, classes=self.kinds.turn(now, settings.classes, also))
+            self._tell(None, lambda: self.module.reconfigure(now, whole))
 
     # --- Port: what the module does
 
--- a/sailhitch/daemon/intake.py
+++ b/sailhitch/daemon/intake.py
@@ -61,7 +61,7 @@
             raise RejectError(400, "Idempotency-Key is empty or too long")
         if head.method in (b"GET", b"HEAD") and head.has_body():
             raise RejectError(400, "a body where the method has none")
-        exchange.cls, effect = view.tables.classify(route.cls, head.method, key is not None)
+        number, effect = view.tables.classify(route.cls, head.method, key is not None)
         exchange.bare = head.method == b"HEAD"
         exchange.tenant = view.tables.tenant(found.get(b"req-owner", b"").decode("latin-1"))
         exchange.repeat = found.get(b"req-retry") == b"1"
@@ -80,6 +80,7 @@
             exchange.fallback = Answer(503, _TEXT, b"the pool that this key went to was removed\n")
             return False
         exchange.pool = pool
+        exchange.kind = pool.settings.classes[number]
         return True
 
     def _asked(self, head: Head, found: dict[bytes, bytes], routes: Routes) -> Asked:
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -6,12 +6,12 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass
-from types import MappingProxyType
 from typing import Any, Final
 
 from ..core.terms import Address, Bounds, Entry, Reach, Roster, idle_life, read_address
 from ..interface import DRAINING, GONE, READY, Listed
 from ..settings import Settings, SettingsError, parse_settings
+from .shape import Shape, bad_figures, misfits, shape_of
 
 STATES: Final = {"active": READY, "leaving": DRAINING, "left": GONE}
 # The settings and the load header do not name a report's values alike; both names are known. With
@@ -61,6 +61,7 @@
     wire: Wire
     operator: Address | None = None  # where the operators call
     held_socket: int | None = None  # a descriptor on which clients' connections come, held for us
+    shape: Shape = ""  # of the file, which the next one must have too
 
     def bounds(self) -> Bounds:
         """What the process may use."""
@@ -271,34 +272,41 @@
         wire=wire,
         operator=None if operator is None else parse_address("EDGE_OPERATOR", operator),
         held_socket=_descriptor(env.get("EDGE_SOCKET_FD")),
+        shape=shape_of(value),
     )
 
 
-def reload_config(env: Mapping[str, str]) -> Config:
-    """Read the file anew; raises ConfigError.
+def reload_config(env: Mapping[str, str], before: Config) -> Config:
+    """Read the file anew; raises ConfigError with all that is wrong, a line each.
 
     A running process's environment can't change. Where the new file names discovery, it holds.
     """
-    return load_config({k: v for k, v in env.items() if k != "EDGE_DISCOVERY"}, env)
+    value = read_file(env)
+    problems = [*misfits(value, before.shape)]
+    if isinstance(value, dict):
+        problems += bad_figures(value.get("settings"))
+    if problems:
+        raise ConfigError("\n".join(dict.fromkeys(problems)))
+    told = {k: v for k, v in env.items() if k != "EDGE_DISCOVERY"}
+    if "discovery" not in value:
+        told = dict(env)
+    return parse_config(value, told)
 
 
-def load_config(
-    env: Mapping[str, str], fallback: Mapping[str, str] = MappingProxyType({})
-) -> Config:
-    """Read what the environment points to, `fallback` where neither it nor the file says anything.
+def load_config(env: Mapping[str, str]) -> Config:
+    """Read what the environment points to; raises ConfigError."""
+    return parse_config(read_file(env), env)
 
-    Raises ConfigError.
-    """
+
+def read_file(env: Mapping[str, str]) -> Any:
+    """The file's value, whatever it is; raises ConfigError."""
     path = env.get("EDGE_CONFIG")
     if not path:
         raise ConfigError("EDGE_CONFIG: required and missing")
     try:
         with open(path, "rb") as file:
-            value = json.loads(file.read())
+            return json.loads(file.read())
     except OSError as error:
         raise ConfigError(f"EDGE_CONFIG: {path}: {error.strerror}") from None
     except (ValueError, RecursionError):
         raise ConfigError(f"EDGE_CONFIG: {path}: not JSON") from None
-    if isinstance(value, dict) and "discovery" not in value:
-        env = {**fallback, **env}
-    return parse_config(value, env)
--- a/sailhitch/net/intake.py
+++ b/sailhitch/net/intake.py
@@ -5,12 +5,14 @@
 
 from __future__ import annotations
 
-from typing import Any, Final, Protocol
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any, Final, NamedTuple, Protocol
 
 from ..core.exchange import Exchange
 from ..core.pool import Pool
 from ..core.terms import Field
-from ..settings import KEYED, SAFE, Settings
+from ..settings import KEYED, SAFE, UNSAFE, RequestClass, Settings
 from .config import Wire
 from .http import HOP
 
@@ -24,6 +26,9 @@
         b"transfer-encoding",
     }
 )  # fmt: skip
+# Clients learn of new settings about when this process does; so long either may come first (us).
+OLD_FORMS: Final = 1_100_000
+STRICTNESS: Final = {SAFE: 0, KEYED: 1, UNSAFE: 2}
 # A second one of these would make it doubtful what was meant.
 SINGLE: Final = READ - {b"cookie", b"expect"}
 
@@ -60,13 +65,54 @@
         """
 
 
+class Older(NamedTuple):
+    """What a class was before new settings: the effect whose form it came in, and what to do."""
+
+    form: str
+    kind: RequestClass
+
+
+def outgoing(before: Sequence[RequestClass], after: Sequence[RequestClass]) -> dict[bytes, Older]:
+    """Classes that go, or whose effect changes, by name.
+
+    A request in a form that has just gone is held to the stricter of both effects: to the old one
+    where that is it, and else to the strictest there is, as a form may lack what the new one needs.
+    """
+    found = {}
+    now = {kind.name: kind for kind in after}
+    for old in before:
+        new = now.get(old.name)
+        if new is None or STRICTNESS[old.effect] > STRICTNESS[new.effect]:
+            found[old.name.encode()] = Older(old.effect, old)
+        elif new.effect != old.effect:
+            found[old.name.encode()] = Older(old.effect, replace(new, effect=UNSAFE))
+    return found
+
+
 class PlatformIntake:
     """Reads the platform's own fields (PROTOCOL): every request must bring them."""
 
     own = OWN
 
-    def __init__(self, pool: Pool, settings: Settings, wire: Wire) -> None:
-        self.pool, self.settings, self.wire = pool, settings, wire
+    def __init__(self, pool: Pool, wire: Wire) -> None:
+        self.pool, self.wire = pool, wire
+        self.older: dict[bytes, Older] = {}
+        self.older_until = 0
+
+    def reconfigure(self, now: int, settings: Settings, wire: Wire) -> list[RequestClass]:
+        """Read by other settings; returns classes that requests may have besides theirs."""
+        self.older = outgoing(self.pool.settings.classes, settings.classes)
+        self.older_until = now + OLD_FORMS
+        self.wire = wire
+        return [one.kind for one in self.older.values()]
+
+    def _older(self, name: bytes) -> Older | None:
+        """How a request of this class may come just after new settings, besides its new form."""
+        older = self.older.get(name)
+        if older is not None and self.pool.core.clock() >= self.older_until:
+            self.older = {}
+            return None
+        return older
 
     def read(self, head: Head, found: dict[bytes, bytes], exchange: Exchange) -> bool:
         """As the protocol says; what is missing or out of form is an error."""
@@ -75,21 +121,21 @@
         exchange.pool = self.pool
         wire = self.wire
         exchange.name = read_name(found.get(b"req-id", b""))
-        cls = wire.classes.get(found.get(b"req-kind", b""))
-        if cls is None:
-            raise RejectError(400, "Req-Kind missing or unknown")
-        exchange.cls = cls
+        name = found.get(b"req-kind", b"")
+        number = wire.classes.get(name)
+        kind = None if number is None else self.pool.settings.classes[number]
         # Nobody is waited for longer than its class may take.
         wait = read_wait(found.get(b"req-deadline-ms", b""))
         exchange.wait_ms = min(wait, wire.longest_deadline // 1000)
-        effect = self.settings.classes[cls].effect
         keyed = found.get(b"idempotency-key")
-        if effect == SAFE:
-            fits = head.method == b"GET" and not head.has_body() and keyed is None
-        else:
-            fits = head.method == b"POST" and bool(keyed) == (effect == KEYED)
-        if not fits or keyed == b"":
-            raise RejectError(400, "method, body or Idempotency-Key do not fit the class")
+        if kind is None or not _fits(kind.effect, head, keyed):
+            older = self._older(name)
+            if older is None and kind is None:
+                raise RejectError(400, "Req-Kind missing or unknown")
+            if older is None or not _fits(older.form, head, keyed):
+                raise RejectError(400, "method, body or Idempotency-Key do not fit the class")
+            kind = older.kind
+        exchange.kind = kind
         exchange.tenant = wire.tenants.get(found.get(b"req-owner", b""), len(wire.tenants))
         exchange.repeat = found.get(b"req-retry") == b"1"
         cost = found.get(b"req-cost", b"")
@@ -100,6 +146,15 @@
         return True
 
 
+def _fits(effect: str, head: Head, keyed: bytes | None) -> bool:
+    """Whether a request's form is that of classes with such an effect (PROTOCOL)."""
+    if keyed == b"":
+        return False
+    if effect == SAFE:
+        return head.method == b"GET" and not head.has_body() and keyed is None
+    return head.method == b"POST" and (keyed is not None) == (effect == KEYED)
+
+
 def read_name(name: bytes) -> bytes:
     """A request's id; raises RejectError."""
     if not name or len(name) > 128 or (not name.isalnum() and not _token(name)):
--- a/sailhitch/net/platform.py
+++ b/sailhitch/net/platform.py
@@ -26,7 +26,7 @@
         self.core = Core(config.bounds(), loop, log)
         self.pool = Pool(self.core, "hosts", config.settings, config.seed, config.reach(), Hosts)
         self.core.pools.append(self.pool)
-        self.intake = PlatformIntake(self.pool, config.settings, config.wire)
+        self.intake = PlatformIntake(self.pool, config.wire)
         self.discovery = Discovery(self.pool, config)
         # What of the gateway's bounds is this process's, where it has another beside it.
         self.fit: Callable[[Bounds], Bounds] = lambda whole: whole
@@ -57,6 +57,6 @@
         """
         self.config = config
         self.resize()
-        self.intake.settings, self.intake.wire = config.settings, config.wire
-        self.pool.reconfigure(config.settings, config.reach())
+        also = self.intake.reconfigure(self.core.clock(), config.settings, config.wire)
+        self.pool.reconfigure(config.settings, config.reach(), also)
         self.discovery.reconfigure(config)
--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -246,7 +246,7 @@
         self._adopt(0, settings)
 
     def _adopt(self, now: int, settings: Settings) -> None:
-        """Go by these settings; what is counted by class, worth or tenant starts anew."""
+        """Go by these settings, with nothing counted by class, worth or tenant yet."""
         self.settings = settings
         self.class_r = [0.0] * len(settings.classes)
         self.class_work = [0.0] * len(settings.classes)
@@ -276,12 +276,31 @@
         self.t_rush = now + RUSH
 
     def reconfigure(self, now: int, settings: Settings) -> None:
-        """New settings for a running instance; requests taken go on under their class's old ones.
+        """New settings for a running instance, which keeps what it knows.
 
-        Danger: the window of arrivals is empty after this, and a rate read from it is low.
+        Requests taken go on under their class as it was. What is counted by class or tenant is
+        kept by name, and arrivals by the nearest worth.
         """
-        self.t_start = now
+        usual = {c.name: i for i, c in reversed(list(enumerate(self.settings.classes)))}
+        tokens = {t.name: i for i, t in enumerate(self.settings.tenants)}
+        before = (self.class_r, self.class_work, self.tenant_tokens, self.tenant_t)
+        worths, arrivals = self.worths, self.arrivals
         self._adopt(now, settings)
+        for i, cls in enumerate(settings.classes):
+            if cls.name in usual:
+                self.class_r[i] = before[0][usual[cls.name]]
+                self.class_work[i] = before[1][usual[cls.name]]
+        for i, tenant in enumerate(settings.tenants):
+            if tenant.name in tokens:
+                self.tenant_tokens[i] = before[2][tokens[tenant.name]]
+                self.tenant_t[i] = before[3][tokens[tenant.name]]
+        for rank, count in enumerate(arrivals):
+            worth = worths[rank // 2]
+            near = min(range(len(self.worths)), key=lambda i: abs(self.worths[i] - worth))
+            self.arrivals[2 * near + rank % 2] += count
+        places = {cls: i for i, cls in reversed(list(enumerate(settings.classes)))}
+        for request in self.live.values():
+            request.at = places.get(request.cls, len(settings.classes))
         self._regroup(now)
 
     def share(self, part: float) -> None:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -172,6 +172,12 @@
                     got += data
         return got
 
+    async def again(self) -> Client:
+        """A new connection to where this one went."""
+        host, port = self.writer.get_extra_info("peername")
+        self.writer.close()
+        return await dial(f"{host}:{port}")
+
     async def ask(self, data: bytes) -> tuple[int, bytes]:
         self.send(data)
         return await self.answer()
@@ -270,6 +276,19 @@
         await program.wait()
 
 
+@contextlib.asynccontextmanager
+async def hosted_process(
+    path: Path, host: Server
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Client]]:
+    """The real program with one host behind it, and a client of it."""
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(host)
+        registry = await stack.enter_async_context(Registry(("a", host.addr)))
+        value = config_value(registry.addr, ("a", host.addr))
+        program, addr = await stack.enter_async_context(process(path, value))
+        yield program, await dial(addr)
+
+
 async def _ready(addr: str) -> bool:
     try:
         client = await dial(addr)
