Take the blanks behind a field's value for none of it

Hosts' lengths were refused in the same way. Ruled out: reading each value leniently where it is used, as the next one would be missed.

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -21,7 +21,7 @@
 from ..core.exchange import Exchange
 from ..core.terms import Address, Answer, Field
 from ..front import Place, Reason, State, Verdict
-from .http import HOP, MAX_HEAD
+from .http import BLANK, HOP, MAX_HEAD
 from .intake import READ, SINGLE, Intake, RejectError
 
 REASONS: Final = {
@@ -323,7 +323,7 @@
         self.got += len(name) + len(value)
         if self.got > MAX_HEAD:
             raise RejectError(431, "head too large")
-        self.fields.append((name.lower(), name, value))
+        self.fields.append((name.lower(), name, value.strip(BLANK)))
 
     def on_headers_complete(self) -> None:
         if self.phase == CLOSING or self.parser is None:
--- a/sailhitch/net/http.py
+++ b/sailhitch/net/http.py
@@ -23,6 +23,7 @@
         b"upgrade",
     }
 )
+BLANK: Final = b" \t"  # around a field's value (RFC 9110, 5.6.3)
 MAX_HEAD: Final = 32 * 1024  # a longer head is no head
 
 WAITING, BODY, WHOLE = 0, 1, 2  # where an answer stands
@@ -96,7 +97,8 @@
         self.head_size += len(name) + len(value)
         if self.head_size > MAX_HEAD:
             raise MalformedError("head too large")
-        self.fields.append((name.lower(), name, value))
+        # Danger: the parser leaves the space behind a value, which is none of it (RFC 9112, 5).
+        self.fields.append((name.lower(), name, value.strip(BLANK)))
 
     def on_headers_complete(self) -> None:
         parser = self.parser
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -293,3 +293,22 @@
             assert (await last.rest()).startswith(b"HTTP/1.1 503 ")
 
     asyncio.run(run())
+
+
+def test_blanks_around_a_value_are_none_of_it() -> None:
+    async def blank(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: \t 6 \t\r\n\r\nserved")
+
+    async def run() -> None:
+        async with Server(blank) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            plain = request("b1", b"effect", fields=b"Transfer-Encoding: \t chunked\r\n")
+            head, _, body = plain.partition(b"\r\n\r\n")
+            lines = [line + b"  " for line in head.split(b"\r\n") if b"Content-Le" not in line]
+            lines[0] = lines[0].strip()
+            chunked = b"\r\n".join(lines) + b"\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+            assert await client.ask(chunked) == (200, b"served")
+            assert host.seen[0].endswith(b"\r\n\r\neffect")
+            assert b"Req-Id: b1\r\n" in host.seen[0]
+
+    asyncio.run(run())
