Give unknown servers a score that shunning can raise

At a gateway's start nothing is known of latency or queues and psi is 0, which no factor raises: of two unknown servers, one of which refuses connections, all five attempts of a request went to that one in turn. The score is now 1 at least. Found by a test of long bodies that go to another host when the first can't be reached. Ruled out: leaving a host that has failed out of the candidates of its request, which the module does on purpose not do where it is the only one left.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -633,7 +633,8 @@
                     service *= silent / r
                     r = silent
             q_hat = 1.0 + server.outstanding * n + q
-            psi = r - service + q_hat * q_hat * q_hat * service
+            # Danger: at a gateway's start this is 0, and whatever raises it below would not.
+            psi = max(1.0, r - service + q_hat * q_hat * q_hat * service)
             if server.zone != zone:
                 psi *= self.cross
             if server.errors > 0.01:
