Let long bodies and answers flow, with limits on time that are rates

Bodies over 64 KiB were refused with 413 and answers over 2 MiB counted as the host's error; a slow body was cut by a limit on its total time. Now a body goes on once more than 64 KiB of it have come, and an answer from its first byte where its length is told and long. Each side's reading stops while the other does not take; a flow holds a read and no more. The module is told of the last byte of such a body, from which the request's time runs, and learns of a host at an answer's first byte; a body whose start is gone can't be sent again, which is a moot attempt to it. An answer that breaks off is cut so that its client can tell. An early answer leaves the rest of the body to be taken in for nothing. What flows has a budget of its own.

Tests: a property of any interleaving of an upload, one of paces, and over sockets every form both ways, ends in the middle on either side, early refusals, trickles, and twelve flows beside short requests. Ruled out: files in TMPDIR, which count as memory.

--- a/sailhitch/core/budget.py
+++ b/sailhitch/core/budget.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 MB: Final = 1 << 20
-MAX_BODY: Final = 64 * 1024  # of a request, as the protocol says
-MAX_ANSWER: Final = 2 * MB  # hosts are seen to send some 400 KB; more than this has no end
+WHOLE: Final = 64 * 1024  # bodies and answers of up to so much are held whole; longer ones flow
+LONGEST: Final = 40 * MB  # they are up to 32 MB long; more than this has no end
 PROCESS: Final = 32 * MB  # what the rest of the process needs
 SHARE: Final = (
     3  # one part in so many of what is left may be bodies; answers and buffers need theirs
@@ -21,10 +21,14 @@
     too large by itself, sent slowly or for requests that stay open. It can do harm where the
     memory limit is small and many large bodies are on their way for good reasons: the ones that
     come last are refused, which their clients may safely repeat.
+
+    What flows has a part of its own, as large: long answers to slow clients must not take the room
+    of short ones. It is counted and not refused, but for bodies that would begin to flow.
     """
 
     def __init__(self, memory_mb: int) -> None:
         self.held = self.most = 0
+        self.flows = 0  # bytes on their way through, of bodies and answers that are not held whole
         self.resize(memory_mb)
 
     def resize(self, memory_mb: int) -> None:
@@ -37,5 +41,9 @@
         self.held += size
         return True
 
+    def share(self) -> float:
+        """The share in use of whichever is shorter: what is held, or what flows."""
+        return max(self.held, self.flows) / self.most
+
     def give_back(self, size: int) -> None:
         self.held -= size
--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -12,12 +12,13 @@
 from typing import Final
 
 from ..front import Door, Place, Reason, Verdict
+from ..interface import MOOT
 from .budget import Budget
 from .exchange import Exchange
 from .log import Log
 from .pool import Pool
-from .seams import Client, Connection
-from .terms import Answer, Bounds
+from .seams import Client, Connection, Giver
+from .terms import FAR, Answer, Bounds
 from .wheel import Wheel
 
 MS: Final = 1000
@@ -36,14 +37,14 @@
     """What is counted for the periodic line in the log."""
 
     __slots__ = (
-        "bad_lists", "bad_requests", "crowded", "failed", "faults", "gone", "malformed",
+        "bad_lists", "bad_requests", "crowded", "cut", "failed", "faults", "gone", "malformed",
         "overdue", "panics", "refused", "requests", "served", "shed", "statuses",
     )  # fmt: skip
 
     def __init__(self) -> None:
         self.requests = self.served = self.refused = self.failed = self.gone = 0
         self.bad_requests = self.malformed = self.bad_lists = self.panics = self.overdue = 0
-        self.shed = self.crowded = self.faults = 0
+        self.shed = self.crowded = self.faults = self.cut = 0
         self.statuses: dict[str, int] = {}
 
 
@@ -154,17 +155,17 @@
             self._guard("the line of figures", self.say_stats, now)
 
     def _watch_door(self, now: int) -> None:
-        self.door.sense(now, self.upstream(), self.budget.held / self.budget.most)
+        self.door.sense(now, self.upstream(), self.budget.share())
         self.release(self.door.trim(now), Reason.SEAT)
 
     def schedule(self, exchange: Exchange) -> None:
         """Look at this exchange again when its next time-out is due."""
-        at = exchange.deadline + OVERDUE if not exchange.closed else 1 << 62
+        at = exchange.deadline + OVERDUE if not exchange.closed else FAR
         for attempt in exchange.out:
             at = min(at, attempt.ends)
             if attempt.connect_by:
                 at = min(at, attempt.connect_by)
-        if at < 1 << 62 and (not exchange.wake or at < exchange.wake):
+        if at < FAR and (not exchange.wake or at < exchange.wake):
             exchange.wake = at
             self.wheel.push(at, exchange)
 
@@ -191,11 +192,8 @@
         # Danger: a loop that was held up reads late what came long ago.
         now = self.clock()
         arrived = now - self.wheel.lag
-        wait = exchange.wait_ms * MS
-        deadline = arrived + wait - min(MARGIN, wait // 10)
-        if self.drain_since:
-            deadline = min(deadline, self.drain_since + self.last_answer())
-        exchange.deadline = deadline
+        deadline = self._deadline(exchange, arrived)
+        exchange.deadline = FAR if exchange.filling() else deadline
         exchange.id = self._next_id
         self._next_id += 1
         self.counters.requests += 1
@@ -204,7 +202,29 @@
             self.answer_refused(exchange, 0)
             return
         self.live[exchange.id] = self.names[exchange.name] = exchange
-        pool.request(exchange, now)
+        pool.request(exchange, now, deadline)
+        if not exchange.closed:
+            self.schedule(exchange)
+
+    def _deadline(self, exchange: Exchange, arrived: int) -> int:
+        wait = exchange.wait_ms * MS
+        deadline = arrived + wait - min(MARGIN, wait // 10)
+        return (
+            min(deadline, self.drain_since + self.last_answer()) if self.drain_since else deadline
+        )
+
+    def body_whole(self, exchange: Exchange) -> None:
+        """The last byte has come of a body that flows: the request's time runs from here on."""
+        if exchange.closed:
+            return
+        now = self.clock()
+        exchange.deadline = self._deadline(exchange, now - self.wheel.lag)
+        for attempt in exchange.out:
+            attempt.sent = now
+            patience = attempt.patience
+            attempt.ends = min(now + patience, exchange.deadline) if patience else exchange.deadline
+        assert exchange.pool is not None
+        exchange.pool.whole(exchange, now)
         if not exchange.closed:
             self.schedule(exchange)
 
@@ -217,6 +237,11 @@
         exchange.closed = True
         if exchange.pool is not None:
             exchange.pool.gone(exchange, self.clock())
+            if exchange.filling():
+                # What was out with half a body never ran, and says nothing of its host.
+                for attempt in list(exchange.out):
+                    attempt.withdraw()
+                    exchange.pool.ended(attempt, MOOT, None, None)
         self.release_exchange(exchange)
 
     def _conclude(self, exchange: Exchange) -> Client | None:
@@ -242,6 +267,8 @@
         self.budget.give_back(exchange.reserved)
         exchange.reserved = 0
         exchange.body = b""
+        if exchange.upload is not None:
+            exchange.upload.close()
 
     def answer_served(self, exchange: Exchange, answer: Answer | None) -> None:
         """A host's answer is the final one."""
@@ -250,6 +277,16 @@
         if client is not None and answer is not None:
             client.serve(exchange, answer)
 
+    def answer_begun(
+        self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver
+    ) -> Client | None:
+        """A host's answer is the final one and is passed on as it comes; to whom, if to anybody."""
+        self.counters.served += 1
+        client = self._conclude(exchange)
+        if client is not None:
+            client.begin(exchange, answer, length, giver)
+        return client
+
     def answer_refused(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away: a repeat is harmless."""
         client = self._conclude(exchange)
@@ -373,7 +410,7 @@
         outcomes = " ".join(f"{k}={v}" for k, v in sorted(c.statuses.items()))
         self.logger.say(
             f"requests={c.requests} served={c.served} refused={c.refused} failed={c.failed} "
-            f"gone={c.gone} bad={c.bad_requests} shed={c.shed} crowded={c.crowded} "
+            f"gone={c.gone} cut={c.cut} bad={c.bad_requests} shed={c.shed} crowded={c.crowded} "
             f"open={len(self.live)} clients={len(self.clients)} upstream={self.upstream()} "
             f"opened={sum(p.transport.opened for p in self.pools)} "
             f"hosts={sum(len(p.listed) for p in self.pools)} "
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -7,6 +7,7 @@
 from ..settings import RequestClass
 from .seams import Carrier, Client, Pending
 from .terms import Answer
+from .upload import Upload
 
 if TYPE_CHECKING:
     from .pool import Pool
@@ -18,7 +19,7 @@
     __slots__ = (
         "attempts", "bare", "body", "client", "closed", "deadline", "fallback", "head", "id",
         "keep", "key", "kind", "name", "old_http", "out", "pool", "repeat", "reserved", "tenant",
-        "wait_ms", "wake", "work",
+        "upload", "wait_ms", "wake", "work",
     )  # fmt: skip
 
     def __init__(self, client: Client) -> None:
@@ -29,6 +30,7 @@
         self.head = b""  # all of the head that goes on but for the deadline
         self.body: bytes | bytearray = b""
         self.reserved = 0  # of the budget for bodies
+        self.upload: Upload | None = None  # its body, where that is too long to be held
         self.kind: RequestClass | None = None  # its class as it was when its head came
         self.tenant = self.work = self.wait_ms = 0
         self.key: int | None = None
@@ -42,6 +44,10 @@
         self.out: list[Attempt] = []
         self.closed = False
 
+    def filling(self) -> bool:
+        """Whether its body still comes: no time runs yet, and no host can have begun it."""
+        return self.upload is not None and not self.upload.whole
+
     def wire(self, left: int) -> tuple[bytes, bytes | bytearray]:
         """Head and body as they go to a host that is waited for so long."""
         return b"%sReq-Deadline-Ms: %d\r\n\r\n" % (self.head, max(1, left // 1000)), self.body
@@ -51,12 +57,15 @@
     """One attempt of an exchange, from the module's word to its one outcome."""
 
     __slots__ = (
-        "conn", "connect_by", "ends", "exchange", "n", "over", "sent", "server", "task",
+        "begun", "conn", "connect_by", "ends", "exchange", "n", "over", "patience", "sent",
+        "server", "task",
     )  # fmt: skip
 
     def __init__(self, exchange: Exchange, n: int, server: str, now: int, ends: int) -> None:
         self.exchange, self.n, self.server = exchange, n, server
         self.sent, self.ends = now, ends
+        self.patience = 0  # how long it may take from the last byte of a body that still comes
+        self.begun = False  # its answer is being passed on
         self.connect_by = 0  # while it waits for a connection
         self.conn: Carrier | None = None
         self.task: Pending | None = None
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -31,8 +31,8 @@
 from .exchange import Attempt, Exchange
 from .kinds import Kinds
 from .maintenance import Maintenance, Told
-from .seams import Transport
-from .terms import Answer, Entry, Reach, Roster
+from .seams import Client, Giver, Transport
+from .terms import FAR, Answer, Entry, Reach, Roster
 
 if TYPE_CHECKING:
     from .core import Core
@@ -85,8 +85,8 @@
             self.module.live.pop(exchange.id, None)
             self.core.answer_failed(exchange)
 
-    def request(self, exchange: Exchange, now: int) -> None:
-        """A request of this pool has come whole."""
+    def request(self, exchange: Exchange, now: int, deadline: int) -> None:
+        """A request of this pool has come: whole, or so much of it that it can begin to go on."""
         kind = exchange.kind
         assert kind is not None
         number = self.kinds.number(kind)
@@ -96,11 +96,15 @@
         self._tell(
             exchange,
             lambda: self.module.request(
-                now, exchange.id, number, exchange.deadline, exchange.work, exchange.key,
-                exchange.tenant, exchange.repeat,
+                now, exchange.id, number, deadline, exchange.work, exchange.key,
+                exchange.tenant, exchange.repeat, exchange.filling(),
             ),
         )  # fmt: skip
 
+    def whole(self, exchange: Exchange, now: int) -> None:
+        """The last byte has come of a request that had begun to go on without it."""
+        self._tell(exchange, lambda: self.module.whole(now, exchange.id, exchange.deadline))
+
     def gone(self, exchange: Exchange, now: int) -> None:
         """Nobody waits for this one's answer any more."""
         self._tell(None, lambda: self.module.gone(now, exchange.id))
@@ -143,8 +147,12 @@
         attempt = Attempt(exchange, exchange.attempts, server, now, ends)
         exchange.attempts += 1
         exchange.out.append(attempt)
+        upload = exchange.upload
+        if upload is not None and not upload.whole:
+            attempt.patience, attempt.ends = timeout, FAR
         most = self.settings.limits.max_attempts
-        if exchange.closed or now >= ends or exchange.attempts > most:
+        over = exchange.closed or now >= ends or exchange.attempts > most
+        if over or (upload is not None and not upload.replayable()):
             self.later(attempt, MOOT)
         else:
             self.transport.start(attempt, now)
@@ -192,6 +200,29 @@
         elif attempt.connect_by and attempt.connect_by <= now:
             self._give_up(attempt, CONNECT_FAILED)
 
+    def begun(
+        self, attempt: Attempt, answer: Answer, length: int | None, load: Report | None,
+        giver: Giver,
+    ) -> Client | None:  # fmt: skip
+        """An attempt's answer is long and has begun: it is the client's from here on.
+
+        None where nobody is there to take it; then it is dropped as it comes.
+        """
+        exchange = attempt.exchange
+        if exchange.closed:
+            return None
+        now = self.core.clock()
+        attempt.begun, attempt.ends = True, FAR
+        client = self.core.answer_begun(exchange, answer, length, giver)
+        latency = now - attempt.sent
+        self._tell(
+            exchange,
+            lambda: self.module.first(
+                now, exchange.id, attempt.n, attempt.server, latency, load, True
+            ),
+        )
+        return client
+
     def _give_up(self, attempt: Attempt, status: str) -> None:
         attempt.withdraw()
         self.ended(attempt, status, None, None)
--- a/sailhitch/core/seams.py
+++ b/sailhitch/core/seams.py
@@ -23,6 +23,34 @@
     def fail(self, exchange: Exchange, late: bool) -> None:
         """Failed, which promises nothing about the effect."""
 
+    def begin(self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver) -> None:
+        """A host's answer has begun; its body comes by `more` until `end` or `cut`.
+
+        `length` is that of the body where it is known.
+        """
+
+    def more(self, data: bytes) -> None:
+        """More of the answer that has begun."""
+
+    def end(self) -> None:
+        """That was all of it."""
+
+    def cut(self) -> None:
+        """The rest will not come: the client must be able to tell."""
+
+
+class Giver(Protocol):
+    """Where an answer comes from that is passed on as it comes."""
+
+    def hold(self) -> None:
+        """The client does not keep up: read no more for now."""
+
+    def go_on(self) -> None:
+        """It has taken what there was."""
+
+    def unwanted(self) -> None:
+        """The client has gone."""
+
 
 class Connection(Protocol):
     """A front's connection, as the door and the drain see it."""
--- a/sailhitch/core/terms.py
+++ b/sailhitch/core/terms.py
@@ -13,6 +13,8 @@
 
 IDLE_MARGIN: Final = 3_000_000  # a connection is dropped so long before its host would drop it
 
+FAR: Final = 1 << 62  # a time that never comes
+
 Address = tuple[str, int]
 Field = tuple[bytes, bytes, bytes]  # a field's name in lower case, as it came, and its value
 
--- a/sailhitch/front/door.py
+++ b/sailhitch/front/door.py
@@ -40,6 +40,8 @@
 IDLE_MOST: Final = 30_000_000
 SILENT: Final = (2_100_000, YOUNG)
 REQUEST: Final = (2_500_000, 1_000_000)
+BODY_RATE: Final = 24 * 1024  # bytes a second that a body must come with beyond that...
+BODY_STALL: Final = 700_000  # ...and how long it may stand still then
 STALL: Final = (5_000_000, 1_000_000)
 RATE: Final = (64 * 1024, 256 * 1024)  # bytes a second that an answer must be read with after that
 LATEST: Final = 0.995  # a limit leaves room for twice what so many of the good ones need
@@ -322,6 +324,11 @@
         place.since = self.now
         place.kind = _kind_once_idle(place)
 
+    def came(self, place: Place, now: int, size: int) -> None:
+        """Several times a second: so much of a body has come that is still being read."""
+        if place.state == _BODY and size != place.unsent:
+            place.unsent, place.unsent_at = size, self._tick(now)
+
     def progress(self, place: Place, now: int, unsent: int) -> None:
         """So much of an answer is still to be taken; nothing ends the wait for it."""
         if place.state != _WRITING:
@@ -486,12 +493,25 @@
         if state == _WRITING:
             stalled = self.now - place.unsent_at > self._limits[state]
             return Reason.UNREAD if stalled or self.now > place.unsent_by else None
+        if state == _BODY and self._gets_on(place, age):
+            return None
         if state in WAITING and age > self._limits[state]:
             if state == _FRESH:
                 return Reason.SILENT
             return Reason.IDLE if state == _IDLE else Reason.SLOW
         return None
 
+    def _gets_on(self, place: Place, age: int) -> bool:
+        """Whether a body that takes longer than a request may still comes at a bearable rate.
+
+        Guards honest clients behind slow links, who may take seconds for a body that is whole at
+        its rate. Danger: `since` counts from the connection, so this gives no time to a trickle.
+        """
+        late = age - self._limits[_BODY]
+        return (
+            self.now - place.unsent_at < BODY_STALL and place.unsent > late * BODY_RATE // 1_000_000
+        )
+
     def limit(self, state: State) -> int:
         """How long a connection may stand in a state now; 0 where nothing ends it."""
         return self._limits[state]
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -16,10 +16,13 @@
 
 import httptools
 
-from ..core.budget import MAX_BODY
+from ..core.budget import LONGEST, WHOLE
 from ..core.core import Core
 from ..core.exchange import Exchange
+from ..core.pace import Pace
+from ..core.seams import Giver
 from ..core.terms import Address, Answer, Field
+from ..core.upload import Upload
 from ..front import Place, Reason, State, Verdict
 from .http import BLANK, HOP, MAX_HEAD
 from .intake import READ, SINGLE, Intake, RejectError
@@ -38,8 +41,15 @@
 ACCEPTS: Final = 64  # connections taken in before others get their turn
 ACCEPT_REST: Final = 0.05  # s
 SEND_BUFFER: Final = 256 * 1024  # bytes of an answer on their way, of which the system keeps count
+RECEIVE_BUFFER: Final = 128 * 1024  # likewise of a body
 QUEUE: Final = 4  # requests that a client may send ahead of its answers
-LINGER: Final = 1_000_000  # so long a refused client's bytes are taken in and thrown away
+LINGER: Final = 1_000_000  # so long a refused client's bytes are taken in and thrown away...
+LINGER_MOST: Final = 8_000_000  # ...and so long in all, while they go on coming
+FLOW_HIGH: Final = 64 * 1024  # unsent bytes of an answer from which on its host is not read
+# A client that reads an answer slower than this has stopped (bytes a second, us), at ease...
+READ_RATE: Final = 8 * 1024
+READ_GRACE: Final = 10_000_000
+READ_STALL: Final = (10_000_000, 4_000_000)  # ...and at full strain
 # What a system says that has no more descriptors or buffers to give.
 SCARCE: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
@@ -51,12 +61,16 @@
 
     __slots__ = (
         "chunked",
+        "chunks_out",
         "content_length",
         "core",
+        "discarding",
         "exchange",
         "fed",
         "fields",
+        "giver",
         "got",
+        "heard",
         "listener",
         "making",
         "method",
@@ -65,10 +79,12 @@
         "phase",
         "place",
         "queue",
+        "reader",
         "sock",
         "transport",
         "upgrade",
         "url",
+        "writer",
     )  # fmt: skip
 
     def __init__(self, listener: Listener, sock: socket.socket, place: Place) -> None:
@@ -80,6 +96,12 @@
         self.phase = IDLE
         self.making: Exchange | None = None  # the request being read
         self.owed = 0  # bytes of an answer that the client has not taken, as the budget has them
+        self.giver: Giver | None = None  # the host's side of an answer that is passed on
+        self.reader: Pace | None = None  # of the client in that
+        self.writer: Pace | None = None  # of the client in sending a body that flows
+        self.chunks_out = False  # that answer goes out in chunks
+        self.discarding = False  # answered early: the rest of its body is taken in for nothing
+        self.heard = False  # bytes have come since the last sweep
         self._fresh()
 
     def _fresh(self) -> None:
@@ -112,16 +134,19 @@
 
     def _drop_request(self) -> None:
         exchange, self.exchange = self.exchange, None
+        giver, self.giver, self.reader = self.giver, None, None
         if exchange is not None:
             exchange.client = None
             self.core.client_gone(exchange)
+        if giver is not None:
+            giver.unwanted()
         self._forget_untaken()
 
     def _forget_untaken(self) -> None:
         """Let go of what was being read and of what waits for its turn."""
         if self.making is not None:
             self.core.release_body(self.making)
-            self.making = None
+            self.making = self.writer = None
         for waiting in self.queue:
             self.core.release_body(waiting)
         self.queue.clear()
@@ -224,10 +249,21 @@
         size = transport.get_write_buffer_size()
         if self.phase == CLOSING:
             # What is left to write has as much time as any answer; the rest is only manners.
+            # Who is still sending what was refused would lose the answer to a reset.
             patience = door.limit(State.WRITING) if size else LINGER
-            if now - self.place.since > patience:
+            age = now - self.place.since
+            if age > (LINGER_MOST if self.heard else patience):
                 transport.abort()
+            self.heard = False
             return
+        if self.writer is not None and self.writer.overdue(now):
+            self._reject(408, "body too slow", Reason.SLOW)
+            return
+        if self.reader is not None:
+            self._watch_reader(size, now)
+            return
+        if self.phase == BODY:
+            door.came(self.place, now, self.got)
         if self.owed or size:
             self._owe(size)
             door.progress(self.place, now, size)
@@ -243,18 +279,41 @@
         elif self.is_idle():
             self.close_idle(reason)
 
+    def _watch_reader(self, size: int, now: int) -> None:
+        """Look at a client that an answer is passed on to."""
+        reader, door = self.reader, self.core.door
+        assert reader is not None
+        self._took(size, now)
+        reader.stall = READ_STALL[0] + int(door.strain * (READ_STALL[1] - READ_STALL[0]))
+        if size and reader.overdue(now) and self.transport is not None:
+            door.closing(self.place, now, Reason.UNREAD)
+            self.transport.abort()
+
+    def _took(self, size: int, now: int) -> None:
+        """So many bytes are left of what was written for the client."""
+        reader = self.reader
+        if reader is not None:
+            reader.move(self.owed - size, now)
+            if size:
+                reader.go(now)
+            else:
+                reader.stop(now)  # it has all there is
+        self._owe(size)
+
     def _owe(self, size: int) -> None:
         """So many bytes of an answer are held for the client."""
-        self.core.budget.held += size - self.owed
+        self.core.budget.flows += size - self.owed
         self.owed = size
 
     # --- Reading a request
 
     def data_received(self, data: bytes) -> None:
-        if self.phase == CLOSING or self.parser is None:
+        self.heard = True
+        if self.parser is None or (self.phase == CLOSING and not self.discarding):
             return
         if self.phase in (IDLE, HEAD):
             self.fed += len(data)
+        data_in = data
         try:
             while data:
                 data = self._feed(data)
@@ -266,7 +325,14 @@
             self.core.logger.often("reading", f"reading a request failed: {error!r:.100}")
             self._reject(400, "unreadable")
             return
-        if self.phase == HEAD and self.fed > 2 * MAX_HEAD:
+        making = self.making
+        if making is not None and making.upload is not None:
+            self._flow_in(making.upload, len(data_in))
+        elif making is not None and self.got > WHOLE:
+            self._next()  # who came before it has its turn first
+            if self.making is making and making.upload is None:
+                self._begin_upload(making)
+        elif self.phase == HEAD and self.fed > 2 * MAX_HEAD:
             self._reject(431, "head too large")
         elif self.exchange is None:
             if self.phase != IDLE and not self.queue:
@@ -371,7 +437,7 @@
             if not length.isdigit() or len(length) > 18:
                 raise RejectError(400, "content-length is no number")
             self.content_length = int(length)
-            if self.content_length > MAX_BODY:
+            if self.content_length > LONGEST:
                 raise RejectError(413, "body too large")
 
     def _build_head(self, exchange: Exchange, named: set[bytes]) -> None:
@@ -403,8 +469,11 @@
         size = len(data)
         before = self.got
         self.got = got = before + size
-        if got > MAX_BODY:
+        if got > LONGEST:
             raise RejectError(413, "body too large")
+        if exchange.upload is not None:
+            exchange.upload.came(data)
+            return
         if not self.core.budget.take(size):
             raise RejectError(503, "no room for the body")
         exchange.reserved += size
@@ -416,13 +485,19 @@
         exchange.body += data
 
     def on_message_complete(self) -> None:
-        if self.phase == CLOSING or self.parser is None or self.upgrade:
+        if self.parser is None or self.upgrade or (self.phase == CLOSING and not self.discarding):
             return
         exchange = self.making
         if exchange is None:
             return
-        self.making = None
+        self.making = self.writer = None
+        if self.discarding:
+            self._end_discarding()
+            return
         self.phase = IDLE
+        if exchange.upload is not None:
+            self._end_upload(exchange, exchange.upload)
+            return
         exchange.keep = self.parser.should_keep_alive()
         exchange.old_http = self.parser.get_http_version() == "1.0"
         if self.chunked:
@@ -432,6 +507,72 @@
         if len(self.queue) > QUEUE:
             raise RejectError(400, "too many requests ahead of their answers")
 
+    # --- A body that goes on while it still comes
+
+    def _begin_upload(self, exchange: Exchange) -> None:
+        """More of a body has come than is held: it begins to go on, once it is its turn."""
+        transport = self.transport
+        if transport is None or self.parser is None:
+            return
+        if self.exchange is not None or self.queue:
+            transport.pause_reading()  # `_next` goes on
+            return
+        if self.core.budget.flows > self.core.budget.most:
+            self._reject(503, "no room for a long body")
+            return
+        exchange.keep = self.parser.should_keep_alive()
+        exchange.old_http = self.parser.get_http_version() == "1.0"
+        if self.chunked:
+            exchange.head += b"Transfer-Encoding: chunked\r\n"
+        start, exchange.body = exchange.body, b""
+        self.core.budget.give_back(exchange.reserved)
+        exchange.reserved = 0
+        exchange.upload = Upload(self, start, self.chunked, self.core.budget)
+        self.writer = Pace(self.core.clock())
+        self.hold()
+        self._take(exchange)
+
+    def _flow_in(self, upload: Upload, size: int) -> None:
+        """All of a read has gone to the parser."""
+        if self.writer is not None:
+            self.writer.move(size, self.core.clock())
+        upload.flush()
+
+    def _end_upload(self, exchange: Exchange, upload: Upload) -> None:
+        """Its last byte has come. What has come of it in this read goes out with its end."""
+        upload.whole = True
+        self.fed = 0
+        upload.flush()
+        self.go_on()
+        self.core.body_whole(exchange)
+
+    def hold(self) -> None:
+        """Read no more of a body for now; a `Source`."""
+        if self.transport is not None and not self.discarding:
+            self.transport.pause_reading()
+            if self.writer is not None:
+                self.writer.stop(self.core.clock())
+
+    def go_on(self) -> None:
+        """Read on."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+            if self.writer is not None:
+                self.writer.go(self.core.clock())
+
+    def _discard(self) -> None:
+        """Answered before its body was whole: the rest is taken in for nothing, and no more said.
+
+        Danger: to close with bytes unread resets the connection, and the answer goes with it.
+        """
+        self.discarding = True
+        self._leave(Reason.ANSWERED)
+        self.go_on()
+
+    def _end_discarding(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
     def _take(self, exchange: Exchange) -> None:
         pool = exchange.pool
         tenant = str(exchange.tenant) if pool is not None else None
@@ -445,6 +586,8 @@
         elif exchange.name in self.core.names:
             # Guards against an id used twice at a time: hosts and clients could no longer tell the
             # two apart, and one client might be given the other's answer.
+            if exchange is self.making:
+                self.making = None
             self.core.release_body(exchange)
             self._reject(409, "a request with this id is open")
         else:
@@ -463,6 +606,8 @@
             return
         if self.queue:
             self._take(self.queue.popleft())
+        elif self.making is not None and self.got > WHOLE and self.making.upload is None:
+            self._begin_upload(self.making)
 
     # --- Answers
 
@@ -483,10 +628,15 @@
         if self.exchange is not None and status == 503:
             status = 502  # what is open may have run, and a refusal would say that it has not
         after = self.core.retry_after() if status == 503 else 0
+        midway = self.giver is not None  # an answer is half out: nothing can be said any more
         self._leave(reason)
         self._drop_request()
-        if self.transport is None:
+        if midway:
+            self.abort()
+        if self.transport is None or midway:
             return
+        if not self.transport.is_reading():
+            self.transport.resume_reading()
         self.transport.write(refusal(status, after))
         # Danger: closing with bytes unread would reset the connection under the answer.
         if self.transport.can_write_eof():
@@ -499,7 +649,8 @@
         self.exchange = None
         if transport is None:
             return
-        close = self._closes(exchange)
+        early = exchange is self.making  # some of its body is still to come
+        close = early or self._closes(exchange)
         if not close and self.phase == IDLE and not self.queue:
             # Here it costs its client nothing: it is told with the answer, and nothing can cross.
             close = not (self.core.door.keeps(self.place, self.core.clock()) or self._unread())
@@ -510,7 +661,10 @@
             parts = parts.replace(b"Content-Length: 0\r\n\r\n", b"\r\n")
         transport.write(parts if exchange.bare else parts + body)
         self._owe(transport.get_write_buffer_size())
-        self._after(close)
+        if early:
+            self._discard()
+        else:
+            self._after(close)
 
     def _closes(self, exchange: Exchange) -> bool:
         return not exchange.keep or self.core.hanging_up or self.listener.retired
@@ -527,7 +681,7 @@
             self._leave(Reason.ANSWERED)
             self._forget_untaken()
             transport.close()
-        elif self.queue:
+        elif self.queue or (self.making is not None and self.got > WHOLE):
             # Danger: an answer may be given from inside the module, which must not be entered anew.
             self.core.loop.call_soon(self._next)
         else:
@@ -544,6 +698,63 @@
         line = b"200 OK" if status == 200 else _status_line(status)
         self._answer(exchange, line, _pass_on(fields), body)
 
+    def begin(self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver) -> None:
+        """A host's answer has begun, and is passed on as it comes."""
+        transport = self.transport
+        self.exchange = exchange
+        if transport is None:
+            return
+        self.giver = giver
+        status, fields, _ = answer
+        line = b"200 OK" if status == 200 else _status_line(status)
+        # Without a length or chunks only the end of the connection tells the end of the answer.
+        self.chunks_out = length is None and not exchange.old_http
+        exchange.keep = exchange.keep and (length is not None or self.chunks_out)
+        close = self._closes(exchange)
+        if length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        else:
+            framing = b"Transfer-Encoding: chunked\r\n" if self.chunks_out else b""
+        exchange.keep = not close
+        connection = self._connection(exchange, close)
+        transport.set_write_buffer_limits(high=FLOW_HIGH)
+        now = self.core.clock()
+        self.reader = Pace(now, READ_RATE, READ_GRACE, READ_STALL[0])
+        transport.write(
+            b"HTTP/1.1 %s\r\n%s%s%s\r\n" % (line, _pass_on(fields), connection, framing)
+        )
+        self._took(transport.get_write_buffer_size(), now)
+
+    def more(self, data: bytes) -> None:
+        """More of the answer that has begun."""
+        transport, exchange = self.transport, self.exchange
+        if transport is None or exchange is None or exchange.bare:
+            return
+        transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunks_out else data)
+        size = transport.get_write_buffer_size()
+        if self.reader is not None:
+            self.reader.go(self.core.clock())
+        self._owe(size)
+        if size > FLOW_HIGH and self.giver is not None:
+            self.giver.hold()
+
+    def end(self) -> None:
+        """That was all of it."""
+        transport, exchange = self.transport, self.exchange
+        self.exchange = self.giver = self.reader = None
+        if transport is None or exchange is None:
+            return
+        if self.chunks_out and not exchange.bare:
+            transport.write(b"0\r\n\r\n")
+        transport.set_write_buffer_limits(high=0)
+        self._owe(transport.get_write_buffer_size())
+        self._after(not exchange.keep)
+
+    def cut(self) -> None:
+        """The rest will not come. A reset tells the client so, whatever the framing was."""
+        self.giver = self.reader = None
+        self.abort()
+
     def refuse(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away; `retry_after` in microseconds, 0 for no advice."""
         self._answer(exchange, REASONS[503], _retry_after(retry_after), b"")
@@ -553,7 +764,11 @@
         self._answer(exchange, REASONS[504 if late else 502], b"", b"")
 
     def resume_writing(self) -> None:
-        if self.owed:
+        transport = self.transport
+        if self.giver is not None and transport is not None:
+            self._took(transport.get_write_buffer_size(), self.core.clock())
+            self.giver.go_on()
+        elif self.owed:
             self._owe(0)
             self.core.door.progress(self.place, self.core.clock(), 0)
 
@@ -612,6 +827,7 @@
         # Connections inherit it. By itself the system takes megabytes of an answer for a client
         # that reads none of it, which show in no budget.
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         if held is not None:
             self.sock.setblocking(False)
             return
@@ -679,7 +895,7 @@
         with contextlib.suppress(OSError):
             sock.setblocking(False)
             with contextlib.suppress(BlockingIOError):
-                sock.recv(MAX_BODY)
+                sock.recv(WHOLE)
             sock.send(refusal(503, self.core.retry_after()))
         sock.close()
 
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -10,15 +10,41 @@
 import socket
 from typing import Final, cast
 
-from ..core.budget import MAX_ANSWER
+from ..core.budget import LONGEST
+from ..core.budget import WHOLE as LONG
 from ..core.exchange import Attempt
+from ..core.pace import Pace
 from ..core.pool import Pool
+from ..core.seams import Client
 from ..core.terms import Address, Answer, Entry
-from ..interface import BUSY, CONNECT_FAILED, ERROR, MOOT, OK, RESET, Listed, Report
+from ..core.upload import Upload
+from ..interface import (
+    BUSY,
+    CANCELLED,
+    CONNECT_FAILED,
+    ERROR,
+    MOOT,
+    OK,
+    RESET,
+    Listed,
+    Report,
+)
 from .config import parse_load
 from .http import BODY, WHOLE, AnswerReader, MalformedError
 
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
+RECEIVE_BUFFER: Final = 128 * 1024
+SOON: Final = 300_000  # us after its head an answer of unknown length is passed on, whole or not
+# A host that is passing an answer on has stopped, or trickles, below these (bytes a second, us).
+FLOW_RATE: Final = 4 * 1024
+FLOW_GRACE: Final = 10_000_000
+FLOW_STALL: Final = 8_000_000
+
+
+def _chunk(data: bytes | bytearray, last: bool) -> bytes:
+    """A piece of a body in the chunked coding (RFC 9112, 7.1); an empty one says nothing."""
+    piece = b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+    return piece + b"0\r\n\r\n" if last else piece
 
 
 class Host:
@@ -37,8 +63,9 @@
     """A connection to a host. It carries one attempt at a time, or is idle in its host's pool."""
 
     __slots__ = (
-        "attempt", "body", "budget", "declined", "held", "host", "hosts", "idle_since", "load",
-        "size", "sock", "transport", "unsent",
+        "attempt", "body", "budget", "declined", "dropping", "head_at", "held", "host", "hosts",
+        "idle_since", "load", "pace", "rest", "size", "sock", "taker", "transport", "unsent",
+        "upload",
     )  # fmt: skip
 
     def __init__(self, hosts: Hosts, host: Host, sock: socket.socket) -> None:
@@ -48,6 +75,8 @@
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
         self.unsent: memoryview | None = None  # what the transport has not been given yet
+        self.upload: Upload | None = None  # a body that still comes
+        self.rest = False  # ...and its last byte is not among what is unsent or sent
         self.idle_since = 0
         self.held = 0  # bytes of an answer, as the budget counts them
         self._clear()
@@ -57,8 +86,11 @@
         self.size = 0
         self.budget.give_back(self.held)
         self.held = 0
-        self.declined = False
+        self.declined = self.dropping = False
         self.load: Report | None = None
+        self.taker: Client | None = None  # whom the answer is passed on to as it comes
+        self.pace: Pace | None = None  # of the host in that
+        self.head_at = 0
 
     # --- The request
 
@@ -80,7 +112,13 @@
 
     def begin(self, attempt: Attempt, now: int) -> bool:
         """Write the attempt's request; False if surely none of it has left."""
-        head, body = attempt.exchange.wire(attempt.ends - now)
+        exchange = attempt.exchange
+        upload, last = exchange.upload, True
+        head, body = exchange.wire(min(attempt.ends - now, exchange.wait_ms * 1000))
+        if upload is not None:
+            body, last = upload.open(self)
+            if upload.chunked:
+                body = _chunk(body, last)
         small = len(body) <= PIECE
         first = head + body if small else head
         try:
@@ -92,15 +130,26 @@
         self.expect()
         self._clear()
         self.attempt, attempt.conn = attempt, self
+        self.upload, self.rest = upload, not last
         if count < len(first):
             rest = memoryview(first)[count:]
             self.unsent = rest if small else memoryview(b"".join((rest, body)))
         elif not small:
             self.unsent = memoryview(body)
-        if self.unsent is not None:
-            self._push()
+        self._push()
         return True
 
+    def more(self, data: bytes, last: bool) -> None:
+        """More of a body that still comes; a `Sink`."""
+        if self.upload is None or self.attempt is None:
+            return
+        framed = _chunk(data, last) if self.upload.chunked else data
+        if self.unsent is not None:
+            framed = bytes(self.unsent) + framed
+        self.unsent = memoryview(framed) if framed else None
+        self.rest = not last
+        self._push()
+
     def _push(self) -> None:
         """Hand on what is left in pieces, each when the one before has gone out.
 
@@ -114,6 +163,9 @@
             if not self.unsent:
                 self.unsent = None
             transport.write(piece)
+        waits = self.rest and transport is not None and not transport.get_write_buffer_size()
+        if waits and self.upload is not None:
+            self.upload.taken(self)
 
     def resume_writing(self) -> None:
         self._push()
@@ -130,24 +182,26 @@
             elif low == b"srv-declined":
                 declined = value.strip() == b"1"
         self.declined = declined and self.status in (503, 504)
-        if self.length is not None and self.length > MAX_ANSWER:
+        self.head_at = self.hosts.core.clock()
+        if self.length is not None and self.length > LONGEST:
             raise MalformedError("body too large")
 
     def body_read(self, data: bytes) -> None:
-        """Hold what has come of an answer.
+        """Hold what has come of an answer, until it is whole or is passed on.
 
-        Guards against answers without end, said to be long or not: each is held until it is whole,
-        as a client must not get half of one, and all of them count against the budget. It does
-        harm if hosts ever have much more to say than they do, or many long answers at a time.
+        Guards against answers without end, said to be long or not. Short ones are held until they
+        are whole, as another attempt can make good what breaks off, and all that is held counts
+        against the budget. Long ones are held for no more than a read.
         """
         self.size += len(data)
-        if self.size > MAX_ANSWER:
+        if self.size > LONGEST:
             raise MalformedError("body too large")
-        if not self.budget.take(len(data)):
-            raise MalformedError("no room for the body")
-        self.held += len(data)
-        if self.status != 200 and not self.hosts.pool.reach.any_status:
+        if self.dropping or (self.status != 200 and not self.hosts.pool.reach.any_status):
             return
+        if self.taker is None:
+            if not self.budget.take(len(data)):
+                raise MalformedError("no room for the body")
+            self.held += len(data)
         if not self.body:
             self.body = data
         else:
@@ -166,9 +220,71 @@
             self.keep = False
             self._over(self._broken(ERROR))
             return
+        if self.phase == BODY and self.taker is None and self._is_long():
+            self._begin_flow(self.attempt)
+        if self.taker is not None:
+            self._pass_on(len(data))
         if self.phase == WHOLE:
             self._over(self._status())
 
+    # --- An answer that is passed on as it comes
+
+    def _is_long(self) -> bool:
+        """Whether an answer that has begun is not to be waited for."""
+        if not self.size or self.dropping or self._incomplete():
+            return False
+        if self.status != 200 and not (self.hosts.pool.reach.any_status and self.status < 500):
+            return False
+        if self.length is not None:
+            return self.length > LONG
+        return self.size > LONG or self.hosts.core.clock() - self.head_at > SOON
+
+    def _begin_flow(self, attempt: Attempt) -> None:
+        answer = Answer(self.status, self.fields, b"")
+        length = self.length if not self.chunked else None
+        self.taker = self.hosts.pool.begun(attempt, answer, length, self.load, self)
+        self.budget.give_back(self.held)
+        self.held = 0
+        if self.taker is None:
+            self.dropping, self.body = True, b""
+            return
+        self.pace = Pace(self.hosts.core.clock(), FLOW_RATE, FLOW_GRACE, FLOW_STALL)
+        self.hosts.flowing[self] = None
+
+    def _pass_on(self, size: int) -> None:
+        taker, body = self.taker, self.body
+        if self.pace is not None:
+            self.pace.move(size, self.hosts.core.clock())
+        if body and taker is not None:
+            self.body = b""
+            taker.more(bytes(body))
+
+    def hold(self) -> None:
+        """The client does not keep up; a `Giver`."""
+        if self.transport is not None and self.pace is not None:
+            self.pace.stop(self.hosts.core.clock())
+            self.transport.pause_reading()
+
+    def go_on(self) -> None:
+        """The client has taken what there was."""
+        if self.transport is not None and self.pace is not None:
+            self.pace.go(self.hosts.core.clock())
+            self.transport.resume_reading()
+
+    def unwanted(self) -> None:
+        """The client has gone in the middle of its answer."""
+        self.taker, self.keep = None, False
+        self._over(CANCELLED)
+
+    def stands_still(self, now: int) -> bool:
+        """Whether the host has stopped in the middle of an answer."""
+        return self.pace is not None and self.pace.overdue(now)
+
+    def give_up(self) -> None:
+        """The rest of an answer is not waited for any more."""
+        self.keep = False
+        self._over(RESET)
+
     def eof_received(self) -> None:
         self.keep = False
         if self.attempt is not None and self.ended():
@@ -184,11 +300,11 @@
         """What a whole answer means."""
         if self.declined:
             return BUSY
-        if self.hosts.pool.reach.any_status and self.status < 500 and self.unsent is None:
+        if self.hosts.pool.reach.any_status and self.status < 500 and not self._incomplete():
             return OK
         if self.status != 200:
             self.hosts.pool.odd_status(self.host.id, self.status)
-        if self.status != 200 or self.unsent is not None:
+        if self.status != 200 or self._incomplete():
             # Danger: a host's other refusals must not reach a client as this gateway's own.
             return ERROR
         return OK
@@ -198,7 +314,11 @@
         if self.phase == BODY and self.status != 200:
             return BUSY if self.declined else ERROR
         # Only what this process still holds is surely not written.
-        return CONNECT_FAILED if self.unsent is not None and not self.status else otherwise
+        return CONNECT_FAILED if self._incomplete() and not self.status else otherwise
+
+    def _incomplete(self) -> bool:
+        """Whether the request's last byte has surely not been written."""
+        return self.unsent is not None or self.rest
 
     def _over(self, status: str) -> None:
         """The attempt has its outcome; the connection goes back to the pool or is closed."""
@@ -206,23 +326,42 @@
         if attempt is None:
             return
         self.attempt = attempt.conn = None
-        if self.unsent is not None:
-            self.keep, self.unsent = False, None
+        if self._incomplete():
+            self.keep = False
+        self._let_go_of_body()
         answer, load = Answer(self.status, self.fields, self.body), self.load
-        whole = self.phase == WHOLE
+        whole, taker, dropped = self.phase == WHOLE, self.taker, self.dropping
         self._clear()
+        if taker is not None:
+            self._end_flow(taker, status == OK)
         if self.keep and self.transport is not None and not self.transport.is_closing():
+            if not self.transport.is_reading():
+                self.transport.resume_reading()  # its last bytes were more than a client could take
             self.hosts.give_back(self)
         else:
             self.close()
-        self.hosts.pool.ended(attempt, status, load, answer if whole else None)
+        held = whole and not attempt.begun and not dropped
+        self.hosts.pool.ended(attempt, status, load, answer if held else None)
+
+    def _end_flow(self, taker: Client, whole: bool) -> None:
+        self.hosts.flowing.pop(self, None)
+        if whole:
+            taker.end()
+        else:
+            self.hosts.core.counters.cut += 1
+            taker.cut()
+
+    def _let_go_of_body(self) -> None:
+        if self.upload is not None:
+            self.upload.left(self)
+        self.upload, self.unsent, self.rest = None, None, False
 
     def abandon(self) -> None:
         """Give up the attempt: its answer may still come, so the connection is never reused."""
         if self.attempt is not None:
             self.attempt.conn = None
         self.attempt = None
-        self.unsent = None
+        self._let_go_of_body()
         self._clear()
         self.close()
 
@@ -247,6 +386,7 @@
         self.open: dict[Upstream, None] = {}
         self.connecting = 0
         self.opened = 0  # counter
+        self.flowing: dict[Upstream, None] = {}  # those that pass an answer on
 
     def size(self) -> int:
         return len(self.open) + self.connecting
@@ -344,6 +484,8 @@
             return
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # What the system takes in of an answer that is not read shows in no budget.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
             addr = host.addr
             await core.loop.sock_connect(sock, addr)
             # Danger: on one machine a port that nobody listens on may meet itself.
@@ -415,7 +557,9 @@
         return True
 
     def sweep(self, now: int) -> None:
-        """Retire what has stood idle for long."""
+        """Retire what has stood idle for long, and give up on hosts that stop half-way."""
+        for conn in [c for c in self.flowing if c.stands_still(now)]:
+            conn.give_up()
         for host in self.hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self.pool.reach.idle_life:
                 host.idle[0].close()
--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -140,6 +140,7 @@
         "cell",
         "errors",
         "failures",
+        "filling",
         "flight",
         "hash",
         "kind",
@@ -165,6 +166,7 @@
         digest = hashlib.blake2b(listed.server.encode(), digest_size=8).digest()
         self.hash = int.from_bytes(digest, "big")
         self.flight: dict[tuple[int, int], int] = {}  # attempts out, oldest first, when sent
+        self.filling: set[tuple[int, int]] = set()  # attempts whose body still comes
         self.outstanding = 0
         self.list_as(listed)
         self.forget()
@@ -189,8 +191,9 @@
     """A request this gateway owes an answer for."""
 
     __slots__ = (
-        "arrived", "at", "attempts", "cls", "coin", "first", "full", "group", "group_until",
-        "hold_until", "id", "key", "may_have_run", "out", "rank", "streaming", "useless", "work",
+        "arrived", "at", "attempts", "cls", "coin", "filling", "first", "full", "group",
+        "group_until", "hold_until", "id", "judged", "key", "may_have_run", "out", "rank",
+        "streaming", "useless", "work",
     )  # fmt: skip
 
     def __init__(
@@ -201,7 +204,7 @@
         self.first: Server | None = None  # where its first attempt went
         self.arrived = now
         self.attempts = self.out = self.full = 0
-        self.may_have_run = self.streaming = False
+        self.may_have_run = self.streaming = self.filling = self.judged = False
         self.group: Server | None = None  # whose group may get a repeat of a keyed request
         self.group_until = 0
         self.hold_until = deadline
@@ -354,12 +357,17 @@
 
     def request(
         self, now: int, req: int, cls: int, deadline: int, work: int, key: int | None,
-        tenant: int, repeat: bool = False,
+        tenant: int, repeat: bool = False, filling: bool = False,
     ) -> None:  # fmt: skip
-        """A client's request arrives; `work` is 0 where no hint came."""
+        """A client's request arrives; `work` is 0 where no hint came.
+
+        `filling` is for one whose body still comes: `whole` tells of its last byte. Until then a
+        server that it goes to has nothing to do for it.
+        """
         kind = self.settings.classes[cls]
         request = Request(now, req, kind, deadline, work, key)
         request.at = cls
+        request.filling = filling
         self.live[req] = request
         self.retry_bank = min(RETRY_BANK, self.retry_bank + RETRY_SHARE)
         worth = kind.worth
@@ -385,18 +393,18 @@
     ) -> None:  # fmt: skip
         """An attempt ended: learn from it, then go on with its request if that is still owed."""
         server = self.servers.get(name)
-        sent, failing = None, False
+        request = self.live.get(req)
+        sent, failing = self._landed(server, req, attempt), False
+        streamed = request is not None and request.judged
         if server is not None:
-            sent = server.flight.pop((req, attempt), None)
-            if sent is not None:
-                server.outstanding -= 1
             failing = server.failures > 0
-            self._learn(now, server, status, latency, report, sent)
-        request = self.live.get(req)
+            if not (streamed and status == OK):
+                self._learn(now, server, status, latency, report, sent)
         if request is not None:
             request.out -= 1
             if closed:
-                self._judge(now, request, status, latency, server)
+                if not streamed:
+                    self._judge(now, request, status, latency, server)
                 del self.live[req]
             elif not request.streaming:
                 if status not in NEVER_RAN:
@@ -411,11 +419,45 @@
         if self.held:
             self._drain(now)
 
-    def first(self, now: int, req: int, attempt: int, name: str, latency: int) -> None:
-        """A stream has begun: the client has its answer, and no deadline runs any more."""
+    def whole(self, now: int, req: int, deadline: int) -> None:
+        """The last byte of a request's body has come: its time and its attempt's count from here.
+
+        Danger: counted from the first byte, a slow client makes its server look slow and silent.
+        """
+        request = self.live.get(req)
+        if request is None or not request.filling:
+            return
+        request.filling = False
+        moved, request.arrived = now - request.arrived, now
+        request.hold_until = min(deadline, request.hold_until + moved)
+        request.useless += moved if request.useless else 0
+        for server in self.servers.values() if request.out else ():
+            for key in [k for k in server.filling if k[0] == req]:
+                server.filling.discard(key)
+                server.flight[key] = now
+                server.outstanding += 1
+
+    def first(
+        self, now: int, req: int, attempt: int, name: str, latency: int,
+        report: Report | None = None, learn: bool = False,
+    ) -> None:  # fmt: skip
+        """A stream has begun: the client has its answer, and no deadline runs any more.
+
+        With `learn`, what there is to learn of its server is learned now, and its end is none: how
+        long a client takes to read says nothing of the server.
+        """
         request = self.live.get(req)
         if request is not None:
             request.streaming = True
+        if not learn:
+            return
+        server = self.servers.get(name)
+        sent = self._landed(server, req, attempt)
+        if server is not None:
+            self._learn(now, server, OK, latency, report, sent)
+        if request is not None:
+            request.judged = True
+            self._judge(now, request, OK, latency, server)
 
     def gone(self, now: int, req: int) -> None:
         """The client left; nothing is owed any more."""
@@ -523,9 +565,22 @@
         self._send(now, request, server)
         return True
 
+    def _landed(self, server: Server | None, req: int, attempt: int) -> int | None:
+        """An attempt is out no more; when it was sent, where the server had all of it."""
+        if server is None:
+            return None
+        server.filling.discard((req, attempt))
+        sent = server.flight.pop((req, attempt), None)
+        if sent is not None:
+            server.outstanding -= 1
+        return sent
+
     def _send(self, now: int, request: Request, server: Server) -> None:
-        server.flight[request.id, request.attempts] = now
-        server.outstanding += 1
+        if request.filling:
+            server.filling.add((request.id, request.attempts))
+        else:
+            server.flight[request.id, request.attempts] = now
+            server.outstanding += 1
         request.attempts += 1
         request.out += 1
         request.coin = self.random.random()  # a further attempt draws anew
@@ -973,8 +1028,9 @@
         self.cold = []
         self.next_warm = 1 << 62
         self.warm_kind = [0] * len(self.warm_kind)
-        for name in [s.name for s in self.servers.values() if s.state == GONE and not s.flight]:
-            del self.servers[name]
+        gone = [s for s in self.servers.values() if s.state == GONE]
+        for server in [s for s in gone if not (s.flight or s.filling)]:
+            del self.servers[server.name]
         for server in self.servers.values():
             # The rule on drains: what is not ready is no candidate, from the news of it on.
             if server.state != READY:
