Size the slices of cold servers by what warm ones get, not by what all do

During a release of the servers most are cold. Their slices are sized by what a warm server of their kind is sent, and that was counted over sends to all servers of the kind and divided by the warm ones alone: with six cold and three warm the slices added up to everything, and the warm ones got nothing while cold ones turned requests away and the fleet's rate was cut again and again.

Ruled out: the handover itself; the same shedding shows without an upgrade.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -584,8 +584,10 @@
         request.attempts += 1
         request.out += 1
         request.coin = self.random.random()  # a further attempt draws anew
-        kind = server.kind & 7
-        self.sent_kind[kind] += 1.0
+        # Danger: counted with what cold ones get, the few that are warm look as if each took what
+        # all do. Then the cold ones' slices add up to everything, and the warm ones get nothing.
+        if not server.boot or now >= server.boot + self.settings.rules.cold_time:
+            self.sent_kind[server.kind & 7] += 1.0
         self.sent_all += 1.0
         if self.sent_all > 1000.0:
             self.sent_all *= 0.5
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -114,3 +114,15 @@
         world.run(world.now + 20 * MS - START)
     sent = [world.port.sends(req)[0] for req in range(1000, 3000) if req % 100 == 77]
     assert max(sent.count(s) for s in set(sent)) > 0.6 * len(sent)
+
+
+def test_where_most_are_cold_the_few_warm_ones_still_get_their_part() -> None:
+    cold = [server(f"c{i}", boot=START - 1) for i in range(8)]
+    world = World(server("w0"), server("w1"), *cold, rules={"cold": 60 * S})
+    for req in range(6000):
+        world.request(req)
+        world.outcome(req, 0, OK, closed=True, latency=50 * MS, report=Report(0.0, 50.0 * MS))
+    late = [world.port.sends(req)[0] for req in range(2000, 6000)]
+    warm = sum(name.startswith("w") for name in late) / len(late)
+    # Eight cold ones, of a fifth of their capacity each, are as good as 1.6 warm ones.
+    assert 0.8 * 2 / 3.6 < warm < 1.2 * 2 / 3.6
