Let the rate of the fleet follow the servers that come back, and the aims of classes

After a release the gateway went on refusing a third for five seconds with every server idle. The fleet's rate is what those servers took that were ready when it was cut, half of them, and its saddle of 3 s is many answers' time where aims are a sixth of a second. The rate is now raised with the servers that have come back since the cut, cold ones by the part of their capacity that is sure, and the saddle is 1.2 of the longest aim, 3 s at most as before.

Ruled out: fewer signs of lateness, as the cuts during the release are right.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -82,7 +82,8 @@
 NEAR_LATE = 0.6  # an answer after this share of its aim counts: the sign must come before the harm
 LATE_SHARE = 0.15  # answers too late beyond this share are evidence of overload...
 LATE_SUM = 4.0  # ...once they add up to this many: CUSUM, so that few answers suffice at any rate
-FLEET_SADDLE = 3_000_000  # the fleet's rate is back at R0 after this; about two answers' time
+FLEET_SADDLE = 3_000_000  # the fleet's rate is back at R0 after this at the most...
+SADDLE_AIMS = 1.2  # ...and after this multiple of the longest aim: about two answers' time
 ARRIVAL_TAU = 1_500_000  # window of the rates of arrival
 RUSH = 50_000  # so long after a pause of the gateway's own it reads what had come meanwhile
 SHED_MOST = 0.95  # so much is shed at the most: without answers nothing shows that it is over
@@ -243,6 +244,7 @@
         self.retry_bank = RETRY_BANK / 2
         self.fleet = CubicRate()  # what the fleet as a whole takes from this gateway
         self.late_sum = 0.0
+        self.cut_capacity = 1.0  # of the fleet, when its rate was last cut
         self.watching = False
         self.watch_wait = WATCH_BACKOFF
         self.t_arrival = self.t_start = self.t_rush = 0
@@ -260,6 +262,8 @@
         self.arrivals = [0.0] * (2 * len(self.worths))  # requests in the window, by rank of worth
         self.tenant_tokens = [1.0] * len(settings.tenants)
         self.tenant_t = [now] * len(settings.tenants)
+        longest = max(c.aim for c in settings.classes)
+        self.fleet_saddle = min(FLEET_SADDLE, max(SADDLE_MIN, int(SADDLE_AIMS * longest)))
         self.cross = 1.0 + CROSS_WEIGHT * settings.cross_zone_price
         # With fewer gateways than that, the paper's own n stands.
         self.n = min(float(settings.gateways), OS_WEIGHT)
@@ -860,7 +864,26 @@
         # Danger: soon after a start the windows are not full, and a rate read from them is low.
         full = 1.0 - math.exp((self.t_start - now) / ARRIVAL_TAU)
         taken = min(fleet.srate, sum(self.arrivals) / (ARRIVAL_TAU * max(full, 0.05)) * 1e6)
-        fleet.cut(now, max(fleet.measured(now), taken * (1.0 - BETA)), FLEET_SADDLE)
+        fleet.cut(now, max(fleet.measured(now), taken * (1.0 - BETA)), self.fleet_saddle)
+        self.cut_capacity = self._capacity(now)
+
+    def _capacity(self, now: int) -> float:
+        """How many warm servers the ready ones are as good as, for sure."""
+        rules = self.settings.rules
+        cold = 0.0
+        for server in self.cold:
+            age = min(1.0, max(0, now - server.boot) / rules.cold_time)
+            cold += rules.cold_share + (1.0 - rules.cold_share) * age
+        return len(self.warm[0]) + len(self.warm[1]) + cold
+
+    def _fleet_rate(self, now: int) -> float:
+        """What the fleet takes from this process: the cubic's rate, with the servers come since.
+
+        Danger: R0 is what those took that were ready at the cut. Where half were draining then, it
+        holds the fleet to half for many saddles after they are back.
+        """
+        more = max(1.0, self._capacity(now) / max(1.0, self.cut_capacity))
+        return self.fleet.grow(now) * self.part * more
 
     # --- Overload: worth first
 
@@ -881,9 +904,9 @@
         if fleet.srate == math.inf:
             return False
         total = sum(arrivals)
-        surplus = total - fleet.grow(now) * self.part * ARRIVAL_TAU * 1e-6
+        surplus = total - self._fleet_rate(now) * ARRIVAL_TAU * 1e-6
         if surplus <= 0.0:
-            if now - fleet.t_cut > 3 * FLEET_SADDLE:
+            if now - fleet.t_cut > 3 * self.fleet_saddle:
                 fleet.srate = math.inf
             return False
         surplus = min(surplus, SHED_MOST * total) - sum(arrivals[:rank])
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,8 +5,8 @@
 import math
 from typing import Any
 
-from sailhitch.interface import OK, Report
-from tests.fake import MS, SAFE, START, UNSAFE, S, World, server
+from sailhitch.interface import OK, READY, Report
+from tests.fake import MS, SAFE, START, UNSAFE, S, World, server, settings_value
 
 
 def drive(world: World, first: int, count: int, latency: int, step: int = 10 * MS) -> int:
@@ -126,3 +126,29 @@
     warm = sum(name.startswith("w") for name in late) / len(late)
     # Eight cold ones, of a fifth of their capacity each, are as good as 1.6 warm ones.
     assert 0.8 * 2 / 3.6 < warm < 1.2 * 2 / 3.6
+
+
+def test_servers_that_come_back_raise_what_the_fleet_takes() -> None:
+    refused = []
+    for back in (False, True):
+        world = World(*(server(f"s{i}", state=READY if i < 8 else "draining") for i in range(20)))
+        drive(world, 0, 900, 1500 * MS)
+        if back:
+            world.gateway.members(world.now, "changes", [server(f"s{i}") for i in range(20)])
+        refused.append(drive(world, 2000, 300, 50 * MS, 4 * MS))
+    assert refused[1] < refused[0] / 2
+
+
+def test_quick_classes_are_shed_for_no_longer_than_slow_ones_in_proportion() -> None:
+    for scale in (1, 10):
+        classes = [
+            {**one, "goalTime": S // scale, "deadline": 3 * S // scale}
+            for one in settings_value()["classes"]
+        ]
+        world = fleet(classes=classes)
+        drive(world, 0, 900, 1500 * MS // scale)
+        assert world.gateway.fleet.srate != math.inf
+        begin = world.now
+        while world.gateway.fleet.srate != math.inf:
+            drive(world, world.now, 20, 50 * MS // scale)
+        assert world.now - begin < 20 * S // scale
