Hand what is learned of servers, classes and the fleet to the next process

A new process took every server for as good as any and the fleet for empty. The module now tells what it has learned as plain values and goes on with what it is told, server by server where the life is the same; tokens, what is held and what is out stay behind. It goes with the state of the handover, typed and checked.

Ruled out: handing on the arrivals' window by halves, as the old process stops within moments.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -24,6 +24,7 @@
     OK,
     RESTORED,
     TIMEOUT,
+    Knowledge,
     Report,
 )
 from ..policy import Gateway
@@ -343,6 +344,14 @@
         if entries:
             self.take_list(Roster(0, False, entries, 0, frozenset()), BY_HAND)
 
+    def knowledge(self) -> Knowledge:
+        """What the module has learned."""
+        return self.module.knowledge()
+
+    def adopt(self, knowledge: Knowledge) -> None:
+        """Go on with what another process's module has learned."""
+        self._tell(None, lambda: self.module.adopt(knowledge))
+
     def share(self, part: float) -> None:
         """The part of the gateway's clients that comes to this process."""
         self._tell(None, lambda: self.module.share(part))
--- a/sailhitch/handover/legacy.py
+++ b/sailhitch/handover/legacy.py
@@ -15,7 +15,7 @@
 
 from ..core.maintenance import Maintenance, Returned
 from ..core.terms import Entry, Roster
-from ..interface import Listed
+from ..interface import Knowledge, Listed
 
 FORM: Final = 1  # of what follows; another is left alone
 MAGIC: Final = b"sailhitch"
@@ -51,6 +51,7 @@
     returned: dict[str, tuple[int, int]]
     version: int = 0  # of the list
     hosts: list[Host] = []  # empty where no list has come
+    knowledge: Knowledge | None = None  # what the module has learned
 
 
 class Ban(msgspec.Struct, array_like=True, frozen=True):
@@ -67,10 +68,12 @@
     return Legacy(list(maintenance.ever), dict(maintenance.bans), returned)
 
 
-def with_hosts(legacy: Legacy, version: int, entries: Iterator[Entry]) -> Legacy:
-    """The same with the list."""
+def with_hosts(
+    legacy: Legacy, version: int, entries: Iterator[Entry], knowledge: Knowledge
+) -> Legacy:
+    """The same with the list and what has been learned."""
     hosts = [Host(e.listed.server, e.addr, *e.listed[1:]) for e in entries]
-    return msgspec.structs.replace(legacy, version=version, hosts=hosts)
+    return msgspec.structs.replace(legacy, version=version, hosts=hosts, knowledge=knowledge)
 
 
 def take_bans(legacy: Legacy, maintenance: Maintenance) -> None:
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -77,6 +77,8 @@
         roster = told.roster_of(legacy)
         if roster is not None:
             self.platform.inherit(roster)
+            if legacy.knowledge is not None:
+                self.pool.adopt(legacy.knowledge)
         else:
             self.pool.retell(list(legacy.bans) + list(legacy.returned))
         bans = ", ".join(legacy.bans) or "none"
@@ -166,7 +168,8 @@
     def _legacy(self) -> Legacy:
         entries = iter(list(self.pool.listed.values()))
         bans = told.bans_of(self.pool.maintenance)
-        return told.with_hosts(bans, self.platform.discovery.version, entries)
+        version = self.platform.discovery.version
+        return told.with_hosts(bans, version, entries, self.pool.knowledge())
 
     def _after_ended(self) -> None:
         self.log.say("handover: the process that would follow has ended")
--- a/sailhitch/interface.py
+++ b/sailhitch/interface.py
@@ -39,6 +39,49 @@
     inflight: float | None = None  # requests it holds, waiting or in work
 
 
+class KnownRate(NamedTuple):
+    """A cubic rate as `CubicRate` holds it: answers and sends a second, times in microseconds."""
+
+    rrate: float
+    t_rate: int
+    begun: int
+    srate: float
+    r0: float
+    t_cut: int
+    saddle: float
+
+
+class KnownServer(NamedTuple):
+    """What a gateway has learned of a server, in the life that began at `boot`."""
+
+    boot: int
+    kind: int
+    q_bar: float
+    service: float
+    r_bar: float
+    seen: int
+    sent_seen: int
+    failures: int
+    shun_until: int
+    strikes: int
+    errors: float
+    rate: KnownRate
+
+
+class Knowledge(NamedTuple):
+    """What a gateway has learned, for the process that goes on in its place."""
+
+    servers: dict[str, KnownServer]
+    classes: dict[str, tuple[float, float]]  # usual latency and work, by name
+    arrivals: list[tuple[float, float, float]]  # worth, repeats and first tries in the window
+    t_arrival: int
+    t_start: int
+    typical: tuple[float, float, float]  # queue, latency, service
+    typical_service: list[float]  # by kind
+    fleet: KnownRate
+    late_sum: float
+
+
 class Port(Protocol):
     """What a gateway can do to the world."""
 
--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -33,6 +33,9 @@
     RESET,
     RESTORED,
     TIMEOUT,
+    Knowledge,
+    KnownRate,
+    KnownServer,
     Listed,
     Port,
     Report,
@@ -126,6 +129,13 @@
         self.srate = self.r0 * (1.0 + BETA * x * x * x)
         return self.srate
 
+    def known(self) -> KnownRate:
+        return KnownRate._make([getattr(self, name) for name in KnownRate._fields])
+
+    def adopt(self, known: KnownRate) -> None:
+        for name, value in zip(KnownRate._fields, known, strict=True):
+            setattr(self, name, value)
+
     def cut(self, now: int, rate: float, saddle: float) -> None:
         """R0 becomes what was really received, and the cubic starts below it."""
         self.r0, self.saddle = rate, saddle
@@ -310,6 +320,51 @@
             request.at = places.get(request.cls, len(settings.classes))
         self._regroup(now)
 
+    def knowledge(self) -> Knowledge:
+        """What has been learned; what is out, held or counted as tokens stays where it is."""
+        plain = KnownServer._fields[:-1]
+        pairs = zip(self.arrivals[::2], self.arrivals[1::2], strict=True)
+        return Knowledge(
+            {
+                s.name: KnownServer._make([*[getattr(s, name) for name in plain], s.rate.known()])
+                for s in self.servers.values()
+                if s.seen or s.failures
+            },
+            {
+                c.name: (self.class_r[i], self.class_work[i])
+                for i, c in enumerate(self.settings.classes)
+            },
+            [(w, *pair) for w, pair in zip(self.worths, pairs, strict=True)],
+            self.t_arrival, self.t_start, (self.typ_q, self.typ_r, self.typ_all),
+            list(self.typ_service), self.fleet.known(), self.late_sum,
+        )  # fmt: skip
+
+    def adopt(self, knowledge: Knowledge) -> None:
+        """Go on with what the process before has learned.
+
+        Danger: without it the new process takes every server for as good as any and the fleet for
+        empty, and fills the slow ones first. What it knows of another life of a server is dropped.
+        """
+        for name, known in knowledge.servers.items():
+            server = self.servers.get(name)
+            if server is not None and server.boot == known.boot:
+                for field, value in zip(KnownServer._fields[2:-1], known[2:-1], strict=True):
+                    setattr(server, field, value)
+                server.rate.adopt(known.rate)
+        for i, cls in enumerate(self.settings.classes):
+            if cls.name in knowledge.classes:
+                self.class_r[i], self.class_work[i] = knowledge.classes[cls.name]
+        for worth, *counts in knowledge.arrivals:
+            if worth in self.worths:
+                at = 2 * self.worths.index(worth)
+                self.arrivals[at : at + 2] = counts
+        self.t_arrival, self.t_start = knowledge.t_arrival, knowledge.t_start
+        self.typ_q, self.typ_r, self.typ_all = knowledge.typical
+        if len(knowledge.typical_service) == len(self.typ_service):
+            self.typ_service = list(knowledge.typical_service)
+        self.fleet.adopt(knowledge.fleet)
+        self.late_sum = knowledge.late_sum
+
     def share(self, part: float) -> None:
         """Another process of this gateway serves beside this one; this part of what comes is here.
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,6 +25,8 @@
     unpack,
 )
 from sailhitch.handover.shares import Share
+from sailhitch.interface import Report
+from tests.fake import MS, World, server
 from tests.generations import Site, hosted, site, told
 from tests.sockets import Server, Writer, answer, config_value, request, until
 
@@ -216,3 +218,24 @@
             assert asked == done == len(host.seen)
 
     asyncio.run(play())
+
+
+def test_what_was_learned_goes_on_and_what_is_of_another_life_does_not() -> None:
+    hosts = [server("a", boot=1), server("b", boot=1), server("c")]
+    old, new = World(*hosts), World(*hosts[:1], server("b", boot=2), server("c"))
+    for i in range(200):
+        old.request(i)
+        old.outcome(i, 0, "ok" if i % 7 else "error", True, 40 * MS + i, Report(0.5, 20.0 * MS))
+        old.now += 20 * MS
+    legacy = Legacy([], {}, {}, knowledge=old.gateway.knowledge())
+    told = unpack(pack(legacy)).knowledge
+    assert told is not None
+    new.now = old.now
+    new.gateway.adopt(told)
+    assert not new.gateway.servers["b"].seen
+    known, learned = new.gateway.knowledge(), old.gateway.knowledge()
+    assert set(known.servers) == {"a", "c"}
+    assert known._replace(servers={}) == learned._replace(servers={})
+    assert all(known.servers[name] == learned.servers[name] for name in known.servers)
+    new.request(1)
+    assert new.port.sends(1)
