Start by the known list once discovery has answered or refused, and spread calls

Ten of fourteen gateways that are killed at once took up to 2.1 s to be back: each waited a second for a list that discovery, turning callers away, could not give. A start now waits for the first call's answer or failure, half a second at the most. Calls that fail come again after decorrelated jitter, up to a limit that grows with the number of gateways, so that all together ask no more than a hundred times a second.

Ruled out: narrow jitter on doubled pauses, as before, with which gateways killed together go on asking together.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -29,7 +29,7 @@
 that clients come to, held by whoever starts it. SIGHUP makes it read EDGE_CONFIG anew; SIGTERM
 drains it."""
 BACKLOG = 4096
-FIRST_LIST = 1.0  # s; without a list by then it serves by the known one
+FIRST_LIST = 0.5  # s; with discovery silent until then it serves by the known list
 MOST_WRONG = 12  # lines about one file
 REREAD = (0.1, 0.4, 1.0)  # s; a file that is still being written can be read a little later
 
@@ -85,7 +85,7 @@
         f"{len(config.known.entries)} hosts known"
     )
     settle_memory()
-    waits = [loop.create_task(e.wait()) for e in (discovery.heard, stop)]
+    waits = [loop.create_task(e.wait()) for e in (discovery.settled, stop)]
     await asyncio.wait(waits, timeout=FIRST_LIST, return_when=asyncio.FIRST_COMPLETED)
     if held is not None:
         listener.start()  # until now whoever comes was another process's to serve
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -5,11 +5,11 @@
 import asyncio
 import contextlib
 import json
-import random
 from typing import Final, cast
 
 from ..core.pool import Pool
 from ..core.terms import Address
+from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
 
@@ -22,8 +22,9 @@
 PATIENCE_PUSHED: Final = 0.3
 CONNECT: Final = 0.5
 SOON: Final = 0.02  # between two calls where an answer came at once and had no news
-AGAIN: Final = 0.05  # first pause after a failed call to the agent; doubles
-AGAIN_MOST: Final = 0.3
+AGAIN: Final = 0.05  # shortest pause after a failed call to the agent...
+AGAIN_MOST: Final = 0.3  # ...and the longest, with few gateways
+CALLS: Final = 100.0  # failing calls a second that all gateways together may make
 MAX_ANSWER: Final = 2 << 20  # some ten thousand hosts; more would be a threat to memory
 
 
@@ -115,11 +116,12 @@
         self.address = config.discovery
         self.asked = config.settings.must_ask
         self.version = config.known.version
-        self.heard = asyncio.Event()  # at least one list has come
+        self.settled = asyncio.Event()  # the first call has had its answer, or has failed
         self._wanted = asyncio.Event()
         self._moved = asyncio.Event()
         self._call: Call | None = None
-        self._random = random.Random(config.seed)
+        self._backoff = Backoff(AGAIN, AGAIN_MOST, config.seed)
+        self._backoff.limit(config.settings.gateways, CALLS)
         self._whole = True  # the next call asks for the whole list
         pool.watch_wanted = self.want
 
@@ -137,7 +139,7 @@
         gateway counts as told to this process moments after its start, so it asks at once.
         """
         self.version = version
-        self.heard.set()
+        self.settled.set()
         self._wanted.set()
 
     def reconfigure(self, config: Config) -> None:
@@ -177,7 +179,6 @@
                 await self._pause(AGAIN_MOST)
 
     async def _watch(self) -> None:
-        again = AGAIN
         # Where discovery is shared, a watch from the known list on costs it least.
         self._whole = not self.asked
         while True:
@@ -195,6 +196,7 @@
                 self._drop()
                 if self.address != address:
                     continue
+                self.settled.set()
                 self.core.counters.bad_lists += 1
                 why = str(error) or type(error).__name__
                 self.core.logger.often("discovery", f"discovery: call failed: {why[:120]}")
@@ -203,11 +205,10 @@
                     self._wanted.clear()
                     self.pool.list_failed()
                 else:
-                    await self._pause(again * (0.5 + self._random.random()))
-                    again = min(again * 2, AGAIN_MOST)
+                    await self._pause(self._backoff.pause())
                 continue
-            again = AGAIN
-            self.heard.set()
+            self._backoff.reset()
+            self.settled.set()
             idle = not news and self.version == version
             if idle and self.core.clock() - started < 50_000:
                 await self._pause(SOON)
--- /dev/null
+++ b/tests/test_herd.py
@@ -0,0 +1,55 @@
+"""Many gateways that start, or fail, together."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sailhitch.net.backoff import Backoff
+from sailhitch.net.discovery import AGAIN, AGAIN_MOST, CALLS
+from tests.sockets import Registry, Server, Writer, config_value, dial, process, request
+
+
+@given(st.integers(8, 48), st.integers(0, 1 << 60))
+def test_callers_that_fail_together_do_not_come_back_together(callers: int, seed: int) -> None:
+    herd = [Backoff(AGAIN, AGAIN_MOST, seed + i) for i in range(callers)]
+    times = []
+    for one in herd:
+        one.limit(callers, CALLS)
+        now = 0.0
+        while now < 10.0:
+            now += one.pause()
+            times.append(now)
+    later = [t for t in times if 2.0 <= t < 10.0]
+    assert len(later) / 8.0 < 2.0 * CALLS
+    slots = [sum(1 for t in later if i <= t * 20 < i + 1) for i in range(40, 200)]
+    assert max(slots) <= 4 * max(1.0, len(later) / len(slots)) + 4
+    for one in herd:
+        one.reset()
+        assert AGAIN <= one.pause() <= 3 * AGAIN
+
+
+def test_a_start_while_discovery_turns_away_serves_at_once_by_the_known_list(
+    tmp_path: Path,
+) -> None:
+    async def turned_away(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+    async def play() -> None:
+        async with Server() as host, Server(turned_away) as registry:
+            value = config_value(registry.addr, ("a", host.addr))
+            async with process(tmp_path / "config.json", value) as (program, addr):
+                client = await dial(addr)
+                assert await client.ask(request("r1")) == (200, b"served")
+                calls = len(registry.seen)
+                await asyncio.sleep(1.0)
+                assert len(registry.seen) - calls <= 1.0 / AGAIN
+                assert program.returncode is None
+                # Once it is answered again, it is heard within the longest pause.
+                registry.answerer = Registry(("a", host.addr)).reply
+                assert await client.ask(request("r2")) == (200, b"served")
+
+    asyncio.run(play())
