Do nothing for flows where a request has none

Each short request asked for a push of nothing, looked at the clock for an answer whose length it knew, and let go of a body that did not flow.

--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -136,7 +136,8 @@
             self.unsent = rest if small else memoryview(b"".join((rest, body)))
         elif not small:
             self.unsent = memoryview(body)
-        self._push()
+        if self.unsent is not None or self.rest:
+            self._push()
         return True
 
     def more(self, data: bytes, last: bool) -> None:
@@ -182,8 +183,9 @@
             elif low == b"srv-declined":
                 declined = value.strip() == b"1"
         self.declined = declined and self.status in (503, 504)
-        self.head_at = self.hosts.core.clock()
-        if self.length is not None and self.length > LONGEST:
+        if self.length is None:
+            self.head_at = self.hosts.core.clock()
+        elif self.length > LONGEST:
             raise MalformedError("body too large")
 
     def body_read(self, data: bytes) -> None:
@@ -326,9 +328,9 @@
         if attempt is None:
             return
         self.attempt = attempt.conn = None
-        if self._incomplete():
-            self.keep = False
-        self._let_go_of_body()
+        if self.unsent is not None or self.upload is not None:
+            self.keep = self.keep and not self._incomplete()
+            self._let_go_of_body()
         answer, load = Answer(self.status, self.fields, self.body), self.load
         whole, taker, dropped = self.phase == WHOLE, self.taker, self.dropping
         self._clear()
