--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,6 +32,14 @@
         assert _imports(path) <= below, path.name
 
 
+@pytest.mark.parametrize(("part", "more"), [("control", ()), ("handover", ("net",))])
+def test_what_is_loaded_when_asked_for_imports_only_what_is_below_it(
+    part: str, more: tuple[str, ...]
+) -> None:
+    for path in sorted((ROOT / part).glob("*.py")):
+        assert _imports(path) <= {"interface", "core", part, *more}, path.name
+
+
 def test_the_platforms_line_loads_nothing_that_it_does_not_use() -> None:
     code = (
         "import sys, sailhitch.__main__\n"
