Hear what a process has said before it ended, connections among it

An end of a Unix socket that is closed with frames unread on it makes its peer's next read fail with ECONNRESET, before what was sent can be read; and a write that fails closed the link at once. Both took the frames still to be read for lost, with the connections in them. The reader now reads on to the end, and a failed write leaves the end to it. A process that is to end waits for the connections of one that lives before it.

--- a/sailhitch/handover/link.py
+++ b/sailhitch/handover/link.py
@@ -58,8 +58,8 @@
             self.loop.add_writer(self.sock, self._write)
             return
         except OSError:
-            self.close()
-            return
+            # The other end has gone. What it said before that is here still: the reader ends this.
+            self._drop()
         self.loop.remove_writer(self.sock)
 
     def _read(self) -> None:
@@ -70,6 +70,10 @@
                 frame, descriptors, _, _ = socket.recv_fds(self.sock, LONGEST, 4)
             except (BlockingIOError, InterruptedError):
                 return
+            except ConnectionResetError:
+                # Danger: an end that is closed with frames unread on it says so before what it had
+                # sent, connections among it, can be read (unix(7)). It says so once.
+                continue
             except OSError:
                 self.close()
                 return
@@ -86,11 +90,14 @@
         self.loop.remove_reader(self.sock)
         self.loop.remove_writer(self.sock)
         self.sock.close()
+        self._drop()
+        self.on_end()
+
+    def _drop(self) -> None:
         for _, descriptor in self._out:
             if descriptor >= 0:
                 os.close(descriptor)
         self._out.clear()
-        self.on_end()
 
 
 @contextlib.contextmanager
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -251,9 +251,14 @@
         self.log.say(f"handover: {self.passed} connections passed on")
 
     def _owing(self) -> bool:
-        """Pass on who is idle; whether anybody is left, or half-way out."""
+        """Pass on who is idle; whether anybody is left, or half-way in or out.
+
+        Danger: while the process before lives, its connections may be on their way here, and end
+        with a link that is closed on them.
+        """
         left = [client for client in list(self.core.clients) if not self._pass(client)]
         waits = self.after is not None and self.after.waits()
+        waits = waits or self.before is not None
         return waits or bool(self.core.arriving) or any(not c.is_closed() for c in left)
 
     def _pass(self, client: Connection) -> bool:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 from pathlib import Path
 
 import pytest
@@ -24,6 +25,7 @@
     pack,
     unpack,
 )
+from sailhitch.handover.link import Link
 from sailhitch.handover.shares import Share
 from sailhitch.interface import Report
 from tests.fake import MS, World, server
@@ -239,3 +241,47 @@
     assert all(known.servers[name] == learned.servers[name] for name in known.servers)
     new.request(1)
     assert new.port.sends(1)
+
+
+def test_a_third_process_that_comes_before_the_first_has_gone_follows_the_second(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with hosted(tmp_path, a=Server(), b=Server()) as it:
+            first = await it.ready()
+            client = await it.client()
+            assert await client.ask(request("r1")) == (200, b"served")
+            second = await it.ready()
+            assert await first.out("b") == 200
+            third = await it.ready()
+            assert await third.out("a") == 200  # heard by all three, through the second
+            assert await first.end() == 0
+            assert await second.end() == 0
+            assert await third.back("a") == 200
+            assert await third.back("b") == 200
+            async with asyncio.timeout(30):
+                for i in range(1000):
+                    if (await client.ask(request(f"n{i}")))[0] == 200:
+                        break
+            assert third.program.returncode is None
+            assert "out for maintenance: b" in third.log.read_text()
+
+    asyncio.run(play())
+
+
+def test_what_an_end_has_said_is_heard_though_it_left_frames_unread() -> None:
+    async def play() -> None:
+        heard: list[tuple[int, bytes]] = []
+        over = asyncio.Event()
+        one, other = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        link = Link(one, lambda kind, payload, _: heard.append((kind, payload)), over.set)
+        link.send(b"Xunread")
+        for i in range(3):
+            other.send(b"C%d" % i)
+        other.close()  # with a frame on it that nobody read
+        link.send(b"Xto nobody")
+        async with asyncio.timeout(10):
+            await over.wait()
+        assert heard == [(ord("C"), b"%d" % i) for i in range(3)]
+
+    asyncio.run(play())
