Look at open connections for hosts that stop half-way, and keep no second list

The transport kept a list of connections that pass an answer on beside that of all open ones. One whose client went in the middle of its answer was never taken off it: each such client left a connection's state behind for as long as the process lived. What the list said is derived now from the open ones, once a second.

Test: a client that goes in the middle of an answer leaves no connection behind (fails with the list). Ruled out: taking it off in one more place, as the list says nothing that is not known.

--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -251,7 +251,6 @@
             self.dropping, self.body = True, b""
             return
         self.pace = Pace(self.hosts.core.clock(), FLOW_RATE, FLOW_GRACE, FLOW_STALL)
-        self.hosts.flowing[self] = None
 
     def _pass_on(self, size: int) -> None:
         taker, body = self.taker, self.body
@@ -346,7 +345,6 @@
         self.hosts.pool.ended(attempt, status, load, answer if held else None)
 
     def _end_flow(self, taker: Client, whole: bool) -> None:
-        self.hosts.flowing.pop(self, None)
         if whole:
             taker.end()
         else:
@@ -388,7 +386,6 @@
         self.open: dict[Upstream, None] = {}
         self.connecting = 0
         self.opened = 0  # counter
-        self.flowing: dict[Upstream, None] = {}  # those that pass an answer on
 
     def size(self) -> int:
         return len(self.open) + self.connecting
@@ -560,7 +557,7 @@
 
     def sweep(self, now: int) -> None:
         """Retire what has stood idle for long, and give up on hosts that stop half-way."""
-        for conn in [c for c in self.flowing if c.stands_still(now)]:
+        for conn in [c for c in self.open if c.stands_still(now)]:
             conn.give_up()
         for host in self.hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self.pool.reach.idle_life:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -415,3 +416,18 @@
         assert (await answered)[0] == 413
 
     play(act, Server(echo))
+
+
+def test_a_client_that_goes_in_the_middle_of_its_answer_leaves_nothing_behind() -> None:
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        client.send(request("r", BODY * 4))
+        await until(lambda: any(c.taker is not None for c in it.hosts.open))
+        client.writer.transport.abort()
+        await until(lambda: not it.core.live and not it.hosts.open)
+        gc.collect()
+        assert not [one for one in gc.get_objects() if isinstance(one, upstream.Upstream)]
+        assert it.core.counters.cut == 0  # it is nobody's answer any more
+
+    play(act, Server(echo))
