Say once how warm a cold server surely is, and which servers are cold

The capacity of the ready servers worked out the warmth of a cold one anew that the slices of cold servers are sized by, and the count of sends to warm ones repeated the test by which servers are grouped. Each stands once now.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -593,19 +593,24 @@
         from the first request on: no memory is needed that a restart would lose. Danger: token
         buckets would do that for one gateway, but two hundred full buckets are a burst.
         """
-        rules = self.settings.rules
         if now >= self.next_warm:
             self._regroup(now)
         low = 0.0
-        warmth = rules.cold_share
         for server in self.cold:
-            age = max(0, now - server.boot) / rules.cold_time
-            warmth = rules.cold_share + (1.0 - rules.cold_share) * min(1.0, age)
-            low += self._share(server) * warmth
+            low += self._share(server) * self._warmth(now, server)
             if request.coin < low:
                 return server if self._may_send(now, request, server) else None
         return None
 
+    def _warmth(self, now: int, server: Server) -> float:
+        """The part of its capacity that a cold server surely has."""
+        rules = self.settings.rules
+        age = min(1.0, max(0, now - server.boot) / rules.cold_time)
+        return rules.cold_share + (1.0 - rules.cold_share) * age
+
+    def _is_cold(self, now: int, server: Server) -> bool:
+        return server.boot > 0 and now < server.boot + self.settings.rules.cold_time
+
     # --- Placing a request: the paper's algorithm 1
 
     def _place(self, now: int, request: Request) -> bool:
@@ -645,7 +650,7 @@
         request.coin = self.random.random()  # a further attempt draws anew
         # Danger: counted with what cold ones get, the few that are warm look as if each took what
         # all do. Then the cold ones' slices add up to everything, and the warm ones get nothing.
-        if not server.boot or now >= server.boot + self.settings.rules.cold_time:
+        if not self._is_cold(now, server):
             self.sent_kind[server.kind & 7] += 1.0
         self.sent_all += 1.0
         if self.sent_all > 1000.0:
@@ -924,11 +929,7 @@
 
     def _capacity(self, now: int) -> float:
         """How many warm servers the ready ones are as good as, for sure."""
-        rules = self.settings.rules
-        cold = 0.0
-        for server in self.cold:
-            age = min(1.0, max(0, now - server.boot) / rules.cold_time)
-            cold += rules.cold_share + (1.0 - rules.cold_share) * age
+        cold = sum([self._warmth(now, server) for server in self.cold])
         return len(self.warm[0]) + len(self.warm[1]) + cold
 
     def _fleet_rate(self, now: int) -> float:
@@ -1115,7 +1116,7 @@
             # The rule on drains: what is not ready is no candidate, from the news of it on.
             if server.state != READY:
                 continue
-            if server.boot and now < server.boot + cold_time:
+            if self._is_cold(now, server):
                 self.cold.append(server)
                 self.next_warm = min(self.next_warm, server.boot + cold_time)
                 continue
