Change limits with the part of what comes, once, and not at each use

While two processes serve, limits on rates were held as the gateway's and multiplied by this process's part wherever they are used. A cut in that while is made of what this process sends and receives, which is its part already, so it was halved twice: shared for long, a gateway would shed half of what it need not. Rates and arrivals are now this process's own and are scaled when its part changes; the request's path multiplies by nothing.

Test: a fleet's rate that is cut anew while half comes is half of the limit still (fails before), and the whole again after. Ruled out: dividing at each cut, a second place beside each use.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -129,6 +129,12 @@
         self.srate = self.r0 * (1.0 + BETA * x * x * x)
         return self.srate
 
+    def scale(self, change: float) -> None:
+        """So many times as much is sent from now on as was."""
+        self.rrate *= change
+        self.srate *= change
+        self.r0 *= change
+
     def known(self) -> KnownRate:
         return KnownRate._make([getattr(self, name) for name in KnownRate._fields])
 
@@ -368,10 +374,16 @@
     def share(self, part: float) -> None:
         """Another process of this gateway serves beside this one; this part of what comes is here.
 
-        Limits on rates are the gateway's. Cold servers need nothing here: what they get is a share
-        of what comes, and the parts add up.
+        Rates and arrivals are this process's own, so they change with its part of what comes.
+        Danger: a limit that was the gateway's, cut to what half of its clients brought, would be
+        halved twice. Cold servers need nothing here: what they get is a share of what comes, and
+        the parts add up.
         """
-        self.part = part
+        change, self.part = part / self.part, part
+        if change != 1.0:
+            for rate in (self.fleet, *[server.rate for server in self.servers.values()]):
+                rate.scale(change)
+            self.arrivals = [count * change for count in self.arrivals]
 
     def retire(self, now: int) -> None:
         """No server will come any more: what is held is given up at once, and nothing is held."""
@@ -779,9 +791,7 @@
     def _token(self, now: int, server: Server) -> bool:
         """Grow the rate along the cubic, accrue tokens since the last look, tell if one is left."""
         srate = server.rate.grow(now)
-        server.tokens = min(
-            BURST, server.tokens + srate * self.part * (now - server.t_token) * 1e-6
-        )
+        server.tokens = min(BURST, server.tokens + srate * (now - server.t_token) * 1e-6)
         server.t_token = now
         return server.tokens >= 1.0
 
@@ -939,7 +949,7 @@
         holds the fleet to half for many saddles after they are back.
         """
         more = max(1.0, self._capacity(now) / max(1.0, self.cut_capacity))
-        return self.fleet.grow(now) * self.part * more
+        return self.fleet.grow(now) * more
 
     # --- Overload: worth first
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -152,3 +152,23 @@
         while world.gateway.fleet.srate != math.inf:
             drive(world, world.now, 20, 50 * MS // scale)
         assert world.now - begin < 20 * S // scale
+
+
+def test_half_of_what_comes_is_held_to_half_of_the_limits_also_when_they_are_cut() -> None:
+    for shared in (False, True):
+        world = fleet()
+        drive(world, 0, 900, 1500 * MS)
+        limit = world.gateway.fleet.r0
+        assert 0.0 < limit < math.inf
+        if shared:
+            world.gateway.share(0.5)
+            assert world.gateway.fleet.r0 == 0.5 * limit
+            # Cut anew by what half of the clients bring, it is half still, and not a quarter.
+            drive(world, 2000, 450, 1500 * MS, 20 * MS)
+            assert 0.3 * limit < world.gateway.fleet.r0 < 0.7 * limit
+            world.gateway.share(1.0)
+        drive(world, 4000, 900, 1500 * MS)
+        assert 0.6 * limit < world.gateway.fleet.r0 < 1.4 * limit
+    whole = fleet()
+    whole.gateway.share(0.5)
+    assert whole.gateway.fleet.srate == math.inf
