Say once how a chunk and a status line are written, and tell two limits apart

Chunks were framed in the transport to hosts and again in the front; both call one piece now (net/http.py). The two limits called WHOLE, one the phase of an answer and one the most that is held, met in one module under an alias; the second is HELD_MOST. The short way for status 200 stands where status lines are made, a flow's framing is chosen in one place, and a test of the phase beside `is_idle`, which has it, is gone. No answer changes.

--- a/sailhitch/core/budget.py
+++ b/sailhitch/core/budget.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 MB: Final = 1 << 20
-WHOLE: Final = 64 * 1024  # bodies and answers of up to so much are held whole; longer ones flow
+HELD_MOST: Final = 64 * 1024  # bodies and answers of up to so much are held whole; longer ones flow
 LONGEST: Final = 40 * MB  # they are up to 32 MB long; more than this has no end
 PROCESS: Final = 32 * MB  # what the rest of the process needs
 SHARE: Final = (
--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -209,9 +209,9 @@
     def _deadline(self, exchange: Exchange, arrived: int) -> int:
         wait = exchange.wait_ms * MS
         deadline = arrived + wait - min(MARGIN, wait // 10)
-        return (
-            min(deadline, self.drain_since + self.last_answer()) if self.drain_since else deadline
-        )
+        if self.drain_since:
+            deadline = min(deadline, self.drain_since + self.last_answer())
+        return deadline
 
     def body_whole(self, exchange: Exchange) -> None:
         """The last byte has come of a body that flows: the request's time runs from here on."""
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -16,7 +16,7 @@
 
 import httptools
 
-from ..core.budget import LONGEST, WHOLE
+from ..core.budget import HELD_MOST, LONGEST
 from ..core.core import Core
 from ..core.exchange import Exchange
 from ..core.pace import Pace
@@ -24,7 +24,7 @@
 from ..core.terms import Address, Answer, Field
 from ..core.upload import Upload
 from ..front import Place, Reason, State, Verdict
-from .http import BLANK, HOP, MAX_HEAD
+from .http import BLANK, HOP, MAX_HEAD, chunk
 from .intake import READ, SINGLE, Intake, RejectError
 
 REASONS: Final = {
@@ -204,7 +204,7 @@
         Bytes that the loop has not read stay with the descriptor. None while anything is owed.
         """
         transport = self.transport
-        if transport is None or self.phase != IDLE or not self.is_idle():
+        if transport is None or not self.is_idle():
             return None
         if transport.is_closing() or transport.get_write_buffer_size():
             return None
@@ -313,7 +313,7 @@
             return
         if self.phase in (IDLE, HEAD):
             self.fed += len(data)
-        data_in = data
+        size = len(data)
         try:
             while data:
                 data = self._feed(data)
@@ -327,8 +327,8 @@
             return
         making = self.making
         if making is not None and making.upload is not None:
-            self._flow_in(making.upload, len(data_in))
-        elif making is not None and self.got > WHOLE:
+            self._flow_in(making.upload, size)
+        elif making is not None and self.got > HELD_MOST:
             self._next()  # who came before it has its turn first
             if self.making is making and making.upload is None:
                 self._begin_upload(making)
@@ -492,7 +492,8 @@
             return
         self.making = self.writer = None
         if self.discarding:
-            self._end_discarding()
+            if self.transport is not None:
+                self.transport.close()
             return
         self.phase = IDLE
         if exchange.upload is not None:
@@ -569,10 +570,6 @@
         self._leave(Reason.ANSWERED)
         self.go_on()
 
-    def _end_discarding(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
-
     def _take(self, exchange: Exchange) -> None:
         pool = exchange.pool
         tenant = str(exchange.tenant) if pool is not None else None
@@ -606,7 +603,7 @@
             return
         if self.queue:
             self._take(self.queue.popleft())
-        elif self.making is not None and self.got > WHOLE and self.making.upload is None:
+        elif self.making is not None and self.got > HELD_MOST and self.making.upload is None:
             self._begin_upload(self.making)
 
     # --- Answers
@@ -681,7 +678,7 @@
             self._leave(Reason.ANSWERED)
             self._forget_untaken()
             transport.close()
-        elif self.queue or (self.making is not None and self.got > WHOLE):
+        elif self.queue or (self.making is not None and self.got > HELD_MOST):
             # Danger: an answer may be given from inside the module, which must not be entered anew.
             self.core.loop.call_soon(self._next)
         else:
@@ -695,8 +692,7 @@
     def serve(self, exchange: Exchange, answer: Answer) -> None:
         """A host's whole answer."""
         status, fields, body = answer
-        line = b"200 OK" if status == 200 else _status_line(status)
-        self._answer(exchange, line, _pass_on(fields), body)
+        self._answer(exchange, _status_line(status), _pass_on(fields), body)
 
     def begin(self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver) -> None:
         """A host's answer has begun, and is passed on as it comes."""
@@ -706,22 +702,22 @@
             return
         self.giver = giver
         status, fields, _ = answer
-        line = b"200 OK" if status == 200 else _status_line(status)
-        # Without a length or chunks only the end of the connection tells the end of the answer.
         self.chunks_out = length is None and not exchange.old_http
-        exchange.keep = exchange.keep and (length is not None or self.chunks_out)
-        close = self._closes(exchange)
         if length is not None:
             framing = b"Content-Length: %d\r\n" % length
+        elif self.chunks_out:
+            framing = b"Transfer-Encoding: chunked\r\n"
         else:
-            framing = b"Transfer-Encoding: chunked\r\n" if self.chunks_out else b""
-        exchange.keep = not close
-        connection = self._connection(exchange, close)
+            # Only the end of the connection tells the end of the answer.
+            framing, exchange.keep = b"", False
+        exchange.keep = not self._closes(exchange)
+        connection = self._connection(exchange, not exchange.keep)
         transport.set_write_buffer_limits(high=FLOW_HIGH)
         now = self.core.clock()
         self.reader = Pace(now, READ_RATE, READ_GRACE, READ_STALL[0])
         transport.write(
-            b"HTTP/1.1 %s\r\n%s%s%s\r\n" % (line, _pass_on(fields), connection, framing)
+            b"HTTP/1.1 %s\r\n%s%s%s\r\n"
+            % (_status_line(status), _pass_on(fields), connection, framing)
         )
         self._took(transport.get_write_buffer_size(), now)
 
@@ -730,7 +726,7 @@
         transport, exchange = self.transport, self.exchange
         if transport is None or exchange is None or exchange.bare:
             return
-        transport.write(b"%x\r\n%s\r\n" % (len(data), data) if self.chunks_out else data)
+        transport.write(chunk(data, False) if self.chunks_out else data)
         size = transport.get_write_buffer_size()
         if self.reader is not None:
             self.reader.go(self.core.clock())
@@ -745,7 +741,7 @@
         if transport is None or exchange is None:
             return
         if self.chunks_out and not exchange.bare:
-            transport.write(b"0\r\n\r\n")
+            transport.write(chunk(b"", True))
         transport.set_write_buffer_limits(high=0)
         self._owe(transport.get_write_buffer_size())
         self._after(not exchange.keep)
@@ -778,6 +774,8 @@
 
 
 def _status_line(status: int) -> bytes:
+    if status == 200:
+        return b"200 OK"  # nearly all of them
     try:
         return b"%d %s" % (status, HTTPStatus(status).phrase.encode())
     except ValueError:
@@ -895,7 +893,7 @@
         with contextlib.suppress(OSError):
             sock.setblocking(False)
             with contextlib.suppress(BlockingIOError):
-                sock.recv(WHOLE)
+                sock.recv(HELD_MOST)
             sock.send(refusal(503, self.core.retry_after()))
         sock.close()
 
--- a/sailhitch/net/http.py
+++ b/sailhitch/net/http.py
@@ -29,6 +29,12 @@
 WAITING, BODY, WHOLE = 0, 1, 2  # where an answer stands
 
 
+def chunk(data: bytes | bytearray, last: bool) -> bytes:
+    """A piece of a body in the chunked coding (RFC 9112, 7.1); an empty one says nothing."""
+    piece = b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+    return piece + b"0\r\n\r\n" if last else piece
+
+
 class MalformedError(Exception):
     """What came is not the answer to one request."""
 
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -10,8 +10,7 @@
 import socket
 from typing import Final, cast
 
-from ..core.budget import LONGEST
-from ..core.budget import WHOLE as LONG
+from ..core.budget import HELD_MOST, LONGEST
 from ..core.exchange import Attempt
 from ..core.pace import Pace
 from ..core.pool import Pool
@@ -30,7 +29,7 @@
     Report,
 )
 from .config import parse_load
-from .http import BODY, WHOLE, AnswerReader, MalformedError
+from .http import BODY, WHOLE, AnswerReader, MalformedError, chunk
 
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
 RECEIVE_BUFFER: Final = 128 * 1024
@@ -41,12 +40,6 @@
 FLOW_STALL: Final = 8_000_000
 
 
-def _chunk(data: bytes | bytearray, last: bool) -> bytes:
-    """A piece of a body in the chunked coding (RFC 9112, 7.1); an empty one says nothing."""
-    piece = b"%x\r\n%s\r\n" % (len(data), data) if data else b""
-    return piece + b"0\r\n\r\n" if last else piece
-
-
 class Host:
     """A host as this gateway reaches it. The module knows it by `id` alone."""
 
@@ -118,7 +111,7 @@
         if upload is not None:
             body, last = upload.open(self)
             if upload.chunked:
-                body = _chunk(body, last)
+                body = chunk(body, last)
         small = len(body) <= PIECE
         first = head + body if small else head
         try:
@@ -144,7 +137,7 @@
         """More of a body that still comes; a `Sink`."""
         if self.upload is None or self.attempt is None:
             return
-        framed = _chunk(data, last) if self.upload.chunked else data
+        framed = chunk(data, last) if self.upload.chunked else data
         if self.unsent is not None:
             framed = bytes(self.unsent) + framed
         self.unsent = memoryview(framed) if framed else None
@@ -238,8 +231,8 @@
         if self.status != 200 and not (self.hosts.pool.reach.any_status and self.status < 500):
             return False
         if self.length is not None:
-            return self.length > LONG
-        return self.size > LONG or self.hosts.core.clock() - self.head_at > SOON
+            return self.length > HELD_MOST
+        return self.size > HELD_MOST or self.hosts.core.clock() - self.head_at > SOON
 
     def _begin_flow(self, attempt: Attempt) -> None:
         answer = Answer(self.status, self.fields, b"")
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sailhitch.core.budget import LONGEST, WHOLE, Budget
+from sailhitch.core.budget import HELD_MOST, LONGEST, Budget
 from sailhitch.core.pace import GRACE, RATE, STALL, Pace
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
@@ -168,7 +168,7 @@
 
 
 @pytest.mark.parametrize("form", [b"length", b"chunked", b"close"])
-@pytest.mark.parametrize("size", [WHOLE, WHOLE + 1, 3 * MB])
+@pytest.mark.parametrize("size", [HELD_MOST, HELD_MOST + 1, 3 * MB])
 def test_bodies_of_any_form_and_length_go_both_ways(form: bytes, size: int) -> None:
     async def act(it: Gate, host: Server) -> None:
         client = await it.client()
@@ -259,20 +259,20 @@
         async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
             self.writers.append(writer)
             await reader.readuntil(b"\r\n\r\n")
-            await reader.readexactly(WHOLE)
+            await reader.readexactly(HELD_MOST)
             writer.write(b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
             self.seen.append(b"declined")
 
     async def act(it: Gate, host: Server) -> None:
         client = await it.client()
         whole = request("r", BODY)
-        client.send(whole[: 2 * WHOLE])
+        client.send(whole[: 2 * HELD_MOST])
         async with asyncio.timeout(PATIENCE):
             early = await read_message(client.reader)
         assert early.startswith(b"HTTP/1.1 503")
         assert b"\r\nConnection: close\r\n" in early
         # What the client still sends is taken in, so that the answer is not lost to a reset.
-        client.send(whole[2 * WHOLE :])
+        client.send(whole[2 * HELD_MOST :])
         assert await client.rest() == b""
 
     play(act, Declines())
@@ -367,13 +367,13 @@
     async def act(it: Gate, host: Server) -> None:
         slow, trickle, half = [await it.client() for _ in range(3)]
         tasks = [
-            asyncio.create_task(send(slow, request("s", BODY[: 4 * WHOLE]), 8192, 0.12)),
-            asyncio.create_task(send(trickle, request("t", BODY[:WHOLE]), 10, 0.1)),
+            asyncio.create_task(send(slow, request("s", BODY[: 4 * HELD_MOST]), 8192, 0.12)),
+            asyncio.create_task(send(trickle, request("t", BODY[:HELD_MOST]), 10, 0.1)),
         ]
-        half.send(request("h", BODY)[: 2 * WHOLE])
+        half.send(request("h", BODY)[: 2 * HELD_MOST])
         assert (await trickle.answer())[0] == 408
         assert (await half.answer())[0] == 408
-        assert await slow.answer() == (200, BODY[: 4 * WHOLE])
+        assert await slow.answer() == (200, BODY[: 4 * HELD_MOST])
         for task in tasks:
             task.cancel()
 
