Count what a client takes of a flow also where it takes it at once

What a client had taken was seen from one look at the buffer to the next, and bytes written and taken between two looks were in neither: a client that keeps up well counted as one that reads next to nothing, and could be cut by the rate that is asked for after ten seconds, at any look that found bytes unsent. What has just been written is counted in.

Ruled out: one more look before each write, which sees nothing where the system takes all at once.

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -289,11 +289,11 @@
             door.closing(self.place, now, Reason.UNREAD)
             self.transport.abort()
 
-    def _took(self, size: int, now: int) -> None:
-        """So many bytes are left of what was written for the client."""
+    def _took(self, size: int, now: int, written: int = 0) -> None:
+        """So many bytes are left of what was written for the client, `written` of it just now."""
         reader = self.reader
         if reader is not None:
-            reader.move(self.owed - size, now)
+            reader.move(self.owed + written - size, now)
             if size:
                 reader.go(now)
             else:
@@ -726,11 +726,10 @@
         transport, exchange = self.transport, self.exchange
         if transport is None or exchange is None or exchange.bare:
             return
-        transport.write(chunk(data, False) if self.chunks_out else data)
+        piece = chunk(data, False) if self.chunks_out else data
+        transport.write(piece)
         size = transport.get_write_buffer_size()
-        if self.reader is not None:
-            self.reader.go(self.core.clock())
-        self._owe(size)
+        self._took(size, self.core.clock(), len(piece))
         if size > FLOW_HIGH and self.giver is not None:
             self.giver.hold()
 
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -431,3 +431,30 @@
         assert it.core.counters.cut == 0  # it is nobody's answer any more
 
     play(act, Server(echo))
+
+
+def test_what_a_client_takes_between_two_pieces_counts_for_its_pace() -> None:
+    go = asyncio.Event()
+
+    async def pieces(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY))
+        for at in range(0, MB, 32_768):
+            writer.write(BODY[at : at + 32_768])
+            await asyncio.sleep(0.005)
+        await go.wait()
+        writer.write(BODY[MB:])
+
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(request("r"))
+        async with asyncio.timeout(PATIENCE):
+            await client.reader.readuntil(b"\r\n\r\n")
+            assert await client.reader.readexactly(MB) == BODY[:MB]
+        (held,) = it.clients()
+        assert held.reader is not None
+        assert held.reader.moved > 0.9 * MB
+        go.set()
+        async with asyncio.timeout(PATIENCE):
+            assert await client.reader.readexactly(len(BODY) - MB) == BODY[MB:]
+
+    play(act, Server(pieces))
