Hand hosts and bans over in the forms they have, and end a link without a false word

The state had a record of its own for a host beside the list's entry, with a conversion each way, and one for a host put back; msgspec reads and writes the core's own. A flag that nobody read is gone, the links are gone through in one way, and the reload's environment is made once. A process that ends after an upgrade no longer logs that the one that follows has ended: the on-call page gives that line to a new process that died. The wire's form has not been released, and keeps its number.

--- a/sailhitch/handover/legacy.py
+++ b/sailhitch/handover/legacy.py
@@ -15,7 +15,7 @@
 
 from ..core.maintenance import Maintenance, Returned
 from ..core.terms import Entry, Roster
-from ..interface import Knowledge, Listed
+from ..interface import Knowledge
 
 FORM: Final = 1  # of what follows; another is left alone
 MAGIC: Final = b"sailhitch"
@@ -30,27 +30,14 @@
     """What the other process said can't be used; the text says why."""
 
 
-class Host(msgspec.Struct, array_like=True, frozen=True):
-    """A host as the list has it."""
-
-    id: str
-    address: tuple[str, int]
-    weight: float
-    zone: int
-    cell: int
-    state: str
-    boot: int
-    kind: int
-
-
 class Legacy(msgspec.Struct, frozen=True):
     """All that is told at once. Times are microseconds since 1970, as the core's clock has them."""
 
     ever: list[str]  # ids ever listed, the latest last
     bans: dict[str, int]
-    returned: dict[str, tuple[int, int]]
+    returned: dict[str, Returned]
     version: int = 0  # of the list
-    hosts: list[Host] = []  # empty where no list has come
+    hosts: list[Entry] = []  # empty where no list has come
     knowledge: Knowledge | None = None  # what the module has learned
 
 
@@ -64,35 +51,21 @@
 
 def bans_of(maintenance: Maintenance) -> Legacy:
     """What staff have said, without the list."""
-    returned = {name: (back.entered, back.left) for name, back in maintenance.returned.items()}
-    return Legacy(list(maintenance.ever), dict(maintenance.bans), returned)
-
-
-def with_hosts(
-    legacy: Legacy, version: int, entries: Iterator[Entry], knowledge: Knowledge
-) -> Legacy:
-    """The same with the list and what has been learned."""
-    hosts = [Host(e.listed.server, e.addr, *e.listed[1:]) for e in entries]
-    return msgspec.structs.replace(legacy, version=version, hosts=hosts, knowledge=knowledge)
+    return Legacy(list(maintenance.ever), dict(maintenance.bans), dict(maintenance.returned))
 
 
 def take_bans(legacy: Legacy, maintenance: Maintenance) -> None:
     """Go by what staff have said to the other process."""
     maintenance.saw(legacy.ever)
     maintenance.bans.update(legacy.bans)
-    for name, (entered, left) in legacy.returned.items():
-        maintenance.returned[name] = Returned(entered, left)
+    maintenance.returned.update(legacy.returned)
 
 
 def roster_of(legacy: Legacy) -> Roster | None:
     """The list as the other process had it; None where it had none."""
     if not legacy.hosts:
         return None
-    entries = tuple(
-        Entry(Listed(h.id, h.weight, h.zone, h.cell, h.state, h.boot, h.kind), h.address)
-        for h in legacy.hosts
-    )
-    return Roster(legacy.version, True, entries, 0, frozenset())
+    return Roster(legacy.version, True, tuple(legacy.hosts), 0, frozenset())
 
 
 def pack(legacy: Legacy) -> bytes:
--- a/sailhitch/handover/shares.py
+++ b/sailhitch/handover/shares.py
@@ -26,7 +26,6 @@
     before_drains: bool = False  # ...and takes nobody in any more
     after: bool = False  # a successor lives
     after_ready: bool = False  # ...and takes clients in
-    drains: bool = False  # this process takes nobody in any more
 
     def processes(self) -> int:
         """How many share."""
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -11,6 +11,8 @@
 import socket
 from typing import Final
 
+import msgspec
+
 from ..core.process import AFTERWARDS, STEP
 from ..core.seams import Connection
 from ..core.terms import Bounds
@@ -166,10 +168,12 @@
                 self.log.say(f"handover: from the process after: {error}")
 
     def _legacy(self) -> Legacy:
-        entries = iter(list(self.pool.listed.values()))
-        bans = told.bans_of(self.pool.maintenance)
-        version = self.platform.discovery.version
-        return told.with_hosts(bans, version, entries, self.pool.knowledge())
+        return msgspec.structs.replace(
+            told.bans_of(self.pool.maintenance),
+            version=self.platform.discovery.version,
+            hosts=list(self.pool.listed.values()),
+            knowledge=self.pool.knowledge(),
+        )
 
     def _after_ended(self) -> None:
         self.log.say("handover: the process that would follow has ended")
@@ -181,6 +185,9 @@
 
     # --- Both
 
+    def _links(self) -> list[Link]:
+        return [link for link in (self.before, self.after) if link is not None]
+
     def _from_either(self, link: Link, kind: int, payload: bytes) -> None:
         if kind == told.BAN:
             ban = told.read_ban(payload)
@@ -201,8 +208,8 @@
         except OSError as error:
             # It holds here all the same, and a successor that asks is told of it.
             self.log.say(f"handover: bans can't be kept in {self.places.bans}: {error}")
-        for link in (self.before, self.after):
-            if link is not None and link is not source:
+        for link in self._links():
+            if link is not source:
                 link.send(told.ban_frame(ban))
 
     def _fit(self, whole: Bounds) -> Bounds:
@@ -218,10 +225,9 @@
     def _say_held(self) -> None:
         self._report = None
         held = self.core.door.held + self.core.upstream()
-        for link in (self.before, self.after):
-            if link is not None:
-                beyond = sum(count for other, count in self.others.items() if other is not link)
-                link.send(bytes((told.HOLDS,)) + (held + beyond).to_bytes(4, "big"))
+        for link in self._links():
+            beyond = sum(count for other, count in self.others.items() if other is not link)
+            link.send(bytes((told.HOLDS,)) + (held + beyond).to_bytes(4, "big"))
         if self.share.processes() > 1:
             self._report = self.core.loop.call_later(REPORT, self._say_held)
 
@@ -239,7 +245,6 @@
         """
         core = self.core
         core.drain()
-        self.share.drains = True
         assert self.after is not None
         self.after.send(bytes((told.DRAINING,)))
         self.listener.leave_to_others()
@@ -278,6 +283,6 @@
         if self._sock is not None:
             self.core.loop.remove_reader(self._sock)
             self._sock.close()
-        for link in (self.before, self.after):
-            if link is not None:
-                link.close()
+        for link in self._links():
+            link.on_end = lambda: None  # this process has ended, and not the other
+            link.close()
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -287,10 +287,8 @@
         problems += bad_figures(value.get("settings"))
     if problems:
         raise ConfigError("\n".join(dict.fromkeys(problems)))
-    told = {k: v for k, v in env.items() if k != "EDGE_DISCOVERY"}
-    if "discovery" not in value:
-        told = dict(env)
-    return parse_config(value, told)
+    named = {"EDGE_DISCOVERY"} if "discovery" in value else set()
+    return parse_config(value, {k: v for k, v in env.items() if k not in named})
 
 
 def load_config(env: Mapping[str, str]) -> Config:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,13 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sailhitch.core.terms import Bounds
+from sailhitch.core.maintenance import Returned
+from sailhitch.core.terms import Bounds, Entry
 from sailhitch.handover.files import Places
 from sailhitch.handover.legacy import (
     STATE,
     WHOLE,
     HandoverError,
-    Host,
     Legacy,
     Pieces,
     frames,
@@ -33,8 +33,8 @@
 from tests.sockets import Server, Writer, answer, config_value, request, until
 
 LEGACY = Legacy(
-    ["a", "b"], {"a": 5}, {"b": (1, 2)}, 7,
-    [Host("a", ("127.0.0.1", 1), 1.0, 0, 0, "ready", 0, 0)] * 2000,
+    ["a", "b"], {"a": 5}, {"b": Returned(1, 2)}, 7,
+    [Entry(server("a"), ("127.0.0.1", 1))] * 2000,
 )  # fmt: skip
 
 
