--- a/benchmarks/daily.py
+++ b/benchmarks/daily.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
+from benchmarks.overhead import memory_of  # noqa: E402
 from tests.generations import call, hosted  # noqa: E402
 from tests.sockets import (  # noqa: E402
     Client,
@@ -41,13 +42,6 @@
 CLIENTS = 16
 
 
-def peak_mb(pid: int) -> float:
-    """The most memory that a process has had in use."""
-    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
-    (line,) = [line for line in lines if line.startswith("VmHWM")]
-    return int(line.split()[1]) / 1024
-
-
 class Sink(Server):
     """Takes a body in pieces and sends as much back, holding none of it."""
 
@@ -119,7 +113,7 @@
                     rows.append({
                         "flows": count, "size_mb": size // MB, "seconds": round(took, 2),
                         "mb_per_s": round(2 * count * size / MB / took),
-                        "peak_mb": round(peak_mb(program.pid), 1),
+                        "peak_mb": round(memory_of(program.pid), 1),
                         "short_p50_ms": round(1000 * statistics.median(times), 1),
                         "short_p99_ms": round(1000 * _p99(times), 1),
                     })  # fmt: skip
