Size cold servers' slices by the fleet that is there now, not by the last minute's sends

Cause: _share() divided what its kind had been sent over the last 1000 sends by the warm servers of now. At 24 requests a second that is 40 s of memory, so when 36 of 60 hosts go each of the 24 left looks 2.5 times as fast, and so do the cold ones measured by it.

Now a kind's speed is its sends beside what it would have had if all kinds were alike at that moment, which no change of the fleet moves, and a cold server's slice is its part of what all ready servers surely can do. The slices no longer add up to more than everything, so the last cold one in the list and the warm ones keep theirs; a bound from the rule's multiple holds where nearly all are cold.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -72,6 +72,9 @@
 SHUN_FIRST = 1_000_000  # how long a failing server is shunned at first; doubles with each failure
 SHUN_MAX = 16_000_000
 STRIKES = 3  # failures in a row that shun a server; fewer come by chance where answers get spoilt
+KIND_PRIOR = 5.0  # sends by which every kind counts as fast as the others at first
+KIND_WINDOW = 1000.0  # sends after which the counts of kinds are halved
+COLD_SPARE = 0.8  # of the rule's multiple is what a cold server gets at the most
 ERROR_ALPHA = 0.1  # EWMA weight of an attempt's failure or success: some ten attempts
 ERROR_WEIGHT = 15.0  # psi is raised by 1 + this * the share of attempts that fail...
 ERROR_UNSAFE = 45.0  # ...and so much where a failure can't be made good by another attempt
@@ -254,9 +257,9 @@
         kinds = 8
         self.typ_service = [0.0] * kinds  # by kind; kinds past the last share one
         self.typ_q = self.typ_r = self.typ_all = 0.0
-        self.sent_kind = [0.0] * kinds
+        # A prior of some sends keeps the first from deciding.
+        self.sent_kind, self.due_kind = [KIND_PRIOR] * kinds, [KIND_PRIOR] * kinds
         self.warm_kind = [0] * kinds
-        self.sent_all = 0.0
         self.retry_bank = RETRY_BANK / 2
         self.fleet = CubicRate()  # what the fleet as a whole takes from this gateway
         self.late_sum = 0.0
@@ -599,18 +602,24 @@
     def _cold_pick(self, now: int, request: Request) -> Server | None:
         """The cold server that may take this request, if any: the budget of the fourth rule.
 
-        Every request draws one coin, and a cold server owns a slice of its range no wider than
-        what a warm one of its kind is sent here, times the share of its capacity that it surely
-        has. If every gateway acts alike, a cold server gets its part of the load in any span,
+        Every request draws one coin, and a cold server owns a slice of its range: its part of what
+        all ready servers surely can do, and never more than a multiple of its part where all were
+        warm. If every gateway acts alike, a cold server gets its part of the load in any span,
         from the first request on: no memory is needed that a restart would lose. Danger: token
         buckets would do that for one gateway, but two hundred full buckets are a burst.
         """
         if now >= self.next_warm:
             self._regroup(now)
-        low = 0.0
-        for server in self.cold:
-            low += self._share(server) * self._warmth(now, server)
-            if request.coin < low:
+        speeds = [s / e for s, e in zip(self.sent_kind, self.due_kind, strict=True)]
+        slices = [speeds[server.kind & 7] * self._warmth(now, server) for server in self.cold]
+        warm = sum([speed * n for speed, n in zip(speeds, self.warm_kind, strict=True)])
+        # Danger: shares of what is left add up to everything where all are cold, whatever comes.
+        spare = self.settings.rules.fall_multiple * COLD_SPARE
+        whole = warm + sum([speeds[server.kind & 7] for server in self.cold])
+        coin = request.coin * max(warm + sum(slices), whole / max(1.0, spare))
+        for server, part in zip(self.cold, slices, strict=True):
+            coin -= part
+            if coin < 0.0:
                 return server if self._may_send(now, request, server) else None
         return None
 
@@ -660,14 +669,8 @@
         request.attempts += 1
         request.out += 1
         request.coin = self.random.random()  # a further attempt draws anew
-        # Danger: counted with what cold ones get, the few that are warm look as if each took what
-        # all do. Then the cold ones' slices add up to everything, and the warm ones get nothing.
         if not self._is_cold(now, server):
-            self.sent_kind[server.kind & 7] += 1.0
-        self.sent_all += 1.0
-        if self.sent_all > 1000.0:
-            self.sent_all *= 0.5
-            self.sent_kind = [0.5 * x for x in self.sent_kind]
+            self._count_kind(server)
         self.port.send(request.id, server.name, max(0, request.useless - now))
         if request.attempts == 1 and request.cls.effect == SAFE:
             request.first = server
@@ -1101,15 +1104,21 @@
 
     # --- The fleet
 
-    def _share(self, server: Server) -> float:
-        """The part of this gateway's sends that a warm server of this kind gets here."""
-        fleet = sum(self.warm_kind) + len(self.cold)
-        kind = server.kind & 7
-        warm = self.warm_kind[kind]
-        if not warm:
-            return 0.7 / fleet  # nothing to go by: it may be of the slow kind
-        # A prior of one even round keeps the first sends from deciding.
-        return (self.sent_kind[kind] + warm) / (self.sent_all + fleet) / warm
+    def _count_kind(self, server: Server) -> None:
+        """Count a send to a warm server beside what its kind would get if all kinds were alike.
+
+        The two give the speed of a kind as the others see it, whatever number of its servers is
+        there. Danger: a count of sends alone goes by the servers of the last minute at a gateway to
+        which little comes, and where half of them have gone the rest look twice as fast.
+        """
+        self.sent_kind[server.kind & 7] += 1.0
+        warm = max(1, sum(self.warm_kind))
+        self.due_kind = [
+            due + n / warm for due, n in zip(self.due_kind, self.warm_kind, strict=True)
+        ]
+        if sum(self.sent_kind) > KIND_WINDOW:
+            self.sent_kind = [0.5 * x for x in self.sent_kind]
+            self.due_kind = [0.5 * x for x in self.due_kind]
 
     def _regroup(self, now: int) -> None:
         """Sort the ready servers by zone and warmth; after list news and as cold ones warm up."""
