Leave a server alone that has turned a request away, and take no drain for overload

Two in a row for one request counted as a sign that the fleet is full, so gateways cut the fleet's rate and shed 9,063 requests and repeats in 20 s.

Cause: BUSY was always load. After it only the server's rate was cut, but at a gateway that sends a server one request in 2.5 s a token is always saved up, so the cut kept nobody away.

Now a server that has turned away rests for about a second (a handicap, no ban, no strike), and the evidence of overload counts only where the server itself reports a queue or reports nothing. The test fails without the change.

--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -71,6 +71,8 @@
 PATIENCE = 1.5  # an attempt ends at this multiple of its answer's useful time
 SHUN_FIRST = 1_000_000  # how long a failing server is shunned at first; doubles with each failure
 SHUN_MAX = 16_000_000
+FULL_REST = 1_000_000  # how long a server is left alone that has turned a request away
+SOME_QUEUE = 0.5  # from this reported queue on a server that turns away is full
 STRIKES = 3  # failures in a row that shun a server; fewer come by chance where answers get spoilt
 KIND_PRIOR = 5.0  # sends by which every kind counts as fast as the others at first
 KIND_WINDOW = 1000.0  # sends after which the counts of kinds are halved
@@ -152,6 +154,12 @@
         self.t_cut = now
 
 
+def _queues(report: Report) -> bool:
+    """Whether a server says that requests wait at it."""
+    queue = report.held if report.queue is None else report.queue
+    return queue is not None and queue >= SOME_QUEUE
+
+
 class Server:
     """One server as this gateway sees it."""
 
@@ -169,6 +177,7 @@
         "q_bar",
         "r_bar",
         "rate",
+        "rest_until",
         "seen",
         "sent_seen",
         "service",
@@ -202,7 +211,7 @@
         self.seen = 0  # when it last answered; 0 is never
         self.rate = CubicRate()
         self.tokens, self.t_token = BURST, 0
-        self.failures, self.shun_until = 0, 0
+        self.failures, self.shun_until, self.rest_until = 0, 0, 0
         self.sent_seen = 0  # when the latest of its answered attempts was sent
         self.strikes, self.errors = 0, 0.0  # failures in a row, and their share of late
 
@@ -483,9 +492,11 @@
             elif not request.streaming:
                 if status not in NEVER_RAN:
                     self._may_have_run(request, server, sent)
-                elif status == BUSY:
+                elif status == BUSY and (report is None or _queues(report)):
                     # Two full servers in a row are the earliest sign that the fleet is full. One
-                    # tells of that server only: old reports send many to the same one.
+                    # tells of that server only: old reports send many to the same one. Danger: so
+                    # does one that turns away with no queue, as while it drains and the list does
+                    # not say so yet. In a release each gateway meets many of those.
                     request.full += 1
                     if request.full > 1:
                         self._late(now, request, True)
@@ -639,7 +650,7 @@
         server = None
         if self.cold:
             server = self._cold_pick(now, request)
-            if server is not None and server.shun_until > now:
+            if server is not None and max(server.shun_until, server.rest_until) > now:
                 server = None
         if server is None:
             server = self._best(now, request, self._candidates(request))
@@ -780,6 +791,8 @@
                     psi *= SHUN_FACTOR
                 else:
                     psi *= SUSPECT_FACTOR if repeatable else SHUN_FACTOR
+            if server.rest_until > now:
+                psi *= SHUN_FACTOR
             if keyed and rank < request.rank:
                 psi *= WARM_GAIN
             if psi < lowest or best is None:
@@ -867,6 +880,11 @@
                 server.r_bar = self.typ_r
             server.seen = now
             self._saturated(now, server)
+            # Guards against more of the same from one that drains or has just been crowded: at a
+            # gateway to which little comes a token is always saved up, and no rate keeps it away.
+            # It could harm where one server is all there is, so it is a handicap and no ban.
+            rest = int(FULL_REST * (0.75 + 0.5 * self.random.random()))
+            server.rest_until = now + rest
         elif status in (ERROR, RESET):
             # Danger: quick errors show short latency and an empty queue. They are no sample. Nor is
             # one failure among many answers a sign of a bad server: where answers get spoilt on any
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,7 +5,7 @@
 import math
 from typing import Any
 
-from sailhitch.interface import OK, READY, Report
+from sailhitch.interface import BUSY, OK, READY, Report
 from tests.fake import MS, SAFE, START, UNSAFE, S, World, server, settings_value
 
 
@@ -192,3 +192,17 @@
     cold = sum(name.startswith("c") for name in ask(range(1000, 1300))) / 300
     surely = 36 * (0.3 + 0.7 * 3.0 / 60.0)  # half-way through those six seconds
     assert 0.85 * surely / (24 + surely) < cold < 1.1 * surely / (24 + surely)
+
+
+def test_a_server_that_turns_away_with_no_queue_drains_and_is_no_sign_of_overload() -> None:
+    world = World(*(server(f"s{i}") for i in range(20)))
+    drive(world, 0, 200, 50 * MS)
+    empty = Report(0.0, 50.0 * MS)
+    for req in range(1000, 1005):
+        world.request(req)
+        for attempt in range(2):
+            world.outcome(req, attempt, BUSY, latency=1 * MS, report=empty)
+    assert world.gateway.fleet.srate == math.inf
+    # Each is left alone after it has turned one away, while others are there.
+    turned = [name for req in range(1000, 1005) for name in world.port.sends(req)[:2]]
+    assert len(set(turned)) == len(turned)
