--- a/sailhitch/policy.py
+++ b/sailhitch/policy.py
@@ -156,7 +156,7 @@
 
 def _queues(report: Report) -> bool:
     """Whether a server says that requests wait at it."""
-    queue = report.held if report.queue is None else report.queue
+    queue = report.inflight if report.queue is None else report.queue
     return queue is not None and queue >= SOME_QUEUE
 
 
