Hold the fleet of the tests to one answer each and no effect twice

The harness played safe requests alone and hosts that never fail. Now one request in five may not be repeated, one answer in fifty is spoilt after it has run, and attempts end at their time-outs, at half load and at 1.4 of it, while six in ten hosts are replaced.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,21 +1,32 @@
 """Many module instances and the hosts they share, in virtual time: no sockets, fixed seeds.
 
-A host is one core with a waiting room: what it holds it works off in turn, slower while it is cold,
-and it turns away what comes beyond. The list comes late. Requests are safe ones, spread over the
-gateways at random.
+A host is one core with a waiting room: what it holds it works off in turn, slower while it is
+cold, and it turns away what comes beyond. One answer in fifty is spoilt; the request has run.
+Requests are spread over the gateways at random; one in five may not be repeated.
 """
 
 from __future__ import annotations
 
 import heapq
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 from itertools import count
 
-from sailhitch.interface import BUSY, CHANGES, OK, READY, RESTORED, Listed, Report
+from sailhitch.interface import (
+    BUSY,
+    CHANGES,
+    ERROR,
+    OK,
+    READY,
+    RESTORED,
+    TIMEOUT,
+    Listed,
+    Report,
+)
 from sailhitch.policy import Gateway
 from sailhitch.settings import parse_settings
-from tests.fake import MS, SAFE, S, settings_value
+from tests.fake import MS, SAFE, UNSAFE, S, settings_value
 
 WORK = 40 * MS  # mean of a request on a warm host
 COLD = 4 * S
@@ -47,20 +58,19 @@
     def __init__(self, fleet: Fleet, number: int) -> None:
         self.fleet = fleet
         self.attempts: dict[int, int] = {}
-        self.refused = self.failed = 0
         value = settings_value(balancers=fleet.size, me=number, rules=fleet.rules)
         self.gateway = Gateway(self, parse_settings(value), seed=1000 + number)
 
     def send(self, req: int, server: str, timeout: int) -> None:
         attempt = self.attempts.get(req, 0)
         self.attempts[req] = attempt + 1
-        self.fleet.arrive(self, req, attempt, self.fleet.hosts[server])
+        self.fleet.arrive(self, req, attempt, self.fleet.hosts[server], timeout)
 
     def refuse(self, req: int, retry_after: int) -> None:
-        self.refused += 1
+        self.fleet.ends[req] += 1
 
     def fail(self, req: int) -> None:
-        self.failed += 1
+        self.fleet.ends[req] += 1
 
     def cancel(self, req: int, attempt: int) -> None: ...
 
@@ -80,6 +90,9 @@
         self.rules = {"cold": COLD, "coldShare": COLD_SHARE}
         self.random = random.Random(seed)
         self.hosts = {host.name: host for host in hosts}
+        self.ends: Counter[int] = Counter()  # final answers to each request
+        self.effects: Counter[int] = Counter()  # how often each that may not be repeated has run
+        self.unsafe: set[int] = set()
         self._due: list[tuple[int, int, Callable[[], None]]] = []
         self._order, self._requests = count(), count(1)
         self.members = [Member(self, number) for number in range(size)]
@@ -102,7 +115,7 @@
         for member in self.members:
             member.gateway.members(self.now, CHANGES, entries)
 
-    def arrive(self, member: Member, req: int, attempt: int, host: Host) -> None:
+    def arrive(self, member: Member, req: int, attempt: int, host: Host, timeout: int) -> None:
         sent = self.now
         host.came.append(sent)
         full = host.draining or host.held >= host.room
@@ -112,19 +125,26 @@
             done, status = sent + MS, BUSY
         else:
             host.held += 1
+            self.effects[req] += req in self.unsafe
             work = self.random.expovariate(1.0 / WORK) / host.capacity(sent)
             host.free_at = max(host.free_at, sent) + int(work)
-            done, status = host.free_at + MS, OK
+            done, status = host.free_at + MS, OK if self.random.random() < 0.98 else ERROR
 
-        def end() -> None:
+        def leave() -> None:
             host.held -= not full
+
+        def end() -> None:
             gateway = member.gateway
+            self.ends[req] += status == OK and req in gateway.live
             closed = status == OK or req not in gateway.live
             gateway.outcome(
                 self.now, req, attempt, status, closed, self.now - sent, host.name,
                 Report(queue, float(WORK), float(host.held)),
             )  # fmt: skip
 
+        self.at(done, leave)
+        if timeout and done > sent + timeout:
+            done, status = sent + timeout, TIMEOUT
         self.at(done, end)
 
     def run(self, seconds: float, rate: float) -> None:
@@ -139,12 +159,13 @@
                 self.now = arrival
                 member = self.random.choice(self.members)
                 req = next(self._requests)
-                member.gateway.request(self.now, req, SAFE, self.now + 3 * S, 0, None, 0)
+                kind = SAFE if self.random.random() < 0.8 else UNSAFE
+                self.ends[req] = 0
+                if kind == UNSAFE:
+                    self.unsafe.add(req)
+                member.gateway.request(self.now, req, kind, self.now + 3 * S, 0, None, 0)
                 arrival += int(self.random.expovariate(rate) * S)
             else:
                 self.now, _, what = heapq.heappop(self._due)
                 what()
         self.now = end
-
-    def refused(self) -> int:
-        return sum(member.refused for member in self.members)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -62,3 +62,14 @@
     steps = [before - after for before, after in zip([18 * 40, *left], left, strict=False)]
     assert max(steps) < 1.5 * 18 * 40 / 5
     assert left[6:] == [0] * 4  # one more step, as a gateway regroups when something comes
+
+
+@pytest.mark.parametrize("load", [0.5, 1.4])
+def test_no_effect_twice_and_one_answer_each_while_six_in_ten_are_replaced(load: float) -> None:
+    fleet, _ = replaced(40)
+    fleet.run(6.0, load * 30 * FULL_RATE)
+    last = max(fleet.ends)
+    fleet.run(4.0, 1.0)  # all that came is over by now
+    assert {count for req, count in fleet.ends.items() if req <= last} == {1}
+    assert max(fleet.effects.values()) == 1
+    assert sum(host.turned_away for host in fleet.hosts.values()) > 0
