Part the decision module into files of one duty each, with the same decisions

Need: policy.py was one file of 1,068 lines, Gateway some 900 of them, and reach has to come beside it.

Change: a package in which state stands beside the decisions that own it and each file imports only those before it (tests/test_layers.py holds it to the order that the package's page gives). What a module has learned is taken out and put in by core/learned.py, which decides nothing.

Ruled out: one class in several files by inheritance, as state would belong to nobody.

--- a/sailhitch/adapter.py
+++ b/sailhitch/adapter.py
@@ -355,13 +355,12 @@
         self._call(parts[1], lambda: gateway.first(self._now, req, attempt, parts[4], lag))
 
     def _pong(self, gateway: Gateway, parts: list[str]) -> None:
-        status, lag = _word("code", parts[3], CODES), _optional("lag", parts[4])
-        report = _load("load", parts[5])
-        self._call(parts[1], lambda: gateway.probe(self._now, parts[2], status, lag, report))
+        """A probe's finding is none of the module's: none are sent, as answers report the same."""
+        _word("code", parts[3], CODES), _optional("lag", parts[4]), _load("load", parts[5])
 
     def _peer_data(self, gateway: Gateway, parts: list[str]) -> None:
-        source, data = _whole("src", parts[2]), _bytes("octets", parts[3])
-        self._call(parts[1], lambda: gateway.peer(self._now, source, data))
+        """Word from another gateway. None is sent or used: each decides by what it saw itself."""
+        _whole("src", parts[2]), _bytes("octets", parts[3])
 
 
 def main(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -31,6 +31,7 @@
 from ..settings import RequestClass, Settings
 from .exchange import Attempt, Exchange
 from .kinds import Kinds
+from .learned import learned, teach
 from .maintenance import Maintenance, Told
 from .seams import Client, Giver, Transport
 from .terms import FAR, Answer, Entry, Reach, Roster
@@ -350,11 +351,11 @@
 
     def knowledge(self) -> Knowledge:
         """What the module has learned."""
-        return self.module.knowledge()
+        return learned(self.module)
 
     def adopt(self, knowledge: Knowledge) -> None:
         """Go on with what another process's module has learned."""
-        self._tell(None, lambda: self.module.adopt(knowledge))
+        self._tell(None, lambda: teach(self.module, knowledge))
 
     def share(self, part: float) -> None:
         """The part of the gateway's clients that comes to this process."""
--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -176,7 +176,7 @@
 
 
 def _host(pool: Pool, name: str, entry: Entry) -> dict[str, Any]:
-    server = pool.module.servers.get(name)
+    server = pool.module.roster.servers.get(name)
     return {
         "node": name,
         "address": f"{entry.addr[0]}:{entry.addr[1]}",
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -131,16 +131,16 @@
             both = file_value([pool("p", {"a": a, "b": b, "w": w})], port, gateway)
             async with inside(tmp_path, both) as it:
                 module = it.live.pools["p"].module
-                assert not module.cold
+                assert not module.roster.cold.servers
                 await it.go(file_value([pool("p", {"b": b, "w": w})], port, gateway))
                 await it.go(both)
-                assert [server.name for server in module.cold] == ["a~2"]
+                assert [server.name for server in module.roster.cold.servers] == ["a~2"]
                 await it.go(file_value([pool("p", {"a": a, "b": c, "w": w})], port, gateway))
-                assert {server.name for server in module.cold} == {"a~2", "b~2"}
+                assert {server.name for server in module.roster.cold.servers} == {"a~2", "b~2"}
                 heavier = [part("a", a.addr, weight=2.0, zone="z"), part("b", c.addr)]
                 heavier.append(part("w", w.addr))
                 await it.go(file_value([{"name": "p", "nodes": heavier}], port, gateway))
-                assert {server.name for server in module.cold} == {"a~2", "b~2"}
+                assert {server.name for server in module.roster.cold.servers} == {"a~2", "b~2"}
                 client = await it.client()
                 assert (await client.ask(get()))[0] == 200
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -23,7 +23,7 @@
             # The simulator's wire says the same in its own form.
             told = _load("load", "depth:1.5,concurrent:4,mean_ms:20")
             assert told == Report(1.5, 20_000.0, 4.0)
-            server = it.pool.module.servers["a"]
+            server = it.pool.module.roster.servers["a"]
             assert (server.q_bar, server.service) == (told.queue, told.service)
 
     asyncio.run(play())
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,7 +57,8 @@
     for _ in range(10):
         fleet.run(COLD / S / 10, 0.4 * 30 * FULL_RATE)
         held = {host.name for host in fresh}
-        left.append(sum(len(held & {s.name for s in m.gateway.cold}) for m in fleet.members))
+        slices = [m.gateway.roster.cold.servers for m in fleet.members]
+        left.append(sum(len(held & {s.name for s in cold}) for cold in slices))
     # A tenth of the cold time is a fifth of the while over which they go.
     steps = [before - after for before, after in zip([18 * 40, *left], left, strict=False)]
     assert max(steps) < 1.5 * 18 * 40 / 5
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -311,7 +311,7 @@
         client.writer.transport.abort()
         await until(lambda: bool(host.ended))  # its connection, with no last byte written
         await until(lambda: not it.core.live)
-        assert not it.pool.module.servers["a"].failures  # it is no fault of the host's
+        assert not it.pool.module.roster.servers["a"].failures  # it is no fault of the host's
 
     play(act, Half())
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sailhitch.core.learned import learned, teach
 from sailhitch.core.maintenance import Returned
 from sailhitch.core.terms import Bounds, Entry
 from sailhitch.handover.files import Places
@@ -229,16 +230,16 @@
         old.request(i)
         old.outcome(i, 0, "ok" if i % 7 else "error", True, 40 * MS + i, Report(0.5, 20.0 * MS))
         old.now += 20 * MS
-    legacy = Legacy([], {}, {}, knowledge=old.gateway.knowledge())
+    legacy = Legacy([], {}, {}, knowledge=learned(old.gateway))
     told = unpack(pack(legacy)).knowledge
     assert told is not None
     new.now = old.now
-    new.gateway.adopt(told)
-    assert not new.gateway.servers["b"].seen
-    known, learned = new.gateway.knowledge(), old.gateway.knowledge()
+    teach(new.gateway, told)
+    assert not new.gateway.roster.servers["b"].seen
+    known, before = learned(new.gateway), learned(old.gateway)
     assert set(known.servers) == {"a", "c"}
-    assert known._replace(servers={}) == learned._replace(servers={})
-    assert all(known.servers[name] == learned.servers[name] for name in known.servers)
+    assert known._replace(servers={}) == before._replace(servers={})
+    assert all(known.servers[name] == before.servers[name] for name in known.servers)
     new.request(1)
     assert new.port.sends(1)
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -8,7 +8,7 @@
 import pytest
 
 from sailhitch.interface import BUSY, CONNECT_FAILED, ERROR, OK, RESET, TIMEOUT, Report
-from sailhitch.policy import CubicRate
+from sailhitch.policy.rate import CubicRate
 from tests.fake import MS, SAFE, START, UNSAFE, S, World, server
 
 
@@ -142,7 +142,7 @@
         if req % 10 == 0:
             world.outcome(req, 0, status, latency=20 * MS)
         world.outcome(req, len(world.port.sends(req)) - 1, OK, closed=True, latency=20 * MS)
-        assert all(s.shun_until <= world.now for s in world.gateway.servers.values())
+        assert all(s.shun_until <= world.now for s in world.gateway.roster.servers.values())
         world.run(world.now + 20 * MS - START)
 
 
@@ -186,10 +186,10 @@
     world = fleet()
     answer_all_but(world, "", range(300))
     name = world.port.sends(299)[0]
-    one = world.gateway.servers[name]
+    one = world.gateway.roster.servers[name]
     one.rate.rrate = 0.1  # as after a long shun
-    world.gateway._saturated(world.now, one)
-    assert one.rate.srate > 0.3 * world.gateway.fleet.rrate / 6
+    world.gateway.health.saturated(world.now, one)
+    assert one.rate.srate > 0.3 * world.gateway.overload.fleet.rrate / 6
 
 
 def silent_first(cls: int, **changes: Any) -> World:
@@ -219,7 +219,7 @@
     assert len(silent_first(SAFE, limits={"mayDuplicate": False}).port.sends(1000)) == 1
     world = fleet()
     answer_all_but(world, "", range(200))
-    world.gateway.fleet.cut(world.now, 10.0, 3e6)  # overload
+    world.gateway.overload.fleet.cut(world.now, 10.0, 3e6)  # overload
     for req in range(1000, 1010):
         world.request(req)
     world.run(world.now + 200 * MS - START)
@@ -255,8 +255,8 @@
     for req in range(40):  # a rush at the start finds servers full
         world.request(req)
         world.outcome(req, 0, BUSY, latency=1 * MS)
-    assert all(s.rate.srate == math.inf for s in world.gateway.servers.values())
-    assert world.gateway.fleet.srate == math.inf
+    assert all(s.rate.srate == math.inf for s in world.gateway.roster.servers.values())
+    assert world.gateway.overload.fleet.srate == math.inf
 
 
 def test_a_rate_is_read_from_as_much_of_its_window_as_there_was() -> None:
@@ -270,7 +270,7 @@
 def test_a_failing_server_gets_nothing_that_may_not_be_repeated_while_sound_ones_wait() -> None:
     world = fleet()
     answer_all_but(world, "", range(200))
-    for name, one in world.gateway.servers.items():
+    for name, one in world.gateway.roster.servers.items():
         if name == "s0":
             one.failures, one.shun_until = 1, world.now + 5 * S
         else:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -152,7 +152,7 @@
         it.core.make_room = lambda: False  # type: ignore[method-assign]
         client = await it.client()
         assert (await client.ask(request("r1")))[0] == 503
-        assert it.pool.module.servers["a"].shun_until == 0
+        assert it.pool.module.roster.servers["a"].shun_until == 0
 
     async def play() -> None:
         async with Server() as host, gate(("a", host.addr)) as it:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -32,6 +33,16 @@
         assert _imports(path) <= below, path.name
 
 
+def test_the_modules_files_import_only_those_before_them() -> None:
+    text = (ROOT / "policy/__init__.py").read_text()
+    order = re.findall(r"^    (\w+)  ", text, re.M)  # as the package's own page has them
+    assert sorted(order) == sorted(p.stem for p in (ROOT / "policy").glob("[a-z]*.py"))
+    for i, name in enumerate(order):
+        tree = ast.parse((ROOT / f"policy/{name}.py").read_text())
+        used = {n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom) and n.level == 1}
+        assert used <= set(order[:i]), name
+
+
 @pytest.mark.parametrize(("part", "more"), [("control", ()), ("handover", ("net",))])
 def test_what_is_loaded_when_asked_for_imports_only_what_is_below_it(
     part: str, more: tuple[str, ...]
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -79,13 +79,13 @@
             for i in range(20):
                 assert (await client.ask(request(f"r{i}")))[0] == 200
             assert len(first.seen) == before
-            assert it.pool.module.servers["a"].state == DRAINING
+            assert it.pool.module.roster.servers["a"].state == DRAINING
             # What the list says of it changes nothing.
             it.pool.take_list(it.platform.config.known, "full")
-            assert it.pool.module.servers["a"].state == DRAINING
+            assert it.pool.module.roster.servers["a"].state == DRAINING
             it.pool.put_back("a")
-            server = it.pool.module.servers["a"]
-            assert server in it.pool.module.cold
+            server = it.pool.module.roster.servers["a"]
+            assert server in it.pool.module.roster.cold.servers
             for i in range(200):
                 assert (await client.ask(request(f"s{i}")))[0] == 200
             assert len(first.seen) > before
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -71,7 +71,7 @@
         for req in [*range(1000, 1030), *range(2000, 2030)]:
             if world.port.sends(req):
                 world.outcome(req, 0, OK, closed=True, latency=900 * MS, report=Report(0.0, 1.0))
-        assert (world.gateway.fleet.srate == math.inf) == told
+        assert (world.gateway.overload.fleet.srate == math.inf) == told
 
 
 def test_a_long_wait_for_the_first_client_does_not_make_a_cut_too_deep() -> None:
@@ -147,9 +147,9 @@
         ]
         world = fleet(classes=classes)
         drive(world, 0, 900, 1500 * MS // scale)
-        assert world.gateway.fleet.srate != math.inf
+        assert world.gateway.overload.fleet.srate != math.inf
         begin = world.now
-        while world.gateway.fleet.srate != math.inf:
+        while world.gateway.overload.fleet.srate != math.inf:
             drive(world, world.now, 20, 50 * MS // scale)
         assert world.now - begin < 20 * S // scale
 
@@ -158,20 +158,20 @@
     for shared in (False, True):
         world = fleet()
         drive(world, 0, 900, 1500 * MS)
-        limit = world.gateway.fleet.r0
+        limit = world.gateway.overload.fleet.r0
         assert 0.0 < limit < math.inf
         if shared:
             world.gateway.share(0.5)
-            assert world.gateway.fleet.r0 == 0.5 * limit
+            assert world.gateway.overload.fleet.r0 == 0.5 * limit
             # Cut anew by what half of the clients bring, it is half still, and not a quarter.
             drive(world, 2000, 450, 1500 * MS, 20 * MS)
-            assert 0.3 * limit < world.gateway.fleet.r0 < 0.7 * limit
+            assert 0.3 * limit < world.gateway.overload.fleet.r0 < 0.7 * limit
             world.gateway.share(1.0)
         drive(world, 4000, 900, 1500 * MS)
-        assert 0.6 * limit < world.gateway.fleet.r0 < 1.4 * limit
+        assert 0.6 * limit < world.gateway.overload.fleet.r0 < 1.4 * limit
     whole = fleet()
     whole.gateway.share(0.5)
-    assert whole.gateway.fleet.srate == math.inf
+    assert whole.gateway.overload.fleet.srate == math.inf
 
 
 def test_a_server_that_turns_away_with_no_queue_drains_and_is_no_sign_of_overload() -> None:
@@ -182,7 +182,7 @@
         world.request(req)
         for attempt in range(2):
             world.outcome(req, attempt, BUSY, latency=1 * MS, report=empty)
-    assert world.gateway.fleet.srate == math.inf
+    assert world.gateway.overload.fleet.srate == math.inf
     # Each is left alone after it has turned one away, while others are there.
     turned = [name for req in range(1000, 1005) for name in world.port.sends(req)[:2]]
     assert len(set(turned)) == len(turned)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -18,7 +18,8 @@
 
 
 def test_the_printed_module_fits_the_on_call_folder() -> None:
-    lines = (Path(__file__).parent.parent / "sailhitch/policy.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 1200
+    files = sorted((Path(__file__).parent.parent / "sailhitch/policy").glob("*.py"))
+    lines = [line for file in files for line in file.read_text().splitlines()]
+    assert 500 < sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
-    assert "sailhitch/interface.py" in lines[0]
+    assert "sailhitch/interface.py" in files[0].read_text().splitlines()[0]
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -197,14 +197,14 @@
 def test_what_the_module_knows_outlasts_new_settings() -> None:
     world = World(tenants=TENANTS)
     gateway = world.gateway
-    gateway.class_r[:] = [1.0, 2.0, 3.0, 4.0, 5.0]
-    gateway.arrivals[:] = [float(i) for i in range(len(gateway.arrivals))]
-    gateway.tenant_tokens[0] = 0.25
-    total = sum(gateway.arrivals)
+    gateway.overload.class_r[:] = [1.0, 2.0, 3.0, 4.0, 5.0]
+    gateway.overload.arrivals[:] = [float(i) for i in range(len(gateway.overload.arrivals))]
+    gateway.overload.tenant_tokens[0] = 0.25
+    total = sum(gateway.overload.arrivals)
     value = settings_value(tenants=[{"name": "new", "quotaPerS": 1.0}, *TENANTS])
     value["classes"] = [*value["classes"][:0:-1], {**value["classes"][0], "name": "new"}]
     gateway.reconfigure(world.now, parse_settings(value))
-    assert gateway.class_r == [5.0, 4.0, 3.0, 2.0, 0.0]
-    assert sum(gateway.arrivals) == total
-    assert gateway.tenant_tokens == [1.0, 0.25]
+    assert gateway.overload.class_r == [5.0, 4.0, 3.0, 2.0, 0.0]
+    assert sum(gateway.overload.arrivals) == total
+    assert gateway.overload.tenant_tokens == [1.0, 0.25]
     assert gateway.settings.classes[0].effect == KEYED
