--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -18,7 +19,10 @@
 
 
 def test_the_printed_module_fits_the_on_call_folder() -> None:
-    files = sorted((Path(__file__).parent.parent / "sailhitch/policy").glob("*.py"))
+    root = Path(__file__).parent.parent
+    deploy = tomllib.loads((root / "deploy/balancer.toml").read_text())
+    files = [root / name for name in deploy["policy"]]
+    assert sorted(files) == sorted((root / "sailhitch/policy").glob("*.py"))
     lines = [line for file in files for line in file.read_text().splitlines()]
     assert 500 < sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
