Give each gateway of a large tier a part of the servers, by its number

A given host was met every 16 s, so what was known of it was stale. The lines at fault are Gateway._candidates' samples of the whole list.

Change: sailhitch/reach, sans-IO: a gateway's place on a ring of servers by the radical inverse of its number, with an anchor; a width by the tier's size and its own rate; what fails or rests is replaced by the next in order. The module ranks those in reach. Cold slices go by the whole list as before, so the tier's sum is that of the full view.

--- a/benchmarks/fleet_log.py
+++ b/benchmarks/fleet_log.py
@@ -20,7 +20,7 @@
 LINE = re.compile(r"(\d\d):(\d\d):(\d\d)\.\d+ \S+ (.*)")
 FIGURE = re.compile(r"(\w+)=(\d+)\b")
 # Levels and peaks: they don't add up over time.
-LEVELS = {"open", "clients", "upstream", "hosts", "lag_ms", "busy", "idle", "seats"}
+LEVELS = {"open", "clients", "upstream", "hosts", "lag_ms", "busy", "idle", "seats", "reach"}
 
 Table = dict[int, dict[str, int]]
 
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -347,7 +347,8 @@
 
     def told(self) -> str:
         """The module's figures, for the log."""
-        return " ".join(f"{name}={count}" for name, count in self.module.figures.items())
+        figures = self.module.figures | self.module.roster.reach.told()
+        return " ".join(f"{name}={count}" for name, count in figures.items())
 
     def knowledge(self) -> Knowledge:
         """What the module has learned."""
--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -23,6 +23,8 @@
     Field,
     PlainSerializer,
     ValidationError,
+    ValidationInfo,
+    field_validator,
 )
 from pydantic_core import ErrorDetails
 
@@ -121,6 +123,7 @@
     memory_mb: Annotated[int, Field(ge=40, le=1 << 20)] = 256
     sockets: Annotated[int, Field(ge=64, le=1 << 20)] = 1024
     gateways: Annotated[int, Field(ge=1, le=10_000)] = 1
+    number: Annotated[int, Field(ge=0)] | None = None
     max_attempts: Annotated[int, Field(ge=1, le=20)] = 3
     retry_after: Duration = 1_000_000
     drain_grace: Duration = 1_000_000
@@ -128,6 +131,13 @@
     cold_share: Annotated[float, Field(gt=0, le=1, allow_inf_nan=False)] = 0.3
     rate: Annotated[float, Field(gt=0, le=1e9, allow_inf_nan=False)] | None = None
 
+    @field_validator("number")
+    @classmethod
+    def _among(cls, number: int | None, info: ValidationInfo) -> int | None:
+        if number is not None and number >= info.data.get("gateways", number + 1):
+            raise ValueError("not below `gateways`: they are numbered from 0")
+        return number
+
 
 class ListenerPart(_Part):
     """Where clients connect."""
--- a/sailhitch/daemon/tables.py
+++ b/sailhitch/daemon/tables.py
@@ -62,7 +62,7 @@
             _request_class(part, effect) for part in self._parts.values() for effect in EFFECTS
         )
         return Settings(
-            me=0,
+            me=-1 if gateway.number is None else gateway.number,
             gateways=gateway.gateways,
             zone=self.zones.of(gateway.zone),
             tick=1000,
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -59,6 +59,8 @@
     def start(self, now: int) -> None:
         """The instance begins, empty; its last list follows as `members`."""
         self.overload.t_start = now
+        if self.settings.me < 0 and self.settings.gateways > 1:
+            self.port.log("no number among the gateways is told: all servers are in reach")
 
     def stalled(self, now: int) -> None:
         """This gateway itself stood still until now: what was out meanwhile, and what had come
@@ -133,6 +135,7 @@
         request.at, request.filling = cls, filling
         self.live[req] = request
         self.retries.earn()
+        self.roster.reach.width.arrived(now)
         if self.overload.sheds(now, kind, tenant, repeat):
             self.figures["shed"] += 1
             self._finish(request, refuse=True)
@@ -247,7 +250,7 @@
         """Send to the server with the lowest psi that has a token; False where none has."""
         server = self.roster.cold_pick(now, request)
         if server is None:
-            server = self.scores.best(now, request, self.roster.candidates(request))
+            server = self.scores.best(now, request, self.roster.candidates(now, request))
         if server is None:
             return False
         server.spend()
--- a/sailhitch/policy/health.py
+++ b/sailhitch/policy/health.py
@@ -58,6 +58,7 @@
             # It could harm where one server is all there is, so it is a handicap and no ban.
             rest = int(FULL_REST * (0.75 + 0.5 * self.random.random()))
             server.rest_until = now + rest
+            self.roster.reach.review_at = 0
             self.figures["rests"] += 1
         elif status in (ERROR, RESET):
             # Danger: quick errors show short latency and an empty queue. They are no sample. Nor is
@@ -86,7 +87,7 @@
             return
         # Danger: one that was sent little, as after a shun, has received little. That is no sign of
         # what it can take, and a rate cut to it takes many times its saddle to come back.
-        fair = self.overload.fleet.measured(now) / max(1, self.roster.warm_count())
+        fair = self.overload.fleet.measured(now) / max(1, sum(map(len, self.roster.reach.near)))
         r0 = max(rate.measured(now), FAIR_SHARE * fair, 1e6 / RATE_TAU)
         if rate.srate != math.inf and rate.srate < r0:
             return
@@ -102,6 +103,7 @@
         if now < server.shun_until:
             return
         self.figures["shuns"] += 1
+        self.roster.reach.review_at = 0
         server.failures = min(server.failures + 1, 8)
         wait = min(SHUN_FIRST << (server.failures - 1), SHUN_MAX)
         server.shun_until = now + int(wait * (0.75 + 0.5 * self.random.random()))
--- a/sailhitch/policy/roster.py
+++ b/sailhitch/policy/roster.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from ..interface import FULL, GONE, READY, RESTORED, Listed
+from ..reach import Reach
 from ..settings import Settings
 from .cold import Slices
 from .request import Request
@@ -31,11 +32,14 @@
         self.servers: dict[str, Server] = {}
         self.warm: list[list[Server]] = []  # ready and warm: own zone, then the others
         self.cold = Slices(settings.rules)
+        self.reach: Reach[Server] = Reach(settings.me, settings.gateways, Server.able, Server.alive)
         self.key_count: dict[int, int] = {}
         self.key_total = 0
         self.keyed: dict[int, list[Server]] = {}  # rendezvous candidates, until the list changes
 
     def adopt(self, settings: Settings) -> None:
+        if (settings.me, settings.gateways) != (self.settings.me, self.settings.gateways):
+            self.reach.adopt(settings.me, settings.gateways)
         self.settings, self.cold.rules = settings, settings.rules
 
     def news(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
@@ -71,6 +75,7 @@
             if server.state == READY and not self.cold.sort(now, server):
                 (own if server.zone == zone else others).append(server)
         self.warm = [own, others]
+        self.reach.sort(own, others)
         self.keyed.clear()
 
     def warm_count(self) -> int:
@@ -91,12 +96,13 @@
             return None
         return None if max(server.shun_until, server.rest_until) > now else server
 
-    def candidates(self, request: Request) -> list[Server]:
-        """The servers to rank: a key's replica group where keys warm, else a sample.
+    def candidates(self, now: int, request: Request) -> list[Server]:
+        """The servers to rank: a key's replica group where keys warm, else of those in reach.
 
         Danger: ranking the whole fleet costs CPU that grows with it, and sends all gateways
         to the one server that looks idle.
         """
+        own, others = self.reach.look(now)
         if request.key is not None and self.settings.warm_keys and not request.attempts:
             found = self._replicas(request.key)
             width = min(self._width(request.key), len(found))
@@ -104,8 +110,7 @@
             # Danger: gateways that each see little send a hot key to one server together.
             hot = width > REPLICAS
             found = self._sample(found[:width], REPLICAS) if hot else found[:REPLICAS]
-            return found + self._sample(self.warm[0] or self.warm[1], SPILL)
-        own, others = self.warm
+            return found + self._sample(own or others, SPILL)
         few = CANDIDATES if not others else CANDIDATES - REMOTE_CANDIDATES
         found = own if len(own) <= few else self._sample(own, few)
         if others:
--- a/sailhitch/policy/server.py
+++ b/sailhitch/policy/server.py
@@ -51,6 +51,14 @@
         self.sent_seen = 0  # when the latest of its answered attempts was sent
         self.strikes, self.errors = 0, 0.0  # failures in a row, and their share of late
 
+    def able(self, now: int) -> bool:
+        """Whether it takes requests, as far as is known: neither full nor failing."""
+        return not self.failures and self.rest_until <= now
+
+    def alive(self) -> bool:
+        """Whether it does anything, as far as is known."""
+        return not self.failures
+
     def sent(self, now: int, req: int, attempt: int, filling: bool) -> None:
         """An attempt goes out; one whose body still comes is nothing to do for the server yet."""
         if filling:
--- a/sailhitch/settings.py
+++ b/sailhitch/settings.py
@@ -74,7 +74,7 @@
 class Settings:
     """All that an instance is told at its start."""
 
-    me: int
+    me: int  # its number among the gateways, from 0; -1 where none of theirs was told
     gateways: int
     zone: int
     tick: int
@@ -166,9 +166,10 @@
     classes = tuple(_request_class(n) for n in root.nodes("classes"))
     if not classes:
         raise SettingsError("classes: empty")
+    me, gateways = root.integer("me"), root.integer("balancers")
     return Settings(
-        me=root.integer("me"),
-        gateways=max(1, root.integer("balancers")),
+        me=me if me < gateways else -1,
+        gateways=max(1, gateways),
         zone=root.integer("zone"),
         tick=root.integer("granularity"),
         classes=classes,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -56,9 +56,10 @@
     """One gateway of the fleet: a `Port` that carries sends to the hosts."""
 
     def __init__(self, fleet: Fleet, number: int) -> None:
-        self.fleet = fleet
+        self.fleet, self.number = fleet, number
         self.attempts: dict[int, int] = {}
-        value = settings_value(balancers=fleet.size, me=number, rules=fleet.rules)
+        me = number if fleet.numbered else fleet.size
+        value = settings_value(balancers=fleet.size, me=me, rules=fleet.rules)
         self.gateway = Gateway(self, parse_settings(value), seed=1000 + number)
 
     def send(self, req: int, server: str, timeout: int) -> None:
@@ -83,10 +84,16 @@
 
 
 class Fleet:
-    """`size` gateways in front of `hosts`, with the clock of all of them."""
+    """`size` gateways in front of `hosts`, with the clock of all of them.
 
-    def __init__(self, size: int, hosts: Iterable[Host], seed: int = 7) -> None:
-        self.size, self.now = size, 100 * S
+    Gateways that are not numbered have all hosts in reach.
+    """
+
+    def __init__(
+        self, size: int, hosts: Iterable[Host], seed: int = 7, numbered: bool = True
+    ) -> None:
+        self.size, self.numbered, self.now = size, numbered, 100 * S
+        self.pairs: Counter[tuple[int, str]] = Counter()  # sends, by gateway and host
         self.rules = {"cold": COLD, "coldShare": COLD_SHARE}
         self.random = random.Random(seed)
         self.hosts = {host.name: host for host in hosts}
@@ -118,6 +125,7 @@
     def arrive(self, member: Member, req: int, attempt: int, host: Host, timeout: int) -> None:
         sent = self.now
         host.came.append(sent)
+        self.pairs[member.number, host.name] += 1
         full = host.draining or host.held >= host.room
         queue = 0.0 if host.draining else float(max(0, host.held - 8))
         if full:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -74,3 +74,18 @@
     assert {count for req, count in fleet.ends.items() if req <= last} == {1}
     assert max(fleet.effects.values()) == 1
     assert sum(host.turned_away for host in fleet.hosts.values()) > 0
+
+
+def test_a_large_tier_needs_few_connections_and_turns_no_more_away() -> None:
+    fleets = [Fleet(120, [Host(f"s{i}") for i in range(80)], numbered=n) for n in (True, False)]
+    for fleet in fleets:
+        fleet.run(12.0, 0.65 * 80 * FULL_RATE)
+    near, whole = fleets
+    # Each pair is a connection, and a server that is met again before what it reported is old.
+    assert len(near.pairs) < 0.45 * len(whole.pairs)
+    away = [sum(host.turned_away for host in fleet.hosts.values()) for fleet in fleets]
+    assert away[0] <= away[1]
+    # A seed's load is the same for both, host by host within the spread of a full view.
+    loads = [[len(host.came) for host in fleet.hosts.values()] for fleet in fleets]
+    spreads = [max(load) / (sum(load) / len(load)) for load in loads]
+    assert spreads[0] < 1.15 * spreads[1]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,7 +12,7 @@
 
 ROOT = Path(__file__).parent.parent / "sailhitch"
 # Each may import those to its left, and its own parts.
-LAYERS = ("interface", "settings", "policy", "front", "core", "net")
+LAYERS = ("interface", "settings", "reach", "policy", "front", "core", "net")
 
 
 def _imports(path: Path) -> set[str]:
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -64,6 +64,7 @@
         ('"/payouts"', '"/a/../b"', "routes[0].match.path_prefix: a path with"),
         ('["POST"]', '["post"]', "routes[0].match.methods[0]: not a method"),
         ('address = "127.0.0.1:8080"', "", "listeners[0].address: required and missing"),
+        ('name = "g1"', 'name = "g1"\ngateways = 3\nnumber = 3', "gateway.number: not below"),
         ("version = 1", "version = 7", "version: 7 is newer than this program knows"),
         ("version = 1", 'version = "1"', "version:"),
         ("version = 1", "", "version: required and missing"),
