--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -172,13 +172,11 @@
                 if status not in NEVER_RAN:
                     request.ran(server, sent)
                 elif status == BUSY and (report is None or (queue_of(report) or 0.0) >= SOME_QUEUE):
-                    # Two full servers in a row are the earliest sign that the fleet is full. One
-                    # tells of that server only: old reports send many to the same one. Danger: so
-                    # does one that turns away with no queue, as while it drains and the list does
-                    # not say so yet. In a release each gateway meets many of those.
-                    request.full += 1
-                    if request.full > 1:
-                        self.overload.late(now, request, True)
+                    # A full server is the earliest sign that the fleet is full: answers that come
+                    # late follow only when its queue has been worked off. Danger: one that turns
+                    # away with no queue is no such sign, as while it drains and the list does not
+                    # say so yet. In a release each gateway meets many of those.
+                    self.overload.late(now, request, True)
                 self._continue(now, request, status, failing)
         if self.backlog.held:
             self._drain(now)
--- a/sailhitch/policy/request.py
+++ b/sailhitch/policy/request.py
@@ -12,7 +12,7 @@
     """A request this gateway owes an answer for."""
 
     __slots__ = (
-        "arrived", "at", "attempts", "cls", "coin", "filling", "first", "full", "group",
+        "arrived", "at", "attempts", "cls", "coin", "filling", "first", "group",
         "group_until", "hold_until", "id", "judged", "key", "may_have_run", "out", "rank",
         "streaming", "useless", "work",
     )  # fmt: skip
@@ -24,7 +24,7 @@
         self.at = 0  # the class's place in the settings
         self.first: Server | None = None  # where its first attempt went
         self.arrived = now
-        self.attempts = self.out = self.full = 0
+        self.attempts = self.out = 0
         self.may_have_run = self.streaming = self.filling = self.judged = False
         self.group: Server | None = None  # whose group may get a repeat of a keyed request
         self.group_until = 0
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,6 +5,8 @@
 import math
 from typing import Any
 
+import pytest
+
 from sailhitch.interface import BUSY, OK, READY, Report
 from tests.fake import MS, SAFE, START, UNSAFE, S, World, server, settings_value
 
@@ -186,3 +188,20 @@
     # Each is left alone after it has turned one away, while others are there.
     turned = [name for req in range(1000, 1005) for name in world.port.sends(req)[:2]]
     assert len(set(turned)) == len(turned)
+
+
+@pytest.mark.parametrize(("queue", "limited"), [(3.0, True), (0.0, False)])
+def test_full_servers_are_a_sign_of_overload_before_answers_are_late(
+    queue: float, limited: bool
+) -> None:
+    world = fleet()
+    drive(world, 0, 100, 50 * MS)
+    for req in range(1000, 1060):
+        world.request(req, SAFE)
+        if req % 3 == 0 and world.port.sends(req):
+            world.outcome(req, 0, BUSY, latency=MS, report=Report(queue, 50.0 * MS))
+        last = len(world.port.sends(req)) - 1
+        if last >= 0 and not world.port.ends(req):
+            world.outcome(req, last, OK, True, 50 * MS, Report(0.0, 50.0 * MS))
+        world.run(world.now + 20 * MS - START)
+    assert (world.gateway.figures["cuts"] > 0) == limited
