Say once that a gateway has no number, and give it the full view

Need: no number, one beyond the count and a count of 0 are to serve with all servers in reach and say so. The daemon with one gateway has number 0.

--- a/sailhitch/daemon/tables.py
+++ b/sailhitch/daemon/tables.py
@@ -61,8 +61,9 @@
         classes = tuple(
             _request_class(part, effect) for part in self._parts.values() for effect in EFFECTS
         )
+        alone = 0 if gateway.gateways == 1 else -1
         return Settings(
-            me=-1 if gateway.number is None else gateway.number,
+            me=alone if gateway.number is None else gateway.number,
             gateways=gateway.gateways,
             zone=self.zones.of(gateway.zone),
             tick=1000,
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -59,7 +59,7 @@
     def start(self, now: int) -> None:
         """The instance begins, empty; its last list follows as `members`."""
         self.overload.t_start = now
-        if self.settings.me < 0 and self.settings.gateways > 1:
+        if self.settings.me < 0:
             self.port.log("no number among the gateways is told: all servers are in reach")
 
     def stalled(self, now: int) -> None:
--- a/sailhitch/settings.py
+++ b/sailhitch/settings.py
@@ -166,7 +166,8 @@
     classes = tuple(_request_class(n) for n in root.nodes("classes"))
     if not classes:
         raise SettingsError("classes: empty")
-    me, gateways = root.integer("me"), root.integer("balancers")
+    gateways = root.integer("balancers")
+    me = root.integer("me", gateways)
     return Settings(
         me=me if me < gateways else -1,
         gateways=max(1, gateways),
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -6,6 +6,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 from hypothesis import given
@@ -14,7 +15,7 @@
 from sailhitch.reach import Reach
 from sailhitch.reach.ring import Ring, lot
 from sailhitch.reach.width import COVER, LEAST, Width
-from tests.fake import MS, S
+from tests.fake import MS, S, World, server
 
 SIZES = [(5, 1), (5, 12), (40, 60), (214, 145), (214, 12), (1000, 12), (1000, 1000), (35, 1000)]
 
@@ -195,3 +196,17 @@
     assert ring.turn(there[1:])[0] is first
     assert ring.turn(there[10:])[0] is there[10 + 45]
     assert ring.turn([]) == []
+
+
+@pytest.mark.parametrize(
+    "told", [{"me": None}, {"me": 214, "balancers": 214}, {"balancers": 0}, {"me": 3}]
+)
+def test_a_number_that_is_none_gives_the_full_view_and_one_line_in_the_log(
+    told: dict[str, Any],
+) -> None:
+    world = World(*(server(f"s{i}") for i in range(300)), **told)
+    said = [action for action in world.port.actions if action[0] == "log"]
+    near, _ = world.gateway.roster.reach.look(world.now)
+    good = told == {"me": 3}
+    assert len(said) == (not good)
+    assert len(near) == 300
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -17,7 +17,7 @@
 @pytest.mark.parametrize(
     ("part", "key", "path"),
     [
-        (None, "me", "me"),
+        (None, "balancers", "balancers"),
         (None, "classes", "classes"),
         ("limits", "attemptsCap", "limits.attemptsCap"),
         ("rules", "drainGrace", "rules.drainGrace"),
