--- a/sailhitch/reach/ring.py
+++ b/sailhitch/reach/ring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left
 from collections.abc import Sequence
 from typing import Final, Protocol, TypeVar
@@ -9,7 +10,10 @@
 # Of the radical inverse: zones often take every n-th gateway, and any n that shares no factor with
 # the base leaves their places as evenly spread as all of them are. Few sites have 7 zones.
 BASE: Final = 7
-DRIFT: Final = 1  # places that a gateway may be away from its own before it moves
+# A gateway may be off its place by the root of the servers over this, and by 1 at the least: ranks
+# in a list that changes at random wander by about its root. Less moves gateways often, more makes
+# cover uneven.
+DRIFT: Final = 4
 
 
 class Hashed(Protocol):
@@ -59,7 +63,7 @@
         if self.anchor is not None:
             start = bisect_left(ordered, self.anchor, key=lambda server: server.hash) % size
             away = abs(start - ideal)
-            if min(away, size - away) > DRIFT:
+            if min(away, size - away) > max(1, math.isqrt(size) // DRIFT):
                 start = ideal
         self.anchor = ordered[start].hash
         return [*ordered[start:], *ordered[:start]]
