Tell refused clients to come back when there is room, each at a time of its own

Need: Retry-After was the greatest value allowed, the same for all, so that who honours it comes back together.

Change: from when the fleet's cubic rate is back at R0, and from a quarter of the greatest value at the least, spread evenly up to that value.

The test fails with the value of before.

--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -100,7 +100,7 @@
         """No server will come any more: what is held is given up at once, and nothing is held."""
         self.retired = True
         for request in self.backlog.empty():
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
 
     def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
         """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
@@ -138,7 +138,7 @@
         self.roster.reach.width.arrived(now)
         if self.overload.sheds(now, kind, tenant, repeat):
             self.figures["shed"] += 1
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
             return
         # A request is held only while it can still be served in time; late worth extends that.
         useful = kind.aim + int(kind.aim_stretch * work)
@@ -235,12 +235,11 @@
 
     # --- Placing a request: the paper's algorithm 1
 
-    def _finish(self, request: Request, refuse: bool) -> None:
+    def _finish(self, now: int, request: Request, refuse: bool) -> None:
         """The one final answer this gateway gives itself; a refusal only where it is true."""
         del self.live[request.id]
         if refuse and request.harmless():
-            limits = self.settings.limits
-            self.port.refuse(request.id, limits.max_retry_after if limits.retry_after else 0)
+            self.port.refuse(request.id, self.overload.comeback(now))
         else:
             self.port.fail(request.id)
 
@@ -276,7 +275,7 @@
         if self._place(now, request):
             return
         if now >= request.hold_until or self.retired:
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
             return
         self.backlog.hold(request)
         self._arm_drain(now)
@@ -288,7 +287,7 @@
     def _expired(self, now: int, request: Request) -> None:
         """No token came in time."""
         self.overload.late(now, request, True)
-        self._finish(request, refuse=True)
+        self._finish(now, request, refuse=True)
 
     def _arm_drain(self, now: int) -> None:
         if at := self.backlog.next_look(now):
@@ -304,18 +303,18 @@
             # Danger: what a failing server still holds is no sign that the fleet is overloaded.
             if not failing:
                 self.overload.late(now, request, status != MOOT)
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
             return
         if request.may_have_run and request.cls.effect not in (SAFE, KEYED):
-            self._finish(request, refuse=False)
+            self._finish(now, request, refuse=False)
             return
         if request.attempts >= self.settings.limits.max_attempts:
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
             return
         if self.retries.bank < 1.0 and status != CONNECT_FAILED:
             self.figures["spent"] += 1
             # Danger: at overload every refusal by a server would come back as another attempt.
-            self._finish(request, refuse=True)
+            self._finish(now, request, refuse=True)
             return
         self.retries.bank -= 1.0 if status != CONNECT_FAILED else 0.0
         self._place_or_hold(now, request)
--- a/sailhitch/policy/overload.py
+++ b/sailhitch/policy/overload.py
@@ -83,6 +83,13 @@
         """Whether the fleet takes less than all, as far as is known."""
         return self.fleet.srate != math.inf
 
+    def comeback(self, now: int) -> int:
+        """In how long a refused client finds room: when the fleet takes R0 again, or later."""
+        most = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0
+        room = self.fleet.t_cut + self.fleet_saddle - now if self.fleet.srate != math.inf else 0
+        soonest = min(most, max(room, most // 4))
+        return soonest + int(self.random.random() * (most - soonest))
+
     # --- How late answers are
 
     def usual(self, request: Request) -> float:
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from typing import Any
 
 import pytest
@@ -205,3 +206,19 @@
             world.outcome(req, last, OK, True, 50 * MS, Report(0.0, 50.0 * MS))
         world.run(world.now + 20 * MS - START)
     assert (world.gateway.figures["cuts"] > 0) == limited
+
+
+def test_refused_clients_are_told_to_come_back_when_there_is_room_and_not_together() -> None:
+    world = fleet(limits={"maxRetryAfter": 4 * S})
+    drive(world, 0, 900, 1500 * MS)
+    load, said = world.gateway.overload, []
+    for req in range(5000, 5400):
+        world.request(req, SAFE)
+        room = load.fleet.t_cut + load.fleet_saddle - world.now
+        said += [(max(room, S), a[2]) for a in world.port.actions[-1:] if a[:2] == ("refuse", req)]
+        world.run(world.now + MS - START)
+    assert len(said) > 50
+    assert all(room <= after <= 4 * S for room, after in said)
+    # No tenth of what is left holds more than a quarter of them.
+    tenths = Counter(int(10 * (after - room) / (4 * S - room + 1)) for room, after in said)
+    assert max(tenths.values()) < 0.25 * len(said)
