Put servers into a gateway's order when its reach is narrow, and only then

Where the width fell with no news of the list since, _review then took the first servers of the list as it came: two gateways of 214 whose traffic falls off had 8 of 8 servers in common.

Change: sort keeps the lists; _review turns them once when it needs them. What a server can tell of itself (able, alive) is part of the protocol that reach has for servers, in place of two functions handed in; the number in reach is said in one place.

--- a/benchmarks/reach.py
+++ b/benchmarks/reach.py
@@ -48,6 +48,12 @@
 
     hash: int
 
+    def able(self, now: int) -> bool:
+        return True
+
+    def alive(self) -> bool:
+        return True
+
 
 class Nobody:
     """A port that does nothing but note where the last request went."""
@@ -74,9 +80,7 @@
     """Cover at the start, and changes while half of the servers are replaced."""
     draws = random.Random(1)
     there = [Spot(draws.getrandbits(64)) for _ in range(servers)]
-    reaches = [
-        Reach[Spot](me, gateways, lambda s, now: True, lambda s: True) for me in range(gateways)
-    ]
+    reaches = [Reach[Spot](me, gateways) for me in range(gateways)]
 
     def tell() -> None:
         for one in reaches:
--- a/sailhitch/policy/health.py
+++ b/sailhitch/policy/health.py
@@ -87,7 +87,7 @@
             return
         # Danger: one that was sent little, as after a shun, has received little. That is no sign of
         # what it can take, and a rate cut to it takes many times its saddle to come back.
-        fair = self.overload.fleet.measured(now) / max(1, sum(map(len, self.roster.reach.near)))
+        fair = self.overload.fleet.measured(now) / max(1, self.roster.reach.size())
         r0 = max(rate.measured(now), FAIR_SHARE * fair, 1e6 / RATE_TAU)
         if rate.srate != math.inf and rate.srate < r0:
             return
--- a/sailhitch/policy/roster.py
+++ b/sailhitch/policy/roster.py
@@ -32,7 +32,7 @@
         self.servers: dict[str, Server] = {}
         self.warm: list[list[Server]] = []  # ready and warm: own zone, then the others
         self.cold = Slices(settings.rules)
-        self.reach: Reach[Server] = Reach(settings.me, settings.gateways, Server.able, Server.alive)
+        self.reach: Reach[Server] = Reach(settings.me, settings.gateways)
         self.key_count: dict[int, int] = {}
         self.key_total = 0
         self.keyed: dict[int, list[Server]] = {}  # rendezvous candidates, until the list changes
--- a/sailhitch/reach/reach.py
+++ b/sailhitch/reach/reach.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Final, Generic, TypeVar
 
-from .ring import Hashed, Ring, lot
+from .ring import Ranked, Ring, lot
 from .width import Width
 
-T = TypeVar("T", bound=Hashed)
+T = TypeVar("T", bound=Ranked)
 
 OWN: Final = 11 / 16  # share of the reach that is in the own zone; the rest can take what spills
 REVIEW: Final = 500_000  # us after which the reach is looked at again, if nothing happens
@@ -18,19 +18,15 @@
 class Reach(Generic[T]):
     """A part of the servers that this gateway uses, and whom it takes in place of those that fail.
 
-    `able` tells of a server whether it can take requests now, `alive` whether it does anything at
-    all. What is dead is replaced one for one, however much of it there is. What is full is replaced
+    What is dead is replaced one for one, however much of it there is. What is full is replaced
     up to the reach's own width: where all are full, more of them would only mean more connections.
     """
 
-    def __init__(
-        self, me: int, gateways: int, able: Callable[[T, int], bool], alive: Callable[[T], bool]
-    ) -> None:
-        self.able, self.alive = able, alive
+    def __init__(self, me: int, gateways: int) -> None:
         self.adopt(me, gateways)
-        self.own: list[T] = []  # all, as this gateway goes through them
-        self.others: list[T] = []
-        self.near: tuple[list[T], list[T]] = ([], [])  # those in reach: own zone, then others
+        self.servers: tuple[list[T], list[T]] = ([], [])  # all: own zone, then others, as they came
+        self.turned: tuple[list[T], list[T]] | None = None  # as this gateway goes through them
+        self.near = self.servers  # those in reach
         self.review_at = 0
         self.changes = self.wide = 0  # servers that came into reach; times it was wider than wanted
 
@@ -43,13 +39,7 @@
 
     def sort(self, own: list[T], others: list[T]) -> None:
         """The servers that there are from now on, in any order."""
-        self.own, self.others = (
-            ring.turn(sorted(servers, key=lambda server: server.hash))
-            for ring, servers in zip(self.rings, (own, others), strict=True)
-        )
-        if self.whole or self.width.wanted(len(own) + len(others)) >= len(own) + len(others):
-            # As they came: with a view of all of them nothing is to differ from having no reach.
-            self.own, self.others = own, others
+        self.servers, self.turned = (own, others), None
         self.review_at = 0
 
     def look(self, now: int) -> tuple[list[T], list[T]]:
@@ -58,18 +48,26 @@
             self._review(now)
         return self.near
 
+    def size(self) -> int:
+        """How many are in reach."""
+        return len(self.near[0]) + len(self.near[1])
+
     def told(self) -> dict[str, int]:
         """Figures for the log: how many are in reach, and what has changed so far."""
-        return {"reach": sum(map(len, self.near)), "wide": self.wide, "changes": self.changes}
+        return {"reach": self.size(), "wide": self.wide, "changes": self.changes}
 
     def _review(self, now: int) -> None:
         self.review_at = now + REVIEW
-        own, others = self.own, self.others
-        size = len(own) + len(others)
+        size = sum(map(len, self.servers))
         wanted = size if self.whole else self.width.wanted(size)
         if wanted >= size:
-            self.near = own, others
+            # As they came: with a view of all of them nothing is to differ from having no reach.
+            self.near = self.turned or self.servers
             return
+        if self.turned is None:
+            own, others = self.servers
+            self.turned = self.rings[0].turn(own), self.rings[1].turn(others)
+        own, others = self.turned
         quota = max(math.ceil(wanted * OWN), wanted - len(others))
         mine, found = self._take(own, quota, now)
         rest, more = self._take(others, wanted - found, now)
@@ -77,8 +75,8 @@
             mine, _ = self._take(own, wanted - more, now)
         before = {server.hash for part in self.near for server in part}
         self.changes += sum(server.hash not in before for server in [*mine, *rest])
-        self.wide += len(mine) + len(rest) > wanted
         self.near = mine, rest
+        self.wide += self.size() > wanted
 
     def _take(self, servers: Iterable[T], quota: int, now: int) -> tuple[list[T], int]:
         """The first of them, so many that `quota` are able; and how many are."""
@@ -88,8 +86,8 @@
             if able >= quota or full >= quota:
                 break
             taken.append(server)
-            if self.able(server, now):
+            if server.able(now):
                 able += 1
-            elif self.alive(server):
+            elif server.alive():
                 full += 1
         return taken, able
--- a/sailhitch/reach/ring.py
+++ b/sailhitch/reach/ring.py
@@ -16,11 +16,18 @@
 DRIFT: Final = 4
 
 
-class Hashed(Protocol):
-    """A server; `hash` is the same at every gateway."""
+class Ranked(Protocol):
+    """A server, as reach knows it."""
 
     @property
-    def hash(self) -> int: ...
+    def hash(self) -> int:
+        """The same at every gateway; the order of all servers."""
+
+    def able(self, now: int) -> bool:
+        """Whether it takes requests now, as far as is known."""
+
+    def alive(self) -> bool:
+        """Whether it does anything at all, as far as is known."""
 
 
 def lot(number: int) -> float:
@@ -38,7 +45,7 @@
     return place
 
 
-T = TypeVar("T", bound=Hashed)
+T = TypeVar("T", bound=Ranked)
 
 
 class Ring:
@@ -53,11 +60,12 @@
         self.place = place
         self.anchor: int | None = None  # hash of the server that it begins with
 
-    def turn(self, ordered: Sequence[T]) -> list[T]:
-        """All of them, from this gateway's first on; `ordered` is by hash."""
-        size = len(ordered)
+    def turn(self, servers: Sequence[T]) -> list[T]:
+        """All of them in the order of their hashes, from this gateway's first on."""
+        size = len(servers)
         if not size:
             return []
+        ordered = sorted(servers, key=lambda server: server.hash)
         ideal = int(self.place * size)
         start = ideal
         if self.anchor is not None:
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -28,20 +28,22 @@
     full: bool = field(default=False)
     dead: bool = field(default=False)
 
+    def able(self, now: int) -> bool:
+        return not (self.full or self.dead)
+
+    def alive(self) -> bool:
+        return not self.dead
+
 
 def spots(count: int, seed: int = 1) -> list[Spot]:
     draws = random.Random(seed)
     return [Spot(draws.getrandbits(64)) for _ in range(count)]
 
 
-def reach(me: int, gateways: int) -> Reach[Spot]:
-    return Reach(me, gateways, lambda s, now: not (s.full or s.dead), lambda s: not s.dead)
-
-
 def tier(
     numbers: range, gateways: int, own: list[Spot], others: list[Spot] | None = None
 ) -> list[Reach[Spot]]:
-    found = [reach(me, gateways) for me in numbers]
+    found: list[Reach[Spot]] = [Reach(me, gateways) for me in numbers]
     for one in found:
         one.sort(own, others or [])
         one.look(0)
@@ -130,7 +132,7 @@
     for bad in before[2:8]:
         setattr(bad, sign, True)
     one.review_at = 0  # as the module says when it shuns or rests one
-    able = [s for s in one.look(1)[0] if one.able(s, 1)]
+    able = [s for s in one.look(1)[0] if s.able(1)]
     assert len(able) == len(before)
     for bad in before:
         setattr(bad, sign, False)
@@ -158,7 +160,7 @@
     me: int, gateways: int
 ) -> None:
     own, others = spots(12), spots(30, 2)
-    one = reach(me, gateways)
+    one: Reach[Spot] = Reach(me, gateways)
     one.sort(own, others)
     near = one.look(0)
     assert near[0] is own
@@ -188,6 +190,19 @@
     assert width.wanted(145) == usual
 
 
+def test_a_gateway_whose_traffic_falls_off_begins_at_its_own_place() -> None:
+    there = spots(145)
+    near = []
+    for me in (1, 2):
+        one: Reach[Spot] = Reach(me, 214)
+        one.width.peak = 1e6
+        one.sort(there, [])
+        assert len(one.look(0)[0]) == 145
+        one.width.peak = 0.0  # with no news of the list since
+        near.append({s.hash for s in one.look(S)[0]})
+    assert not near[0] & near[1]
+
+
 def test_a_ring_keeps_its_first_until_that_has_drifted() -> None:
     there = sorted(spots(100), key=lambda s: s.hash)
     ring = Ring(0.5)
