Ask in one place whether the fleet is limited, and hand the backlog plain calls

Found on reading the change once more: comeback compared the fleet's rate itself beside limited(), which says it; each look at the backlog made a function only to add the time that its twin, place, is handed; the adapter checked fields by a tuple that nobody takes.

--- a/sailhitch/adapter.py
+++ b/sailhitch/adapter.py
@@ -356,11 +356,14 @@
 
     def _pong(self, gateway: Gateway, parts: list[str]) -> None:
         """A probe's finding is none of the module's: none are sent, as answers report the same."""
-        _word("code", parts[3], CODES), _optional("lag", parts[4]), _load("load", parts[5])
+        _word("code", parts[3], CODES)
+        _optional("lag", parts[4])
+        _load("load", parts[5])
 
     def _peer_data(self, gateway: Gateway, parts: list[str]) -> None:
         """Word from another gateway. None is sent or used: each decides by what it saw itself."""
-        _whole("src", parts[2]), _bytes("octets", parts[3])
+        _whole("src", parts[2])
+        _bytes("octets", parts[3])
 
 
 def main(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
--- a/sailhitch/policy/backlog.py
+++ b/sailhitch/policy/backlog.py
@@ -35,7 +35,7 @@
         self.look_at = min(now + HOLD_STEP, max(now + 1, self.heap[0][0]))
         return self.look_at
 
-    def drain(self, now: int, give_up: Callable[[Request], None],
+    def drain(self, now: int, give_up: Callable[[int, Request], None],
               place: Callable[[int, Request], bool]) -> None:  # fmt: skip
         """Place held requests as tokens return."""
         back: list[tuple[int, int, Request]] = []
@@ -46,7 +46,7 @@
             if request.id not in self.live:
                 continue
             if now >= request.hold_until:
-                give_up(request)
+                give_up(now, request)
             elif not place(now, request):
                 back.append(entry)
         for entry in back:
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -281,7 +281,7 @@
         self._arm_drain(now)
 
     def _drain(self, now: int) -> None:
-        self.backlog.drain(now, lambda request: self._expired(now, request), self._place)
+        self.backlog.drain(now, self._expired, self._place)
         self._arm_drain(now)
 
     def _expired(self, now: int, request: Request) -> None:
--- a/sailhitch/policy/overload.py
+++ b/sailhitch/policy/overload.py
@@ -86,7 +86,7 @@
     def comeback(self, now: int) -> int:
         """In how long a refused client finds room: when the fleet takes R0 again, or later."""
         most = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0
-        room = self.fleet.t_cut + self.fleet_saddle - now if self.fleet.srate != math.inf else 0
+        room = self.fleet.t_cut + self.fleet_saddle - now if self.limited() else 0
         soonest = min(most, max(room, most // 4))
         return soonest + int(self.random.random() * (most - soonest))
 
