Leave to the tests' profile what it says for all of them

Found on reading the change once more: six tests still turned off the deadline or fixed their examples by themselves, which tests/conftest.py does for all. No assertion is touched.

--- a/tests/test_front_door.py
+++ b/tests/test_front_door.py
@@ -492,7 +492,7 @@
 ]
 
 
-@settings(max_examples=150, deadline=None, derandomize=True)
+@settings(max_examples=150)
 @given(
     st.lists(
         st.tuples(st.integers(0, len(EVENTS) - 1), st.integers(0, 60), st.integers(0, 30)),
--- a/tests/test_operator_file.py
+++ b/tests/test_operator_file.py
@@ -129,7 +129,7 @@
         load_file("/dev/zero")
 
 
-@settings(max_examples=60, deadline=None)
+@settings(max_examples=60)
 @given(values())
 def test_a_state_says_all_that_the_file_says(value: dict[str, object]) -> None:
     made = parse_value(value)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -65,7 +65,7 @@
         assert reply.status == status
 
 
-@settings(max_examples=200, deadline=None)
+@settings(max_examples=200)
 @given(st.binary(max_size=300), st.integers(0, 3))
 def test_whatever_comes_is_read_or_refused(noise: bytes, lines: int) -> None:
     start = b"POST /maintenance/enter?target=x HTTP/1.1\r\nContent-Length: 3\r\n"
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -33,7 +33,7 @@
 B = from_file(parse_text(FILE.replace("claims = 0.95, next = 0.05", "claims = 0.5, next = 0.5")))
 
 
-@settings(max_examples=150, deadline=None)
+@settings(max_examples=150)
 @given(values(), values())
 def test_plans_lead_from_any_state_to_any_other_and_back(
     one: dict[str, Any], other: dict[str, Any]
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -161,8 +161,6 @@
 @given(steps=st.lists(STEP, max_size=60), duplicates=st.booleans(), ask=st.booleans())
 @settings(
     max_examples=200,
-    derandomize=True,
-    deadline=None,
     database=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -126,7 +126,7 @@
     )  # fmt: skip
 
 
-@settings(max_examples=400, deadline=None)
+@settings(max_examples=400)
 @given(st.lists(matches, max_size=8), st.lists(requests, min_size=1, max_size=10))
 def test_the_lookup_finds_what_a_search_finds_and_ties_are_all_told(
     some: list[Match], asked: list[Asked]
