--- a/benchmarks/apply.py
+++ b/benchmarks/apply.py
@@ -27,7 +27,8 @@
 from sailhitch.daemon.state import from_file
 from sailhitch.lab.load import Load
 from sailhitch.lab.node import Memory, Node
-from tests.daemons import Outside, file_text, file_value, free_port, part
+from sailhitch.lab.ports import free_port
+from tests.daemons import Outside, file_text, file_value, part
 
 SECONDS = 8.0
 
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -28,7 +28,8 @@
 from sailhitch.lab.crowd import dial  # noqa: E402
 from sailhitch.lab.message import platform  # noqa: E402
 from sailhitch.lab.node import Node  # noqa: E402
-from tests.sockets import Registry, config_value, free_port, process  # noqa: E402
+from sailhitch.lab.ports import free_port  # noqa: E402
+from tests.sockets import Registry, config_value, process  # noqa: E402
 
 CONNECTIONS, NODES, SIZE = 32, 4, 1024
 
--- a/benchmarks/tier_cpu.py
+++ b/benchmarks/tier_cpu.py
@@ -19,7 +19,9 @@
 
 from sailhitch.lab.crowd import dial
 from sailhitch.lab.message import build
-from sailhitch.lab.tier import Gateway, Lab, Scenario, free_port
+from sailhitch.lab.ports import free_port
+from sailhitch.lab.scenario import Scenario
+from sailhitch.lab.tier import Gateway, Lab
 
 TICK = os.sysconf("SC_CLK_TCK")
 
--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -148,6 +148,8 @@
                 return await tier.withdraw()
             if act == "gone":
                 return await tier.gone(str(request.get("name", "")))
+            if act == "join":
+                return await tier.join(str(request.get("name", "")), str(request.get("place", "")))
         except ApplyError as error:
             return _error(FAILED, str(error))
         return _error(BAD, f"act: not known: {str(act)[:40]!r}")
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -92,8 +92,9 @@
     _add_wait(apply)
     command("history", _history, "print the states that have held")
     tier = command("tier", _tier, "what the gateways of a tier agree on, and whom a change awaits")
-    tier.add_argument("act", choices=("status", "members", "history", "withdraw", "gone"))
-    tier.add_argument("name", metavar="MEMBER", nargs="?", help="whom `gone` is said of")
+    tier.add_argument("act", choices=("status", "members", "history", "withdraw", "gone", "join"))
+    tier.add_argument("name", metavar="MEMBER", nargs="?", help="whom `gone` or `join` is said of")
+    tier.add_argument("place", metavar="HOST:PORT", nargs="?", help="where `join` has it be found")
     lab = command("lab", _lab, "play a scenario with real processes; exits 1 on a broken promise")
     lab.add_argument("kind", choices=("tier",))
     lab.add_argument("files", metavar="FILE", nargs="+", help="scenarios, as those in deploy/lab")
@@ -258,12 +259,15 @@
 
 
 def _tier(options: argparse.Namespace) -> int:
-    if (options.act == "gone") != (options.name is not None):
-        raise CommandError("tier: `gone` takes the name of a member, and no other act does")
+    if (options.act in ("gone", "join")) != (options.name is not None):
+        raise CommandError("tier: `gone` and `join` take the name of a member, other acts none")
+    if (options.act == "join") != (options.place is not None):
+        raise CommandError("tier: `join` takes MEMBER and HOST:PORT, other acts no address")
     if options.act == "history":
         return _history(options)
     act = "status" if options.act == "members" else options.act
-    answer = _asked(options, None, {"op": "tier", "act": act, "name": options.name})
+    asked = {"op": "tier", "act": act, "name": options.name, "place": options.place}
+    answer = _asked(options, None, asked)
     if options.json:
         print(json.dumps(answer))
     elif options.act == "status":
@@ -273,6 +277,8 @@
             print(_member(one))
     elif options.act == "withdraw":
         print(f"serial {answer['withdrawn']} is withdrawn")
+    elif options.act == "join":
+        print(f"{answer['joins']} is looked for at {answer['place']}; it joins by itself")
     else:
         print(f"{answer['gone']} is waited for no more; it joins by itself if it comes back")
     return CHANGES if options.act == "status" and answer.get("pending") else DONE
@@ -299,14 +305,19 @@
     heard = "never heard" if age is None else f"heard {age / 1e6:.1f} s ago"
     marks = " voter" * one["voter"] + " not in the roster" * (not one["inside"])
     trouble = f": {one['trouble']}" if one["trouble"] else ""
-    return f"  {one['name']}{marks}, confirmed turn {one['confirmed']}, {heard}{trouble}"
+    place = f" at {one['place']}" if one["place"] else ""
+    health = f", {one['health']}" if one["health"] != "alive" else ""
+    told = f"confirmed turn {one['confirmed']}, {heard}{health}"
+    return f"  {one['name']}{marks}{place}, {told}{trouble}"
 
 
 def _lab(options: argparse.Namespace) -> int:
     # An extra of its own, and nothing that a gateway loads.
     import asyncio
 
-    from ..lab.tier import ScenarioError, load_scenario, play, table
+    from ..lab.judge import table
+    from ..lab.scenario import ScenarioError, load_scenario
+    from ..lab.tier import play
 
     bad = 0
     for file in options.files:
--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -22,6 +22,7 @@
 from ..tier.forms import Act, Acting, Done, Effect, Keep, Message, Send, Tell
 from ..tier.member import Founding, Member, Standing, Terms
 from ..tier.wire import Keys, Wire
+from .places import address_of
 
 BEAT: Final = 0.1  # s
 LATE: Final = 5.0  # s between two lines about datagrams that were refused
@@ -52,6 +53,7 @@
         self.member: Member | None = None
         self.mute = ""  # why it says nothing in the tier any more
         self.sent_bytes = self.sent = 0
+        self._places: dict[str, Address] = {}  # addresses by their text in the roster
         self._effects: deque[Effect] = deque()
         self._writing: asyncio.Task[None] | None = None
         self._waiters: dict[int, asyncio.Future[Done]] = {}
@@ -132,14 +134,24 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         envelope = self.wire.open(data)
-        # Whoever has the key may say so from anywhere; answers go to where the file says.
-        if envelope is None or envelope.sender not in self.addresses or self.member is None:
+        # Whoever has the key may say so from anywhere; answers go to where file or roster says.
+        if envelope is None or self.member is None or self._address(envelope.sender) is None:
             return
         self.member.heard(envelope.sender, envelope.message, steady())
         self._pump()
 
+    def _address(self, name: str) -> Address | None:
+        """Where a member is; what the tier has agreed on goes before the file."""
+        place = None if self.member is None else self.member.roster.places.get(name)
+        if place is None:
+            return self.addresses.get(name)
+        address = self._places.get(place)
+        if address is None:
+            address = self._places[place] = address_of(place)
+        return address
+
     def _send(self, to: str, message: Message) -> None:
-        address = self.addresses.get(to)
+        address = self._address(to)
         if address is None or self._transport is None or self._transport.is_closing():
             return
         data = self.wire.seal(to, message)
--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -35,6 +35,7 @@
 UNITS: Final = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
 LONGEST: Final = 24 * UNITS["h"]
 VERSION: Final = 1
+MOST_MEMBERS: Final = 300  # of a tier
 SHORTEST_LEASE: Final = 1_000_000  # several questions to the voters fit in, and a slow disk
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
@@ -47,7 +48,7 @@
         self.problems = problems
 
 
-def _duration(value: Any) -> int:
+def read_duration(value: Any) -> int:
     """Microseconds of a text such as "2.5s" or "250ms"."""
     found = re.fullmatch(r"(\d{1,9}(?:\.\d{1,6})?)\s*(us|ms|s|m|h)", value.strip()) if isinstance(
         value, str
@@ -103,7 +104,7 @@
     raise AssertionError
 
 
-Duration = Annotated[int, BeforeValidator(_duration), PlainSerializer(say_duration)]
+Duration = Annotated[int, BeforeValidator(read_duration), PlainSerializer(say_duration)]
 Name = Annotated[str, AfterValidator(_name)]
 Listen = Annotated[str, AfterValidator(_address)]
 Weight = Annotated[float, Field(gt=0, le=1e6, allow_inf_nan=False)]
@@ -224,7 +225,7 @@
     """The tier that this gateway is of. Fixed for the life of the process."""
 
     name: Name
-    members: Annotated[list[TierMemberPart], Field(min_length=1, max_length=300)]
+    members: Annotated[list[TierMemberPart], Field(min_length=1, max_length=MOST_MEMBERS)]
     voters: Annotated[list[str], Field(min_length=1, max_length=7)]
     key_file: str
     agree_within: Duration = 10_000_000
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -14,11 +14,13 @@
 from pathlib import Path
 from typing import Any, Final
 
+from pydantic import ValidationError
+
 from ..core.exchange import Attempt
 from ..core.log import Log
 from ..core.terms import Answer
 from ..settings import SAFE
-from ..tier.forms import Acting, Done, End, Version
+from ..tier.forms import Acting, Done, End, Head, Version
 from ..tier.member import Founding, Member, Standing, Terms
 from ..tier.wire import Keys
 from .intake import come_back
@@ -27,7 +29,7 @@
 from .places import address_of
 from .plan import MovedError, PlanError, check_base, load_plan
 from .rules import contradictions, meet
-from .schema import OperatorFile, TierPart
+from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart
 from .source import StillPendingError, find
 from .state import State, banned, canonical, from_file
 from .store import Applied, Store
@@ -37,6 +39,13 @@
 LEAVING: Final = 1.0  # s that a drain gives to leaving
 
 
+def _check_same(base: Applied, head: Head) -> None:
+    """Raises MovedError where something else is active than what was asked from, or is pending."""
+    if head.active.serial != base.serial or head.pending is not None:
+        pending = None if head.pending is None else head.pending.serial
+        raise MovedError(base.serial, head.active.serial, pending)
+
+
 class Tiered:
     """The source of a daemon whose file has a `[tier]`."""
 
@@ -206,8 +215,8 @@
         )
 
     async def apply_plan(self, text: str, by: str) -> Applied:
-        plan, state = await asyncio.to_thread(self._read_plan, text)
-        return await self._propose(state, by) if plan.changes else self._base
+        _, state = await asyncio.to_thread(self._read_plan, text)
+        return await self._propose(state, by)
 
     def _read_plan(self, text: str) -> tuple[Any, State]:
         plan, base = load_plan(text), self._base
@@ -237,11 +246,8 @@
 
         done = await self._decided(ask)
         head = done.head
-        if done.end is End.STALE:
-            raise MovedError(base.serial, head.active.serial)
-        if done.end is End.BUSY:
-            assert head.pending is not None
-            raise MovedError(base.serial, head.active.serial, head.pending.serial)
+        if done.end in (End.STALE, End.BUSY):
+            _check_same(base, head)
         version = head.active if done.end is End.ACTIVE else head.pending
         assert version is not None
         return await self._wait_for(version)
@@ -290,23 +296,44 @@
     async def gone(self, name: str) -> dict[str, Any]:
         """Have changes wait for a member no more; raises ApplyError where it was heard lately."""
         member = self.link.member
-        if member is None or name not in member.roster.inside:
-            raise ApplyError(f"{name!r}: not in the roster; `sailhitch tier members` shows it")
-        if name == self.live.gateway.name:
-            raise ApplyError(f"{name!r}: is the gateway that you ask, and surely not dead")
-        seen, now = member.crew.seen.get(name), steady()
-        # One of which nothing was heard since this gateway started may have been heard before.
-        age = now - (member.since if seen is None else seen)
-        if age < self.part.agree_within:
-            raise ApplyError(
-                f"{name!r}: a sign of life came {age / 1e6:.1f} s ago, and `gone` is for one that "
-                f"gave none for {self.part.agree_within / 1e6:g} s: end its process first"
-            )
+        if member is None:
+            raise ApplyError("this gateway has not heard what holds yet; try again")
+        why = member.why_not_gone(name, self.part.agree_within, steady())
+        if why:
+            raise ApplyError(f"{name!r}: {why}")
         done = await self._decided(lambda m: m.put_out(name))
         if done.end is not End.ACTIVE:
             raise ApplyError("the roster has changed meanwhile; look again")
         return {"ok": True, "gone": name}
 
+    async def join(self, name: str, place: str) -> dict[str, Any]:
+        """Have all know where a member is to be found; raises ApplyError.
+
+        Refused of one that is there: two processes under one name would both stand back.
+        """
+        try:
+            TierMemberPart(name=name, address=place)
+        except ValidationError as error:
+            first = error.errors()[0]
+            raise ApplyError(f"tier.join: {first['loc'][0]}: {first['msg']}") from None
+        member = self.link.member
+        if member is None or not member.settled():
+            raise ApplyError("this gateway has not heard what holds yet; try again")
+        known = {*member.terms.peers, *member.roster.places}
+        why = member.why_not_admitted(name)
+        if why:
+            raise ApplyError(f"{name!r}: {why}")
+        if name not in known and len(known) >= MOST_MEMBERS:
+            raise ApplyError(f"a tier has {MOST_MEMBERS} members at most")
+        taken = {place: one for one, place in member.roster.places.items()}
+        taken |= {f"{host}:{port}": one for one, (host, port) in self.link.addresses.items()}
+        if taken.get(place, name) != name:
+            raise ApplyError(f"{place}: is where {taken[place]!r} is")
+        done = await self._decided(lambda m: m.admit(name, place))
+        if done.end is not End.ACTIVE:
+            raise ApplyError("the roster has changed meanwhile; look again")
+        return {"ok": True, "joins": name, "place": place}
+
     def status(self) -> dict[str, Any]:
         """What `tier status` shows."""
         member = self.link.member
--- /dev/null
+++ b/sailhitch/lab/scenario.py
@@ -0,0 +1,95 @@
+"""Scenarios of a tier as data: a TOML file of steps, checked with the field that is wrong."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+
+class ScenarioError(ValueError):
+    """A scenario file can't be used; the text has a line for each thing wrong."""
+
+
+class _Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class StepPart(_Part):
+    """Something that happens once the one before it is done, and not before `at` (s).
+
+    `await` is done when all commands have ended; `agree` when all gateways that run, or those in
+    `who`, are in and act by the same turn, with nothing pending, and all voters among them vote
+    (one whose disk was lost is mended by the others first); `dead` when those in `who` take all in
+    `to` for dead.
+    """
+
+    at: Annotated[float, Field(ge=0, le=600)]
+    do: Literal[
+        "ban", "unban", "drop", "weigh", "withdraw", "gone", "pause", "wake", "kill", "start",
+        "stop", "cut", "heal", "loss", "delay", "double", "garble", "replay", "copy_disk",
+        "old_disk", "lost_disk", "full_disk", "await", "agree", "dead", "join", "reroute",
+    ]  # fmt: skip
+    who: list[str] = []  # gateways
+    # Of a cut: whom they are not heard by any more; nobody named: everybody. Of `join`: who joins.
+    to: list[str] = []
+    node: str = ""
+    value: float = 0.0
+    ends: Literal["active", "pending", "stale", "refused", ""] = ""  # what the command must say
+
+
+class Scenario(_Part):
+    """What is played."""
+
+    name: str
+    promise: str = ""
+    gateways: Annotated[int, Field(ge=1, le=25)] = 3
+    voters: Annotated[int, Field(ge=1, le=7)] = 3
+    late: list[str] = []  # gateways that no other's file has, started by a step
+    nodes: Annotated[int, Field(ge=1, le=20)] = 4
+    spare: Annotated[int, Field(ge=0, le=19)] = 0  # the last so many nodes are a pool of their own
+    clients: Annotated[int, Field(ge=0, le=20)] = 3
+    lease: str | None = None
+    agree_within: str = "4s"
+    compares: bool = False  # whether nodes refuse what was sent under older rules
+    seconds: Annotated[float, Field(gt=0, le=600)] = 8.0
+    served: Annotated[float, Field(ge=0, le=1)] = 0.0  # least part of each running gateway's
+    seed: int = 1
+    steps: list[StepPart] = []
+
+    def names(self) -> list[str]:
+        """The gateways."""
+        return [f"g{i + 1}" for i in range(self.gateways)]
+
+    def spares(self) -> list[str]:
+        """Nodes of the second pool, to which `reroute` with a value leads payouts."""
+        return [f"n{i + 1}" for i in range(self.nodes - self.spare, self.nodes)]
+
+
+def load_scenario(path: str | Path) -> Scenario:
+    """Read a scenario; raises ScenarioError."""
+    try:
+        value = tomllib.loads(Path(path).read_text())
+        made = Scenario.model_validate(value)
+    except OSError as error:
+        raise ScenarioError(f"{path}: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{path}: {error}") from None
+    except ValidationError as error:
+        said = [f"{path}: {_where(one['loc'])}: {one['msg']}" for one in error.errors()]
+        raise ScenarioError("\n".join(said)) from None
+    names = made.names()
+    for who in made.late:
+        if who not in names or who in names[: made.voters]:
+            raise ScenarioError(f"{path}: late: {who!r} is no gateway, or one of the voters")
+    for i, step in enumerate(made.steps):
+        for who in (*step.who, *step.to):
+            if who not in names:
+                raise ScenarioError(f"{path}: steps[{i}]: no gateway is called {who!r}")
+    return made
+
+
+def _where(loc: tuple[int | str, ...]) -> str:
+    return "".join(f"[{one}]" if isinstance(one, int) else f".{one}" for one in loc).lstrip(".")
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -1,17 +1,15 @@
 """A tier of real processes on loopback, with faults between them by a script.
 
 Daemons of their own, stand-in nodes in this process, a relay on each link between two daemons, and
-clients at each daemon. `play` carries out a scenario (`deploy/lab/*.toml`) and judges by the nodes'
-own logs and by what the operators' commands said, never by what a daemon says of itself.
+clients at each daemon. `play` carries out a scenario (`deploy/lab/*.toml`) and has it judged.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import itertools
 import os
-import random
+import resource
 import secrets
 import shutil
 import signal
@@ -19,140 +17,28 @@
 import sys
 import tempfile
 import time
-import tomllib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Annotated, Any, Final, Literal
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from typing import Any, Final
 
 from ..daemon.admin import AdminError, ask
 from ..daemon.plan import make_plan
 from ..daemon.schema import parse_value
 from .files import toml_text
-from .load import LOST, MIX, REFUSED, SERVED, Load
-from .node import Effect, Memory, Node, doubled
+from .judge import Judge, Result, Told
+from .load import MIX, Load
+from .node import Memory, Node
+from .ports import free_port
 from .relay import Relay
+from .scenario import Scenario, ScenarioError, StepPart
 
 START: Final = 20.0  # s for daemons to find each other
-PORTS: Final = (12_000, 32_000)  # below those that the system gives away (ip(7))
-ALLOWED: Final = 0.25  # s after a command has said "active": what was on its way may still come
 # Steps that set what all links do, and by which of a relay's rates.
 LINKS: Final = {
     "loss": "loss", "delay": "delay", "double": "doubled", "garble": "garbled",
     "replay": "replayed",
 }  # fmt: skip
 Say = Callable[[str], None]
-_given: set[int] = set()
-
-
-class ScenarioError(ValueError):
-    """A scenario file can't be used; the text has a line for each thing wrong."""
-
-
-class _Part(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
-
-
-class StepPart(_Part):
-    """Something that happens once the one before it is done, and not before `at` (s).
-
-    `await` is done when all commands have ended, `agree` when all gateways that run, or those in
-    `who`, are in and act by the same turn, with nothing pending.
-    """
-
-    at: Annotated[float, Field(ge=0, le=600)]
-    do: Literal[
-        "ban", "unban", "drop", "weigh", "withdraw", "gone", "pause", "wake", "kill", "start",
-        "stop", "cut", "heal", "loss", "delay", "double", "garble", "replay", "copy_disk",
-        "old_disk", "lost_disk", "await", "agree",
-    ]  # fmt: skip
-    who: list[str] = []  # gateways
-    to: list[str] = []  # of a cut: whom they are not heard by any more; nobody named: everybody
-    node: str = ""
-    value: float = 0.0
-    ends: Literal["active", "pending", "stale", "refused", ""] = ""  # what the command must say
-
-
-class Scenario(_Part):
-    """What is played."""
-
-    name: str
-    promise: str = ""
-    gateways: Annotated[int, Field(ge=1, le=25)] = 3
-    voters: Annotated[int, Field(ge=1, le=7)] = 3
-    nodes: Annotated[int, Field(ge=1, le=20)] = 4
-    clients: Annotated[int, Field(ge=0, le=20)] = 3
-    lease: str | None = None
-    agree_within: str = "4s"
-    compares: bool = False  # whether nodes refuse what was sent under older rules
-    seconds: Annotated[float, Field(gt=0, le=600)] = 8.0
-    served: Annotated[float, Field(ge=0, le=1)] = 0.0  # least part of each running gateway's
-    seed: int = 1
-    steps: list[StepPart] = []
-
-
-def load_scenario(path: str | Path) -> Scenario:
-    """Read a scenario; raises ScenarioError."""
-    try:
-        value = tomllib.loads(Path(path).read_text())
-        made = Scenario.model_validate(value)
-    except OSError as error:
-        raise ScenarioError(f"{path}: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{path}: {error}") from None
-    except ValidationError as error:
-        said = [f"{path}: {_where(one['loc'])}: {one['msg']}" for one in error.errors()]
-        raise ScenarioError("\n".join(said)) from None
-    names = {f"g{i + 1}" for i in range(made.gateways)}
-    for i, step in enumerate(made.steps):
-        for who in (*step.who, *step.to):
-            if who not in names:
-                raise ScenarioError(f"{path}: steps[{i}]: no gateway is called {who!r}")
-    return made
-
-
-def _where(loc: tuple[int | str, ...]) -> str:
-    return "".join(f"[{one}]" if isinstance(one, int) else f".{one}" for one in loc).lstrip(".")
-
-
-@dataclass
-class Told:
-    """What a command said, and when: seconds of the loop's clock."""
-
-    step: StepPart
-    asked: float
-    ended: float
-    end: str
-    text: str
-
-
-@dataclass
-class Result:
-    """What a play came to; `broken` has a line for each promise that was."""
-
-    scenario: Scenario
-    told: list[Told] = field(default_factory=list)
-    broken: list[str] = field(default_factory=list)
-    ends: dict[str, dict[str, int]] = field(default_factory=dict)  # of requests, by gateway
-    gap: dict[str, float] = field(
-        default_factory=dict
-    )  # longest without a payout served, by gateway
-    late: float = 0.0  # how long a contradiction lasted, by the nodes' logs
-
-    def as_json(self) -> dict[str, Any]:
-        return {
-            "name": self.scenario.name, "broken": self.broken, "requests": self.ends,
-            "longest_gap": self.gap, "contradiction": self.late,
-            "commands": [
-                {
-                    "do": one.step.do, "who": one.step.who, "node": one.step.node, "end": one.end,
-                    "took": round(one.ended - one.asked, 3), "text": one.text,
-                }
-                for one in self.told
-            ],
-        }  # fmt: skip
 
 
 class Gateway:
@@ -219,7 +105,7 @@
 
     def __init__(self, scenario: Scenario, folder: Path, say: Say) -> None:
         self.scenario, self.folder, self.say = scenario, folder, say
-        self.names = [f"g{i + 1}" for i in range(scenario.gateways)]
+        self.names = scenario.names()
         self.nodes = {f"n{i + 1}": Node(0.002) for i in range(scenario.nodes)}
         self.gateways: dict[str, Gateway] = {}
         self.relays: dict[tuple[str, str], Relay] = {}
@@ -251,25 +137,33 @@
             value = self._file(name, ports, port, keys, folder)
             parse_value(value)  # a wrong file is better found here than in three logs
             self.gateways[name] = Gateway(name, folder, value, port)
-        await asyncio.gather(*(one.start() for one in self.gateways.values()))
+        first = [one for name, one in self.gateways.items() if name not in scenario.late]
+        await asyncio.gather(*(one.start() for one in first))
         await self._until("all members are in", self._all_in)
         now = asyncio.get_running_loop().time()
-        for gateway in self.gateways.values():
+        for gateway in first:
             gateway.back(now)
 
     def _file(
         self, name: str, ports: Mapping[str, int], port: int, keys: Path, folder: Path
     ) -> dict[str, Any]:
         """A member's operator file; others are reached by the relays of its own links."""
-        at = {b: ports[b] if b == name else self.relays[name, b].port for b in self.names}
+        at = {
+            b: ports[b] if b == name else self.relays[name, b].port
+            for b in self.names if b == name or b not in self.scenario.late
+        }  # fmt: skip
         tier: dict[str, Any] = {
             "name": "lab", "key_file": str(keys), "agree_within": self.scenario.agree_within,
-            "members": [{"name": n, "address": f"127.0.0.1:{at[n]}"} for n in self.names],
+            "members": [{"name": n, "address": f"127.0.0.1:{port}"} for n, port in at.items()],
             "voters": self.names[: self.scenario.voters],
         }  # fmt: skip
         if self.scenario.lease is not None:
             tier["lease"] = self.scenario.lease
         nodes = [{"id": i, "address": node.addr} for i, node in self.nodes.items()]
+        count = len(nodes) - self.scenario.spare
+        pools = [{"name": "claims", "nodes": nodes[:count]}]
+        if self.scenario.spare:
+            pools.append({"name": "spare", "nodes": nodes[count:]})
         return {
             "version": 1,
             "gateway": {
@@ -284,7 +178,7 @@
                 {"name": "filing", "effect": "keyed", "aim": "1s", "deadline": "2s",
                  "dedup": "pool", "window": "60s"},
             ],
-            "pools": [{"name": "claims", "nodes": nodes}],
+            "pools": pools,
             "routes": [
                 {"name": "payouts", "match": {"path_prefix": "/payouts"}, "class": "payout",
                  "pools": {"claims": 1.0}},
@@ -295,14 +189,25 @@
         }  # fmt: skip
 
     async def _all_in(self) -> bool:
-        said = await asyncio.gather(*(one.status() for one in self.gateways.values()))
+        running = [one for one in self.gateways.values() if one.runs()]
+        said = await asyncio.gather(*(one.status() for one in running))
         return all(one.get("standing") == "in" for one in said)
 
+    async def _all_tell_dead(self, step: StepPart) -> bool:
+        said = await asyncio.gather(*(self.gateways[name].status() for name in step.who))
+        dead = [
+            {m["name"] for m in one.get("members", ()) if m["health"] == "dead"} for one in said
+        ]
+        return all(set(step.to) <= one for one in dead)
+
     async def _all_agree(self, names: list[str]) -> bool:
         running = [self.gateways[name] for name in names if self.gateways[name].runs()]
         said = await asyncio.gather(*(one.status() for one in running))
         turns = {one.get("turn") for one in said}
-        good = all(one.get("standing") == "in" and one["pending"] is None for one in said)
+        good = all(
+            one.get("standing") == "in" and one["pending"] is None
+            and one["voter"] in (None, "voting") for one in said
+        )  # fmt: skip
         confirmed = all(
             member["confirmed"] == one["turn"]
             for one in said
@@ -339,11 +244,9 @@
         """Have everything happen, then judge."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        for i, (name, gateway) in enumerate(self.gateways.items()):
-            self.loads[name] = Load(
-                gateway.addr, self.scenario.clients, MIX, 0.02, self.scenario.seed + i, f"{name}-"
-            )
-            await self.loads[name].__aenter__()
+        for gateway in self.gateways.values():
+            if gateway.name not in self.scenario.late:
+                await self._ask_steadily(gateway)
         for step in self.scenario.steps:
             await asyncio.sleep(max(0.0, began + step.at - loop.time()))
             self.say(f"{step.at:6.2f} s  {step.do} {' '.join(step.who)} {step.node}".rstrip())
@@ -354,19 +257,27 @@
         for gateway in self.gateways.values():
             gateway.send(signal.SIGCONT)
         await asyncio.gather(*(load.finish() for load in self.loads.values()))
-        self._judge(began, ended)
+        Judge(self.result, self.nodes, self.gateways, self.loads).judge(began, ended)
         return self.result
 
+    async def _ask_steadily(self, gateway: Gateway) -> None:
+        """Have clients of its own ask a gateway from now on."""
+        seed, name = self.scenario.seed + self.names.index(gateway.name), gateway.name
+        load = Load(gateway.addr, self.scenario.clients, MIX, 0.02, seed, f"{name}-")
+        self.loads[name] = await load.__aenter__()
+
     async def _do(self, step: StepPart) -> None:
         chosen = [self.gateways[name] for name in step.who]
         now = asyncio.get_running_loop().time()
-        if step.do in ("ban", "unban", "drop", "weigh", "withdraw", "gone"):
+        if step.do in ("ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute"):
             loop = asyncio.get_running_loop()
             self._commands += [loop.create_task(self._command(step, one)) for one in chosen]
         elif step.do == "await":
             await asyncio.gather(*self._commands)
         elif step.do == "agree":
             await self._until("all agree", lambda: self._all_agree(step.who or self.names))
+        elif step.do == "dead":
+            await self._until(f"{step.to} told dead", lambda: self._all_tell_dead(step))
         elif step.do in ("cut", "heal"):
             self._cut(step)
         elif step.do in LINKS:
@@ -388,6 +299,10 @@
             one.out(now)
             one.restarted = True
             await one.end(signal.SIGKILL if step.do == "kill" else signal.SIGTERM)
+        elif step.do == "full_disk":
+            assert one.program is not None
+            # No file of this process can grow from here on; a restart has room again.
+            resource.prlimit(one.program.pid, resource.RLIMIT_FSIZE, (0, 0))
         elif step.do == "copy_disk":
             self._copies[one.name] = copy = self.folder / f"{one.name}-copy"
             shutil.copytree(state, copy)
@@ -398,6 +313,8 @@
         elif step.do == "start":
             await one.start()
             one.back(now + 2.0)
+            if one.name not in self.loads:
+                await self._ask_steadily(one)
 
     def _cut(self, step: StepPart) -> None:
         for (a, b), relay in self.relays.items():
@@ -419,10 +336,22 @@
         elif answer.get("code") == "moved":
             end = "stale"
         text = str(answer.get("error", ""))
-        told = Told(step, asked, loop.time(), end, text)
+        told = Told(step, gateway.name, asked, loop.time(), end, text)
         self.result.told.append(told)
         self.say(f"          {step.do} {step.node} at {gateway.name}: {end} {text}".rstrip())
 
+    async def _join(self, step: StepPart, gateway: Gateway) -> dict[str, Any]:
+        """Have the tier look for one elsewhere: a newcomer, or another machine under its name."""
+        answer: dict[str, Any] = {}
+        for name in step.to:
+            port, one = free_port(socket.SOCK_DGRAM), self.gateways[name]
+            for member in one.value["tier"]["members"]:
+                if member["name"] == name:
+                    member["address"] = f"127.0.0.1:{port}"
+            place = {"op": "tier", "act": "join", "name": name, "place": f"127.0.0.1:{port}"}
+            answer = await gateway.ask(place)
+        return answer
+
     async def _carry_out(self, step: StepPart, gateway: Gateway) -> dict[str, Any]:
         if step.do in ("ban", "unban"):
             return await gateway.ask(
@@ -430,111 +359,22 @@
             )
         if step.do in ("withdraw", "gone"):
             return await gateway.ask({"op": "tier", "act": step.do, "name": step.node})
+        if step.do == "join":
+            return await self._join(step, gateway)
         live = await gateway.ask({"op": "state"})
         nodes, key = dict(live["state"]["nodes"]), f"claims/{step.node}"
-        if step.do == "drop":
+        routes = dict(live["state"]["routes"])
+        if step.do == "reroute":
+            pool = "spare" if step.value else "claims"
+            routes["payouts"] = {**routes["payouts"], "pools": {pool: 1.0}}
+        elif step.do == "drop":
             nodes.pop(key, None)
         elif key in nodes:
             nodes[key] = {**nodes[key], "weight": step.value or 2.0}
-        wanted = {**live["state"], "nodes": nodes}
+        wanted = {**live["state"], "nodes": nodes, "routes": routes}
         plan = make_plan(live["gateway"], live["serial"], live["state"], wanted)
         return await gateway.ask({"op": "apply", "plan": plan.dump()})
 
-    # --- Judging
-
-    def _judge(self, began: float, ended: float) -> None:
-        result = self.result
-        result.broken += [
-            f"effect twice: {name.decode()}" for name in doubled([*self.nodes.values()])
-        ]
-        for told in result.told:
-            if told.step.ends and told.end != told.step.ends:
-                result.broken.append(
-                    f"{told.step.do} {told.step.node} at {' '.join(told.step.who)} ended "
-                    f"{told.end}, not {told.step.ends}: {told.text}"
-                )
-        self._judge_bans()
-        self._judge_races()
-        for name, load in self.loads.items():
-            result.ends[name] = dict(load.ends)
-            if load.wrong:
-                result.broken.append(f"{name}: {len(load.wrong)} answers were another request's")
-            self._judge_service(name, load, began, ended)
-
-    def _judge_bans(self) -> None:
-        """Nothing at a node from the time at which its ban was told as active to its end."""
-        for told in self.result.told:
-            if told.step.do not in ("ban", "drop") or told.end != "active":
-                continue
-            node = self.nodes[told.step.node]
-            over = min(
-                (one.asked for one in self.result.told
-                 if one.step.do == "unban" and one.step.node == told.step.node
-                 and one.asked > told.ended),
-                default=float("inf"),
-            )  # fmt: skip
-            late = [e for e in node.log if told.ended < e.at < over and not self._is_free(e)]
-            self.result.late = max([self.result.late, *(e.at - told.ended for e in late)])
-            wrong = [e for e in late if e.at > told.ended + ALLOWED]
-            if wrong:
-                last = wrong[-1]
-                self.result.broken.append(
-                    f"{told.step.node} got {len(wrong)} requests after its ban was active, the "
-                    f"last {last.name.decode()} {last.at - told.ended:.2f} s after, under version "
-                    f"{last.version.decode()}, {'safe' if last.safe else 'not safe'}"
-                )
-
-    def _is_free(self, effect: Effect) -> bool:
-        """Whether it is safe and of a member that was out: that serves these by what it last knew.
-
-        Out is who has started and not heard yet, and whose lease has lapsed.
-        """
-        sender = self.gateways[effect.name.decode().partition("-")[0]]
-        return effect.safe and (sender.restarted or self.scenario.lease is not None)
-
-    def _judge_races(self) -> None:
-        """Of commands begun together at several gateways, one may win."""
-        for step in self.scenario.steps:
-            ends = [one.end for one in self.result.told if one.step is step]
-            what, won = f"{step.do} {step.node}", sum(e in ("active", "pending") for e in ends)
-            if len(ends) > 1 and not step.ends and won != 1:
-                self.result.broken.append(f"{what}: {won} of {len(ends)} won: {ends}")
-
-    def _judge_service(self, name: str, load: Load, began: float, ended: float) -> None:
-        """Payouts through every running gateway, but for what is held back."""
-        result, gateway = self.result, self.gateways[name]
-        up = load.ends[SERVED] + load.ends[REFUSED] + load.ends[LOST]
-        if up and load.ends[SERVED] / up < self.scenario.served and not gateway.down[1:]:
-            result.broken.append(
-                f"{name} served {load.ends[SERVED]} of {up}, below {self.scenario.served:g}"
-            )
-        times = sorted(
-            effect.at for node in self.nodes.values() for effect in node.log
-            if effect.name.startswith(f"{name}-".encode()) and not effect.safe
-        )  # fmt: skip
-        points = [began, *times, ended]
-        result.gap[name] = max(b - a for a, b in itertools.pairwise(points))
-
-
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """A port that is free at this moment, and that the system gives to nobody by itself.
-
-    Danger: one out of the range that it does give away may be another relay's before the daemon
-    that it is meant for has started.
-    """
-    for _ in range(1000):
-        port = random.randrange(*PORTS)
-        if port in _given:
-            continue
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _given.add(port)
-        return port
-    raise ScenarioError(f"no free port from {PORTS[0]} to {PORTS[1]}")
-
 
 async def play(scenario: Scenario, say: Say = lambda text: None) -> Result:
     """Play a scenario; raises ScenarioError where it can't be."""
@@ -551,22 +391,3 @@
                     with contextlib.suppress(OSError):
                         Path(keep).mkdir(parents=True, exist_ok=True)
                         shutil.copy(gateway.log, Path(keep) / f"{int(time.time())}-{name}.log")
-
-
-def table(result: Result) -> list[str]:
-    """What a play came to, for people."""
-    lines = [f"{'command':<24} {'end':<8} {'took':>7}"]
-    for told in result.told:
-        what = f"{told.step.do} {told.step.node} at {' '.join(told.step.who)}"
-        lines.append(f"{what:<24} {told.end:<8} {told.ended - told.asked:6.2f}s")
-    lines.append(
-        f"{'gateway':<10} {'served':>7} {'refused':>8} {'failed':>7} {'cut':>5} {'gap':>6}"
-    )
-    for name, ends in result.ends.items():
-        counts = [ends.get(one, 0) for one in (SERVED, REFUSED, "failed", "cut")]
-        lines.append(
-            f"{name:<10} {counts[0]:>7} {counts[1]:>8} {counts[2]:>7} {counts[3]:>5} "
-            f"{result.gap[name]:5.2f}s"
-        )
-    lines.append(f"a contradiction lasted {result.late * 1000:.0f} ms at the longest")
-    return [*lines, *(f"BROKEN: {one}" for one in result.broken)]
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -8,12 +8,13 @@
 
 import json
 import random
+from collections.abc import Callable, Collection
 from functools import cache
 from typing import Any
 
 import msgspec
 
-from ..tier.forms import Act, Acting, Done, Keep, Message, Send, Tell
+from ..tier.forms import Act, Acting, Done, Keep, Message, Send, Tell, Version
 from ..tier.library import digest_of
 from ..tier.member import Founding, Member, Standing, Terms
 from ..tier.register import VOTE
@@ -24,6 +25,8 @@
 
 ACTS = 6  # different acts that rules permit or forbid
 EVERY = 20_000  # us between two acts of a process
+WATCH = 50_000  # us between two looks at who is out of reach
+MOST_LOSS = 0.3  # of datagrams: above it members may take each other for dead
 SWITCH = (500, 40_000)  # us that going by other rules takes
 
 
@@ -44,6 +47,7 @@
         self.allowed: frozenset[int] = frozenset()
         self.log: list[tuple[int, str]] = []
         self.changes: dict[int, str] = {}  # by job
+        self.ended: dict[int, Done] = {}  # by job
         self._switched_at = 0
         self._draw = random.Random(world.kernel.seed * 1009 + len(world.processes))
 
@@ -54,7 +58,7 @@
         rng = random.Random(int(self._rng.integers(1 << 62)))
         boot = int(self._rng.integers(1, 1 << 48))
         founding = Founding(content(world.first, 0), 1, "model")
-        self.view, self.changes = None, {}
+        self.view, self.changes, self.ended = None, {}, {}
         self.member = Member(
             world.terms(self.name), boot, dict(self.disk.now), rng, self.clock(), founding
         )
@@ -71,27 +75,32 @@
         assert self.member is not None
         self.member.tick(self.clock())
         self._take()
+        for name in self.member.prober.dead():
+            self.world.check_dead(self.name, name)
         self.kernel.after(self.world.beat, self.guarded(self._tick))
 
     def hear(self, sender: str, message: Message) -> None:
         """A datagram has come."""
 
-        def work() -> None:
-            assert self.member is not None
-            self.member.heard(sender, message, self.clock())
-            self._take()
+        if self.up and not self.paused:  # as `guarded` would do it, for most of what happens here
+            self._heard(sender, message)
+        else:
+            self.guarded(lambda: self._heard(sender, message))()
 
-        self.guarded(work)()
+    def _heard(self, sender: str, message: Message) -> None:
+        assert self.member is not None
+        self.member.heard(sender, message, self.clock())
+        self._take()
 
     def _act(self) -> None:
         """Do something, if the rules that it goes by allow it at this moment."""
         assert self.member is not None
-        act = self._draw.randrange(ACTS)
+        act = self._draw.randrange(self.world.acts)
         free = self.view is not None and act in self.allowed
         if free and self.member.standing(self.clock()) is Standing.IN:
             assert self.view is not None
             self.world.truth.did(Deed(self.kernel.now, self.name, act, self.view.turn))
-        self.kernel.after(EVERY, self.guarded(self._act))
+        self.kernel.after(self.world.every, self.guarded(self._act))
 
     # --- Effects
 
@@ -107,6 +116,7 @@
         elif isinstance(effect, Done):
             if effect.job in self.changes:
                 world.truth.told(self.name, effect, self.changes[effect.job])
+            self.ended[effect.job] = effect
             self.log.append((self.kernel.now, f"job {effect.job} {effect.end.value}"))
         else:
             self.log.append((self.kernel.now, f"{effect.event} {effect.fields}"))
@@ -138,11 +148,25 @@
             return
         old = self.world.permitted(active.digest)
         new = old ^ {flip} if 0 <= flip < ACTS else old
-        made = content(frozenset(new), weight)
+        self.offer(active, frozenset(new), weight)
+
+    def offer(self, base: Version, new: frozenset[int], weight: int) -> int:
+        """Offer a version that permits these acts, made from `base`; the number of the job."""
+        assert self.member is not None
+        made = content(new, weight)
         self.world.contents[digest_of(made)] = made
-        job = self.member.propose(made, active.serial, new != old, "model", 0)
+        waits = new != self.world.permitted(base.digest)
+        job = self.member.propose(made, base.serial, waits, "model", 0)
         self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
         self._take()
+        return job
+
+    def ask(self, what: Callable[[Member], int | None]) -> int | None:
+        """Have the core do a job; its number, or None where it can't now."""
+        assert self.member is not None
+        job = what(self.member)
+        self._take()
+        return job
 
     def withdraw(self) -> None:
         """Give up what is pending."""
@@ -158,14 +182,21 @@
 
     def __init__(
         self, seed: int, members: int = 5, voters: int = 3, lease: int | None = None,
-        beat: int = 200_000,
+        beat: int = 200_000, every: int = EVERY, late: Collection[str] = (),
+        first: Collection[int] = range(0, ACTS, 2), acts: int = ACTS,
     ) -> None:  # fmt: skip
+        """`beat` and `every` in microseconds: of the members' cores, and between two acts.
+
+        Those in `late` are in no other's file, and are started by whoever plays. Of `acts`
+        different ones the tier's first version permits those in `first`.
+        """
         self.kernel = Kernel(seed)
         self.network = Network(self.kernel, self._deliver)
         self.names = tuple(f"g{i + 1}" for i in range(members))
         self.voters = self.names[:voters]
-        self.lease, self.beat = lease, beat
-        self.first = frozenset(range(0, ACTS, 2))
+        self.lease, self.beat, self.every, self.late = lease, beat, every, frozenset(late)
+        self._trouble = dict.fromkeys(self.names, 0)  # when each last was out of others' reach
+        self.first, self.acts = frozenset(first), acts
         first = content(self.first, 0)
         self.contents = {digest_of(first): first}
         self.truth = Truth(self.voters, lambda digest, act: act in self.permitted(digest))
@@ -175,7 +206,8 @@
             self.processes[name] = TierProcess(self, name, float(rate))
 
     def terms(self, name: str) -> Terms:
-        return Terms(name, self.voters, self.names, self.lease)
+        peers = tuple(one for one in self.names if one == name or one not in self.late)
+        return Terms(name, self.voters, peers, self.lease)
 
     def permitted(self, digest: str) -> frozenset[int]:
         """What a version permits."""
@@ -186,9 +218,28 @@
 
     def start(self) -> None:
         """All start, within half a second and in any order."""
+        self._watch()
         for name, process in self.processes.items():
             delay = int(self.kernel.stream(f"start {name}").integers(500_000))
-            self.kernel.after(delay, process.start)
+            if name not in self.late:
+                self.kernel.after(delay, process.start)
+
+    def _watch(self) -> None:
+        """Note who can't be expected to hear or to be heard."""
+        now, network = self.kernel.now, self.network
+        for name, process in self.processes.items():
+            out = not process.up or process.paused or process.mute
+            if out or network.loss > MOST_LOSS:
+                self._trouble[name] = now
+        for link in network.cuts:
+            for name in link:
+                self._trouble[name] = now
+        self.kernel.after(WATCH, self._watch)
+
+    def check_dead(self, by: str, name: str) -> None:
+        """Promise 5: `by` takes another for dead."""
+        since = max(self._trouble[by], self._trouble[name])
+        self.truth.told_dead(self.kernel.now, by, name, since)
 
     def check_end(self) -> None:
         """Promise 4, of those that are up."""
@@ -197,6 +248,11 @@
             {p.name: p.member.standing(p.clock()).name for p in up if p.member is not None},
             {p.name: 0 if p.view is None else p.view.turn for p in up},
         )
+        for process in up:
+            assert process.member is not None
+            self.truth.knows_who_is_there(
+                process.name, set(process.member.prober.dead()), {p.name for p in up}, self.names
+            )
 
 
 @cache
--- a/sailhitch/model/truth.py
+++ b/sailhitch/model/truth.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import bisect
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -15,6 +15,7 @@
 from ..tier.forms import Acting, Ballot, Done, End, Head, Version
 from ..tier.register import Vote, majority
 
+RECOVERY = 10_000_000  # us; promise 5
 Allows = Callable[[str, int], bool]  # whether the version with this digest permits an act
 
 
@@ -113,6 +114,24 @@
                 f"{self.in_force.serial}, which forbids it, was in force"
             )
 
+    # --- Promise 5: who is there
+
+    def told_dead(self, now: int, by: str, name: str, trouble: int) -> None:
+        """One takes another for dead; `trouble` is when one of them was last out of reach."""
+        if now - trouble > RECOVERY:
+            raise BrokenError(
+                f"5: {by} takes {name} for dead, {(now - trouble) / 1e6:.1f} s after either of "
+                "them was out of reach"
+            )
+
+    def knows_who_is_there(
+        self, by: str, dead: set[str], up: set[str], all_: Iterable[str]
+    ) -> None:
+        """So long after the last fault, at the latest, each knows who runs and who does not."""
+        wrong = dead ^ {name for name in all_ if name not in up}
+        if wrong:
+            raise BrokenError(f"5: {by} is wrong about {', '.join(sorted(wrong))}")
+
     # --- Promise 4: it ends
 
     def ended(self, standings: dict[str, Any], turns: dict[str, int]) -> None:
--- a/sailhitch/tier/__init__.py
+++ b/sailhitch/tier/__init__.py
@@ -4,6 +4,8 @@
     register   one register with compare-and-set over a few voters (CASPaxos, Rystsov 2018)
     line       the changes that the register's value may take, each made from the one before
     crew       who is in the tier, as gossip has it: lives, confirmations, last signs of life
+    probes     who is there: SWIM's probes and suspicion, with Lifeguard's care
+    paths      ways to the voters, also through another member
     lease      who has heard of a majority of voters lately, by round trips alone
     library    contents by digest, fetched in pieces, whole and checked or not at all
     member     one process of the tier: the parts above, put together
--- a/sailhitch/tier/crew.py
+++ b/sailhitch/tier/crew.py
@@ -11,6 +11,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+import msgspec
+
 from .forms import Row
 
 TIMES: Final = 6  # datagrams that a news goes out with before it takes its turn like the others
@@ -48,17 +50,22 @@
 
     def merge(self, rows: Iterable[Row], now: int) -> bool:
         """Take in others' rows; whether this one's own life had to be raised."""
-        raised = False
+        raised, known, me = False, self.rows, self.name
         for row in rows:
-            if row.name == self.name:
+            name = row.name
+            if name == me:
                 raised = self._about_me(row, now) or raised
                 continue
-            old = self.rows.get(row.name)
-            if old is None or (row.life, row.beats) > (old.life, old.beats):
-                if old is None or (row.life, row.confirmed) != (old.life, old.confirmed):
-                    self._fresh[row.name] = 0
-                self.rows[row.name] = row
-                self.seen[row.name] = now
+            old = known.get(name)
+            if old is not None and row.life <= old.life:
+                if row.life < old.life or row.beats <= old.beats:
+                    continue
+                if row.confirmed != old.confirmed:
+                    self._fresh[name] = 0
+            else:
+                self._fresh[name] = 0
+            known[name] = row
+            self.seen[name] = now
         return raised
 
     def _about_me(self, row: Row, now: int) -> bool:
@@ -67,11 +74,25 @@
             return False
         self.refuted = self.refuted + 1 if now - self._refuted_at < TWIN_QUIET else 1
         self._refuted_at = now
-        self.rows[self.name] = Row(
-            self.name, row.life + 1, mine.boot, mine.beats, mine.confirmed, mine.trouble
-        )
+        return self.live_above(row.life)
+
+    def life_of(self, name: str) -> int:
+        """The latest known life of a member; 0: none."""
+        row = self.rows.get(name)
+        return 0 if row is None else row.life
+
+    def live_above(self, life: int) -> bool:
+        """Go on in a life above one that is doubted; whether that is news."""
+        mine = self.mine
+        if life < mine.life:
+            return False
+        self.rows[self.name] = msgspec.structs.replace(mine, life=life + 1)
         return True
 
+    def has_news(self) -> bool:
+        """Whether a row has changed and was not passed on often enough."""
+        return bool(self._fresh)
+
     def pick(self, most: int, rng: random.Random) -> list[Row]:
         """Rows for one datagram: this one's own, then what is news, then the others in turn.
 
@@ -83,13 +104,14 @@
             self._fresh[name] += 1
             if self._fresh[name] >= TIMES:
                 del self._fresh[name]
+        turn = self._turn
         for _ in range(min(most, len(self.rows))):
             if len(chosen) >= most:
                 break
-            if not self._turn:
+            if not turn:
                 # Anew in another order, so that no two members go on saying the same rows.
-                self._turn = [name for name in self.rows if name != self.name]
-                rng.shuffle(self._turn)
-            if self._turn:
-                chosen[self._turn.pop()] = None
+                turn.extend(name for name in self.rows if name != self.name)
+                rng.shuffle(turn)
+            if turn:
+                chosen[turn.pop()] = None
         return [self.rows[name] for name in chosen]
--- a/sailhitch/tier/forms.py
+++ b/sailhitch/tier/forms.py
@@ -119,6 +119,14 @@
     stamps: dict[str, int]  # the latest known of each voter's votes
 
 
+class Doubt(msgspec.Struct, frozen=True, array_like=True):
+    """A life of a member that does not answer, and who has found so by probes of its own."""
+
+    name: str
+    life: int
+    by: list[str]
+
+
 class News(msgspec.Struct, frozen=True, array_like=True, tag="n"):
     """Gossip; each is of use alone, in any order."""
 
@@ -126,6 +134,7 @@
     rows: list[Row]
     stamps: dict[str, int]
     lapsed: tuple[int, bytes] | None  # a voter's: of a turn, bits by the roster's names in order
+    doubts: list[Doubt] = []
 
 
 class Poll(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -152,12 +161,40 @@
     data: bytes
 
 
-Message = (
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag="i"):
+    """Is this member there? `doubted`: a life of it that is suspected, or 0."""
+
+    number: int
+    doubted: int
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag="I"):
+    number: int
+
+
+class Nack(msgspec.Struct, frozen=True, array_like=True, tag="N"):
+    """A helper's: whom it was to reach has not answered it either, so far."""
+
+    number: int
+
+
+Plain = (
     Look | Seen | Prepare | Promise | Accept | Accepted | Hello | Here | News | Poll | Grant | Get
-    | Piece
+    | Piece | Ping | Ack | Nack
 )  # fmt: skip
 
 
+class Via(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+    """Something that goes through one other member, where the straight way may be cut."""
+
+    origin: str
+    to: str
+    message: Plain
+
+
+Message = Plain | Via
+
+
 # --- What a core asks of its process
 
 
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -12,6 +12,7 @@
 
 import random
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Final
@@ -22,6 +23,7 @@
 from .forms import (
     Accept,
     Accepted,
+    Ack,
     Act,
     Acting,
     Decided,
@@ -36,8 +38,10 @@
     Keep,
     Look,
     Message,
+    Nack,
     News,
     Piece,
+    Ping,
     Poll,
     Prepare,
     Promise,
@@ -45,10 +49,13 @@
     Send,
     Tell,
     Version,
+    Via,
 )
 from .lease import Grants, Lease
 from .library import Library
 from .line import Change, activate, enrol, found, offer, withdraw
+from .paths import Paths
+from .probes import Prober
 from .proposer import Job, Proposer
 from .register import VOTE, majority
 from .voter import STAMPS, Voter, digests
@@ -61,6 +68,13 @@
 RETELL: Final = 300_000  # us between two words to who proposed what is pending
 POLLS: Final = 6  # questions in a lease's length
 AGAIN: Final = 1_000_000  # us between two tries to be enrolled; half of it to read
+DEAD_TOO: Final = 0.1  # part of the gossip that is said to whoever it is, dead or not
+TRIES: Final = 8  # to find one that is not dead
+QUIET: Final = 1_000_000  # us between two rounds of gossip where there is nothing new
+BUSY: Final = 3_000_000  # us after something new in which each beat has a round
+
+
+QUESTIONS = (Look, Prepare, Accept, Hello, Poll)  # to voters
 
 
 class Roster(msgspec.Struct, frozen=True):
@@ -68,6 +82,7 @@
 
     inside: tuple[str, ...]
     out: tuple[str, ...]
+    places: dict[str, str] = {}  # addresses that differ from the files', or that these don't have
 
     def names(self) -> tuple[str, ...]:
         """All that a change waits for, in order."""
@@ -75,7 +90,14 @@
 
     def content(self) -> bytes:
         """One text for one roster."""
-        return msgspec.json.encode(Roster(tuple(sorted(self.inside)), tuple(sorted(self.out))))
+        places = dict(sorted(self.places.items()))
+        return msgspec.json.encode(
+            Roster(tuple(sorted(self.inside)), tuple(sorted(self.out)), places)
+        )
+
+    def but(self, inside: Iterable[str], out: Iterable[str]) -> Roster:
+        """Others inside and out, at the same places."""
+        return Roster(tuple(inside), tuple(out), self.places)
 
 
 class Standing(Enum):
@@ -121,6 +143,8 @@
         self.out: list[Effect] = []
         self._others = [name for name in terms.peers if name != terms.name]
         self.since = now
+        self.prober, self.paths = Prober(terms.name, rng, now), Paths()
+        self._via: tuple[str, str] | None = None  # who is answered, and through whom as well
         life = 0 if SELF not in kept else int(msgspec.msgpack.decode(kept[SELF]))
         self.crew = Crew(terms.name, life + 1, boot)
         self.library = Library(
@@ -161,6 +185,8 @@
         self._lapsed: dict[str, tuple[int, bytes]] = {}  # by voter
         self._ready_at: int | None = None  # when the pending version may be made active by this one
         self._activating = self._enrolling = self._read_again = False
+        self._gossip_at = self._busy_until = 0
+        self._news_of_head = False
         self._enrol_at = self._poll_at = self._read_at = self._retell_at = 0
         self.out.append(Keep({SELF: msgspec.msgpack.encode(life + 1)}))
         # Danger: the leave of an earlier life of this process may still be under way. If it were
@@ -189,6 +215,9 @@
             self._settle()
         self._say_all(self.library.asks(now, others, self.rng.randrange(1 << 20)))
         self._poll(now)
+        self._say_all(self.prober.tick(now, others, self.crew.life_of))
+        if self._news_of_head:
+            self._news_of_head, self._busy_until = False, now + BUSY
         lapsed = self._my_lapsed(now)
         if lapsed is not None:
             self._lapsed[self.terms.name] = lapsed
@@ -196,8 +225,9 @@
         self._consider(now)
         self._keep_stamps()
         self._tell_proposer(now)
-        for name in self.rng.sample(others, min(self.terms.fanout, len(others))):
-            self._say(name, self._news(now))
+        if now >= self._gossip_at or self._is_busy(now):
+            self._gossip_at = now + QUIET
+            self._gossip(self.terms.fanout, now)
         self._drain(now)
 
     def heard(self, sender: str, message: Message, now: int) -> None:
@@ -208,13 +238,13 @@
     def acted(self, turn: int, now: int) -> None:
         """Nothing in this process goes by anything older than this turn's rules any more."""
         if turn > self.confirmed:
+            self._busy_until = now + BUSY
             self.confirmed, self.trouble = turn, ""
             self.crew.beat(turn, "")
             self._poll_at = now
             self._poll(now)
             self._consider(now)
-            for name in self.rng.sample(self._others, min(2, len(self._others))):
-                self._say(name, self._news(now))
+            self._gossip(self.terms.fanout, now)
             self._tell_proposer(now)
         self._drain(now)
 
@@ -257,6 +287,29 @@
         """
         return self.known is not None and self._settled == self.known.head.turn
 
+    def why_not_gone(self, name: str, quiet: int, now: int) -> str:
+        """Why nobody should say of a member that it is gone; empty: nothing speaks against it.
+
+        `quiet` is for how long it must have given no sign of life, in microseconds.
+        """
+        if name not in self.roster.inside:
+            return "not in the roster; `sailhitch tier members` shows it"
+        if name == self.terms.name:
+            return "is the gateway that you ask, and surely not dead"
+        # One of which nothing was heard since this member started may have been heard before.
+        age = now - self.crew.seen.get(name, self.since)
+        if age < quiet:
+            return (
+                f"a sign of life came {age / 1e6:.1f} s ago, and `gone` is for one that gave none "
+                f"for {quiet / 1e6:g} s: end its process first"
+            )
+        if self.lease is None and name not in self.prober.dead():
+            return (
+                "is not told dead: somebody may still reach it, and with no lease nothing keeps "
+                "it from acting; wait until `sailhitch tier members` says so"
+            )
+        return ""
+
     def put_out(self, name: str) -> int | None:
         """A member is gone, by an operator's word: changes wait for it no more.
 
@@ -267,7 +320,26 @@
             return None
         rest = tuple(one for one in self.roster.inside if one != name)
         out = self.roster.out if self.lease is None else (*self.roster.out, name)
-        return self._job_roster(Roster(rest, out))
+        return self._job_roster(self.roster.but(rest, out))
+
+    def why_not_admitted(self, name: str) -> str:
+        """Why a name should not be looked for elsewhere; empty: nothing speaks against it."""
+        if name in self.roster.inside and name not in self.prober.dead():
+            return (
+                "is in the roster and not told dead, and two processes of one name would both "
+                "stand back; end it first, and wait until `sailhitch tier members` says so"
+            )
+        return ""
+
+    def admit(self, name: str, place: str) -> int | None:
+        """A member is, or is to come, at this address (`host:port`), whatever the files say.
+
+        It joins by itself once it is there. The number of the job; None: try again soon.
+        """
+        if not self.settled():
+            return None
+        places = {**self.roster.places, name: place}
+        return self._job_roster(Roster(self.roster.inside, self.roster.out, places))
 
     def leave(self) -> int | None:
         """Go, and be waited for no more. This member acts on nothing from here on.
@@ -279,7 +351,7 @@
             return None
         self.out.append(Keep({LEFT: b"1"}))
         rest = tuple(one for one in self.roster.inside if one != self.terms.name)
-        return self._job_roster(Roster(rest, self.roster.out))
+        return self._job_roster(self.roster.but(rest, self.roster.out))
 
     def _job_roster(self, roster: Roster) -> int:
         assert self.known is not None
@@ -329,13 +401,48 @@
     def _say(self, to: str, message: Message) -> None:
         if to == self.terms.name:
             self._local.append(message)
-        else:
-            self.out.append(Send(to, message))
+            return
+        self.out.append(Send(to, message))
+        if isinstance(message, Via):
+            return
+        if self._via is not None and to == self._via[0]:
+            self.out.append(Send(self._via[1], Via(self.terms.name, to, message)))
+        elif isinstance(message, QUESTIONS) and self.prober.alive(to):
+            helper = None
+            if self.paths.asks(to):
+                helper = self._alive(self.rng.choice(self._others), but=to)
+            if helper is not None:
+                self.out.append(Send(helper, Via(self.terms.name, to, message)))
 
     def _say_all(self, said: list[tuple[str, Any]]) -> None:
         for to, message in said:
             self._say(to, message)
 
+    def _gossip(self, count: int, now: int) -> None:
+        """News to so many others; seldom to one taken for dead, which may be back."""
+        for name in self.rng.sample(self._others, min(count, len(self._others))):
+            to = name if self.rng.random() < DEAD_TOO else self._alive(name)
+            if to is not None:
+                self._say(to, self._news(now))
+
+    def _alive(self, first: str, but: str = "") -> str | None:
+        """This one or another that is not taken for dead; None where a few tries find none."""
+        name = first
+        for _ in range(TRIES):
+            if name != but and self.prober.alive(name):
+                return name
+            name = self.rng.choice(self._others)
+        return None
+
+    def _is_busy(self, now: int) -> bool:
+        """Whether there is something to be heard by all, or to be heard of, as soon as may be."""
+        known = self.known
+        if known is None or not self.heard_register or now < self._busy_until:
+            return True
+        if known.head.pending is not None or self.roster.out or not self.settled():
+            return True
+        return bool(self.proposer.jobs) or self.crew.has_news() or self.prober.has_news()
+
     def _drain(self, now: int) -> None:
         """What this member says to itself is heard at once; what it says to others follows it."""
         while self._local:
@@ -350,12 +457,48 @@
                 self._say(sender, piece)
         elif isinstance(message, Piece):
             self._hear_piece(message, now)
-        elif isinstance(message, (Look, Prepare, Accept, Hello, Poll)):
+        elif isinstance(message, Via):
+            self._hear_via(sender, message, now)
+        elif isinstance(message, (Ping, Ack, Nack)):
+            self._hear_probe(sender, message, now)
+        elif isinstance(message, QUESTIONS):
             if self.voter is not None:
                 self._hear_as_voter(self.voter, sender, message, now)
         elif sender in self.terms.voters:
+            if self._via is None:
+                self.paths.answered(sender)
             self._hear_voter(sender, message, now)
 
+    def _hear_via(self, sender: str, via: Via, now: int) -> None:
+        """Pass something on, or take what was passed on; what it is answered goes back that way."""
+        if via.to == self.terms.name:
+            self._via = via.origin, sender
+            try:
+                self._hear(via.origin, via.message, now)
+            finally:
+                self._via = None
+        elif via.origin == sender:  # one other member in between, and no more
+            if isinstance(via.message, Ping):
+                self.prober.passes(sender, via.message.number, now)
+            elif isinstance(via.message, Ack):
+                self.prober.has_passed(via.to, via.message.number)
+            self._say(via.to, via)
+
+    def _hear_probe(self, sender: str, message: Ping | Ack | Nack, now: int) -> None:
+        if isinstance(message, Ping):
+            self._refute(message.doubted)
+            self._say(sender, Ack(message.number))
+        elif isinstance(message, Ack):
+            self.prober.answered(sender, message.number, now)
+        else:
+            self.prober.not_answered(sender, message.number)
+
+    def _refute(self, life: int) -> None:
+        """A life of this member is doubted: go on in the next."""
+        if life and self.crew.live_above(life):
+            self.prober.ill()
+            self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
+
     def _hear_as_voter(
         self, voter: Voter, sender: str, message: Look | Prepare | Accept | Hello | Poll, now: int
     ) -> None:
@@ -425,19 +568,28 @@
     def _news(self, now: int) -> News:
         rows = self.crew.pick(ROWS, self.rng)
         stamps = {v: s for v, s in self.stamps.items() if v in self.terms.voters}
-        return News(self.known, rows, stamps, self._my_lapsed(now))
+        return News(self.known, rows, stamps, self._my_lapsed(now), self.prober.news())
 
     def _hear_news(self, sender: str, news: News, now: int) -> None:
         if self.crew.merge(news.rows, now):
             self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
             self.out.append(Tell("name heard in another life", {"life": self.crew.mine.life}))
+        self.prober.seen(news.rows)
+        self._refute(self.prober.doubted(news.doubts, self.crew.life_of, now))
+        doubted = self.prober.doubt_of(sender, self.crew.life_of)
+        if doubted:
+            self._say(sender, Ping(0, doubted))  # it is there, and may not know what is said of it
         for voter, stamp in news.stamps.items():
-            self._stamp(voter, stamp)
+            if stamp > self.stamps.get(voter, 0) or voter == self.terms.name:
+                self._stamp(voter, stamp)
         if news.lapsed is not None and sender in self.terms.voters:
             self._lapsed[sender] = news.lapsed
         if news.decided is not None:
             self.proposer.rank(news.decided.ballot)
             self._learn(news.decided, sender)
+        turn = 0 if news.decided is None else news.decided.head.turn
+        if self.known is not None and turn < self.known.head.turn:
+            self._say(sender, self._news(now))  # it is behind, and need not wait to be chosen
 
     # --- Heads
 
@@ -452,6 +604,9 @@
             self._settle()
         elif self._kept_turn:
             self._went_back(None)
+        elif self.known is not None:
+            # Others know of a head: it was decided meanwhile, or the voters' disks are lost.
+            self._read_again = True
         elif self.founding is not None and self.terms.name in self.terms.voters:
             founding = self.founding
             digest, packed = self.library.add(founding.content)
@@ -488,7 +643,7 @@
             if decided.head.turn == known.head.turn and decided.head != known.head:
                 self._went_back(decided.head)
             return
-        self.known = decided
+        self.known, self._news_of_head = decided, True
         self.out.append(Keep({KNOWN: msgspec.msgpack.encode(decided)}))
         self._ready_at, self._retell_at = None, 0
         self._want_contents(decided.head, source)
@@ -507,6 +662,8 @@
             self.voter.learn(known)
         self.roster = msgspec.json.decode(self.library.read(head.roster), type=Roster)
         self._settled = head.turn
+        more = [name for name in self.roster.places if name not in self.terms.peers]
+        self._others = [n for n in (*self.terms.peers, *more) if n != self.terms.name]
         if self.terms.name not in self.roster.inside:
             self.joined = 0
         elif self.heard_register:
@@ -548,7 +705,7 @@
         # by an older lease would otherwise count as confirmed with what it does by the new one.
         out = tuple(one for one in roster.out if one not in gone)
         self._enrolling, self._enrol_at = True, now + AGAIN
-        digest = self._add_roster(Roster((*{*roster.inside, me},), out))
+        digest = self._add_roster(roster.but({*roster.inside, me}, out))
 
         def ended(decided: Decided | None, end: End) -> None:
             self._enrolling = False
@@ -644,6 +801,8 @@
                 "confirmed": 0 if row is None else row.confirmed,
                 "age": 0 if me else None if seen is None else now - seen,
                 "trouble": "" if row is None else row.trouble,
+                "health": self.prober.health(name, self.crew.life_of(name)).value,
+                "place": self.roster.places.get(name),
             })  # fmt: skip
         return {
             "name": self.terms.name, "standing": self.standing(now).name.lower(),
--- /dev/null
+++ b/sailhitch/tier/probes.py
@@ -0,0 +1,247 @@
+"""Who is there: SWIM's probes and suspicion (Das, Gupta, Motivala 2002), with Lifeguard's care.
+
+In each interval a member probes one other, in a random order that names all before any again. One
+that does not answer is asked through `HELPERS` others; one that does not answer these either is
+suspected, which goes round by gossip, and it can refute by a later life. Who has not refuted in
+time is told dead. By Lifeguard (Dadgar, Phillips, Currey 2018) a member that gets no answers is
+slower to accuse: helpers say at once when they had none either, and each that says nothing, each
+late beat of its own and each refutation counts against the member itself, not against others. A
+suspicion that others confirm by probes of their own ends sooner.
+
+Nothing here lets a change go on: a change waits for members, not for what is thought of them.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Callable, Iterable, Sequence
+from enum import Enum
+from typing import Final
+
+from .forms import Doubt, Message, Nack, Ping, Row, Via
+
+INTERVAL: Final = 1_000_000  # us between two probes of a member that is well
+PATIENCE: Final = 400_000  # us for an answer to the first question, before helpers are asked
+HELPERS: Final = 3
+NACK_AFTER: Final = 250_000  # us until a helper says that it had no answer either
+UNWELL: Final = 8  # the most that counts against oneself; times stretch by one more than it
+LEAST: Final = 4.0  # intervals by log10 of the members, from suspected to dead, once confirmed
+MOST: Final = 6  # times that, where nobody confirms
+CONFIRMERS: Final = 3  # after whom a suspicion can't end any sooner
+TIMES: Final = 6  # datagrams that a suspicion goes out with
+CARRIED: Final = 4  # suspicions in a datagram at most
+PASSED: Final = 64  # probes of others that are being passed on
+LifeOf = Callable[[str], int]  # a member's latest known life
+
+
+class Health(Enum):
+    """What a member is taken for."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class _Suspicion:
+    """That a life of a member is over, since when, and who has found so by probes of its own."""
+
+    def __init__(self, life: int, now: int) -> None:
+        self.life, self.since = life, now
+        self.by: set[str] = set()
+        self.told = 0  # datagrams that it went out with since it last changed
+        self.dead = False
+
+    def ends(self, members: int) -> int:
+        """When the member is taken for dead."""
+        least = LEAST * max(1.0, math.log10(max(2, members))) * INTERVAL
+        if members - 2 < CONFIRMERS:
+            return self.since + int(least)  # there are too few to wait for
+        by = min(max(1, len(self.by)), CONFIRMERS + 1)
+        spread = math.log(by) / math.log(CONFIRMERS + 1)
+        return self.since + int(least * (MOST - (MOST - 1) * spread))
+
+
+class _Probe:
+    """The question under way."""
+
+    def __init__(self, number: int, name: str, now: int) -> None:
+        self.number, self.name, self.at = number, name, now
+        self.helpers: set[str] = set()  # who were asked and have said nothing yet
+
+
+class Prober:
+    """One member's probes and what it makes of them. Times by its own clock, in microseconds."""
+
+    def __init__(self, name: str, rng: random.Random, now: int) -> None:
+        self.name, self.rng = name, rng
+        self.unwell = 0
+        self.heard: dict[str, int] = {}  # when each last answered a probe, by whatever way
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._probe: _Probe | None = None
+        self._turn: list[str] = []
+        self._number = 0
+        self._next = now
+        self._beat = now
+        self._passed: dict[tuple[str, int], int] = {}  # whose probe, its number: when to say no
+
+    # --- What is thought of others
+
+    def health(self, name: str, life: int) -> Health:
+        """What a member of that life is taken for."""
+        one = self._suspicions.get(name)
+        if one is None or one.life < life:
+            return Health.ALIVE
+        return Health.DEAD if one.dead else Health.SUSPECT
+
+    def alive(self, name: str) -> bool:
+        """Whether it is not taken for dead."""
+        one = self._suspicions.get(name)
+        return one is None or not one.dead
+
+    def doubt_of(self, name: str, life_of: LifeOf) -> int:
+        """The life of a member that is suspected, or 0. Who is suspected is told, and refutes."""
+        one = self._suspicions.get(name)
+        return 0 if one is None or one.life < life_of(name) else one.life
+
+    def dead(self) -> list[str]:
+        """Who is taken for dead."""
+        return [name for name, one in self._suspicions.items() if one.dead]
+
+    def has_news(self) -> bool:
+        """Whether a suspicion was not passed on often enough."""
+        return any(one.told < TIMES for one in self._suspicions.values())
+
+    def news(self) -> list[Doubt]:
+        """Suspicions to pass on with a datagram, those that went out least before others."""
+        if not self._suspicions:
+            return []
+        open_ = [(one.told, name) for name, one in self._suspicions.items() if one.told < TIMES]
+        said = []
+        for _, name in sorted(open_)[:CARRIED]:
+            one = self._suspicions[name]
+            one.told += 1
+            said.append(Doubt(name, one.life, sorted(one.by)))
+        return said
+
+    def doubted(self, doubts: Iterable[Doubt], life_of: LifeOf, now: int) -> int:
+        """Others' suspicions; the highest life of this member that is doubted, or 0.
+
+        `life_of` tells the latest known of a member: an older one's suspicion is void.
+        """
+        mine = 0
+        for doubt in doubts:
+            if doubt.name == self.name:
+                mine = max(mine, doubt.life)
+            elif doubt.life >= life_of(doubt.name):
+                self._suspect(doubt.name, doubt.life, doubt.by, now)
+        return mine
+
+    def seen(self, rows: Iterable[Row]) -> None:
+        """Members' words about themselves: a later life than the suspected one refutes it."""
+        if not self._suspicions:
+            return
+        for row in rows:
+            one = self._suspicions.get(row.name)
+            if one is not None and row.life > one.life:
+                del self._suspicions[row.name]
+
+    def ill(self) -> None:
+        """A sign that this member itself is slow or cut off."""
+        self.unwell = min(UNWELL, self.unwell + 1)
+
+    def _suspect(self, name: str, life: int, by: Iterable[str], now: int) -> None:
+        one = self._suspicions.get(name)
+        if one is None or one.life < life:
+            one = self._suspicions[name] = _Suspicion(life, now)
+        if one.life != life or one.dead:
+            return
+        more = set(by) - one.by
+        if more and len(one.by) <= CONFIRMERS:
+            one.by |= set(sorted(more)[: CONFIRMERS + 1 - len(one.by)])
+            one.told = 0
+
+    # --- Probing
+
+    def tick(self, now: int, others: Sequence[str], life_of: LifeOf) -> list[tuple[str, Message]]:
+        """Time passes; `others` are those to be probed. What to say."""
+        if now - self._beat > INTERVAL:
+            # This process stood still: that nobody answered meanwhile says nothing of others.
+            self.ill()
+            late = now - self._beat
+            for one in self._suspicions.values():
+                one.since += late
+            self._probe = None
+        self._beat = now
+        for one in self._suspicions.values():
+            one.dead = one.dead or now >= one.ends(len(others) + 1)
+        stretch = self.unwell + 1
+        said = self._no_answers(now)
+        probe = self._probe
+        if probe is not None and now - probe.at >= INTERVAL * stretch:
+            self._failed(probe, life_of, now)
+            self._probe = probe = None
+        if probe is not None and not probe.helpers and now - probe.at >= PATIENCE * stretch:
+            said += self._ask_helpers(probe, others, life_of)
+        if self._probe is None and now >= self._next and others:
+            said += self._begin(now, others, life_of)
+        return said
+
+    def _begin(self, now: int, others: Sequence[str], life_of: LifeOf) -> list[tuple[str, Message]]:
+        while self._turn and self._turn[-1] not in others:
+            self._turn.pop()
+        if not self._turn:
+            self._turn = list(others)
+            self.rng.shuffle(self._turn)
+        self._number += 1
+        name = self._turn.pop()
+        self._probe = _Probe(self._number, name, now)
+        self._next = now + INTERVAL * (self.unwell + 1)
+        return [(name, Ping(self._number, self.doubt_of(name, life_of)))]
+
+    def _ask_helpers(
+        self, probe: _Probe, others: Sequence[str], life_of: LifeOf
+    ) -> list[tuple[str, Message]]:
+        if not self.alive(probe.name):
+            return []
+        able = [one for one in others if one != probe.name and self.alive(one)]
+        probe.helpers = set(self.rng.sample(able, min(HELPERS, len(able))))
+        ping = Via(self.name, probe.name, Ping(probe.number, self.doubt_of(probe.name, life_of)))
+        return [(one, ping) for one in sorted(probe.helpers)]
+
+    def _failed(self, probe: _Probe, life_of: LifeOf, now: int) -> None:
+        if not self.alive(probe.name):
+            return  # as before; it says nothing about this member
+        for _ in probe.helpers:
+            self.ill()  # Danger: helpers that say nothing at all are more likely out of reach
+        self._suspect(probe.name, life_of(probe.name), [self.name], now)
+
+    def answered(self, name: str, number: int, now: int) -> None:
+        """A probed member has answered, by whatever way."""
+        self.heard[name] = now
+        probe = self._probe
+        if probe is not None and (probe.name, probe.number) == (name, number):
+            self._probe = None
+            self.unwell = max(0, self.unwell - 1)
+
+    def not_answered(self, helper: str, number: int) -> None:
+        """A helper had no answer either, and can be reached."""
+        if self._probe is not None and self._probe.number == number:
+            self._probe.helpers.discard(helper)
+
+    # --- Helping
+
+    def passes(self, origin: str, number: int, now: int) -> None:
+        """Another's probe is passed on."""
+        if len(self._passed) < PASSED:
+            self._passed[origin, number] = now + NACK_AFTER
+
+    def has_passed(self, origin: str, number: int) -> None:
+        """Its answer has gone back."""
+        self._passed.pop((origin, number), None)
+
+    def _no_answers(self, now: int) -> list[tuple[str, Message]]:
+        late = [key for key, at in self._passed.items() if now >= at]
+        for key in late:
+            del self._passed[key]
+        return [(origin, Nack(number)) for origin, number in late]
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -22,7 +22,8 @@
 from sailhitch.daemon.store import Step, Store
 from sailhitch.lab.files import toml_text
 from sailhitch.lab.node import Node
-from tests.sockets import PATIENCE, Client, dial, free_port
+from sailhitch.lab.ports import free_port
+from tests.sockets import PATIENCE, Client, dial
 
 CLASSES = [
     {"name": "page", "aim": "1s", "deadline": "3s"},
--- a/tests/generations.py
+++ b/tests/generations.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from sailhitch.lab.ports import free_port
 from tests.sockets import (
     PATIENCE,
     Client,
@@ -20,7 +21,6 @@
     Server,
     config_value,
     dial,
-    free_port,
     until,
 )
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,7 +6,6 @@
 import contextlib
 import json
 import os
-import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
@@ -14,6 +13,7 @@
 
 from sailhitch.core.log import Log
 from sailhitch.lab.message import platform
+from sailhitch.lab.ports import free_port
 from sailhitch.net.config import parse_config
 from sailhitch.net.discovery import Discovery
 from sailhitch.net.downstream import Downstream
@@ -247,12 +247,6 @@
     return clients
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @contextlib.asynccontextmanager
 async def process(
     path: Path, value: dict[str, Any], tree: Path | None = None, python: str = sys.executable
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -19,7 +19,8 @@
 from sailhitch.daemon.store import Store, StoreError
 from sailhitch.lab.load import Load
 from sailhitch.lab.node import Fault, Memory, Node, doubled
-from tests.daemons import Inside, file_value, free_port, inside, outside, part, pool
+from sailhitch.lab.ports import free_port
+from tests.daemons import Inside, file_value, inside, outside, part, pool
 from tests.sockets import PATIENCE, Client, until
 from tests.test_daemon import get, post
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -10,7 +10,8 @@
 from sailhitch.daemon.cli import main
 from sailhitch.lab.message import build
 from sailhitch.lab.node import Node
-from tests.daemons import file_value, free_port, inside, made, outside, pool
+from sailhitch.lab.ports import free_port
+from tests.daemons import file_value, inside, made, outside, pool
 from tests.sockets import PATIENCE, dial
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,8 @@
 from sailhitch.daemon.cli import main
 from sailhitch.lab.files import toml_text
 from sailhitch.lab.node import Node
-from tests.daemons import Inside, file_value, free_port, inside, pool
+from sailhitch.lab.ports import free_port
+from tests.daemons import Inside, file_value, inside, pool
 from tests.operator_files import FILE
 
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,7 +10,8 @@
 import pytest
 
 from sailhitch.lab.node import Fault, Node
-from tests.daemons import Inside, file_value, free_port, inside, pool
+from sailhitch.lab.ports import free_port
+from tests.daemons import Inside, file_value, inside, pool
 from tests.sockets import Server, Writer, answer
 
 Play = Callable[[Inside], Awaitable[None]]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,8 +11,9 @@
 from sailhitch.control.calls import MAX_CALL, Call
 from sailhitch.control.desk import SEATS, Desk
 from sailhitch.core.log import Log
+from sailhitch.lab.ports import free_port
 from tests.generations import call
-from tests.sockets import dial, free_port
+from tests.sockets import dial
 
 
 class Acts:
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from sailhitch.daemon.schema import FileError, parse_value
-from sailhitch.lab.tier import ScenarioError, load_scenario
+from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
 from sailhitch.tier.disk import Disk, DiskError
 from sailhitch.tier.forms import (
--- /dev/null
+++ b/tests/test_tier_probes.py
@@ -0,0 +1,236 @@
+"""Who is there, and ways round a cut (docs/design/tier.md, promise 5), in the model.
+
+`World` breaks the promise itself as soon as one that can be reached is told dead; what is asked
+here besides is that one that has ended is told dead, and by whom, and when.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from sailhitch.model.tier import World
+from sailhitch.model.truth import BrokenError
+from sailhitch.tier.forms import Ack, Doubt, Ping, Send, Via
+from sailhitch.tier.member import Member, Standing
+from sailhitch.tier.paths import UNANSWERED, Paths
+from sailhitch.tier.probes import UNWELL, Health, Prober
+
+S = 1_000_000
+ENDED = 30 * S  # by then all that run tell one that has ended dead (promise 5)
+Patch = pytest.MonkeyPatch
+
+
+def _world(members: int, loss: float = 0.0, seed: int = 1, **more: Any) -> World:
+    world = World(seed, members, min(5, members), every=S, **more)
+    world.network.loss = loss
+    world.start()
+    world.kernel.run(8 * S)
+    return world
+
+
+def _go_on(world: World, time: float) -> None:
+    world.kernel.run(world.kernel.now + int(time * S))
+
+
+def _member(world: World, name: str) -> Member:
+    member = world.processes[name].member
+    assert member is not None
+    return member
+
+
+def _dead(world: World) -> dict[str, set[str]]:
+    up = [name for name, one in world.processes.items() if one.up]
+    return {name: set(_member(world, name).prober.dead()) for name in up}
+
+
+def _cut(world: World, *links: tuple[str, str]) -> None:
+    world.network.cuts |= {link for a, b in links for link in ((a, b), (b, a))}
+
+
+@pytest.mark.parametrize(("members", "loss"), [(3, 0.0), (5, 0.1), (25, 0.0), (25, 0.3)])
+def test_one_that_has_ended_is_told_dead_by_all_and_alive_once_it_is_back(
+    members: int, loss: float
+) -> None:
+    world = _world(members, loss)
+    world.processes["g2"].kill()
+    _go_on(world, ENDED / S)
+    assert all(dead == {"g2"} for dead in _dead(world).values())
+    world.processes["g2"].start()
+    _go_on(world, 10)
+    assert not any(_dead(world).values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_nobody_that_runs_is_told_dead_at_three_in_ten_lost(seed: int) -> None:
+    world = _world(12, 0.3, seed)
+    _go_on(world, 60)
+    world.check_end()
+
+
+def _two_that_cannot_reach_each_other() -> None:
+    world = _world(6)
+    _cut(world, ("g2", "g5"))
+    _go_on(world, 40)
+    lives = {name: _member(world, name).crew.mine.life for name in world.names}
+    assert set(lives.values()) == {1}, "somebody was suspected, and had to refute"
+
+
+def _one_that_stood_still() -> None:
+    """Its clock ran on for a minute in which it could hear nobody, with a probe under way."""
+    prober, others = Prober("g1", random.Random(1), 0), ["a", "b", "c", "d", "e"]
+    [(probed, _)] = prober.tick(0, others, lambda name: 1)
+    prober.doubted([Doubt("e", 1, ["a"])], lambda name: 1, 0)
+    prober.tick(60 * S, others, lambda name: 1)
+    found = {name: prober.health(name, 1) for name in others}
+    assert found == dict.fromkeys(others, Health.ALIVE) | {"e": Health.SUSPECT}, probed
+
+
+def _one_that_comes_out_of_a_cut() -> None:
+    world = _world(6)
+    _cut(world, *(("g6", f"g{i}") for i in range(1, 6)))
+    _go_on(world, 100)  # it knows that it may be the one cut off, and takes its time
+    assert set(_member(world, "g6").prober.dead()) == {f"g{i}" for i in range(1, 6)}
+    world.network.cuts.clear()
+    _go_on(world, 15)
+    world.check_end()
+
+
+CASES = [
+    _two_that_cannot_reach_each_other,
+    _one_that_stood_still,
+    _one_that_comes_out_of_a_cut,
+]
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_no_member_is_told_dead_for_what_is_not_its_own_end(case: Callable[[], None]) -> None:
+    case()
+
+
+def _asks_no_helpers(patch: Patch) -> None:
+    patch.setattr(Prober, "_ask_helpers", lambda *_: [])
+
+
+def _does_not_notice_that_it_stood_still(patch: Patch) -> None:
+    real = Prober.tick
+
+    def tick(self: Prober, now: int, *rest: Any) -> Any:
+        self._beat = now
+        return real(self, now, *rest)
+
+    patch.setattr(Prober, "tick", tick)
+
+
+def _does_not_refute(patch: Patch) -> None:
+    patch.setattr(Member, "_refute", lambda self, life: None)
+
+
+@pytest.mark.parametrize(
+    ("mutation", "case"),
+    [
+        (_asks_no_helpers, CASES[0]),
+        (_does_not_notice_that_it_stood_still, CASES[1]),
+        (_does_not_refute, CASES[2]),
+    ],
+)
+def test_each_safeguard_of_the_probes_is_missed(
+    mutation: Callable[[Patch], None], case: Callable[[], None], monkeypatch: Patch
+) -> None:
+    mutation(monkeypatch)
+    with pytest.raises((AssertionError, pytest.fail.Exception)):
+        case()
+
+
+def test_a_member_whose_helpers_say_nothing_is_slower_to_accuse() -> None:
+    world = _world(6)
+    _cut(world, *(("g6", f"g{i}") for i in range(1, 6)))
+    _go_on(world, 10)
+    assert _member(world, "g6").prober.unwell >= UNWELL // 2
+    assert all(_member(world, f"g{i}").prober.unwell <= 2 for i in range(1, 6))
+
+
+def test_a_suspicion_ends_sooner_the_more_have_found_it_by_themselves() -> None:
+    ends = []
+    for confirmers in (["a"], ["a", "b"], ["a", "b", "c"], ["a", "b", "c", "d"]):
+        prober = Prober("g1", _member(_world(3), "g1").rng, 0)
+        prober._suspect("g9", 1, confirmers, 0)
+        times = range(0, ENDED, S // 5)
+        ends.append(next(t for t in times if prober.tick(t, ["x"] * 9, lambda n: 1) or True
+                         if prober.health("g9", 1) is Health.DEAD))  # fmt: skip
+    assert ends == sorted(ends, reverse=True)
+    assert ends[0] >= 5 * ends[-1]
+
+
+# --- Ways round
+
+
+def test_a_lease_rests_on_others_word_where_no_voter_can_be_reached() -> None:
+    world = World(2, 6, 3, 3 * S, every=S)
+    world.start()
+    world.kernel.run(8 * S)
+    _cut(world, *(("g6", voter) for voter in world.voters))
+    process = world.processes["g6"]
+    for _ in range(40):
+        _go_on(world, 0.5)
+        assert _member(world, "g6").standing(process.clock()) is Standing.IN
+    process.propose(1, 0)
+    _go_on(world, 4)
+    assert world.truth.latest is not None
+    assert world.truth.latest.active.by == "g6"
+
+
+def test_without_another_way_the_same_lease_is_over(monkeypatch: Patch) -> None:
+    monkeypatch.setattr(Paths, "asks", lambda *_: False)
+    with pytest.raises(AssertionError):
+        test_a_lease_rests_on_others_word_where_no_voter_can_be_reached()
+
+
+def test_another_way_is_taken_once_the_straight_one_has_given_no_answer() -> None:
+    paths = Paths()
+    assert [paths.asks("v") for _ in range(UNANSWERED + 2)] == [False] * UNANSWERED + [True] * 2
+    paths.answered("v")
+    assert not paths.asks("v")
+
+
+def test_nothing_goes_through_more_than_one_other() -> None:
+    world = _world(4)
+    member = _member(world, "g1")
+    member.take()
+    member.heard("g2", Via("g3", "g4", Ping(1, 0)), 0)
+    member.heard("g2", Via("g2", "g4", Ack(1)), 0)
+    said = [one for one in member.take() if isinstance(one, Send)]
+    assert [(one.to, one.message) for one in said] == [("g4", Via("g2", "g4", Ack(1)))]
+
+
+# --- Joining
+
+
+def test_a_newcomer_that_no_file_names_is_a_member_that_changes_wait_for() -> None:
+    world = World(3, 5, 3, every=S // 50, late=["g5"])
+    world.start()
+    world.kernel.run(8 * S)
+    newcomer = world.processes["g5"]
+    assert _member(world, "g4").admit("g5", "127.0.0.1:9") is not None
+    world.processes["g4"]._take()
+    _go_on(world, 2)
+    newcomer.start()
+    _go_on(world, 6)
+    assert _member(world, "g5").standing(newcomer.clock()) is Standing.IN
+    newcomer.pause()
+    world.processes["g2"].propose(1, 0)
+    _go_on(world, 5)
+    assert _member(world, "g1").waiting_for() == ["g5"]
+    newcomer.wake()
+    _go_on(world, 12)
+    world.check_end()
+
+
+def test_a_broken_promise_about_who_is_there_is_told_with_its_number() -> None:
+    world = _world(3)
+    _go_on(world, 20)
+    with pytest.raises(BrokenError, match="5: g1 takes g2 for dead"):
+        world.check_dead("g1", "g2")
--- a/tests/test_tier_processes.py
+++ b/tests/test_tier_processes.py
@@ -5,7 +5,9 @@
 import asyncio
 from pathlib import Path
 
-from sailhitch.lab.tier import Result, Scenario, load_scenario, play, table
+from sailhitch.lab.judge import Result, table
+from sailhitch.lab.scenario import Scenario, load_scenario
+from sailhitch.lab.tier import play
 
 SCENARIOS = sorted((Path(__file__).parent.parent / "deploy/lab").glob("*.toml"))
 AT_A_TIME = 3  # each has three to five daemons, and as many clients again
--- a/tests/test_tier_switch.py
+++ b/tests/test_tier_switch.py
@@ -17,10 +17,11 @@
 from sailhitch.daemon.state import State, from_file
 from sailhitch.lab.message import build
 from sailhitch.lab.node import Node
+from sailhitch.lab.ports import free_port
 from sailhitch.settings import SAFE, UNSAFE
 from sailhitch.tier.member import Terms
 from sailhitch.tier.wire import Keys
-from tests.daemons import ROUTES, Inside, file_value, free_port, inside, made, pool
+from tests.daemons import ROUTES, Inside, file_value, inside, made, pool
 from tests.sockets import PATIENCE, Client, read_message
 
 Routes = list[dict[str, Any]]
--- a/tests/test_wirings.py
+++ b/tests/test_wirings.py
@@ -14,7 +14,8 @@
 from sailhitch.core.core import Core
 from sailhitch.lab.message import build
 from sailhitch.lab.node import Fault, Memory, Node, doubled
-from tests.daemons import Inside, file_value, free_port, inside, pool
+from sailhitch.lab.ports import free_port
+from tests.daemons import Inside, file_value, inside, pool
 from tests.sockets import PATIENCE, Client, Gate, Registry, dial, entry, gate, until
 
 # What each kind is called on the platform, and by which path the daemon's routes know it.
