Tell "nothing to change" in a tier only of what the voters say holds

Two reroutes asked of two members in the same moment both ended as active, and payouts went on to the old nodes for 3.4 s: "n4 got 93 requests after reroute was active, the last g4-1-202 3.32 s after, under version 3". The members still went by serial 2, in which the payouts were where they were asked to be; serial 3 was decided. An apply or ban with nothing to change was answered from what the member acts by. Ruled out: the meet and the switch, as nobody sent under anything but 3.

--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -233,10 +233,12 @@
     async def _propose(self, state: State, by: str) -> Applied:
         base = self._base
         state = {**state, "listeners": {}}
-        if state == base.state:
-            return base
         if self.link.standing() is not Standing.IN:
             raise ApplyError(f"this gateway {self.link.standing().value}; ask another one")
+        if state == base.state:
+            # Danger: what this member goes by may be over, and "nothing to do" be untrue.
+            _check_same(base, (await self._decided(Member.read)).head)
+            return base
         waits = bool(await asyncio.to_thread(contradictions, base.state, state))
         content = await asyncio.to_thread(canonical, state)
         when = int(time.time() * 1e6)
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -276,6 +276,10 @@
         version = Version(0, base, digest, self.terms.name, who, when, change)
         return self._job(offer(version, waits), digest)
 
+    def read(self) -> int:
+        """Ask the voters what holds; the number of the job."""
+        return self._job(None, None)
+
     def withdraw(self, serial: int) -> int:
         """Give a pending version up; the number of the job."""
         return self._job(withdraw(serial), None)
@@ -364,7 +368,7 @@
         self._offers.add(digest)
         return digest
 
-    def _job(self, change: Change, digest: str | None) -> int:
+    def _job(self, change: Change | None, digest: str | None) -> int:
         self._jobs += 1
         number = self._jobs
 
