Play the lab's scenarios in the fleet model too, and compare what operators are told

Model and processes ran the same cores and nothing held them against each other. The same steps now play in the model, where nodes and routes are acts that a version permits; each command has to end in a way that some seed shows.

--- a/benchmarks/tier.py
+++ b/benchmarks/tier.py
@@ -3,8 +3,9 @@
     python benchmarks/tier.py [--members 5,25,200] [--loss 0,0.1,0.3] [--plays 5] [--json]
 
 Times are virtual seconds. A play founds a tier, lets it come to rest, and has one member propose a
-change that contradicts: `active` is when its proposer acts by it, `all` when the last member does.
-Bytes are of MessagePack without seals (28 bytes a datagram more), in the ten seconds before.
+change that contradicts: `active` is when its proposer acts by it, `all` when the last member does;
+`restart` is from a kill -9 of all until all are in. Bytes are of MessagePack without seals (28
+bytes a datagram more), in the ten seconds before.
 """
 
 from __future__ import annotations
@@ -18,13 +19,14 @@
 import msgspec
 
 from sailhitch.model.tier import World
+from sailhitch.tier.member import Standing
 
 S = 1_000_000
 
 
 def play(members: int, loss: float, seed: int) -> dict[str, float]:
     """One play; raises AssertionError where the change does not end in time."""
-    world = World(seed, members, min(5, members) if members > 3 else 3, beat=100_000)
+    world = World(seed, members, min(5, members) if members > 3 else 3, beat=100_000, every=S)
     began = time.perf_counter()
     world.network.loss = loss
     world.start()
@@ -52,6 +54,24 @@
     }  # fmt: skip
 
 
+def restart(members: int, loss: float, seed: int) -> float:
+    """Seconds from a kill -9 of all at once, and their start, until all are in."""
+    world = World(seed, members, min(5, members) if members > 3 else 3, beat=100_000, every=S)
+    world.start()
+    world.kernel.run(15 * S)
+    world.network.loss = loss
+    for process in world.processes.values():
+        process.kill()
+    at = world.kernel.now
+    world.start()
+    while world.kernel.now < at + 60 * S:
+        world.kernel.run(world.kernel.now + S // 20)
+        cores = [(one.member, one.clock()) for one in world.processes.values()]
+        if all(m is not None and m.standing(now) is Standing.IN for m, now in cores):
+            return (world.kernel.now - at) / S
+    raise AssertionError(f"{members} members, loss {loss}, seed {seed}: not all in within 60 s")
+
+
 def _active(process: Any) -> bool:
     view = process.view
     return view is not None and view.active.serial > 1 and view.pending is None
@@ -80,11 +100,13 @@
     if not options.json:
         print(
             "members  loss  active median worst   all median worst   bytes/s  datagrams/s  real s"
+            "  restart median worst"
         )
     for members in map(int, options.members.split(",")):
         for loss in map(float, options.loss.split(",")):
             plays = [play(members, loss, seed) for seed in range(options.plays)]
             found = {name: [one[name] for one in plays] for name in plays[0]}
+            found["restart"] = [restart(members, loss, seed) for seed in range(options.plays)]
             if options.json:
                 print(json.dumps({"members": members, "loss": loss, **found}), flush=True)
                 continue
@@ -94,7 +116,8 @@
                 f"{statistics.median(everyone):12.2f} {max(everyone):5.2f} "
                 f"{statistics.mean(found['bytes']):9.0f} "
                 f"{statistics.mean(found['datagrams']):12.1f} "
-                f"{statistics.mean(found['seconds']):7.1f}",
+                f"{statistics.mean(found['seconds']):7.1f} "
+                f"{statistics.median(found['restart']):14.2f} {max(found['restart']):5.2f}",
                 flush=True,
             )
 
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -98,6 +98,10 @@
     lab = command("lab", _lab, "play a scenario with real processes; exits 1 on a broken promise")
     lab.add_argument("kind", choices=("tier",))
     lab.add_argument("files", metavar="FILE", nargs="+", help="scenarios, as those in deploy/lab")
+    lab.add_argument(
+        "--model", metavar="SEEDS", type=int, default=0,
+        help="play each in the model too, by so many seeds, and compare; a difference exits 1",
+    )  # fmt: skip
     maintenance = command("maintenance", _maintenance, "take a node out by hand, or put it back")
     maintenance.add_argument("act", choices=("enter", "exit", "list"))
     maintenance.add_argument("node", metavar="POOL/NODE", nargs="?")
@@ -316,6 +320,7 @@
     import asyncio
 
     from ..lab.judge import table
+    from ..lab.modelled import compare, play_modelled
     from ..lab.scenario import ScenarioError, load_scenario
     from ..lab.tier import play
 
@@ -329,9 +334,13 @@
             result = asyncio.run(play(scenario, say))
         except ScenarioError as error:
             raise CommandError(str(error)) from None
-        bad += bool(result.broken)
-        lines = [json.dumps(result.as_json())] if options.json else table(result)
-        print("\n".join(lines), flush=True)
+        found, lines = result.as_json(), table(result)
+        if options.model:
+            beside = compare(result, play_modelled(scenario, range(options.model)))
+            found["differs"] = beside.differs
+            lines += [*beside.lines, *(f"DIFFERS: {one}" for one in beside.differs)]
+        bad += bool(result.broken or found.get("differs"))
+        print(json.dumps(found) if options.json else "\n".join(lines), flush=True)
     return ERROR if bad else DONE
 
 
--- /dev/null
+++ b/sailhitch/lab/modelled.py
@@ -0,0 +1,317 @@
+"""The scenarios of the lab in the fleet model: the same steps, the same cores, no processes.
+
+Nodes and routes become acts that a version permits: act `i` is sending to node `i`, two more are
+paying out at the first pool and at the spare one. What an operator's command would be told follows
+from the core's answer by the daemon's rules. `compare` holds both plays against each other.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Final
+
+from ..daemon.schema import read_duration
+from ..model.tier import EVERY, TierProcess, World
+from ..model.truth import BrokenError
+from ..tier.forms import End, Version
+from ..tier.member import Member, Standing
+from .judge import Result, Told
+from .scenario import Scenario, StepPart
+
+S: Final = 1_000_000
+STEP: Final = S // 50  # us of virtual time between two looks
+PATIENCE: Final = 60 * S  # us for what a step waits for
+DECIDED: Final = 10 * S  # us for a change to be decided, as in the daemon
+LEAVING: Final = S  # us that a process that leaves in good order is given
+COMMANDS: Final = ("ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute")
+
+
+@dataclass
+class _Command:
+    """What an operator has asked for at one gateway, until he is told how it ended."""
+
+    step: StepPart
+    process: TierProcess
+    asked: int
+    life: int
+    job: int | None = None
+    version: Version | None = None
+    since: int = 0  # when the version was decided
+    end: str = ""
+    ended: int = 0
+
+
+@dataclass
+class ModelPlay:
+    """What a play in the model came to."""
+
+    told: list[Told] = field(default_factory=list)
+    broken: str = ""
+
+
+class Player:
+    """Plays one scenario by one seed."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.nodes = scenario.nodes
+        lease = None if scenario.lease is None else read_duration(scenario.lease)
+        self.within = read_duration(scenario.agree_within)
+        # All nodes may be sent to, and payouts go to the first pool.
+        self.world = World(
+            seed, scenario.gateways, scenario.voters, lease, 100_000, EVERY, scenario.late,
+            range(self.nodes + 1), self.nodes + 2,
+        )  # fmt: skip
+        self.commands: list[_Command] = []
+
+    def play(self) -> ModelPlay:
+        """Have everything happen, each look at the truth included."""
+        play = ModelPlay()
+        try:
+            self._play()
+        except BrokenError as error:
+            play.broken = str(error)
+        for one in self.commands:
+            told = Told(
+                one.step, one.process.name, one.asked / S, one.ended / S, one.end or "refused", ""
+            )
+            play.told.append(told)
+        return play
+
+    def _play(self) -> None:
+        world = self.world
+        world.start()
+        first = [name for name in world.names if name not in self.scenario.late]
+        self._until(lambda: all(self._is_in(name) for name in first), "all members are in")
+        began = world.kernel.now
+        for step in self.scenario.steps:
+            self._go_on(began + int(step.at * S))
+            self._do(step)
+        self._go_on(began + int(self.scenario.seconds * S))
+        self._until(lambda: all(one.end for one in self.commands), "all commands end")
+
+    def _go_on(self, until: int) -> None:
+        while self.world.kernel.now < until:
+            self.world.kernel.run(min(until, self.world.kernel.now + STEP))
+            self._look()
+
+    def _until(self, good: Callable[[], bool], what: str) -> None:
+        limit = self.world.kernel.now + PATIENCE
+        while not good():
+            if self.world.kernel.now >= limit:
+                raise BrokenError(f"4: not within {PATIENCE // S} s: {what}")
+            self._go_on(self.world.kernel.now + STEP)
+
+    # --- Conditions
+
+    def _member(self, name: str) -> Member:
+        member = self.world.processes[name].member
+        assert member is not None
+        return member
+
+    def _is_in(self, name: str) -> bool:
+        process = self.world.processes[name]
+        if process.member is None or not process.up:
+            return False
+        return process.member.standing(process.clock()) is Standing.IN
+
+    def _agree(self, names: Sequence[str]) -> bool:
+        running = [name for name in names if self.world.processes[name].up]
+        heads = [self._member(name).known for name in running]
+        turns = {0 if known is None else known.head.turn for known in heads}
+        settled = all(known is not None and known.head.pending is None for known in heads)
+        acted = all(self._member(name).confirmed in turns for name in running)
+        voters = [voter for name in running if (voter := self._member(name).voter) is not None]
+        good = settled and acted and len(turns) == 1 and all(voter.votes for voter in voters)
+        return good and all(self._is_in(name) for name in running)
+
+    # --- Steps
+
+    def _do(self, step: StepPart) -> None:
+        network, names = self.world.network, step.who or list(self.world.names)
+        if step.do in COMMANDS:
+            for name in step.who:
+                self._ask(step, self.world.processes[name])
+        elif step.do == "await":
+            self._until(lambda: all(one.end for one in self.commands), "all commands end")
+        elif step.do == "agree":
+            self._until(lambda: self._agree(names), "all agree")
+        elif step.do == "dead":
+            self._until(
+                lambda: all(
+                    set(step.to) <= set(self._member(name).prober.dead()) for name in step.who
+                ),
+                f"{', '.join(step.to)} told dead",
+            )
+        elif step.do in ("cut", "heal"):
+            self._cut(step)
+        elif step.do in ("loss", "garble"):  # what is garbled is not opened: it is lost
+            network.loss = 1 - (1 - network.loss) * (1 - step.value)
+        elif step.do in ("double", "replay"):
+            network.doubled = max(network.doubled, step.value)
+        elif step.do == "delay":
+            network.jitter = int(step.value * S)
+        else:
+            for name in step.who:
+                self._fault(step, self.world.processes[name])
+
+    def _cut(self, step: StepPart) -> None:
+        cuts, names = self.world.network.cuts, self.world.names
+        links = {(a, b) for a in step.who for b in step.to or names}
+        if step.do == "cut":
+            cuts |= links
+        elif step.who:
+            cuts -= links
+        else:
+            cuts.clear()
+
+    def _fault(self, step: StepPart, process: TierProcess) -> None:
+        disk = process.disk
+        if step.do == "pause":
+            process.pause()
+        elif step.do == "wake":
+            process.wake()
+        elif step.do == "kill":
+            process.kill()
+        elif step.do == "stop":
+            process.ask(Member.leave)
+            self._go_on(self.world.kernel.now + LEAVING)
+            process.kill()
+        elif step.do == "start":
+            disk.full = False
+            process.start()
+        elif step.do == "copy_disk":
+            disk.copy()
+        elif step.do == "old_disk":
+            disk.now = dict(disk.days[-1])
+        elif step.do == "lost_disk":
+            disk.now.clear()
+        else:
+            assert step.do == "full_disk", step.do
+            disk.full = True
+
+    # --- Commands
+
+    def _ask(self, step: StepPart, process: TierProcess) -> None:
+        one = _Command(step, process, self.world.kernel.now, process.life)
+        self.commands.append(one)
+        member = process.member
+        if not process.up or process.paused or member is None or process.view is None:
+            self._end(one, "refused")
+            return
+        name = step.to[0] if step.do == "join" else step.node
+        if step.do in ("gone", "join"):
+            gone = step.do == "gone"
+            why = member.why_not_gone(name, self.within, process.clock()) if gone else (
+                member.why_not_admitted(name)
+            )  # fmt: skip
+            if why:
+                self._end(one, "refused")
+                return
+            one.job = process.ask(lambda m: m.put_out(name) if gone else m.admit(name, "h:1"))
+        elif step.do == "withdraw":
+            pending = None if member.known is None else member.known.head.pending
+            one.job = None if pending is None else process.ask(lambda m: m.withdraw(pending.serial))
+        elif self._is_in(process.name):
+            base = process.view.active
+            old = self.world.permitted(base.digest)
+            new, weight = self._wanted(step, old)
+            if new == old and not weight:
+                one.job = process.ask(Member.read)
+                one.version = base
+            else:
+                one.job = process.offer(base, new, weight)
+        if one.job is None:
+            self._end(one, "refused")
+
+    def _wanted(self, step: StepPart, old: frozenset[int]) -> tuple[frozenset[int], int]:
+        here, spare = self.nodes, self.nodes + 1
+        if step.do == "reroute":
+            return (old - {here, spare}) | {spare if step.value else here}, 0
+        if step.do == "weigh":
+            return old, 1 + len(self.commands)
+        act = int(step.node[1:]) - 1
+        return (old | {act} if step.do == "unban" else old - {act}), 0
+
+    def _look(self) -> None:
+        """Tell operators what has ended."""
+        for one in self.commands:
+            if not one.end:
+                self._follow(one)
+
+    def _follow(self, one: _Command) -> None:
+        now, process = self.world.kernel.now, one.process
+        if not process.up or process.life != one.life:
+            self._end(one, "refused")  # whoever asked lost his connection
+            return
+        assert one.job is not None
+        if one.since:
+            assert one.version is not None
+            if process.view is not None and process.view.active.serial >= one.version.serial:
+                same = process.view.active.serial == one.version.serial
+                self._end(one, "active" if same else "refused")
+            elif now - one.since >= self.within:
+                self._end(one, "pending")
+            return
+        done = process.ended.get(one.job)
+        if done is None:
+            if now - one.asked >= DECIDED:
+                self._end(one, "refused")
+        elif one.step.do in ("withdraw", "gone", "join"):
+            self._end(one, "active" if done.end is End.ACTIVE else "refused")
+        elif one.version is not None:  # there was nothing to change, if that was the latest
+            head = done.head
+            same = head.active.serial == one.version.serial and head.pending is None
+            self._end(one, "active" if same else "stale")
+        elif done.end in (End.STALE, End.BUSY):
+            self._end(one, "stale")
+        else:
+            one.version = done.head.active if done.end is End.ACTIVE else done.head.pending
+            one.since = now
+
+    def _end(self, one: _Command, end: str) -> None:
+        one.end, one.ended = end, self.world.kernel.now
+
+
+@dataclass
+class Comparison:
+    """A play by processes beside plays in the model; `differs` has a line for what is unlike."""
+
+    lines: list[str] = field(default_factory=list)
+    differs: list[str] = field(default_factory=list)
+
+
+def play_modelled(scenario: Scenario, seeds: Sequence[int]) -> list[ModelPlay]:
+    """The scenario in the model, once by each seed."""
+    return [Player(scenario, seed).play() for seed in seeds]
+
+
+def compare(result: Result, plays: Sequence[ModelPlay]) -> Comparison:
+    """Each command's end and time beside those in the model, all of one and the same scenario.
+
+    Where a race may end one way or the other, any end that some seed shows is like.
+    """
+    found = Comparison([f"{'command':<24} {'processes':>16} {'model':>24}"])
+    found.differs += [f"in the model: {play.broken}" for play in plays if play.broken]
+    steps = result.scenario.steps
+    by_key = [_by_key(steps, play.told) for play in plays]
+    for key, told in sorted(_by_key(steps, result.told).items()):
+        modelled = [play[key] for play in by_key if key in play]
+        ends = sorted({one.end for one in modelled})
+        times = [one.ended - one.asked for one in modelled]
+        what = f"{told.step.do} {told.step.node} at {told.by}"
+        span = f"{min(times):.2f} to {max(times):.2f}s" if times else "-"
+        took = f"{told.end} {told.ended - told.asked:.2f}s"
+        found.lines.append(f"{what:<24} {took:>16} {' or '.join(ends):>9} {span:>16}")
+        if told.end not in ends:
+            found.differs.append(
+                f"{what}: {told.end} by processes, {' or '.join(ends) or 'nothing'} in the model"
+            )
+    return found
+
+
+def _by_key(steps: Sequence[StepPart], told: Sequence[Told]) -> dict[tuple[int, str], Told]:
+    """Commands by the number of their step and the gateway asked."""
+    numbers = {id(step): number for number, step in enumerate(steps)}
+    return {(numbers[id(one.step)], one.by): one for one in told}
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -246,11 +246,11 @@
         began = loop.time()
         for gateway in self.gateways.values():
             if gateway.name not in self.scenario.late:
-                await self._ask_steadily(gateway)
+                await self.ask_steadily(gateway)
         for step in self.scenario.steps:
             await asyncio.sleep(max(0.0, began + step.at - loop.time()))
             self.say(f"{step.at:6.2f} s  {step.do} {' '.join(step.who)} {step.node}".rstrip())
-            await self._do(step)
+            await self.do(step)
         await asyncio.sleep(max(0.0, began + self.scenario.seconds - loop.time()))
         await asyncio.gather(*self._commands)
         ended = loop.time()
@@ -260,13 +260,14 @@
         Judge(self.result, self.nodes, self.gateways, self.loads).judge(began, ended)
         return self.result
 
-    async def _ask_steadily(self, gateway: Gateway) -> None:
+    async def ask_steadily(self, gateway: Gateway) -> None:
         """Have clients of its own ask a gateway from now on."""
         seed, name = self.scenario.seed + self.names.index(gateway.name), gateway.name
         load = Load(gateway.addr, self.scenario.clients, MIX, 0.02, seed, f"{name}-")
         self.loads[name] = await load.__aenter__()
 
-    async def _do(self, step: StepPart) -> None:
+    async def do(self, step: StepPart) -> None:
+        """Have one step happen; raises ScenarioError where what it waits for does not come."""
         chosen = [self.gateways[name] for name in step.who]
         now = asyncio.get_running_loop().time()
         if step.do in ("ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute"):
@@ -314,7 +315,7 @@
             await one.start()
             one.back(now + 2.0)
             if one.name not in self.loads:
-                await self._ask_steadily(one)
+                await self.ask_steadily(one)
 
     def _cut(self, step: StepPart) -> None:
         for (a, b), relay in self.relays.items():
