Leave a zone as a fleet by an operator's word, and return to it by steps

Each gateway found out for itself that a zone was gone, and what came back got the sum of all their probes. Now `sailhitch zones leave|return|hold|release|status` is one record of the tier: which part of each zone's nodes is in use. A share is of nodes, the same ones at every gateway, and what comes into use counts as just started, so the rule on cold nodes holds over the sum of all gateways by the slices that stand. A way back has five steps; each lasts as long as its nodes need to be warm and until 20 requests have ended there, by the counts that members say with their rows; the one whose requests failed most is left out of three or more. A relapse goes back a step at once and doubles the steps' time.

Found by processes: after a relapse the returning nodes were shunned for good and no request ended there in 20 s ("shuns=4", "outcomes: ok=1900 timeout=5"), so the next step never came. Ruled out: steps that go on without evidence. A step that lacks it now tries its nodes anew, as just started.

sailhitch/zones is sans-IO and runs in daemon and model; a pool's `seen` is told of each outcome, nobody's on the platform's line.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -56,6 +56,8 @@
         # Asked right before an attempt's first byte is written, where rules may have changed since
         # the module chose; None where they can't.
         self.may_write: Callable[[Attempt], bool] | None = None
+        # Told of each attempt's server and outcome, where somebody sums them up.
+        self.seen: Callable[[str, str], None] | None = None
         self.stamp = b""  # fields that every attempt carries, as of the rules it is sent by
         self._inside = False
         self._later: deque[tuple[Attempt, str]] = deque()
@@ -268,6 +270,8 @@
         statuses[status] = statuses.get(status, 0) + 1
         if status in (MOOT, CANCELLED):
             return
+        if self.seen is not None:
+            self.seen(server, status)
         if status == OK:
             self.failing.discard(server)
         elif server not in self.failing:
--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -135,6 +135,9 @@
             return await asyncio.shield(self._ban(request, by))
         if op == "tier":
             return await asyncio.shield(self._tier(request))
+        if op == "zones":
+            by = _user(peer_uid(writer.get_extra_info("socket")))
+            return await asyncio.shield(self._zones(request, by))
         return _error(BAD, f"op: not known: {str(op)[:40]!r}")
 
     async def _tier(self, request: dict[str, Any]) -> dict[str, Any]:
@@ -154,6 +157,14 @@
             return _error(FAILED, str(error))
         return _error(BAD, f"act: not known: {str(act)[:40]!r}")
 
+    async def _zones(self, request: dict[str, Any], by: str) -> dict[str, Any]:
+        if self.tier is None:
+            return _error(FAILED, "this gateway is of no tier: its file has no [tier]")
+        try:
+            return await self.tier.zoned.ask(request, by)
+        except ApplyError as error:
+            return _error(FAILED, str(error))
+
     async def _state(self, serial: Any) -> dict[str, Any]:
         one = self.source.base()
         try:
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -21,7 +21,7 @@
 from .admin import MOVED, AdminError, ask
 from .plan import Plan, PlanError, describe, load_plan, make_plan, summary
 from .rules import contradictions
-from .schema import FileError, OperatorFile, load_file
+from .schema import FileError, OperatorFile, load_file, read_duration
 from .state import State, digest, from_file, with_bans
 
 DONE, ERROR, CHANGES, REFUSED = range(4)
@@ -95,6 +95,16 @@
     tier.add_argument("act", choices=("status", "members", "history", "withdraw", "gone", "join"))
     tier.add_argument("name", metavar="MEMBER", nargs="?", help="whom `gone` or `join` is said of")
     tier.add_argument("place", metavar="HOST:PORT", nargs="?", help="where `join` has it be found")
+    zones = command("zones", _zones, "leave a zone as a fleet, and return to it by steps")
+    zones.add_argument("act", choices=("status", "leave", "return", "hold", "release"))
+    zones.add_argument("zone", metavar="ZONE", nargs="?")
+    zones.add_argument("--why", default="", help="kept with the order, for who looks later")
+    zones.add_argument("--step", metavar="TIME", help="how long a step back lasts, such as 30s")
+    zones.add_argument(
+        "--dry-run",
+        action="store_true",
+        help="say what the other nodes would carry, and do nothing",
+    )
     lab = command("lab", _lab, "play a scenario with real processes; exits 1 on a broken promise")
     lab.add_argument("kind", choices=("tier",))
     lab.add_argument("files", metavar="FILE", nargs="+", help="scenarios, as those in deploy/lab")
@@ -315,6 +325,49 @@
     return f"  {one['name']}{marks}{place}, {told}{trouble}"
 
 
+def _zones(options: argparse.Namespace) -> int:
+    if (options.act in ("leave", "return")) != (options.zone is not None):
+        raise CommandError("zones: `leave` and `return` take a ZONE, other acts none")
+    step = None
+    if options.step is not None:
+        try:
+            step = read_duration(options.step)
+        except ValueError as error:
+            raise CommandError(f"zones: --step: {error}") from None
+    asked = {"op": "zones", "act": options.act, "zone": options.zone, "why": options.why,
+             "step": step, "dry_run": options.dry_run}  # fmt: skip
+    answer = _asked(options, None, asked)
+    if options.json:
+        print(json.dumps(answer))
+    elif options.act == "status":
+        _print_zones(answer)
+    elif answer.get("dry_run"):
+        for pool, told in answer["pools"].items():
+            print(
+                f"pool {pool}: {told['in_use']} of {told['nodes']} nodes in use, {told['before']} "
+                f"now; each would carry {told['each_carries']} times as much"
+            )
+    elif answer.get("pending"):
+        print(f"serial {answer['serial']} holds; not yet at {', '.join(answer['waiting_for'])}")
+    else:
+        print(f"serial {answer['serial']}: all members that are there go by it")
+    return CHANGES if answer.get("pending") else DONE
+
+
+def _print_zones(answer: Mapping[str, Any]) -> None:
+    print(f"serial {answer['serial']}" + (f", held: {answer['held']}" if answer["held"] else ""))
+    for name, one in answer["zones"].items():
+        if one["phase"] == "in use":
+            print(f"  {name or '(none)'}: all of {one['nodes']} nodes in use")
+            continue
+        relapses = f", {one['relapses']} relapses" if one["relapses"] else ""
+        print(
+            f"  {name or '(none)'}: {one['phase']}, {one['in_use']} of {one['nodes']} nodes in use"
+            f"{relapses}; {one['failed']} of {one['ended']} requests failed; waits for "
+            f"{one['waits_for']}; by {one['by']}: {one['why'] or '-'}"
+        )
+
+
 def _lab(options: argparse.Namespace) -> int:
     # An extra of its own, and nothing that a gateway loads.
     import asyncio
--- a/sailhitch/daemon/live.py
+++ b/sailhitch/daemon/live.py
@@ -47,6 +47,8 @@
     stamp: bytes = b""  # fields that attempts carry under it
     also: State | None = None  # whose routes hold beside its own
     rules: int = 0  # counts up where requests read before must not be sent by the older ones
+    unused: frozenset[str] = frozenset()  # nodes, as `pool/id`, that get nothing new
+    renewed: frozenset[str] = frozenset()  # those that are tried as if they had just started
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
         self.places = Places(core)
         self.listeners: dict[str, Listener] = {}
         self.applied = Applied(0, 0, "nobody", EMPTY)
+        self.out: set[str] = set()  # nodes that are banned, or not in use
         self.past: list[Applied] = []  # all that held, where there is no store
         self.intake = RoutedIntake(core.clock)
         self._switching = asyncio.Lock()
@@ -200,9 +203,13 @@
             else:
                 pool.start(Roster(0, True, (), 0, frozenset()))
                 self.core.pools.append(pool)
-        bans = applied.state["bans"]
-        for key in sorted(bans.keys() | self.applied.state["bans"].keys()):
-            self.places.by_hand(key, pools, key in bans)
+        out = applied.state["bans"].keys() | prepared.decided.unused
+        for key in sorted(prepared.decided.renewed - out):
+            self.places.by_hand(key, pools, True)
+            self.places.by_hand(key, pools, False)
+        for key in sorted(out | self.out):
+            self.places.by_hand(key, pools, key in out)
+        self.out = out
         self.places.list_nodes(made, prepared.tables, self.pools, pools)
         for pool in pools.values():
             pool.stamp = prepared.decided.stamp
--- a/sailhitch/daemon/process.py
+++ b/sailhitch/daemon/process.py
@@ -97,7 +97,7 @@
 
     def _tier(self, live: Live, part: TierPart, own: Store | None) -> Tiered:
         folder = Path(self.gateway.state_dir or "") / "tier"
-        return Tiered(live, part, load_keys(part.key_file), folder, own, self.log)
+        return Tiered(live, part, load_keys(part.key_file), folder, own, self.log, self.made.zones)
 
     def _signals(self, loop: asyncio.AbstractEventLoop, source: Source) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -232,12 +232,20 @@
     lease: Duration | None = None
 
 
+class ZonesPart(_Part):
+    """Leaving zones as a fleet. Fixed for the life of the process."""
+
+    max_out: Annotated[int, Field(ge=1, le=100)] = 1
+    step: Duration | None = None
+
+
 class OperatorFile(_Part):
     """All of it."""
 
     version: Literal[1]
     gateway: GatewayPart
     tier: TierPart | None = None
+    zones: ZonesPart | None = None
     listeners: list[ListenerPart] = []
     classes: list[ClassPart] = []
     tenants: list[TenantPart] = []
@@ -367,7 +375,7 @@
 _PARTS: Final[dict[str, type[_Part]]] = {
     "gateway": GatewayPart, "listeners": ListenerPart, "classes": ClassPart,
     "tenants": TenantPart, "pools": PoolPart, "nodes": NodePart, "routes": RoutePart,
-    "match": MatchPart, "tier": TierPart, "members": TierMemberPart,
+    "match": MatchPart, "tier": TierPart, "zones": ZonesPart, "members": TierMemberPart,
 }  # fmt: skip
 
 
@@ -392,6 +400,8 @@
     yield from _node_contradictions(made)
     if made.tier is not None:
         yield from _tier_contradictions(made.gateway, made.tier)
+    if made.zones is not None:
+        yield from _zones_contradictions(made)
     for i, cls in enumerate(made.classes):
         if cls.aim > cls.deadline:
             yield f"classes[{i}].aim: longer than the deadline"
@@ -424,6 +434,17 @@
             addresses.setdefault(node.address, here)
 
 
+def _zones_contradictions(made: OperatorFile) -> Iterator[str]:
+    if made.tier is None:
+        yield "zones: needs a [tier]: a gateway alone has nobody to leave a zone with"
+    least = made.gateway.cold_time * 3 // 2  # by then all gateways treat its nodes as warm
+    if made.zones is not None and made.zones.step is not None and made.zones.step < least:
+        yield (
+            f"zones.step: {say_duration(made.zones.step)} is less than {say_duration(least)}, one "
+            "and a half times gateway.cold_time: nodes of a step would not be warm at its end"
+        )
+
+
 def _tier_contradictions(gateway: GatewayPart, tier: TierPart) -> Iterator[str]:
     names = [member.name for member in tier.members]
     yield from _repeated("tier.members", "name", names)
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -29,10 +29,11 @@
 from .places import address_of
 from .plan import MovedError, PlanError, check_base, load_plan
 from .rules import contradictions, meet
-from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart
+from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart, ZonesPart
 from .source import StillPendingError, find
 from .state import State, banned, canonical, from_file
 from .store import Applied, Store
+from .zoned import Zoned
 
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
 ASKED: Final = 10.0  # s that a change may take to be decided before the operator is told so
@@ -50,8 +51,9 @@
     """The source of a daemon whose file has a `[tier]`."""
 
     def __init__(
-        self, live: Live, part: TierPart, keys: Keys, folder: Path, own: Store | None, log: Log
-    ) -> None:
+        self, live: Live, part: TierPart, keys: Keys, folder: Path, own: Store | None, log: Log,
+        zones: ZonesPart | None = None,
+    ) -> None:  # fmt: skip
         """`own` keeps what this daemon decided alone. Raises DiskError."""
         self.live, self.part, self.own, self.log = live, part, own, log
         name = live.gateway.name
@@ -68,6 +70,7 @@
         self._base = Applied(0, 0, "nobody", live.applied.state)
         self._standing: Standing | None = None
         self.stopped = False
+        self.zoned = Zoned(self, live, zones, live.gateway)
 
     @property
     def owner(self) -> str:
@@ -130,6 +133,7 @@
 
     def _beaten(self) -> None:
         core, standing = self.live.core, self.link.standing()
+        self.zoned.beat()
         core.ready = standing is Standing.IN and not core.drain_since and not self.stopped
         if standing is not self._standing:
             self._standing = standing
@@ -153,7 +157,7 @@
     async def _go(self, acting: Acting) -> None:
         """Have the switch go by this, and say so once nothing goes by anything older."""
         last = self._last
-        same = last is not None and (last.active, last.pending) == (acting.active, acting.pending)
+        same = last is not None and last._replace(turn=acting.turn) == acting
         if not same:
             try:
                 await self._switch(acting)
@@ -179,18 +183,25 @@
         more = any(self._differs(kind, shown, also) for kind in ("routes", "classes", "tenants"))
         rules = self._rules + more
         whole = {**shown, "listeners": self.listeners}
+        posture = self.zoned.read(acting.posture)
+        kept = acting.pending is None and (
+            self._last is None or self._last._replace(posture=None, turn=0)
+            != acting._replace(posture=None, turn=0)
+        )  # fmt: skip
         await self.live.change(
             Decided(
-                whole, version.who, version.serial, None, acting.pending is None,
-                f"{stamp}\r\n".encode(), also, rules,
+                whole, version.who, version.serial, None, kept, f"{stamp}\r\n".encode(), also,
+                rules, self.zoned.unused(posture, shown), self.zoned.renewed(posture, shown),
             )
         )  # fmt: skip
         self._rules = rules
+        self.zoned.goes_by(acting.posture, posture)
         for pool in self.live.core.pools:
             pool.may_write = self._may_write
         when = self.live.applied.when
         self._base = Applied(version.serial, when, version.who, active)
         told = "" if acting.pending is None else f", met with pending {acting.pending.serial}"
+        told += "" if acting.posture is None else f", zones by {acting.posture.serial}"
         self.log.say(f"tier: turn {acting.turn}: serial {version.serial}{told}")
 
     def _differs(self, kind: str, shown: State, also: State | None) -> bool:
@@ -237,7 +248,7 @@
             raise ApplyError(f"this gateway {self.link.standing().value}; ask another one")
         if state == base.state:
             # Danger: what this member goes by may be over, and "nothing to do" be untrue.
-            _check_same(base, (await self._decided(Member.read)).head)
+            _check_same(base, (await self.decided(Member.read)).head)
             return base
         waits = bool(await asyncio.to_thread(contradictions, base.state, state))
         content = await asyncio.to_thread(canonical, state)
@@ -246,7 +257,7 @@
         def ask(member: Member) -> int:
             return member.propose(content, base.serial, waits, by, when)
 
-        done = await self._decided(ask)
+        done = await self.decided(ask)
         head = done.head
         if done.end in (End.STALE, End.BUSY):
             _check_same(base, head)
@@ -254,7 +265,8 @@
         assert version is not None
         return await self._wait_for(version)
 
-    async def _decided(self, ask: Any) -> Done:
+    async def decided(self, ask: Any) -> Done:
+        """Have the core do a job, and wait until it is decided; raises ApplyError."""
         try:
             async with asyncio.timeout(ASKED):
                 done = await self.link.done(ask)
@@ -290,7 +302,7 @@
         pending = None if member is None or member.known is None else member.known.head.pending
         if pending is None:
             raise ApplyError("nothing is pending")
-        done = await self._decided(lambda m: m.withdraw(pending.serial))
+        done = await self.decided(lambda m: m.withdraw(pending.serial))
         if done.end is not End.ACTIVE:
             raise ApplyError(f"serial {pending.serial} is not pending any more")
         return {"ok": True, "withdrawn": pending.serial}
@@ -303,7 +315,7 @@
         why = member.why_not_gone(name, self.part.agree_within, steady())
         if why:
             raise ApplyError(f"{name!r}: {why}")
-        done = await self._decided(lambda m: m.put_out(name))
+        done = await self.decided(lambda m: m.put_out(name))
         if done.end is not End.ACTIVE:
             raise ApplyError("the roster has changed meanwhile; look again")
         return {"ok": True, "gone": name}
@@ -331,7 +343,7 @@
         taken |= {f"{host}:{port}": one for one, (host, port) in self.link.addresses.items()}
         if taken.get(place, name) != name:
             raise ApplyError(f"{place}: is where {taken[place]!r} is")
-        done = await self._decided(lambda m: m.admit(name, place))
+        done = await self.decided(lambda m: m.admit(name, place))
         if done.end is not End.ACTIVE:
             raise ApplyError("the roster has changed meanwhile; look again")
         return {"ok": True, "joins": name, "place": place}
--- a/sailhitch/lab/judge.py
+++ b/sailhitch/lab/judge.py
@@ -11,6 +11,9 @@
 from dataclasses import dataclass, field
 from typing import Any, Final, Protocol
 
+from ..daemon.schema import read_duration
+from ..zones.course import FIRST, following
+from ..zones.posture import in_use
 from .load import LOST, REFUSED, SERVED, Load
 from .node import Effect, Node, doubled
 from .scenario import Scenario, StepPart
@@ -106,6 +109,35 @@
             left = [one for one in self.nodes if (one in spare) != bool(step.value)]
             self._none(told, over, left, lambda effect: not effect.safe and not effect.key)
 
+        elif step.do == "leave":
+            over = self._until(told, lambda one: one.do == "return" and one.node == step.node)
+            left = [name for name in self.nodes if self.result.scenario.zone_of(name) == step.node]
+            self._none(told, over, left, lambda effect: True)
+        elif step.do == "return":
+            self._paced(told)
+
+    def _paced(self, told: Told) -> None:
+        """A way back uses no more nodes than its steps have had time for."""
+        scenario, zone = self.result.scenario, told.step.node
+        assert scenario.step is not None
+        here = [name for name in self.nodes if scenario.zone_of(name) == zone]
+        over = self._until(told, lambda one: one.do in ("leave", "return") and one.node == zone)
+        first = sorted(
+            min((e.at for e in self.nodes[name].log if told.asked < e.at < over), default=math.inf)
+            for name in here
+        )
+        share, began = FIRST, told.asked
+        while share < 1:
+            began += read_duration(scenario.step) / 1e6
+            early = sum(at < began for at in first)
+            if early > in_use(share, len(here)):
+                self.result.broken.append(
+                    f"{early} nodes of {zone} got something within {began - told.asked:.2f} s of "
+                    f"its return, where {in_use(share, len(here))} were due"
+                )
+                return
+            share = following(share)
+
     def _until(self, told: Told, ends: Callable[[StepPart], bool]) -> float:
         later = [one.asked for one in self.result.told if one.asked > told.ended and ends(one.step)]
         return min(later, default=math.inf)
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -16,15 +16,16 @@
 from ..model.truth import BrokenError
 from ..tier.forms import End, Version
 from ..tier.member import Member, Standing
+from ..zones.posture import PostureError
 from .judge import Result, Told
 from .scenario import Scenario, StepPart
+from .tier import COMMANDS, ZONES
 
 S: Final = 1_000_000
 STEP: Final = S // 50  # us of virtual time between two looks
 PATIENCE: Final = 60 * S  # us for what a step waits for
 DECIDED: Final = 10 * S  # us for a change to be decided, as in the daemon
 LEAVING: Final = S  # us that a process that leaves in good order is given
-COMMANDS: Final = ("ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute")
 
 
 @dataclass
@@ -61,10 +62,16 @@
         # All nodes may be sent to, and payouts go to the first pool.
         self.world = World(
             seed, scenario.gateways, scenario.voters, lease, 100_000, EVERY, scenario.late,
-            range(self.nodes + 1), self.nodes + 2,
+            range(self.nodes + 1), self.nodes + 2, self._zones(),
+            2 * read_duration(scenario.cold_time)
+            if scenario.step is None else read_duration(scenario.step),
         )  # fmt: skip
         self.commands: list[_Command] = []
 
+    def _zones(self) -> dict[str, str]:
+        zone_of, nodes = self.scenario.zone_of, range(self.nodes)
+        return {str(i): zone_of(f"n{i + 1}") for i in nodes} if self.scenario.zones else {}
+
     def play(self) -> ModelPlay:
         """Have everything happen, each look at the truth included."""
         play = ModelPlay()
@@ -126,6 +133,13 @@
         good = settled and acted and len(turns) == 1 and all(voter.votes for voter in voters)
         return good and all(self._is_in(name) for name in running)
 
+    def _all_go_along(self, member: Member, turn: int) -> bool:
+        return member.confirmed >= turn and not member.lagging()
+
+    def _is_back(self, step: StepPart) -> bool:
+        helms = [self.world.processes[name].helm for name in step.who]
+        return all(helm is not None and step.node not in helm.posture.zones for helm in helms)
+
     # --- Steps
 
     def _do(self, step: StepPart) -> None:
@@ -144,6 +158,11 @@
                 ),
                 f"{', '.join(step.to)} told dead",
             )
+        elif step.do == "back":
+            self._until(lambda: self._is_back(step), f"{step.node} is back")
+        elif step.do in ("freeze", "thaw"):
+            frozen = self.world.frozen
+            (frozen.add if step.do == "freeze" else frozen.discard)(step.node)
         elif step.do in ("cut", "heal"):
             self._cut(step)
         elif step.do in ("loss", "garble"):  # what is garbled is not opened: it is lost
@@ -210,6 +229,8 @@
                 self._end(one, "refused")
                 return
             one.job = process.ask(lambda m: m.put_out(name) if gone else m.admit(name, "h:1"))
+        elif step.do in ZONES:
+            one.job = self._ask_zones(step, process)
         elif step.do == "withdraw":
             pending = None if member.known is None else member.known.head.pending
             one.job = None if pending is None else process.ask(lambda m: m.withdraw(pending.serial))
@@ -225,6 +246,19 @@
         if one.job is None:
             self._end(one, "refused")
 
+    def _ask_zones(self, step: StepPart, process: TierProcess) -> int | None:
+        helm = process.helm
+        assert helm is not None
+        if not self._is_in(process.name):
+            return None
+        try:
+            posture = helm.asked(
+                step.do, step.node, "lab", "model", None, {"claims": self.world.zones}
+            )
+        except PostureError:
+            return None
+        return process.pose_zones(posture)
+
     def _wanted(self, step: StepPart, old: frozenset[int]) -> tuple[frozenset[int], int]:
         here, spare = self.nodes, self.nodes + 1
         if step.do == "reroute":
@@ -258,6 +292,13 @@
         if done is None:
             if now - one.asked >= DECIDED:
                 self._end(one, "refused")
+        elif one.step.do in ZONES:
+            if done.end is not End.ACTIVE:
+                self._end(one, "refused")
+            elif process.member is not None and self._all_go_along(process.member, done.head.turn):
+                self._end(one, "active")
+            elif now - one.asked >= self.within:
+                self._end(one, "pending")
         elif one.step.do in ("withdraw", "gone", "join"):
             self._end(one, "active" if done.end is End.ACTIVE else "refused")
         elif one.version is not None:  # there was nothing to change, if that was the latest
--- a/sailhitch/lab/scenario.py
+++ b/sailhitch/lab/scenario.py
@@ -23,7 +23,9 @@
     `await` is done when all commands have ended; `agree` when all gateways that run, or those in
     `who`, are in and act by the same turn, with nothing pending, and all voters among them vote
     (one whose disk was lost is mended by the others first); `dead` when those in `who` take all in
-    `to` for dead.
+    `to` for dead; `back` when the zone `node` is in use as a whole by the word of those in `who`.
+    `leave`, `return`, `hold` and `release` are operators' commands about the zone `node`; `freeze`
+    has the zone's nodes run what comes and answer nothing, until `thaw`.
     """
 
     at: Annotated[float, Field(ge=0, le=600)]
@@ -31,11 +33,12 @@
         "ban", "unban", "drop", "weigh", "withdraw", "gone", "pause", "wake", "kill", "start",
         "stop", "cut", "heal", "loss", "delay", "double", "garble", "replay", "copy_disk",
         "old_disk", "lost_disk", "full_disk", "await", "agree", "dead", "join", "reroute",
+        "leave", "return", "hold", "release", "back", "freeze", "thaw",
     ]  # fmt: skip
     who: list[str] = []  # gateways
     # Of a cut: whom they are not heard by any more; nobody named: everybody. Of `join`: who joins.
     to: list[str] = []
-    node: str = ""
+    node: str = ""  # or zone
     value: float = 0.0
     ends: Literal["active", "pending", "stale", "refused", ""] = ""  # what the command must say
 
@@ -49,6 +52,9 @@
     voters: Annotated[int, Field(ge=1, le=7)] = 3
     late: list[str] = []  # gateways that no other's file has, started by a step
     nodes: Annotated[int, Field(ge=1, le=20)] = 4
+    zones: Annotated[int, Field(ge=0, le=5)] = 0  # z1, z2, ..., with equal parts of all
+    step: str | None = None  # how long a step of a way back into a zone lasts
+    cold_time: str = "100ms"
     spare: Annotated[int, Field(ge=0, le=19)] = 0  # the last so many nodes are a pool of their own
     clients: Annotated[int, Field(ge=0, le=20)] = 3
     lease: str | None = None
@@ -63,6 +69,11 @@
         """The gateways."""
         return [f"g{i + 1}" for i in range(self.gateways)]
 
+    def zone_of(self, name: str) -> str:
+        """The zone of a gateway or node; none where there are none."""
+        count = self.gateways if name.startswith("g") else self.nodes
+        return f"z{(int(name[1:]) - 1) * self.zones // count + 1}" if self.zones else ""
+
     def spares(self) -> list[str]:
         """Nodes of the second pool, to which `reroute` with a value leads payouts."""
         return [f"n{i + 1}" for i in range(self.nodes - self.spare, self.nodes)]
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -27,7 +27,7 @@
 from .files import toml_text
 from .judge import Judge, Result, Told
 from .load import MIX, Load
-from .node import Memory, Node
+from .node import Fault, Memory, Node
 from .ports import free_port
 from .relay import Relay
 from .scenario import Scenario, ScenarioError, StepPart
@@ -38,6 +38,10 @@
     "loss": "loss", "delay": "delay", "double": "doubled", "garble": "garbled",
     "replay": "replayed",
 }  # fmt: skip
+ZONES: Final = ("leave", "return", "hold", "release")  # commands about zones
+COMMANDS: Final = (
+    "ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute", *ZONES,
+)  # fmt: skip
 Say = Callable[[str], None]
 
 
@@ -159,7 +163,12 @@
         }  # fmt: skip
         if self.scenario.lease is not None:
             tier["lease"] = self.scenario.lease
-        nodes = [{"id": i, "address": node.addr} for i, node in self.nodes.items()]
+        scenario = self.scenario
+        nodes = [
+            {"id": i, "address": node.addr, "zone": scenario.zone_of(i)}
+            for i, node in self.nodes.items()
+        ]
+        zones = {} if scenario.step is None else {"step": scenario.step}
         count = len(nodes) - self.scenario.spare
         pools = [{"name": "claims", "nodes": nodes[:count]}]
         if self.scenario.spare:
@@ -168,9 +177,10 @@
             "version": 1,
             "gateway": {
                 "name": name, "state_dir": str(folder / "state"),
-                "admin": str(folder / "admin.sock"), "cold_time": "100ms", "memory_mb": 64,
+                "admin": str(folder / "admin.sock"), "memory_mb": 64,
+                "cold_time": scenario.cold_time, "zone": scenario.zone_of(name),
             },
-            "tier": tier,
+            "tier": tier, **({"zones": zones} if scenario.zones else {}),
             "listeners": [{"name": "web", "address": f"127.0.0.1:{port}"}],
             "classes": [
                 {"name": "page", "aim": "1s", "deadline": "2s"},
@@ -193,6 +203,11 @@
         said = await asyncio.gather(*(one.status() for one in running))
         return all(one.get("standing") == "in" for one in said)
 
+    async def _is_back(self, step: StepPart) -> bool:
+        asked = (self.gateways[name].ask({"op": "zones", "act": "status"}) for name in step.who)
+        said = await asyncio.gather(*asked)
+        return all(one["zones"][step.node]["phase"] == "in use" for one in said)
+
     async def _all_tell_dead(self, step: StepPart) -> bool:
         said = await asyncio.gather(*(self.gateways[name].status() for name in step.who))
         dead = [
@@ -270,7 +285,7 @@
         """Have one step happen; raises ScenarioError where what it waits for does not come."""
         chosen = [self.gateways[name] for name in step.who]
         now = asyncio.get_running_loop().time()
-        if step.do in ("ban", "unban", "drop", "weigh", "withdraw", "gone", "join", "reroute"):
+        if step.do in COMMANDS:
             loop = asyncio.get_running_loop()
             self._commands += [loop.create_task(self._command(step, one)) for one in chosen]
         elif step.do == "await":
@@ -279,6 +294,13 @@
             await self._until("all agree", lambda: self._all_agree(step.who or self.names))
         elif step.do == "dead":
             await self._until(f"{step.to} told dead", lambda: self._all_tell_dead(step))
+        elif step.do == "back":
+            await self._until(f"{step.node} is back", lambda: self._is_back(step))
+        elif step.do in ("freeze", "thaw"):
+            script = (lambda name: Fault.SILENT) if step.do == "freeze" else None
+            for name, node in self.nodes.items():
+                if self.scenario.zone_of(name) == step.node:
+                    node.script = script
         elif step.do in ("cut", "heal"):
             self._cut(step)
         elif step.do in LINKS:
@@ -360,6 +382,9 @@
             )
         if step.do in ("withdraw", "gone"):
             return await gateway.ask({"op": "tier", "act": step.do, "name": step.node})
+        if step.do in ZONES:
+            zone = {"op": "zones", "act": step.do, "zone": step.node, "why": "lab"}
+            return await gateway.ask(zone)
         if step.do == "join":
             return await self._join(step, gateway)
         live = await gateway.ask({"op": "state"})
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -8,7 +8,7 @@
 
 import json
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from functools import cache
 from typing import Any
 
@@ -18,6 +18,8 @@
 from ..tier.library import digest_of
 from ..tier.member import Founding, Member, Standing, Terms
 from ..tier.register import VOTE
+from ..zones.helm import Helm, ZoneTerms, all_unused
+from ..zones.posture import Posture, read
 from .kernel import Kernel
 from .network import Network
 from .process import Process
@@ -48,6 +50,8 @@
         self.log: list[tuple[int, str]] = []
         self.changes: dict[int, str] = {}  # by job
         self.ended: dict[int, Done] = {}  # by job
+        self.helm: Helm | None = None
+        self.unused: frozenset[str] = frozenset()
         self._switched_at = 0
         self._draw = random.Random(world.kernel.seed * 1009 + len(world.processes))
 
@@ -63,6 +67,8 @@
             world.terms(self.name), boot, dict(self.disk.now), rng, self.clock(), founding
         )
         self._switched_at = 0
+        self.helm = Helm(ZoneTerms(1, world.step), rng) if world.zones else None
+        self.unused = frozenset()
         self._take()
         self._tick()
         self.kernel.after(int(self._rng.integers(EVERY)), self.guarded(self._act))
@@ -74,11 +80,22 @@
     def _tick(self) -> None:
         assert self.member is not None
         self.member.tick(self.clock())
+        self._steer()
         self._take()
         for name in self.member.prober.dead():
             self.world.check_dead(self.name, name)
         self.kernel.after(self.world.beat, self.guarded(self._tick))
 
+    def _steer(self) -> None:
+        helm, member = self.helm, self.member
+        if helm is None or member is None:
+            return
+        member.word = helm.word()
+        words = [row.word for row in member.crew.rows.values()]
+        found = helm.look(self.clock(), words)
+        if found is not None and member.standing(self.clock()) is Standing.IN:
+            self.pose_zones(found[0])
+
     def hear(self, sender: str, message: Message) -> None:
         """A datagram has come."""
 
@@ -97,8 +114,12 @@
         assert self.member is not None
         act = self._draw.randrange(self.world.acts)
         free = self.view is not None and act in self.allowed
+        free = free and str(act) not in self.unused
         if free and self.member.standing(self.clock()) is Standing.IN:
             assert self.view is not None
+            zone = self.world.zones.get(str(act))
+            if self.helm is not None and zone is not None:
+                self.helm.saw(zone, zone in self.world.frozen)
             self.world.truth.did(Deed(self.kernel.now, self.name, act, self.view.turn))
         self.kernel.after(self.world.every, self.guarded(self._act))
 
@@ -127,6 +148,10 @@
         self.allowed = self.world.permitted(acting.active.digest)
         if acting.pending is not None:
             self.allowed &= self.world.permitted(acting.pending.digest)
+        if self.helm is not None and acting.posture is not None:
+            posture = read(self.member.library.read(acting.posture.digest))
+            self.helm.goes_by(acting.posture.serial, posture, self.clock())
+            self.unused = all_unused(posture, {"all": self.world.zones})
         self.world.truth.goes_by(self.kernel.now, acting)
         self.member.acted(acting.turn, self.clock())
         self._take()
@@ -171,6 +196,15 @@
         self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
         self._take()
 
+    def pose_zones(self, posture: Posture) -> int:
+        """Propose this about zones; the number of the job."""
+        assert self.member is not None
+        assert self.helm is not None
+        job = self.member.pose(posture.content(), self.helm.serial, "model", 0)
+        self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
+        self._take()
+        return job
+
     def ask(self, what: Callable[[Member], int | None]) -> int | None:
         """Have the core do a job; its number, or None where it can't now."""
         assert self.member is not None
@@ -194,17 +228,21 @@
         self, seed: int, members: int = 5, voters: int = 3, lease: int | None = None,
         beat: int = 200_000, every: int = EVERY, late: Collection[str] = (),
         first: Collection[int] = range(0, ACTS, 2), acts: int = ACTS,
+        zones: Mapping[str, str] | None = None, step: int = 1_000_000,
     ) -> None:  # fmt: skip
         """`beat` and `every` in microseconds: of the members' cores, and between two acts.
 
         Those in `late` are in no other's file, and are started by whoever plays. Of `acts`
-        different ones the tier's first version permits those in `first`.
+        different ones the tier's first version permits those in `first`. `zones` has the zone of
+        each act, by its number as a text, that is sending to a node; `step` is of a way back.
         """
         self.kernel = Kernel(seed)
         self.network = Network(self.kernel, self._deliver)
         self.names = tuple(f"g{i + 1}" for i in range(members))
         self.voters = self.names[:voters]
         self.lease, self.beat, self.every, self.late = lease, beat, every, frozenset(late)
+        self.zones, self.step = dict(zones or {}), step
+        self.frozen: set[str] = set()  # zones whose nodes answer nothing
         self._trouble = dict.fromkeys(self.names, 0)  # when each last was out of others' reach
         self.first, self.acts = frozenset(first), acts
         first = content(self.first, 0)
--- /dev/null
+++ b/sailhitch/zones/evidence.py
@@ -0,0 +1,78 @@
+"""What requests came to in a zone since a step of its way back, and the sum over all gateways.
+
+Each gateway counts its own attempts and says the counts with its sign of life (`Word`). The one
+whose attempts failed most is left out of the sum where three or more say something, so that one
+gateway that is sick, cut off or lying moves nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import msgspec
+
+from .course import Since
+from .posture import Posture
+
+MOST: Final = 16  # zones in a word
+LARGEST: Final = 400  # bytes of a word
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True):
+    """One gateway's counts by zone: the step that they belong to, ended, failed."""
+
+    zones: dict[str, tuple[int, int, int]]
+
+
+class Tally:
+    """One gateway's own counts."""
+
+    def __init__(self) -> None:
+        self._zones: dict[str, list[int]] = {}
+
+    def goes_by(self, posture: Posture) -> None:
+        """A posture holds; a step that is new begins with nothing."""
+        self._zones = {
+            name: self._zones[name]
+            if name in self._zones and self._zones[name][0] == order.step
+            else [order.step, 0, 0]
+            for name, order in posture.zones.items()
+        }
+
+    def saw(self, zone: str, failed: bool) -> None:
+        """An attempt in a zone has its outcome."""
+        counts = self._zones.get(zone)
+        if counts is not None:
+            counts[1] += 1
+            counts[2] += failed
+
+    def word(self) -> bytes:
+        """What to say; empty where there is nothing."""
+        said = {
+            name: (step, ended, failed)
+            for name, (step, ended, failed) in sorted(self._zones.items())[:MOST]
+            if ended
+        }
+        return msgspec.msgpack.encode(Word(said)) if said else b""
+
+
+def read(word: bytes) -> Word | None:
+    """A gateway's word; None where it says nothing that can be read."""
+    if not 0 < len(word) <= LARGEST:
+        return None
+    try:
+        made = msgspec.msgpack.decode(word, type=Word)
+    except msgspec.DecodeError:
+        return None
+    good = all(0 <= failed <= ended for _, ended, failed in made.zones.values())
+    return made if good else None
+
+
+def fleet(words: Iterable[Word], zone: str, step: int) -> Since:
+    """The sum for a step of a zone's way back."""
+    found = [word.zones[zone] for word in words if zone in word.zones]
+    said = [(ended, failed) for its, ended, failed in found if its == step and ended]
+    if len(said) >= 3:
+        said.remove(max(said, key=lambda counts: (counts[1] / counts[0], counts[1])))
+    return Since(sum(ended for ended, _ in said), sum(failed for _, failed in said))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -51,7 +51,9 @@
         assert _imports(path) <= {"interface", "core", part, *more}, path.name
 
 
-@pytest.mark.parametrize(("part", "more"), [("tier", ()), ("model", ("tier",))])
+@pytest.mark.parametrize(
+    ("part", "more"), [("tier", ()), ("zones", ()), ("model", ("tier", "zones"))]
+)
 def test_the_tier_knows_nothing_of_the_gateway(part: str, more: tuple[str, ...]) -> None:
     for path in sorted((ROOT / part).glob("*.py")):
         assert _imports(path) <= {part, *more}, path.name
--- /dev/null
+++ b/tests/test_zones.py
@@ -0,0 +1,376 @@
+"""Leaving a zone and returning to it (docs/design/zones.md): cores, and a fleet in the model."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sailhitch.model.tier import World
+from sailhitch.tier.forms import End
+from sailhitch.tier.line import Step, pose
+from sailhitch.zones import course, evidence
+from sailhitch.zones.course import FIRST, MOST_RELAPSES, NEEDED, SURE_BAD, Since, judge
+from sailhitch.zones.helm import Helm, ZoneTerms, all_renewed, all_unused
+from sailhitch.zones.posture import (
+    NOTHING,
+    Posture,
+    PostureError,
+    ZoneOrder,
+    in_use,
+    read,
+    unused,
+)
+
+S = 1_000_000
+STEP = 2 * S
+Patch = pytest.MonkeyPatch
+NODES = {f"p/n{i}": f"z{i % 3}" for i in range(30)}
+BACK = ZoneOrder(FIRST, "returning", STEP, 0, "ada", "", 1)
+
+
+def _order(**changes: Any) -> ZoneOrder:
+    return msgspec.structs.replace(BACK, **changes)
+
+
+# --- Which nodes
+
+
+@given(st.floats(0, 0.99), st.floats(0, 0.99), st.integers(0, 40))
+def test_a_larger_share_has_all_nodes_of_a_smaller_one(a: float, b: float, count: int) -> None:
+    nodes = {f"n{i}": "z" for i in range(count)} | {"other": "y"}
+    small, large = (unused(Posture({"z": _order(share=s)}), nodes) for s in sorted((a, b)))
+    assert large <= small
+    assert "other" not in small
+    assert len(small) == count - in_use(min(a, b), count)
+    assert in_use(0.001, count) == min(1, count)
+
+
+def test_a_share_is_one_of_each_pool() -> None:
+    nodes = {"a": {f"a/{i}": "z" for i in range(10)}, "b": {f"b/{i}": "z" for i in range(3)}}
+    out = all_unused(Posture({"z": _order(share=0.4)}), nodes)
+    assert [sum(name in out for name in here) for here in nodes.values()] == [6, 1]
+
+
+def test_only_what_is_tried_anew_is_renewed_and_only_what_is_in_use() -> None:
+    old, nodes = Posture({"z1": _order(share=0.2)}), {"p": NODES}
+    again = Posture({"z1": _order(share=0.2, round=1)})
+    here = {name for name, zone in NODES.items() if zone == "z1"}
+    assert all_renewed(old, again, nodes) == here - all_unused(again, nodes)
+    for new in (old, Posture({"z1": _order(share=0.4, step=2, round=1)}), NOTHING):
+        assert all_renewed(old, new, nodes) == frozenset()
+
+
+@pytest.mark.parametrize(
+    "content", [b"", b"[]", b'{"zones":{"z":{}}}', Posture({"z": _order(share=1.5)}).content()]
+)
+def test_a_posture_that_is_none_is_told(content: bytes) -> None:
+    with pytest.raises(PostureError):
+        read(content)
+
+
+@given(st.dictionaries(st.sampled_from("abc"), st.floats(0, 0.99)), st.text(max_size=5))
+def test_a_posture_is_read_as_it_was_written(shares: dict[str, float], held: str) -> None:
+    made = Posture({name: _order(share=share) for name, share in shares.items()}, held)
+    assert read(made.content()) == made
+
+
+# --- The course
+
+
+@pytest.mark.parametrize(
+    ("changes", "age", "since", "share", "told"),
+    [
+        ({}, STEP - 1, (500, 0), None, ""),  # its time is not over
+        ({}, STEP, (500, 0), 0.2, "0 of 500 failed"),
+        ({"share": 0.8}, STEP, (500, 0), 1.0, "0 of 500 failed"),
+        ({}, STEP, (NEEDED - 1, 0), FIRST, "tried anew"),  # nobody knows yet
+        ({}, 0, (SURE_BAD, SURE_BAD), 0.0, "relapse"),  # at once
+        ({}, 0, (SURE_BAD - 1, SURE_BAD - 1), None, ""),  # too few to tell
+        ({}, STEP, (SURE_BAD * 10, SURE_BAD), 0.2, "failed at"),  # a tenth may
+        ({"share": 0.4}, 0, (50, 20), 0.2, "relapse"),
+        ({"share": 0.0, "relapses": 1}, 2 * STEP - 1, (0, 0), None, ""),  # twice as long
+        ({"share": 0.0, "relapses": 1}, 2 * STEP, (0, 0), FIRST, "once more"),
+        ({"relapses": MOST_RELAPSES}, 0, (50, 50), 0.0, "left to an operator"),
+        ({"phase": "out", "share": 0.0}, 1 << 60, (0, 0), None, ""),  # operators return
+    ],
+)
+def test_what_becomes_of_a_step(
+    changes: dict[str, Any], age: int, since: tuple[int, int], share: float | None, told: str
+) -> None:
+    order = _order(**changes)
+    found = judge(order, age, Since(*since))
+    if share is None:
+        assert found is None
+        return
+    assert found is not None
+    after, why = found
+    assert told in why
+    assert (1.0 if after is None else after.share) == pytest.approx(share)
+    if after is not None and after.phase == "returning":
+        assert (after.step > order.step) is (after.share != order.share)
+        assert after.relapses == order.relapses + why.startswith("relapse")
+
+
+def test_a_course_without_a_failure_ends_after_five_steps() -> None:
+    order, shares = course.begin(course.leave("ada", ""), STEP, "ada", ""), []
+    while True:
+        shares.append(order.share)
+        found = judge(order, STEP, Since(100, 0))
+        assert found is not None
+        if found[0] is None:
+            break
+        order = found[0]
+    assert shares == [FIRST, 0.2, 0.4, 0.8]
+
+
+# --- The evidence
+
+
+def _words(*counts: tuple[int, int], step: int = 1) -> list[evidence.Word]:
+    return [evidence.Word({"z": (step, ended, failed)}) for ended, failed in counts]
+
+
+@pytest.mark.parametrize(
+    ("words", "since"),
+    [
+        (_words((10, 1), (20, 2)), (30, 3)),
+        (_words((10, 1), (20, 2), (1000, 1000)), (30, 3)),  # one that is sick, or lies
+        (_words((10, 1), (0, 0), (20, 20)), (30, 21)),  # of two nobody knows which
+        (_words((10, 1), step=2), (0, 0)),  # of another step
+    ],
+)
+def test_no_single_gateway_moves_the_sum(
+    words: list[evidence.Word], since: tuple[int, int]
+) -> None:
+    assert evidence.fleet(words, "z", 1) == Since(*since)
+
+
+@pytest.mark.parametrize(
+    "word", [b"", b"\x00", msgspec.msgpack.encode([{"z": [1, 2, 3]}]), b"x" * 5000]
+)
+def test_a_word_that_cannot_be_is_none(word: bytes) -> None:
+    assert evidence.read(word) is None
+
+
+def test_counts_belong_to_a_step_and_outlast_a_round_of_it() -> None:
+    tally = evidence.Tally()
+    tally.saw("z", True)
+    assert tally.word() == b""
+    for order, ended in ((_order(), 1), (_order(round=1), 2), (_order(step=2), 1)):
+        tally.goes_by(Posture({"z": order}))
+        tally.saw("z", True)
+        assert evidence.read(tally.word()) == evidence.Word({"z": (order.step, ended, ended)})
+
+
+# --- Operators
+
+
+def _helm(posture: Posture = NOTHING) -> Helm:
+    helm = Helm(ZoneTerms(1, STEP), random.Random(1))
+    helm.goes_by(1, posture, 0)
+    return helm
+
+
+@pytest.mark.parametrize(
+    ("posture", "act", "zone", "said"),
+    [
+        (NOTHING, "leave", "z9", "no node is in a zone called 'z9'"),
+        (NOTHING, "return", "z1", "was not left"),
+        (NOTHING, "explode", "z1", "not known"),
+        (NOTHING, "release", "", "nothing to do"),
+        (Posture({"z1": course.leave("a", "")}), "leave", "z2", r"2 zones would be out \(z1, z2\)"),
+        (Posture({"z1": BACK, "z0": BACK}), "leave", "z2", "no zone would be in use as a whole"),
+    ],
+)
+def test_what_cannot_be_asked_is_told_with_the_next_step(
+    posture: Posture, act: str, zone: str, said: str
+) -> None:
+    with pytest.raises(PostureError, match=said):
+        _helm(posture).asked(act, zone, "", "ada", None, {"p": NODES})
+
+
+def test_no_pool_is_left_without_nodes() -> None:
+    pools = {"p": NODES, "small": {"small/a": "z1"}}
+    with pytest.raises(PostureError, match="pool 'small' has no nodes outside of zone 'z1'"):
+        _helm().asked("leave", "z1", "", "ada", None, pools)
+
+
+def test_who_holds_keeps_what_is_and_an_operators_word_goes_on() -> None:
+    helm = _helm(Posture({"z1": BACK}))
+    words = [msgspec.msgpack.encode(_words((100, 0))[0]).replace(b"\xa1z", b"\xa2z1")]
+    assert helm.look(10 * S, words) is not None
+    held = helm.asked("hold", "", "", "ada", None, {"p": NODES})
+    helm.goes_by(2, held, 10 * S)
+    assert helm.look(60 * S, words) is None
+    assert helm.asked("leave", "z1", "", "ada", None, {"p": NODES}).zones["z1"].phase == "out"
+
+
+# --- A fleet
+
+
+def _fleet(members: int = 9, seed: int = 1, loss: float = 0.0) -> World:
+    nodes = {str(i): f"z{i % 3}" for i in range(12)}
+    world = World(
+        seed, members, min(5, members), every=S // 50, first=range(12), acts=12, zones=nodes,
+        step=STEP,
+    )  # fmt: skip
+    world.start()
+    world.kernel.run(8 * S)
+    world.network.loss = loss
+    return world
+
+
+def _go_on(world: World, time: float, each: Callable[[], None] = lambda: None) -> None:
+    until = world.kernel.now + int(time * S)
+    while world.kernel.now < until:
+        world.kernel.run(min(until, world.kernel.now + S // 50))
+        each()
+
+
+def _ask(world: World, name: str, act: str, zone: str) -> None:
+    process = world.processes[name]
+    assert process.helm is not None
+    process.pose_zones(process.helm.asked(act, zone, "", "ada", None, {"p": world.zones}))
+
+
+def _out(world: World, zone: str) -> list[int]:
+    """Of each gateway that runs, how many nodes of a zone it does not use."""
+    here = {name for name, its in world.zones.items() if its == zone}
+    return [len(p.unused & here) for p in world.processes.values() if p.up and not p.paused]
+
+
+@pytest.mark.parametrize(("members", "loss"), [(3, 0.0), (9, 0.1), (25, 0.1)])
+def test_all_leave_within_two_seconds_and_return_together(members: int, loss: float) -> None:
+    world = _fleet(members, 1, loss)
+    _ask(world, "g2", "leave", "z1")
+    times: list[tuple[int, int]] = []
+
+    def note() -> None:
+        times.append((world.kernel.now, sum(out == 4 for out in _out(world, "z1"))))
+
+    _go_on(world, 4, note)
+    first = next(at for at, count in times if count)
+    last = next(at for at, count in times if count == members)
+    assert last - first <= 2 * S  # promise 6
+    _ask(world, "g3", "return", "z1")
+    shares: set[tuple[int, ...]] = set()
+    _go_on(world, 40, lambda: shares.add(tuple(_out(world, "z1"))))
+    assert _out(world, "z1") == [0] * members
+    # Never more than one step between any two of them.
+    assert all(max(one) - min(one) <= 2 or 4 in one for one in shares)
+    world.check_end()
+
+
+def test_a_zone_that_fails_again_is_not_returned_to_until_it_is_well() -> None:
+    world = _fleet()
+    _ask(world, "g1", "leave", "z1")
+    _go_on(world, 2)
+    world.frozen.add("z1")
+    _ask(world, "g4", "return", "z1")
+    least: list[int] = []
+    _go_on(world, 60, lambda: least.append(min(_out(world, "z1"))))
+    assert min(least) == 3  # no more than the one node of the first step
+    relapses = [p.helm.posture.zones["z1"].relapses for p in world.processes.values() if p.helm]
+    assert min(relapses) >= 2
+    world.frozen.clear()
+    _go_on(world, 120)
+    assert _out(world, "z1") == [0] * 9
+
+
+def test_one_sick_gateway_holds_no_return_back(monkeypatch: Patch) -> None:
+    world = _fleet()
+    sick = world.processes["g5"].helm
+    assert sick is not None
+    monkeypatch.setattr(sick, "saw", lambda zone, failed: sick.tally.saw(zone, True))
+    _ask(world, "g1", "leave", "z1")
+    _go_on(world, 2)
+    _ask(world, "g1", "return", "z1")
+    _go_on(world, 40)
+    assert _out(world, "z1") == [0] * 9
+
+
+def test_a_zone_is_left_while_a_change_waits_and_its_gateways_are_dead() -> None:
+    world = _fleet()
+    for name in ("g7", "g8", "g9"):
+        world.processes[name].pause()
+    world.processes["g1"].propose(1, 0)
+    _go_on(world, 2)
+    _ask(world, "g2", "leave", "z2")
+    _go_on(world, 2)
+    assert _out(world, "z2") == [4] * 6
+    head = world.truth.latest
+    assert head is not None
+    assert head.pending is not None
+    for name in ("g7", "g8", "g9"):
+        world.processes[name].wake()
+    _go_on(world, 5)
+    assert _out(world, "z2") == [4] * 9
+
+
+def test_of_two_orders_at_both_sides_of_a_cut_one_holds_everywhere() -> None:
+    world = _fleet(5)
+    left, right = ("g1", "g2"), ("g3", "g4", "g5")
+    world.network.cuts |= {(a, b) for a in left for b in right}
+    world.network.cuts |= {(b, a) for a in left for b in right}
+    _ask(world, "g1", "leave", "z0")
+    _ask(world, "g4", "leave", "z1")
+    _go_on(world, 3)
+    assert _out(world, "z1")[2:] == [4] * 3
+    world.network.cuts.clear()
+    _go_on(world, 15)
+    assert (set(_out(world, "z0")), set(_out(world, "z1"))) == ({0}, {4})
+
+
+# --- Mutations
+
+
+def _steps_without_evidence(patch: Patch) -> None:
+    patch.setattr(course, "NEEDED", 0)
+    patch.setattr(course, "SURE_BAD", 1 << 30)
+    patch.setattr(course, "BAD", 1.0)
+
+
+def _believes_each(patch: Patch) -> None:
+    def fleet(words: Any, zone: str, step: int) -> Since:
+        found = [word.zones[zone] for word in words if zone in word.zones]
+        said = [(e, f) for its, e, f in found if its == step]
+        return Since(sum(e for e, _ in said), sum(f for _, f in said))
+
+    patch.setattr(evidence, "fleet", fleet)
+    patch.setattr(course, "SURE_BAD", 2)
+
+
+def _waits_for_what_is_pending(patch: Patch) -> None:
+    def waiting(version: Any) -> Any:
+        change = pose(version)
+        return lambda now: Step(now, End.STALE) if now and now.pending else change(now)
+
+    patch.setattr("sailhitch.tier.member.pose", waiting)
+
+
+@pytest.mark.parametrize(
+    ("mutation", "case"),
+    [
+        (_steps_without_evidence, test_a_zone_that_fails_again_is_not_returned_to_until_it_is_well),
+        (_waits_for_what_is_pending,
+         test_a_zone_is_left_while_a_change_waits_and_its_gateways_are_dead),
+    ],
+)  # fmt: skip
+def test_each_safeguard_is_missed(
+    mutation: Callable[[Patch], None], case: Callable[[], None], monkeypatch: Patch
+) -> None:
+    mutation(monkeypatch)
+    with pytest.raises(AssertionError):
+        case()
+
+
+def test_without_its_care_one_sick_gateway_would_hold_a_return_back(monkeypatch: Patch) -> None:
+    _believes_each(monkeypatch)
+    with pytest.raises(AssertionError):
+        test_one_sick_gateway_holds_no_return_back(monkeypatch)
