--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -17,10 +17,14 @@
 from pathlib import Path
 from typing import Any, Final
 
+import msgspec
+
 from ..core.terms import Address
 from ..tier.disk import Disk, DiskError
 from ..tier.forms import Act, Acting, Done, Effect, Keep, Message, Send, Tell
-from ..tier.member import Founding, Member, Standing, Terms
+from ..tier.forms import Decided as HeadDecided
+from ..tier.library import Library
+from ..tier.member import CONTENT, KNOWN, Founding, Member, Standing, Terms
 from ..tier.wire import Keys, Wire
 from .places import address_of
 
@@ -66,7 +70,17 @@
     @property
     def knows(self) -> bool:
         """Whether this member has known a head before, on this disk."""
-        return "known" in self.kept
+        return KNOWN in self.kept
+
+    def kept_posture(self) -> bytes | None:
+        """The posture that this member last knew, on this disk."""
+        if not self.knows:
+            return None
+        version = msgspec.msgpack.decode(self.kept[KNOWN], type=HeadDecided).head.posture
+        packed = None if version is None else self.kept.get(CONTENT + version.digest)
+        return None if packed is None or version is None else (
+            Library({version.digest: packed}).read(version.digest)
+        )  # fmt: skip
 
     async def start(self, founding: Founding | None) -> None:
         """Take part; raises LinkError."""
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -98,7 +98,10 @@
             applied = await live.change(Decided(shown, who, 0, born, kept=False))
         else:
             shown = {**last.state, "listeners": self.listeners}
-            applied = await live.change(Decided(shown, last.by, 0, last.born, kept=False))
+            out = self.zoned.unused_at_start(shown)
+            applied = await live.change(
+                Decided(shown, last.by, 0, last.born, kept=False, unused=out)
+            )
         self._base = Applied(0, applied.when, applied.by, {**applied.state, "listeners": {}})
         live.intake.gate = self._gate
         for pool in live.core.pools:
--- a/sailhitch/daemon/zoned.py
+++ b/sailhitch/daemon/zoned.py
@@ -57,6 +57,15 @@
         except PostureError as error:
             raise ApplyError(str(error)) from None
 
+    def unused_at_start(self, state: State) -> frozenset[str]:
+        """Nodes that got nothing new by what this gateway last knew, until it has heard."""
+        content = self.tiered.link.kept_posture()
+        try:
+            return frozenset() if content is None else self.unused(read(content), state)
+        except PostureError as error:
+            self.live.core.logger.say(f"zones: not gone by until the tier is heard: {error}")
+            return frozenset()
+
     def unused(self, posture: Posture, state: State) -> frozenset[str]:
         """Nodes, as `pool/id`, that get nothing new."""
         return all_unused(posture, _by_pool(state))
--- a/sailhitch/lab/judge.py
+++ b/sailhitch/lab/judge.py
@@ -102,7 +102,7 @@
         step = told.step
         if step.do in ("ban", "drop"):
             over = self._until(told, lambda one: one.do == "unban" and one.node == step.node)
-            self._none(told, over, [step.node], lambda effect: True)
+            self._none(told, over, [step.node], lambda effect: not self._is_free(effect))
         elif step.do == "reroute":
             over = self._until(told, lambda one: one.do == "reroute")
             spare = set(self.result.scenario.spares())
@@ -148,7 +148,7 @@
         for name in names:
             late = [
                 effect for effect in self.nodes[name].log
-                if told.ended < effect.at < over and counts(effect) and not self._is_free(effect)
+                if told.ended < effect.at < over and counts(effect)
             ]  # fmt: skip
             self.result.late = max([self.result.late, *(e.at - told.ended for e in late)])
             wrong = [effect for effect in late if effect.at > told.ended + ALLOWED]
