Tell what the system refuses to send of a tier's datagrams

A machine whose own rules refuse UDP looked like a cut, with nothing in any log: the system's errors came to a method that did nothing. They are counted by their name, told with the datagrams that a member refuses, and shown in `tier status`. A socket that may not broadcast shows it on asyncio's and on uvloop's loop; the member's beat goes on.

--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import random
 import secrets
 import time
@@ -63,6 +64,7 @@
         self._waiters: dict[int, asyncio.Future[Done]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._beat: asyncio.TimerHandle | None = None
+        self.unsent: dict[str, int] = {}  # datagrams that the system refused to send, by why
         self._told_refused: dict[str, int] = {}
         self._refused_at = 0.0
         self.beaten: Callable[[], None] = lambda: None  # called after each beat
@@ -154,6 +156,12 @@
         self.member.heard(envelope.sender, envelope.message, steady())
         self._pump()
 
+    def error_received(self, exc: Exception) -> None:
+        """The system would not send a datagram; it counts as lost, as any other."""
+        number = getattr(exc, "errno", None)
+        why = errno.errorcode.get(number, "unknown") if number is not None else "unknown"
+        self.unsent[why] = self.unsent.get(why, 0) + 1
+
     def _address(self, name: str) -> Address | None:
         """Where a member is; what the tier has agreed on goes before the file."""
         place = None if self.member is None else self.member.roster.places.get(name)
@@ -184,11 +192,11 @@
         self._say_refused()
 
     def _say_refused(self) -> None:
-        now = time.monotonic()
-        if self.wire.refused != self._told_refused and now - self._refused_at >= LATE:
-            self._refused_at, self._told_refused = now, dict(self.wire.refused)
-            told = " ".join(f"{why}={count}" for why, count in sorted(self.wire.refused.items()))
-            self.say(f"tier: datagrams refused: {told}")
+        now, counts = time.monotonic(), {**self.wire.refused, **self.unsent}
+        if counts != self._told_refused and now - self._refused_at >= LATE:
+            self._refused_at, self._told_refused = now, counts
+            told = " ".join(f"{why}={count}" for why, count in sorted(counts.items()))
+            self.say(f"tier: datagrams refused, by this member or (E...) by the system: {told}")
 
     # --- Effects
 
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -360,6 +360,6 @@
         return {
             "ok": True, "tier": self.part.name, **told, "silent": self.link.mute,
             "datagrams": self.link.sent, "bytes": self.link.sent_bytes,
-            "refused_datagrams": dict(self.link.wire.refused),
+            "refused_datagrams": {**self.link.wire.refused, **self.link.unsent},
             "held_back": self.live.intake.held_back,
         }  # fmt: skip
--- a/tests/test_tier_switch.py
+++ b/tests/test_tier_switch.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+import socket
+from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
+import uvloop
 
 from sailhitch.core.exchange import Attempt
 from sailhitch.daemon.link import Link, LinkError
@@ -22,7 +24,7 @@
 from sailhitch.tier.member import Terms
 from sailhitch.tier.wire import Keys
 from tests.daemons import ROUTES, Inside, file_value, inside, made, pool
-from tests.sockets import PATIENCE, Client, read_message
+from tests.sockets import PATIENCE, Client, read_message, until
 
 Routes = list[dict[str, Any]]
 
@@ -140,6 +142,33 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_what_the_system_does_not_send_counts_as_lost_and_is_told(
+    tmp_path: Path, loop: Callable[[], asyncio.AbstractEventLoop]
+) -> None:
+    """To all on the network, which a socket may not do unless it is told so (socket(7))."""
+
+    async def work() -> None:
+        names, said = ("g1", "g2", "g3"), list[str]()
+        places = {
+            "g1": ("127.0.0.1", free_port(socket.SOCK_DGRAM)), "g2": ("255.255.255.255", 9),
+            "g3": ("127.0.0.1", free_port(socket.SOCK_DGRAM)),
+        }  # fmt: skip
+        link = Link(
+            Terms("g1", names, names), places, Keys(1, {1: b"k" * 32}), tmp_path, lambda a: None,
+            said.append,
+        )  # fmt: skip
+        await link.start(None)
+        await until(lambda: any("EACCES=" in one for one in said))
+        assert link.member is not None
+        beats = link.member.crew.mine.beats
+        await until(lambda: link.member is not None and link.member.crew.mine.beats > beats + 1)
+        link.close()
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(work())
+
+
 def test_a_port_that_is_taken_is_told_with_its_field(tmp_path: Path) -> None:
     async def work() -> None:
         def link(name: str) -> Link:
