Diagnose zones by what all gateways see of them, and leave by themselves what is gone

Until now a zone was left by an operator's word alone. Each gateway keeps the last outcome at each node and says with its row what it sees of each zone. A finding is made of all of them, by the place of who says it: a weighted median, in which no gateway counts for more than its part, and one that sees all zones fail where others see none is sick and has no voice. Well, gone, cut off from some places, gray, overloaded, everywhere (then nobody leaves) or unknown. `zones.mode`: off, advise (says so in log and status) or act: a zone that is gone for half a second and more is left, at most `leaves_an_hour` times, and the way back begins by itself.

Found by processes, each with its lines: a gateway that died with its zone went on saying that it is well, so "gone" came as "cut off from some places ... 0% of its nodes fail from z3" for ten seconds; who is suspected has no voice now. And old successes held the finding up for 4 to 20 s ("33% of its nodes fail from z1", the third node tried five seconds after the others), as C3 turns away from a zone that fails; where two nodes of a zone failed one after the other and nothing there has gone well since, older successes say nothing. A zone whose way back is under its half counts as out, or a second one was left in the moment of the first one's canary.

--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -355,14 +355,18 @@
 
 
 def _print_zones(answer: Mapping[str, Any]) -> None:
-    print(f"serial {answer['serial']}" + (f", held: {answer['held']}" if answer["held"] else ""))
+    print(
+        f"serial {answer['serial']}, mode {answer['mode']}"
+        + (f", held: {answer['held']}" if answer["held"] else "")
+    )
     for name, one in answer["zones"].items():
+        print(f"  {name or '(none)'}: {one['finding']} ({one['sure']:.0%} agree): {one['seen']}")
         if one["phase"] == "in use":
-            print(f"  {name or '(none)'}: all of {one['nodes']} nodes in use")
+            print(f"    all of {one['nodes']} nodes in use")
             continue
         relapses = f", {one['relapses']} relapses" if one["relapses"] else ""
         print(
-            f"  {name or '(none)'}: {one['phase']}, {one['in_use']} of {one['nodes']} nodes in use"
+            f"    {one['phase']}, {one['in_use']} of {one['nodes']} nodes in use"
             f"{relapses}; {one['failed']} of {one['ended']} requests failed; waits for "
             f"{one['waits_for']}; by {one['by']}: {one['why'] or '-'}"
         )
--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -235,8 +235,10 @@
 class ZonesPart(_Part):
     """Leaving zones as a fleet. Fixed for the life of the process."""
 
+    mode: Literal["off", "advise", "act"] = "advise"
     max_out: Annotated[int, Field(ge=1, le=100)] = 1
     step: Duration | None = None
+    leaves_an_hour: Annotated[int, Field(ge=0, le=100)] = 4
 
 
 class OperatorFile(_Part):
--- a/sailhitch/daemon/zoned.py
+++ b/sailhitch/daemon/zoned.py
@@ -10,7 +10,6 @@
 import random
 import secrets
 import time
-from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any, Final
 
@@ -18,7 +17,9 @@
 from ..interface import BUSY, OK
 from ..tier.forms import End, Version
 from ..tier.member import Standing
-from ..zones.helm import Helm, ZoneTerms, all_renewed, all_unused
+from ..zones import course
+from ..zones.diagnosis import Kind
+from ..zones.helm import LOOK, Helm, ZoneTerms, all_renewed, all_unused
 from ..zones.posture import NOTHING, Posture, PostureError, read
 from .link import steady
 from .live import ApplyError, Live
@@ -38,11 +39,16 @@
         self, tiered: Tiered, live: Live, part: ZonesPart | None, gateway: GatewayPart
     ) -> None:
         self.tiered, self.live, self.part = tiered, live, part
-        part = part or ZonesPart()
+        part = part or ZonesPart(mode="off")
+        self.mode = part.mode
         step = 2 * gateway.cold_time if part.step is None else part.step
-        self.helm = Helm(ZoneTerms(part.max_out, step), random.Random(secrets.randbits(64)))
+        terms = ZoneTerms(part.max_out, step, gateway.zone, part.mode == "act", part.leaves_an_hour)
+        self.helm = Helm(terms, random.Random(secrets.randbits(64)))
+        self._kinds: dict[str, Kind] = {}  # as last told
+        self._failing: dict[str, int] = {}
+        self._told_at = 0
         self._proposing: asyncio.Task[None] | None = None
-        self._zone_of: dict[tuple[str, str], str] = {}  # by pool and the module's name of a node
+        self._keys: dict[tuple[str, str], str] = {}  # `pool/id` by pool and module's name
 
     # --- The switch
 
@@ -76,21 +82,24 @@
 
     def goes_by(self, version: Version | None, posture: Posture) -> None:
         """The switch is done."""
-        self.helm.goes_by(0 if version is None else version.serial, posture, steady())
-        nodes = self.live.places.nodes
-        self._zone_of = {
-            (key.partition("/")[0], nodes[key].name): node["zone"]
-            for key, node in self.live.applied.state["nodes"].items()
-            if key in nodes
+        state, places = self.live.applied.state, self.live.places.nodes
+        serial = 0 if version is None else version.serial
+        self.helm.goes_by(serial, posture, _by_pool(state), steady())
+        self._keys = {
+            (key.partition("/")[0], places[key].name): key
+            for key in state["nodes"]
+            if key in places
         }
         for pool in self.live.core.pools:
-            pool.seen = self._watch(pool) if posture.zones else None
+            pool.seen = None if self.mode == "off" else self._watch(pool)
 
     def _watch(self, pool: Pool) -> Callable[[str, str], None]:
+        keys, saw, name = self._keys, self.helm.saw, pool.name
+
         def seen(server: str, status: str) -> None:
-            zone = self._zone_of.get((pool.name, server))
-            if zone is not None and status != BUSY:  # one that is full is not one that fails
-                self.helm.saw(zone, status != OK)
+            key = keys.get((name, server))
+            if key is not None:
+                saw(key, status not in (OK, BUSY), status == BUSY, steady())
 
         return seen
 
@@ -101,24 +110,41 @@
         member = self.tiered.link.member
         if member is None:
             return
-        member.word = self.helm.word()
-        if self.part is None or self._proposing is not None:
+        now = steady()
+        if self.mode == "off" or now < self._told_at:
             return
-        if self.tiered.link.standing() is not Standing.IN:
+        self._told_at = now + LOOK
+        member.word = self.helm.word(now)
+        sights = self.helm.eyes.sights(self.helm.zone_of, now)
+        failing = {zone: one.failed for zone, one in sights.items()}
+        if failing != self._failing:
+            self._failing = failing
+            member.hurry(now)
+        words = member.words(now)
+        self._tell(words)
+        if self._proposing is not None or self.tiered.link.standing() is not Standing.IN:
             return
-        found = self.helm.look(steady(), self._words())
+        found = self.helm.look(now, words)
         if found is not None:
             posture, why = found
             self.live.core.logger.say(f"zones: {why}; proposes the next step")
             self._proposing = asyncio.get_running_loop().create_task(self._propose(posture, why))
 
-    def _words(self) -> list[bytes]:
-        member = self.tiered.link.member
-        return [] if member is None else [row.word for row in member.crew.rows.values()]
+    def _tell(self, words: Mapping[str, bytes]) -> None:
+        """Say what the fleet takes each zone for, when that changes."""
+        for zone, one in self.helm.findings(words).items():
+            before = self._kinds.get(zone, Kind.UNKNOWN)
+            if one.kind is before or {one.kind, before} <= {Kind.WELL, Kind.UNKNOWN}:
+                continue
+            self._kinds[zone] = one.kind
+            self.live.core.logger.often(
+                f"zone {zone} {one.kind.value}",
+                f"zones: {zone} is taken for: {one.kind.value} ({one.sure:.0%} agree): {one.told}",
+            )
 
     async def _propose(self, posture: Posture, why: str) -> None:
         try:
-            await self._pose(posture, f"the way back: {why}")
+            await self._pose(posture, f"{course.AUTOMATION}: {why}")
         except ApplyError as error:
             self.live.core.logger.say(f"zones: not proposed: {error}")
         finally:
@@ -145,10 +171,8 @@
         standing = self.tiered.link.standing()
         if standing is not Standing.IN:
             raise ApplyError(f"this gateway {standing.value}; ask another one")
-        nodes = _by_pool(self.live.applied.state)
         try:
-            step = step if isinstance(step, int) else None
-            wanted = self.helm.asked(act, zone, why, by, step, nodes)
+            wanted = self.helm.asked(act, zone, why, by, step if isinstance(step, int) else None)
         except PostureError as error:
             raise ApplyError(str(error)) from None
         if request.get("dry_run"):
@@ -185,14 +209,9 @@
 
     def status(self) -> dict[str, Any]:
         """What `zones status` shows."""
-        state = self.live.applied.state
-        zones = Counter(node["zone"] for node in state["nodes"].values())
-        told = self.helm.status(steady(), self._words(), zones)
-        out = self.unused(self.helm.posture, state)
-        for key, node in state["nodes"].items():
-            one = told["zones"][node["zone"]]
-            one["in_use"] = one.get("in_use", 0) + (key not in out)
-        return {"ok": True, **told}
+        member, now = self.tiered.link.member, steady()
+        words = {} if member is None else member.words(now)
+        return {"ok": True, "mode": self.mode, **self.helm.status(now, words)}
 
 
 def _by_pool(state: State) -> dict[str, dict[str, str]]:
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -64,7 +64,7 @@
             seed, scenario.gateways, scenario.voters, lease, 100_000, EVERY, scenario.late,
             range(self.nodes + 1), self.nodes + 2, self._zones(),
             2 * read_duration(scenario.cold_time)
-            if scenario.step is None else read_duration(scenario.step),
+            if scenario.step is None else read_duration(scenario.step), scenario.mode == "act",
         )  # fmt: skip
         self.commands: list[_Command] = []
 
@@ -140,6 +140,11 @@
         helms = [self.world.processes[name].helm for name in step.who]
         return all(helm is not None and step.node not in helm.posture.zones for helm in helms)
 
+    def _is_left(self, step: StepPart) -> bool:
+        helms = [self.world.processes[name].helm for name in step.who]
+        orders = [None if h is None else h.posture.zones.get(step.node) for h in helms]
+        return all(order is not None and not order.share for order in orders)
+
     # --- Steps
 
     def _do(self, step: StepPart) -> None:
@@ -160,6 +165,11 @@
             )
         elif step.do == "back":
             self._until(lambda: self._is_back(step), f"{step.node} is back")
+        elif step.do == "left":
+            began = self.world.kernel.now
+            self._until(lambda: self._is_left(step), f"{step.node} is left")
+            if self.world.kernel.now - began > step.value * S:
+                raise BrokenError(f"6: {step.node} is left too late")
         elif step.do in ("freeze", "thaw"):
             frozen = self.world.frozen
             (frozen.add if step.do == "freeze" else frozen.discard)(step.node)
@@ -252,9 +262,7 @@
         if not self._is_in(process.name):
             return None
         try:
-            posture = helm.asked(
-                step.do, step.node, "lab", "model", None, {"claims": self.world.zones}
-            )
+            posture = helm.asked(step.do, step.node, "lab", "model", None)
         except PostureError:
             return None
         return process.pose_zones(posture)
--- a/sailhitch/lab/scenario.py
+++ b/sailhitch/lab/scenario.py
@@ -23,7 +23,8 @@
     `await` is done when all commands have ended; `agree` when all gateways that run, or those in
     `who`, are in and act by the same turn, with nothing pending, and all voters among them vote
     (one whose disk was lost is mended by the others first); `dead` when those in `who` take all in
-    `to` for dead; `back` when the zone `node` is in use as a whole by the word of those in `who`.
+    `to` for dead; `back` when the zone `node` is in use as a whole by the word of those in `who`,
+    `left` when none of it is, which has to be within `value` seconds.
     `leave`, `return`, `hold` and `release` are operators' commands about the zone `node`; `freeze`
     has the zone's nodes run what comes and answer nothing, until `thaw`.
     """
@@ -33,7 +34,7 @@
         "ban", "unban", "drop", "weigh", "withdraw", "gone", "pause", "wake", "kill", "start",
         "stop", "cut", "heal", "loss", "delay", "double", "garble", "replay", "copy_disk",
         "old_disk", "lost_disk", "full_disk", "await", "agree", "dead", "join", "reroute",
-        "leave", "return", "hold", "release", "back", "freeze", "thaw",
+        "leave", "return", "hold", "release", "back", "left", "freeze", "thaw",
     ]  # fmt: skip
     who: list[str] = []  # gateways
     # Of a cut: whom they are not heard by any more; nobody named: everybody. Of `join`: who joins.
@@ -54,6 +55,7 @@
     nodes: Annotated[int, Field(ge=1, le=20)] = 4
     zones: Annotated[int, Field(ge=0, le=5)] = 0  # z1, z2, ..., with equal parts of all
     step: str | None = None  # how long a step of a way back into a zone lasts
+    mode: Literal["off", "advise", "act"] = "advise"  # of gateways, about zones
     cold_time: str = "100ms"
     spare: Annotated[int, Field(ge=0, le=19)] = 0  # the last so many nodes are a pool of their own
     clients: Annotated[int, Field(ge=0, le=20)] = 3
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -168,7 +168,9 @@
             {"id": i, "address": node.addr, "zone": scenario.zone_of(i)}
             for i, node in self.nodes.items()
         ]
-        zones = {} if scenario.step is None else {"step": scenario.step}
+        zones: dict[str, str] = {"mode": scenario.mode}
+        if scenario.step is not None:
+            zones["step"] = scenario.step
         count = len(nodes) - self.scenario.spare
         pools = [{"name": "claims", "nodes": nodes[:count]}]
         if self.scenario.spare:
@@ -203,10 +205,12 @@
         said = await asyncio.gather(*(one.status() for one in running))
         return all(one.get("standing") == "in" for one in said)
 
-    async def _is_back(self, step: StepPart) -> bool:
+    async def _is_back(self, step: StepPart, want: str = "in use") -> bool:
         asked = (self.gateways[name].ask({"op": "zones", "act": "status"}) for name in step.who)
         said = await asyncio.gather(*asked)
-        return all(one["zones"][step.node]["phase"] == "in use" for one in said)
+        if want == "out":
+            return all(not one["zones"][step.node]["in_use"] for one in said)
+        return all(one["zones"][step.node]["phase"] == want for one in said)
 
     async def _all_tell_dead(self, step: StepPart) -> bool:
         said = await asyncio.gather(*(self.gateways[name].status() for name in step.who))
@@ -296,6 +300,11 @@
             await self._until(f"{step.to} told dead", lambda: self._all_tell_dead(step))
         elif step.do == "back":
             await self._until(f"{step.node} is back", lambda: self._is_back(step))
+        elif step.do == "left":
+            await self._until(f"{step.node} is left", lambda: self._is_back(step, "out"))
+            took = asyncio.get_running_loop().time() - now
+            if took > step.value:
+                self.result.broken.append(f"{step.node} was left after {took:.2f} s")
         elif step.do in ("freeze", "thaw"):
             script = (lambda name: Fault.SILENT) if step.do == "freeze" else None
             for name, node in self.nodes.items():
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -19,7 +19,7 @@
 from ..tier.member import Founding, Member, Standing, Terms
 from ..tier.register import VOTE
 from ..zones.helm import Helm, ZoneTerms, all_unused
-from ..zones.posture import Posture, read
+from ..zones.posture import NOTHING, Posture, read
 from .kernel import Kernel
 from .network import Network
 from .process import Process
@@ -67,7 +67,11 @@
             world.terms(self.name), boot, dict(self.disk.now), rng, self.clock(), founding
         )
         self._switched_at = 0
-        self.helm = Helm(ZoneTerms(1, world.step), rng) if world.zones else None
+        self.helm = None
+        if world.zones:
+            terms = ZoneTerms(1, world.step, world.place_of(self.name), world.act)
+            self.helm = Helm(terms, rng)
+            self.helm.goes_by(0, NOTHING, {"all": world.zones}, self.clock())
         self.unused = frozenset()
         self._take()
         self._tick()
@@ -90,9 +94,8 @@
         helm, member = self.helm, self.member
         if helm is None or member is None:
             return
-        member.word = helm.word()
-        words = [row.word for row in member.crew.rows.values()]
-        found = helm.look(self.clock(), words)
+        member.word = helm.word(self.clock())
+        found = helm.look(self.clock(), member.words(self.clock()))
         if found is not None and member.standing(self.clock()) is Standing.IN:
             self.pose_zones(found[0])
 
@@ -119,7 +122,7 @@
             assert self.view is not None
             zone = self.world.zones.get(str(act))
             if self.helm is not None and zone is not None:
-                self.helm.saw(zone, zone in self.world.frozen)
+                self.helm.saw(str(act), zone in self.world.frozen, False, self.clock())
             self.world.truth.did(Deed(self.kernel.now, self.name, act, self.view.turn))
         self.kernel.after(self.world.every, self.guarded(self._act))
 
@@ -150,8 +153,9 @@
             self.allowed &= self.world.permitted(acting.pending.digest)
         if self.helm is not None and acting.posture is not None:
             posture = read(self.member.library.read(acting.posture.digest))
-            self.helm.goes_by(acting.posture.serial, posture, self.clock())
-            self.unused = all_unused(posture, {"all": self.world.zones})
+            nodes = {"all": self.world.zones}
+            self.helm.goes_by(acting.posture.serial, posture, nodes, self.clock())
+            self.unused = all_unused(posture, nodes)
         self.world.truth.goes_by(self.kernel.now, acting)
         self.member.acted(acting.turn, self.clock())
         self._take()
@@ -228,20 +232,21 @@
         self, seed: int, members: int = 5, voters: int = 3, lease: int | None = None,
         beat: int = 200_000, every: int = EVERY, late: Collection[str] = (),
         first: Collection[int] = range(0, ACTS, 2), acts: int = ACTS,
-        zones: Mapping[str, str] | None = None, step: int = 1_000_000,
+        zones: Mapping[str, str] | None = None, step: int = 1_000_000, act: bool = False,
     ) -> None:  # fmt: skip
         """`beat` and `every` in microseconds: of the members' cores, and between two acts.
 
         Those in `late` are in no other's file, and are started by whoever plays. Of `acts`
         different ones the tier's first version permits those in `first`. `zones` has the zone of
-        each act, by its number as a text, that is sending to a node; `step` is of a way back.
+        each act, by its number as a text, that is sending to a node; `step` is of a way back,
+        `act` whether members leave what the fleet takes for gone.
         """
         self.kernel = Kernel(seed)
         self.network = Network(self.kernel, self._deliver)
         self.names = tuple(f"g{i + 1}" for i in range(members))
         self.voters = self.names[:voters]
         self.lease, self.beat, self.every, self.late = lease, beat, every, frozenset(late)
-        self.zones, self.step = dict(zones or {}), step
+        self.zones, self.step, self.act = dict(zones or {}), step, act
         self.frozen: set[str] = set()  # zones whose nodes answer nothing
         self._trouble = dict.fromkeys(self.names, 0)  # when each last was out of others' reach
         self.first, self.acts = frozenset(first), acts
@@ -257,6 +262,11 @@
         peers = tuple(one for one in self.names if one == name or one not in self.late)
         return Terms(name, self.voters, peers, self.lease)
 
+    def place_of(self, name: str) -> str:
+        """The zone that a member is in: of those that there are, by turns."""
+        zones = sorted(set(self.zones.values()))
+        return zones[self.names.index(name) % len(zones)]
+
     def permitted(self, digest: str) -> frozenset[int]:
         """What a version permits."""
         return _permitted(self.contents[digest])
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -55,7 +55,7 @@
 from .library import Library
 from .line import Change, activate, enrol, found, offer, pose, withdraw
 from .paths import Paths
-from .probes import Prober
+from .probes import Health, Prober
 from .proposer import Job, Proposer
 from .register import VOTE, majority
 from .voter import STAMPS, Voter, digests
@@ -70,6 +70,7 @@
 AGAIN: Final = 1_000_000  # us between two tries to be enrolled; half of it to read
 DEAD_TOO: Final = 0.1  # part of the gossip that is said to whoever it is, dead or not
 TRIES: Final = 8  # to find one that is not dead
+WORD_LIFE: Final = 10_000_000  # us for which a member's word counts after its last sign of life
 QUIET: Final = 1_000_000  # us between two rounds of gossip where there is nothing new
 BUSY: Final = 3_000_000  # us after something new in which each beat has a round
 
@@ -773,6 +774,24 @@
             and not self._is_lapsed(name)
         ]
 
+    def words(self, now: int) -> dict[str, bytes]:
+        """What those who are there say with their rows, this member too, by name.
+
+        Danger: who dies with a zone has said of it, last, that it is well. Its word does not count
+        from when it is suspected.
+        """
+        rows, health = self.crew.rows, self.prober.health
+        found = {
+            name: rows[name].word for name, seen in self.crew.seen.items()
+            if now - seen <= WORD_LIFE and rows[name].word
+            and health(name, rows[name].life) is Health.ALIVE
+        }  # fmt: skip
+        return {**found, self.terms.name: self.word} if self.word else found
+
+    def hurry(self, now: int) -> None:
+        """What this member has to say is news that others wait for."""
+        self._busy_until = now + BUSY
+
     def lagging(self) -> list[str]:
         """Members that are there, and have not said that they act by what this one acts by."""
         rows, dead = self.crew.rows, self.prober.dead()
--- a/sailhitch/zones/course.py
+++ b/sailhitch/zones/course.py
@@ -15,6 +15,7 @@
 
 from .posture import ZoneOrder
 
+AUTOMATION: Final = "automation"  # who says what no operator has asked for
 FIRST: Final = 0.1  # share of the first step
 NEEDED: Final = 20  # requests that have ended in a zone before its step may be judged well
 BAD: Final = 0.1  # part of them that may fail: the least that is told from chance by so many
@@ -35,6 +36,11 @@
     return ZoneOrder(0.0, "out", 0, 0, by, why)
 
 
+def leave_for_now(dwell: int, why: str) -> ZoneOrder:
+    """A zone is left by the gateways' own word; the way back begins after a step's time."""
+    return ZoneOrder(0.0, "returning", dwell, 0, AUTOMATION, why)
+
+
 def begin(order: ZoneOrder, dwell: int, by: str, why: str) -> ZoneOrder:
     """The first step back."""
     return ZoneOrder(FIRST, "returning", dwell, order.relapses, by, why, order.step + 1)
@@ -58,12 +64,12 @@
     """
     if order.phase != "returning":
         return None
-    if since.failed >= SURE_BAD and since.failed > BAD * since.ended:
+    if order.share and since.failed >= SURE_BAD and since.failed > BAD * since.ended:
         return _back(order, since)
     if age < order.dwell << order.relapses:
         return None
     if not order.share:
-        return _step(order, FIRST, "once more, after a relapse")
+        return _step(order, FIRST, "once more" if order.relapses else "the first step")
     if since.ended < NEEDED:
         # Danger: nodes that failed are shunned, and nothing more is learned of them by waiting.
         told = f"tried anew at {order.share:.0%}: {since.ended} of {NEEDED} requests have ended"
--- a/sailhitch/zones/evidence.py
+++ b/sailhitch/zones/evidence.py
@@ -14,15 +14,21 @@
 
 from .course import Since
 from .posture import Posture
+from .sight import Sight
 
 MOST: Final = 16  # zones in a word
 LARGEST: Final = 400  # bytes of a word
 
 
 class Word(msgspec.Struct, frozen=True, array_like=True):
-    """One gateway's counts by zone: the step that they belong to, ended, failed."""
+    """One gateway's counts by zone: the step that they belong to, ended, failed.
+
+    Beside them where it is, and what it sees of each zone: nodes known, failing, full.
+    """
 
     zones: dict[str, tuple[int, int, int]]
+    place: str = ""
+    sights: dict[str, Sight] = {}
 
 
 class Tally:
@@ -47,14 +53,29 @@
             counts[1] += 1
             counts[2] += failed
 
-    def word(self) -> bytes:
-        """What to say; empty where there is nothing."""
-        said = {
+    def counts(self) -> dict[str, tuple[int, int, int]]:
+        """What to say of steps."""
+        return {
             name: (step, ended, failed)
             for name, (step, ended, failed) in sorted(self._zones.items())[:MOST]
             if ended
         }
-        return msgspec.msgpack.encode(Word(said)) if said else b""
+
+
+def write(word: Word) -> bytes:
+    """A word as it is said; empty where there is nothing to say.
+
+    Sights that fit no more are left out, those that fail least before others: a datagram of gossip
+    has twelve words.
+    """
+    if not word.zones and not word.sights:
+        return b""
+    sights = sorted(word.sights.items(), key=lambda item: -item[1].failed)
+    while True:
+        said = msgspec.msgpack.encode(msgspec.structs.replace(word, sights=dict(sights)))
+        if len(said) <= LARGEST or not sights:
+            return said
+        sights.pop()
 
 
 def read(word: bytes) -> Word | None:
@@ -66,7 +87,11 @@
     except msgspec.DecodeError:
         return None
     good = all(0 <= failed <= ended for _, ended, failed in made.zones.values())
-    return made if good else None
+    seen = all(
+        one.known > 0 and 0 <= one.failed <= one.known and 0 <= one.full <= one.known
+        for one in made.sights.values()
+    )
+    return made if good and seen else None
 
 
 def fleet(words: Iterable[Word], zone: str, step: int) -> Since:
--- a/sailhitch/zones/helm.py
+++ b/sailhitch/zones/helm.py
@@ -8,18 +8,24 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
+from collections import Counter, deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, Final
 
 from . import course, evidence
-from .posture import NOTHING, Posture, PostureError, ZoneOrder, check, renewed, unused
+from .diagnosis import Finding, Kind, Report, diagnose
+from .posture import NOTHING, Posture, PostureError, check, renewed, unused
+from .sight import Eyes
 
 LOOK: Final = 200_000  # us between two looks at the way back
 SPREAD: Final = 1_000_000  # us over which members' proposals of one step are spread
 MOST_WHY: Final = 200  # letters of an operator's reason
+GONE_FOR: Final = 500_000  # us for which a zone must be found gone before anybody proposes it
+HOUR: Final = 3_600_000_000
 
 Nodes = Mapping[str, Mapping[str, str]]  # by pool: the zone of each node
+Words = Mapping[str, bytes]  # by the gateway that says them
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +34,9 @@
 
     max_out: int
     step: int  # for which a step of the way back lasts, at least
+    place: str = ""  # the zone that it is in
+    act: bool = False  # whether it proposes to leave what the fleet takes for gone
+    leaves_an_hour: int = 4  # so many at the most without an operator
 
 
 class Helm:
@@ -37,16 +46,29 @@
         self.terms, self.rng = terms, rng
         self.serial = 0
         self.posture = NOTHING
-        self.tally = evidence.Tally()
+        self.nodes: Nodes = {}
+        self.tally, self.eyes = evidence.Tally(), Eyes()
+        self.zone_of: dict[str, str] = {}
         self._look_at = 0
         self._began: dict[str, tuple[int, int, int]] = {}  # step, round, when
+        self._gone_since: dict[str, int] = {}
+        self._patience = GONE_FOR + rng.randrange(SPREAD // 2)
+        self._leaves: deque[int] = deque()  # when zones were left without an operator
 
     # --- What happens
 
-    def goes_by(self, serial: int, posture: Posture, now: int) -> None:
-        """This gateway goes by this from here on."""
+    def goes_by(self, serial: int, posture: Posture, nodes: Nodes, now: int) -> None:
+        """This gateway goes by this from here on, with these nodes."""
+        was, renewed_ = all_unused(self.posture, nodes), all_renewed(self.posture, posture, nodes)
+        self.nodes = nodes
+        self.zone_of = {name: zone for pool in nodes.values() for name, zone in pool.items()}
+        self.eyes.keep(self.zone_of)
         if serial == self.serial:
             return
+        self.eyes.forget((was - all_unused(posture, nodes)) | renewed_)
+        for zone, order in posture.zones.items():
+            if order.by == course.AUTOMATION and zone not in self.posture.zones:
+                self._leaves.append(now)
         self.serial, self.posture = serial, posture
         began = {}
         for zone, order in posture.zones.items():
@@ -58,20 +80,62 @@
         self._began = began
         self.tally.goes_by(posture)
 
-    def saw(self, zone: str, failed: bool) -> None:
-        """A request to a node of a zone has ended."""
-        self.tally.saw(zone, failed)
+    def saw(self, node: str, failed: bool, full: bool, now: int) -> None:
+        """A request to a node has ended; one that is full is not one that fails."""
+        zone = self.zone_of.get(node)
+        if zone is not None:
+            self.eyes.saw(node, failed, full, now)
+            if not full:
+                self.tally.saw(zone, failed)
 
-    def word(self) -> bytes:
+    def word(self, now: int) -> bytes:
         """What to say to the others."""
-        return self.tally.word()
+        sights = self.eyes.sights(self.zone_of, now)
+        return evidence.write(evidence.Word(self.tally.counts(), self.terms.place, sights))
+
+    # --- What the fleet sees
+
+    def findings(self, words: Words) -> dict[str, Finding]:
+        """What each zone is taken for, by what all say."""
+        reports = [Report(n, one.place, one.sights) for n, one in read_words(words).items()]
+        return diagnose(reports, Counter(self.zone_of.values()))
+
+    def leaving(self, now: int, words: Words) -> tuple[Posture, str] | None:
+        """The posture to propose where a zone is gone, and why.
+
+        It is proposed once the finding has lasted for `GONE_FOR` and a while of this gateway's own.
+        """
+        found = self.findings(words)
+        gone = {zone for zone, one in found.items() if one.kind is Kind.GONE and one.sure > 0.5}
+        gone -= self.posture.zones.keys()
+        self._gone_since = {zone: self._gone_since.get(zone, now) for zone in gone}
+        if not self.terms.act or self.posture.held:
+            return None
+        while self._leaves and now - self._leaves[0] > HOUR:
+            self._leaves.popleft()
+        if len(self._leaves) >= self.terms.leaves_an_hour:
+            return None
+        for zone, since in sorted(self._gone_since.items()):
+            if now - since < self._patience:
+                continue
+            order = course.leave_for_now(self.terms.step, found[zone].told[:MOST_WHY])
+            wanted = self.posture.with_zone(zone, order)
+            try:
+                self._check(wanted, zone)
+            except PostureError:
+                continue  # it stays what it was; `status` shows the finding
+            return wanted, f"{zone} is gone: {found[zone].told}"
+        return None
 
-    def look(self, now: int, words: Iterable[bytes]) -> tuple[Posture, str] | None:
+    def look(self, now: int, words: Words) -> tuple[Posture, str] | None:
         """The posture to propose now, and why, by what all have said (this gateway's word too)."""
-        if self.posture.held or not self.posture.zones or now < self._look_at:
+        if now < self._look_at:
             return None
         self._look_at = now + LOOK
-        said = read_words(words)
+        gone = self.leaving(now, words)
+        if gone is not None or self.posture.held or not self.posture.zones:
+            return gone
+        said = list(read_words(words).values())
         for zone, order in self.posture.zones.items():
             since = evidence.fleet(said, zone, order.step)
             found = course.judge(order, self.age(zone, now), since)
@@ -85,19 +149,20 @@
 
     # --- What operators ask for
 
-    def asked(
-        self, act: str, zone: str, why: str, by: str, step: int | None, nodes: Nodes
-    ) -> Posture:
+    def asked(self, act: str, zone: str, why: str, by: str, step: int | None) -> Posture:
         """The posture that an operator's word comes to; raises PostureError."""
         wanted = self._wanted(act, zone, why[:MOST_WHY], by, step)
-        check(wanted, {z for pool in nodes.values() for z in pool.values()}, self.terms.max_out)
-        for pool, here in nodes.items():
-            if here and len(unused(wanted, here)) == len(here):
-                raise PostureError(f"pool {pool!r} has no nodes outside of zone {zone!r}")
+        self._check(wanted, zone)
         if wanted == self.posture:
             raise PostureError("nothing to do: that is what holds; see `sailhitch zones status`")
         return wanted
 
+    def _check(self, wanted: Posture, zone: str) -> None:
+        check(wanted, self.zone_of.values(), self.terms.max_out)
+        for pool, here in self.nodes.items():
+            if here and len(unused(wanted, here)) == len(here):
+                raise PostureError(f"pool {pool!r} has no nodes outside of zone {zone!r}")
+
     def _wanted(self, act: str, zone: str, why: str, by: str, step: int | None) -> Posture:
         order = self.posture.zones.get(zone)
         if act == "hold":
@@ -113,27 +178,32 @@
         dwell = max(self.terms.step, step or 0)
         return self.posture.with_zone(zone, course.begin(order, dwell, by, why))
 
-    def status(self, now: int, words: Iterable[bytes], zones: Mapping[str, int]) -> dict[str, Any]:
-        """What `zones status` shows; `zones` has the number of nodes of each."""
-        said, told = read_words(words), {}
-        for name, count in sorted(zones.items()):
-            order: ZoneOrder | None = self.posture.zones.get(name)
-            if order is None:
-                told[name] = {"nodes": count, "share": 1.0, "phase": "in use"}
-                continue
-            since = evidence.fleet(said, name, order.step)
+    def status(self, now: int, words: Words) -> dict[str, Any]:
+        """What `zones status` shows."""
+        said, found, told = list(read_words(words).values()), self.findings(words), {}
+        out = all_unused(self.posture, self.nodes)
+        for name, count in sorted(Counter(self.zone_of.values()).items()):
+            order, finding = self.posture.zones.get(name), found[name]
+            used = sum(zone == name and node not in out for node, zone in self.zone_of.items())
             told[name] = {
-                "nodes": count, "share": order.share, "phase": order.phase, "by": order.by,
-                "why": order.why, "relapses": order.relapses, "ended": since.ended,
-                "failed": since.failed,
-                "waits_for": course.waits_for(order, self.age(name, now)),
+                "nodes": count, "in_use": used, "share": 1.0, "phase": "in use",
+                "finding": finding.kind.value, "sure": round(finding.sure, 3),
+                "seen": finding.told,
             }  # fmt: skip
+            if order is not None:
+                since = evidence.fleet(said, name, order.step)
+                told[name] |= {
+                    "share": order.share, "phase": order.phase, "by": order.by, "why": order.why,
+                    "relapses": order.relapses, "ended": since.ended, "failed": since.failed,
+                    "waits_for": course.waits_for(order, self.age(name, now)),
+                }  # fmt: skip
         return {"serial": self.serial, "held": self.posture.held, "zones": told}
 
 
-def read_words(words: Iterable[bytes]) -> list[evidence.Word]:
-    """Those that can be read."""
-    return [made for word in words if (made := evidence.read(word)) is not None]
+def read_words(words: Words) -> dict[str, evidence.Word]:
+    """Those that can be read, by who said them."""
+    found = {name: evidence.read(word) for name, word in words.items()}
+    return {name: made for name, made in found.items() if made is not None}
 
 
 def all_renewed(old: Posture, new: Posture, nodes: Nodes) -> frozenset[str]:
--- a/sailhitch/zones/posture.py
+++ b/sailhitch/zones/posture.py
@@ -50,6 +50,7 @@
 
 
 NOTHING = Posture()
+HALF = 0.5  # a zone of which less is in use counts as out
 
 
 class PostureError(ValueError):
@@ -103,7 +104,7 @@
     for name in posture.zones:
         if name not in all_:
             raise PostureError(f"no node is in a zone called {name!r}")
-    out = sorted(name for name, one in posture.zones.items() if one.phase == "out")
+    out = sorted(name for name, one in posture.zones.items() if one.share < HALF)
     if all_ and set(posture.zones) >= all_:
         raise PostureError(
             f"no zone would be in use as a whole: {', '.join(sorted(posture.zones))} are left or "
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Callable
 from typing import Any
@@ -16,7 +17,8 @@
 from sailhitch.tier.line import Step, pose
 from sailhitch.zones import course, evidence
 from sailhitch.zones.course import FIRST, MOST_RELAPSES, NEEDED, SURE_BAD, Since, judge
-from sailhitch.zones.helm import Helm, ZoneTerms, all_renewed, all_unused
+from sailhitch.zones.diagnosis import Finding, Kind, Report, diagnose, sick
+from sailhitch.zones.helm import HOUR, Helm, Nodes, ZoneTerms, all_renewed, all_unused
 from sailhitch.zones.posture import (
     NOTHING,
     Posture,
@@ -26,11 +28,13 @@
     read,
     unused,
 )
+from sailhitch.zones.sight import FORGOTTEN, Eyes, Sight
 
 S = 1_000_000
 STEP = 2 * S
 Patch = pytest.MonkeyPatch
 NODES = {f"p/n{i}": f"z{i % 3}" for i in range(30)}
+POOLS = {"p": NODES}
 BACK = ZoneOrder(FIRST, "returning", STEP, 0, "ada", "", 1)
 
 
@@ -161,19 +165,31 @@
 def test_counts_belong_to_a_step_and_outlast_a_round_of_it() -> None:
     tally = evidence.Tally()
     tally.saw("z", True)
-    assert tally.word() == b""
+    assert tally.counts() == {}
     for order, ended in ((_order(), 1), (_order(round=1), 2), (_order(step=2), 1)):
         tally.goes_by(Posture({"z": order}))
         tally.saw("z", True)
-        assert evidence.read(tally.word()) == evidence.Word({"z": (order.step, ended, ended)})
+        assert tally.counts() == {"z": (order.step, ended, ended)}
+
+
+def test_a_word_fits_twelve_times_into_a_datagram_and_keeps_what_fails() -> None:
+    sights = {f"zone-{i:060}": Sight(9, i, 0) for i in range(9)}
+    word = evidence.Word({"z": (1, 2, 0)}, "z", sights)
+    said = evidence.write(word)
+    assert len(said) <= evidence.LARGEST
+    made = evidence.read(said)
+    assert made is not None
+    assert made.zones == word.zones
+    assert f"zone-{8:060}" in made.sights
+    assert evidence.write(evidence.Word({})) == b""
 
 
 # --- Operators
 
 
-def _helm(posture: Posture = NOTHING) -> Helm:
-    helm = Helm(ZoneTerms(1, STEP), random.Random(1))
-    helm.goes_by(1, posture, 0)
+def _helm(posture: Posture = NOTHING, nodes: Nodes = POOLS, **terms: Any) -> Helm:
+    helm = Helm(ZoneTerms(1, STEP, **terms), random.Random(1))
+    helm.goes_by(1, posture, nodes, 0)
     return helm
 
 
@@ -192,33 +208,32 @@
     posture: Posture, act: str, zone: str, said: str
 ) -> None:
     with pytest.raises(PostureError, match=said):
-        _helm(posture).asked(act, zone, "", "ada", None, {"p": NODES})
+        _helm(posture).asked(act, zone, "", "ada", None)
 
 
 def test_no_pool_is_left_without_nodes() -> None:
     pools = {"p": NODES, "small": {"small/a": "z1"}}
     with pytest.raises(PostureError, match="pool 'small' has no nodes outside of zone 'z1'"):
-        _helm().asked("leave", "z1", "", "ada", None, pools)
+        _helm(nodes=pools).asked("leave", "z1", "", "ada", None)
 
 
 def test_who_holds_keeps_what_is_and_an_operators_word_goes_on() -> None:
     helm = _helm(Posture({"z1": BACK}))
-    words = [msgspec.msgpack.encode(_words((100, 0))[0]).replace(b"\xa1z", b"\xa2z1")]
+    words = {"g2": evidence.write(evidence.Word({"z1": (1, 100, 0)}))}
     assert helm.look(10 * S, words) is not None
-    held = helm.asked("hold", "", "", "ada", None, {"p": NODES})
-    helm.goes_by(2, held, 10 * S)
+    helm.goes_by(2, helm.asked("hold", "", "", "ada", None), POOLS, 10 * S)
     assert helm.look(60 * S, words) is None
-    assert helm.asked("leave", "z1", "", "ada", None, {"p": NODES}).zones["z1"].phase == "out"
+    assert helm.asked("leave", "z1", "", "ada", None).zones["z1"].phase == "out"
 
 
 # --- A fleet
 
 
-def _fleet(members: int = 9, seed: int = 1, loss: float = 0.0) -> World:
+def _fleet(members: int = 9, seed: int = 1, loss: float = 0.0, act: bool = False) -> World:
     nodes = {str(i): f"z{i % 3}" for i in range(12)}
     world = World(
         seed, members, min(5, members), every=S // 50, first=range(12), acts=12, zones=nodes,
-        step=STEP,
+        step=STEP, act=act,
     )  # fmt: skip
     world.start()
     world.kernel.run(8 * S)
@@ -236,7 +251,7 @@
 def _ask(world: World, name: str, act: str, zone: str) -> None:
     process = world.processes[name]
     assert process.helm is not None
-    process.pose_zones(process.helm.asked(act, zone, "", "ada", None, {"p": world.zones}))
+    process.pose_zones(process.helm.asked(act, zone, "", "ada", None))
 
 
 def _out(world: World, zone: str) -> list[int]:
@@ -287,7 +302,7 @@
     world = _fleet()
     sick = world.processes["g5"].helm
     assert sick is not None
-    monkeypatch.setattr(sick, "saw", lambda zone, failed: sick.tally.saw(zone, True))
+    monkeypatch.setattr(sick, "saw", functools.partial(_as_failed, sick.saw))
     _ask(world, "g1", "leave", "z1")
     _go_on(world, 2)
     _ask(world, "g1", "return", "z1")
@@ -327,9 +342,198 @@
     assert (set(_out(world, "z0")), set(_out(world, "z1"))) == ({0}, {4})
 
 
+# --- What a zone is taken for
+
+SIZES = {"z0": 10, "z1": 10, "z2": 10}
+GOOD, BAD, HALF = Sight(10, 0, 0), Sight(10, 10, 0), Sight(10, 4, 0)
+Row = tuple[str, Sight, Sight, Sight]
+
+
+def _reports(*rows: Row) -> list[Report]:
+    """Gateways: the place of each, and what it sees of the three zones."""
+    return [
+        Report(f"g{i}", place, dict(zip(SIZES, sights, strict=True)))
+        for i, (place, *sights) in enumerate(rows)
+    ]
+
+
+ALL_WELL: list[Row] = [(zone, GOOD, GOOD, GOOD) for zone in SIZES]
+LOST_Z2: list[Row] = [("z0", GOOD, GOOD, BAD), ("z1", GOOD, GOOD, BAD)] * 2
+
+
+@pytest.mark.parametrize(
+    ("rows", "kinds"),
+    [
+        (ALL_WELL, (Kind.WELL, Kind.WELL, Kind.WELL)),
+        (LOST_Z2, (Kind.WELL, Kind.WELL, Kind.GONE)),
+        # From inside it is well: the way there is cut.
+        ([*LOST_Z2, ("z2", GOOD, GOOD, GOOD)], (Kind.WELL, Kind.WELL, Kind.CUT)),
+        # Cut off from one other zone alone.
+        ([("z0", GOOD, GOOD, BAD), ("z1", GOOD, GOOD, GOOD)] * 2, (Kind.WELL, Kind.WELL, Kind.CUT)),
+        ([("z0", GOOD, HALF, GOOD), ("z1", GOOD, HALF, GOOD)], (Kind.WELL, Kind.GRAY, Kind.WELL)),
+        ([("z0", BAD, BAD, BAD), ("z1", BAD, BAD, BAD)], (Kind.EVERYWHERE,) * 3),
+        ([("z0", GOOD, Sight(10, 1, 8), GOOD)] * 2, (Kind.WELL, Kind.FULL, Kind.WELL)),
+        # One that sees all fail is sick, and one that lies of one zone is outvoted.
+        ([*ALL_WELL, ("z0", BAD, BAD, BAD)], (Kind.WELL, Kind.WELL, Kind.WELL)),
+        ([*ALL_WELL * 2, ("z0", GOOD, GOOD, Sight(9999, 9999, 0))], (Kind.WELL,) * 3),
+        # Nobody knows enough of it.
+        ([("z0", GOOD, GOOD, Sight(1, 1, 0))] * 2, (Kind.WELL, Kind.WELL, Kind.UNKNOWN)),
+        ([("z0", GOOD, GOOD, GOOD)], (Kind.WELL, Kind.WELL, Kind.WELL)),
+        ([], (Kind.UNKNOWN,) * 3),
+    ],
+)
+def test_what_a_zone_is_taken_for(rows: list[Row], kinds: tuple[Kind, ...]) -> None:
+    found = diagnose(_reports(*rows), SIZES)
+    assert tuple(one.kind for one in found.values()) == kinds, found
+
+
+def test_a_sick_gateway_is_named_and_no_other() -> None:
+    assert sick(_reports(*ALL_WELL, ("z0", BAD, BAD, BAD)), SIZES) == ["g3"]
+    assert sick(_reports(*LOST_Z2), SIZES) == []
+    assert sick(_reports(("z0", BAD, BAD, BAD), ("z1", GOOD, GOOD, GOOD)), SIZES) == []
+
+
+@given(st.data())
+def test_no_third_of_the_voices_makes_a_zone_gone(data: Any) -> None:
+    """Whatever a third says, and however many nodes it claims to know."""
+    honest = data.draw(st.integers(4, 9))
+    liars = data.draw(st.integers(1, honest // 2))
+    sight = st.integers(1, 5000).flatmap(
+        lambda known: st.builds(Sight, st.just(known), st.integers(0, known), st.just(0))
+    )
+    rows: list[Row] = [("z0", GOOD, GOOD, GOOD)] * honest
+    rows += [("z0", *(data.draw(sight) for _ in range(3))) for _ in range(liars)]
+    found = diagnose(_reports(*rows), SIZES)
+    assert not any(one.kind is Kind.GONE and one.sure > 0.5 for one in found.values())
+
+
+def test_the_last_outcome_counts_until_it_is_forgotten() -> None:
+    eyes, nodes = Eyes(), {"a": "z", "b": "z", "c": "y"}
+    for node, failed in (("a", True), ("a", False), ("b", True), ("gone", True)):
+        eyes.saw(node, failed, False, 5)
+    assert eyes.sights(nodes, 5) == {"z": Sight(2, 1, 0)}
+    eyes.keep(nodes)
+    assert eyes.sights({**nodes, "gone": "y"}, 5) == {"z": Sight(2, 1, 0)}
+    eyes.saw("a", True, False, 6)
+    assert eyes.sights(nodes, 6) == {"z": Sight(2, 2, 0)}
+    for at, (node, failed) in enumerate([("a", False), ("d", False), ("b", True)], 7):
+        eyes.saw(node, failed, False, at)
+    wide = {**nodes, "d": "z"}
+    assert eyes.sights(wide, 10) == {"z": Sight(3, 1, 0)}
+    eyes.saw("a", True, False, 10)  # two have failed since anything there went well
+    assert eyes.sights(wide, 10) == {"z": Sight(2, 2, 0)}
+    eyes.saw("a", False, False, 11)
+    eyes.forget(frozenset(["b", "d"]))
+    assert eyes.sights(nodes, 5) == {"z": Sight(1, 0, 0)}
+    assert eyes.sights(nodes, 12 + FORGOTTEN) == {}
+
+
+# --- Leaving without an operator
+
+
+def test_all_leave_a_zone_that_is_gone_and_return_once_it_is_well() -> None:
+    world = _fleet(9, 1, 0.1, act=True)
+    at, last = world.kernel.now, 0
+    world.frozen.add("z2")
+
+    def note() -> None:
+        nonlocal last
+        if min(_out(world, "z2")) < 4 and not last:
+            last = -world.kernel.now
+        elif min(_out(world, "z2")) == 4 and last < 0:
+            last = world.kernel.now
+
+    _go_on(world, 5, note)
+    assert 0 < last - at <= 4 * S  # the worst that is promised at a tenth lost
+    _go_on(world, 30)
+    assert min(_out(world, "z2")) >= 3
+    assert set(_out(world, "z0") + _out(world, "z1")) == {0}
+    world.frozen.clear()
+    _go_on(world, 150)
+    assert _out(world, "z2") == [0] * 9
+
+
+def _nobody_leaves(frozen: set[str], sick: tuple[str, ...] = ()) -> None:
+    world = _fleet(9, 2, act=True)
+    for name in sick:
+        helm = world.processes[name].helm
+        assert helm is not None
+        helm.saw = functools.partial(_as_failed, helm.saw)  # type: ignore[method-assign]
+    world.frozen |= frozen
+    _go_on(world, 20)
+    for zone in ("z0", "z1", "z2"):
+        assert set(_out(world, zone)) == {0}
+
+
+def _as_failed(real: Any, node: str, failed: bool, full: bool, now: int) -> None:
+    real(node, True, full, now)
+
+
+@pytest.mark.parametrize(
+    ("frozen", "sick"),
+    [(set(), ()), ({"z0", "z1", "z2"}, ()), (set(), ("g4",)), (set(), ("g1", "g2", "g3"))],
+    ids=["all well", "all zones fail", "one sick", "a third sick"],
+)
+def test_no_zone_is_left_for_what_is_not_its_own_end(
+    frozen: set[str], sick: tuple[str, ...]
+) -> None:
+    _nobody_leaves(frozen, sick)
+
+
+def test_a_second_zone_is_not_left_beyond_what_may_be_out() -> None:
+    world = _fleet(9, 1, act=True)
+    world.frozen.add("z2")
+    _go_on(world, 5)
+    world.frozen.add("z1")
+    _go_on(world, 20)
+    assert min(_out(world, "z2")) >= 3
+    assert set(_out(world, "z1") + _out(world, "z0")) == {0}
+
+
+def _said(*sights: Sight) -> dict[str, bytes]:
+    word = evidence.Word({}, "z0", dict(zip(SIZES, sights, strict=True)))
+    return dict.fromkeys(("g1", "g2"), evidence.write(word))
+
+
+def test_only_so_many_leaves_an_hour_without_an_operator() -> None:
+    helm, words = _helm(act=True, leaves_an_hour=2), _said(GOOD, GOOD, BAD)
+    now, serial = 0, 1
+    for _ in range(2):
+        assert helm.leaving(now, words) is None  # it has to last
+        found = helm.leaving(now + 2 * S, words)
+        assert found is not None
+        for posture in (found[0], NOTHING):
+            serial, now = serial + 1, now + 10 * S
+            helm.goes_by(serial, posture, POOLS, now)
+            assert helm.leaving(now, _said(GOOD, GOOD, GOOD)) is None
+    assert helm.leaving(now, words) is None
+    assert helm.leaving(now + 2 * S, words) is None
+    assert helm.leaving(now + HOUR, words) is not None
+
+
+def test_who_only_advises_proposes_nothing_and_shows_what_it_finds() -> None:
+    helm, words = _helm(), _said(GOOD, GOOD, BAD)
+    assert [helm.leaving(at * S, words) for at in range(9)] == [None] * 9
+    told = helm.status(9 * S, words)["zones"]["z2"]
+    assert (told["finding"], told["sure"]) == ("gone", 1.0)
+    assert told["seen"] == "100% of its nodes fail from z0 (2 gateways)"
+
+
 # --- Mutations
 
 
+def _believes_any(patch: Patch) -> None:
+    """One gateway that sees a zone fail is enough."""
+
+    def diagnose(reports: Any, sizes: Any) -> dict[str, Finding]:
+        seen = [(zone, one) for report in reports for zone, one in report.sights.items()]
+        gone = {zone for zone, one in seen if one.failed == one.known}
+        kinds = {zone: Kind.GONE if zone in gone else Kind.WELL for zone in sizes}
+        return {zone: Finding(kind, 1.0, "") for zone, kind in kinds.items()}
+
+    patch.setattr("sailhitch.zones.helm.diagnose", diagnose)
+
+
 def _steps_without_evidence(patch: Patch) -> None:
     patch.setattr(course, "NEEDED", 0)
     patch.setattr(course, "SURE_BAD", 1 << 30)
@@ -358,6 +562,7 @@
     ("mutation", "case"),
     [
         (_steps_without_evidence, test_a_zone_that_fails_again_is_not_returned_to_until_it_is_well),
+        (_believes_any, functools.partial(_nobody_leaves, set(), ("g4",))),
         (_waits_for_what_is_pending,
          test_a_zone_is_left_while_a_change_waits_and_its_gateways_are_dead),
     ],
