Take no old success for a witness where most gateways see a zone gone

"z3 is taken for: cut off from some places ... 0% of its nodes fail from z1" for eight seconds: one of two gateways there had sent nothing to the zone since it died, and of two equal voices the good one is the median. Ruled out: successes that expire, as failures then speak alone where little is asked, and two bad nodes at night would be a zone that is gone. Now who saw a zone well and has not asked for two seconds is no witness, if most voices see it gone.

--- a/sailhitch/zones/diagnosis.py
+++ b/sailhitch/zones/diagnosis.py
@@ -20,6 +20,7 @@
 FULL: Final = 0.5  # of its nodes turned away last for being full
 LEAST: Final = 2  # nodes that a voice must know of, or all of a zone that has fewer
 MOST_VOICE: Final = 1 / 3
+LATELY: Final = 2  # s
 VOICES: Final = 2  # gateways that must speak of a zone, where there are so many
 
 
@@ -84,7 +85,7 @@
 
 
 def _zone(reports: Sequence[Report], zone: str, sizes: Mapping[str, int], need: int) -> Finding:
-    able = [one for one in reports if _can_tell(one, zone, sizes)]
+    able = _witnesses([one for one in reports if _can_tell(one, zone, sizes)], zone)
     if len(able) < need:
         return Finding(Kind.UNKNOWN, 0.0, f"{len(able)} of {need} gateways can tell")
     full = _median([(one.sights[zone].full / one.sights[zone].known, 1) for one in able])
@@ -108,6 +109,17 @@
     return Finding(Kind.WELL, 1 - _sure(able, zone, GRAY), told)
 
 
+def _witnesses(able: list[Report], zone: str) -> list[Report]:
+    """Without those who saw a zone well and have not asked since, if most see it gone.
+
+    Danger: only then. Where little is asked, as at night, most have not asked lately, and the few
+    that happened to meet its bad nodes would speak for all.
+    """
+    if 2 * sum(_share(one, zone) >= GONE for one in able) <= len(able):
+        return able
+    return [one for one in able if _share(one, zone) > WELL or one.sights[zone].age <= LATELY]
+
+
 def _can_tell(one: Report, zone: str, sizes: Mapping[str, int]) -> bool:
     sight = one.sights.get(zone)
     return sight is not None and sight.known >= min(LEAST, sizes.get(zone, LEAST))
--- a/sailhitch/zones/evidence.py
+++ b/sailhitch/zones/evidence.py
@@ -88,7 +88,10 @@
         return None
     good = all(0 <= failed <= ended for _, ended, failed in made.zones.values())
     seen = all(
-        one.known > 0 and 0 <= one.failed <= one.known and 0 <= one.full <= one.known
+        one.known > 0
+        and 0 <= one.failed <= one.known
+        and 0 <= one.full <= one.known
+        and one.age >= 0
         for one in made.sights.values()
     )
     return made if good and seen else None
--- a/sailhitch/zones/sight.py
+++ b/sailhitch/zones/sight.py
@@ -20,6 +20,7 @@
     known: int
     failed: int
     full: int
+    age: int = 0  # seconds since the last outcome there, a whole number
 
 
 class Outcome(NamedTuple):
@@ -62,13 +63,14 @@
             zone = nodes.get(name)
             if zone is not None and now - one.at <= FORGOTTEN:
                 found.setdefault(zone, []).append(one)
-        return {zone: _sight(outcomes) for zone, outcomes in found.items()}
+        return {zone: _sight(outcomes, now) for zone, outcomes in found.items()}
 
 
-def _sight(outcomes: list[Outcome]) -> Sight:
+def _sight(outcomes: list[Outcome], now: int) -> Sight:
+    age = (now - max(one.at for one in outcomes)) // 1_000_000
     last_ok = max((one.at for one in outcomes if not one.failed), default=-1)
     run = sum(one.failed and one.at > last_ok for one in outcomes)
     if run >= RUN:
-        return Sight(run, run, 0)
+        return Sight(run, run, 0, age)
     failed, full = sum(one.failed for one in outcomes), sum(one.full for one in outcomes)
-    return Sight(len(outcomes), failed, full)
+    return Sight(len(outcomes), failed, full, age)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -375,6 +375,12 @@
         ([("z0", GOOD, Sight(10, 1, 8), GOOD)] * 2, (Kind.WELL, Kind.FULL, Kind.WELL)),
         # One that sees all fail is sick, and one that lies of one zone is outvoted.
         ([*ALL_WELL, ("z0", BAD, BAD, BAD)], (Kind.WELL, Kind.WELL, Kind.WELL)),
+        # Who has not asked since most have seen it fail is no witness; at night few have asked.
+        ([*LOST_Z2, ("z2", GOOD, GOOD, Sight(10, 0, 0, 9))], (Kind.WELL, Kind.WELL, Kind.GONE)),
+        (
+            [*LOST_Z2, *[("z2", GOOD, GOOD, Sight(10, 0, 0, 9))] * 4],
+            (Kind.WELL, Kind.WELL, Kind.CUT),
+        ),
         ([*ALL_WELL * 2, ("z0", GOOD, GOOD, Sight(9999, 9999, 0))], (Kind.WELL,) * 3),
         # Nobody knows enough of it.
         ([("z0", GOOD, GOOD, Sight(1, 1, 0))] * 2, (Kind.WELL, Kind.WELL, Kind.UNKNOWN)),
@@ -424,7 +430,7 @@
     assert eyes.sights(wide, 10) == {"z": Sight(2, 2, 0)}
     eyes.saw("a", False, False, 11)
     eyes.forget(frozenset(["b", "d"]))
-    assert eyes.sights(nodes, 5) == {"z": Sight(1, 0, 0)}
+    assert eyes.sights(nodes, 11 + 3 * S) == {"z": Sight(1, 0, 0, 3)}
     assert eyes.sights(nodes, 12 + FORGOTTEN) == {}
 
 
