Never pause so long after failed calls to the agent that a drain is heard too late

Of 208 gateways 185 got the list before the herd, half of them after 0.26 s, one of eight after 1.0 to 1.6 s; 23 never: n10 logs a failed call at 9.702 s and hears nothing until it is killed at 12.27 s. The pause between failed calls grew with the number of gateways, 2 x 208 / 100 = 4.16 s here (net/backoff.py, limit), while what an agent has counts as told whether or not anybody asks.

A pause, with a call before it that hangs to its end, now fits into the settings' grace, with a half of what is left to spare: 0.15 s for 1 s. The limit by the number of gateways stands below that.

--- a/sailhitch/net/backoff.py
+++ b/sailhitch/net/backoff.py
@@ -2,11 +2,13 @@
 
 Decorrelated jitter: each pause is drawn evenly between the shortest one and three times the one
 before (Brooker, "Exponential Backoff And Jitter", 2015), so that callers that fail together do not
-come back together. The limit grows with their number: all of them ask no more often than `rate`.
+come back together. The limit grows with their number, so that all of them ask no more often than
+`rate`, up to what the caller can bear to wait.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Final
 
@@ -21,10 +23,13 @@
         self._random = random.Random(seed)
         self._last = first
 
-    def limit(self, callers: int, rate: float) -> None:
-        """So many callers share a service that is to be asked `rate` times a second at the most."""
+    def limit(self, callers: int, rate: float, most: float = math.inf) -> None:
+        """So many callers share a service that is to be asked `rate` times a second at the most.
+
+        No pause is longer than `most` for that.
+        """
         # A pause is half of the limit on the whole.
-        self.most = max(self.most, 2.0 * callers / rate)
+        self.most = min(max(self.most, 2.0 * callers / rate), most)
 
     def pause(self) -> float:
         """How long to wait after one more failure."""
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -28,6 +28,17 @@
 MAX_ANSWER: Final = 2 << 20  # some ten thousand hosts; more would be a threat to memory
 
 
+def longest_pause(grace: int) -> float:
+    """The longest pause after a failed call to the agent, in seconds, by the rule on drains.
+
+    Danger: what the agent has counts as told, also while nobody asks it. It may come back right
+    after a call was sent to it that it never answers; that call, the pause and the next call all
+    have to fit into the grace (us). Half of what is left is for the next call and for the CPU.
+    """
+    left = grace / 1e6 - (WAIT_PUSHED / 1000 + PATIENCE_PUSHED)
+    return max(AGAIN, left / 2)
+
+
 class CallError(Exception):
     """A call brought no list; the text says why."""
 
@@ -121,7 +132,8 @@
         self._moved = asyncio.Event()
         self._call: Call | None = None
         self._backoff = Backoff(AGAIN, AGAIN_MOST, config.seed)
-        self._backoff.limit(config.settings.gateways, CALLS)
+        grace = config.settings.rules.drain_grace
+        self._backoff.limit(config.settings.gateways, CALLS, longest_pause(grace))
         self._whole = True  # the next call asks for the whole list
         pool.watch_wanted = self.want
 
--- a/tests/test_herd.py
+++ b/tests/test_herd.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sailhitch.core.terms import Address
 from sailhitch.net.backoff import Backoff
-from sailhitch.net.discovery import AGAIN, AGAIN_MOST, CALLS
-from tests.sockets import Registry, Server, Writer, config_value, dial, process, request
+from sailhitch.net.discovery import AGAIN, AGAIN_MOST, CALLS, PATIENCE_PUSHED, WAIT_PUSHED
+from tests.sockets import Registry, Server, Writer, config_value, dial, gate, process, request
 
 
 @given(st.integers(8, 48), st.integers(0, 1 << 60))
@@ -32,6 +35,37 @@
         assert AGAIN <= one.pause() <= 3 * AGAIN
 
 
+@pytest.mark.parametrize("gateways", [1, 48, 200, 10_000])
+@pytest.mark.parametrize("grace", [800_000, 1_000_000, 5_000_000])
+def test_however_many_gateways_an_agent_that_is_back_is_heard_within_the_grace(
+    gateways: int, grace: int
+) -> None:
+    """A call sent right before it is back may hang to its end; then the pause; then it is asked."""
+    pauses: list[float] = []
+
+    async def play() -> None:
+        rules = {"drainGrace": grace}
+        async with gate(settings={"balancers": gateways, "rules": rules}) as it:
+            discovery = it.discovery
+
+            async def hangs(address: Address) -> bool:
+                raise TimeoutError
+
+            async def pause(seconds: float) -> None:
+                pauses.append(seconds)
+                if len(pauses) == 200:
+                    raise asyncio.CancelledError
+
+            discovery._once, discovery._pause = hangs, pause  # type: ignore[method-assign]
+            with contextlib.suppress(asyncio.CancelledError):
+                await discovery.run()
+
+    asyncio.run(play())
+    assert len(pauses) == 200
+    assert WAIT_PUSHED / 1000 + PATIENCE_PUSHED + max(pauses) < grace / 1e6
+    assert min(pauses) >= AGAIN
+
+
 def test_a_start_while_discovery_turns_away_serves_at_once_by_the_known_list(
     tmp_path: Path,
 ) -> None:
