Read what all say of zones once, and say once what tier, model and lab said twice

A gateway decoded all words and made its findings twice each look, once for the log and once for what to propose, at two paces that were the same number; now `Helm.hear` does it once and `due` has the one pace, in daemon and model alike. A switch grouped the nodes by pool three times, and kept a table for outcomes where zones are off. Taken out: when each member last answered a probe, the places of a finding, a check that another implied, which nobody used. The model named a change under way in three places, a member kept its life in three, the lab told two conditions by one function's word, and had its own copies of the daemon's beat and limits. A scenario has a step's time always, so nothing asks whether it has.

--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -79,10 +79,10 @@
         if not self.knows:
             return None
         version = msgspec.msgpack.decode(self.kept[KNOWN], type=HeadDecided).head.posture
-        packed = None if version is None else self.kept.get(CONTENT + version.digest)
-        return None if packed is None or version is None else (
-            Library({version.digest: packed}).read(version.digest)
-        )  # fmt: skip
+        if version is None or CONTENT + version.digest not in self.kept:
+            return None
+        packed = self.kept[CONTENT + version.digest]
+        return Library({version.digest: packed}).read(version.digest)
 
     async def start(self, founding: Founding | None) -> None:
         """Take part; raises LinkError."""
@@ -158,8 +158,7 @@
 
     def error_received(self, exc: Exception) -> None:
         """The system would not send a datagram; it counts as lost, as any other."""
-        number = getattr(exc, "errno", None)
-        why = errno.errorcode.get(number, "unknown") if number is not None else "unknown"
+        why = errno.errorcode.get(getattr(exc, "errno", None) or 0, "unknown")
         self.unsent[why] = self.unsent.get(why, 0) + 1
 
     def _address(self, name: str) -> Address | None:
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -186,15 +186,14 @@
         more = any(self._differs(kind, shown, also) for kind in ("routes", "classes", "tenants"))
         rules = self._rules + more
         whole = {**shown, "listeners": self.listeners}
-        posture = self.zoned.read(acting.posture)
-        kept = acting.pending is None and (
-            self._last is None or self._last._replace(posture=None, turn=0)
-            != acting._replace(posture=None, turn=0)
-        )  # fmt: skip
+        posture, last = self.zoned.read(acting.posture), self._last
+        news = last is None or (last.active, last.pending) != (acting.active, acting.pending)
+        kept = news and acting.pending is None
+        unused, renewed = self.zoned.orders(posture, shown)
         await self.live.change(
             Decided(
                 whole, version.who, version.serial, None, kept, f"{stamp}\r\n".encode(), also,
-                rules, self.zoned.unused(posture, shown), self.zoned.renewed(posture, shown),
+                rules, unused, renewed,
             )
         )  # fmt: skip
         self._rules = rules
--- a/sailhitch/daemon/zoned.py
+++ b/sailhitch/daemon/zoned.py
@@ -19,7 +19,7 @@
 from ..tier.member import Standing
 from ..zones import course
 from ..zones.diagnosis import Kind
-from ..zones.helm import LOOK, Helm, ZoneTerms, all_renewed, all_unused
+from ..zones.helm import Heard, Helm, ZoneTerms, all_renewed, all_unused
 from ..zones.posture import NOTHING, Posture, PostureError, read
 from .link import steady
 from .live import ApplyError, Live
@@ -45,7 +45,6 @@
         terms = ZoneTerms(part.max_out, step, gateway.zone, part.mode == "act", part.leaves_an_hour)
         self.helm = Helm(terms, random.Random(secrets.randbits(64)))
         self._kinds: dict[str, Kind] = {}  # as last told
-        self._told_at = 0
         self._proposing: asyncio.Task[None] | None = None
         self._keys: dict[tuple[str, str], str] = {}  # `pool/id` by pool and module's name
 
@@ -66,31 +65,32 @@
         """Nodes that got nothing new by what this gateway last knew, until it has heard."""
         content = self.tiered.link.kept_posture()
         try:
-            return frozenset() if content is None else self.unused(read(content), state)
+            return frozenset() if content is None else self.orders(read(content), state)[0]
         except PostureError as error:
             self.live.core.logger.say(f"zones: not gone by until the tier is heard: {error}")
             return frozenset()
 
-    def unused(self, posture: Posture, state: State) -> frozenset[str]:
-        """Nodes, as `pool/id`, that get nothing new."""
-        return all_unused(posture, _by_pool(state))
-
-    def renewed(self, posture: Posture, state: State) -> frozenset[str]:
-        """Nodes, as `pool/id`, that are tried as if they had just started."""
-        return all_renewed(self.helm.posture, posture, _by_pool(state))
+    def orders(self, posture: Posture, state: State) -> tuple[frozenset[str], frozenset[str]]:
+        """Nodes, as `pool/id`, that get nothing new, and those to be tried as if just started."""
+        if not posture.zones:
+            return frozenset(), frozenset()
+        nodes = _by_pool(state)
+        return all_unused(posture, nodes), all_renewed(self.helm.posture, posture, nodes)
 
     def goes_by(self, version: Version | None, posture: Posture) -> None:
         """The switch is done."""
         state, places = self.live.applied.state, self.live.places.nodes
         serial = 0 if version is None else version.serial
         self.helm.goes_by(serial, posture, _by_pool(state), steady())
+        if self.mode == "off":
+            return
         self._keys = {
             (key.partition("/")[0], places[key].name): key
             for key in state["nodes"]
             if key in places
         }
         for pool in self.live.core.pools:
-            pool.seen = None if self.mode == "off" else self._watch(pool)
+            pool.seen = self._watch(pool)
 
     def _watch(self, pool: Pool) -> Callable[[str, str], None]:
         keys, saw, name = self._keys, self.helm.saw, pool.name
@@ -110,25 +110,24 @@
         if member is None:
             return
         now = steady()
-        if self.mode == "off" or now < self._told_at:
+        if self.mode == "off" or not self.helm.due(now):
             return
-        self._told_at = now + LOOK
         member.word, news = self.helm.word(now)
         if news:
             member.hurry(now)
-        words = member.words(now)
-        self._tell(words)
+        heard = self.helm.hear(member.words(now))
+        self._tell(heard)
         if self._proposing is not None or self.tiered.link.standing() is not Standing.IN:
             return
-        found = self.helm.look(now, words)
+        found = self.helm.look(now, heard)
         if found is not None:
             posture, why = found
             self.live.core.logger.say(f"zones: {why}; proposes the next step")
             self._proposing = asyncio.get_running_loop().create_task(self._propose(posture, why))
 
-    def _tell(self, words: Mapping[str, bytes]) -> None:
+    def _tell(self, heard: Heard) -> None:
         """Say what the fleet takes each zone for, when that changes."""
-        for zone, one in self.helm.findings(words).items():
+        for zone, one in heard.found.items():
             before = self._kinds.get(zone, Kind.UNKNOWN)
             if one.kind is before or {one.kind, before} <= {Kind.WELL, Kind.UNKNOWN}:
                 continue
@@ -180,10 +179,9 @@
 
     def _carried(self, wanted: Posture) -> dict[str, dict[str, Any]]:
         """What the nodes of each pool would have to carry."""
-        state, found = self.live.applied.state, {}
-        out = self.unused(wanted, state) | state["bans"].keys()
-        was = self.unused(self.helm.posture, state) | state["bans"].keys()
-        for pool, nodes in _by_pool(state).items():
+        bans, pools, found = self.live.applied.state["bans"].keys(), self.helm.nodes, {}
+        out, was = all_unused(wanted, pools) | bans, all_unused(self.helm.posture, pools) | bans
+        for pool, nodes in pools.items():
             now, before = len(nodes.keys() - out), len(nodes.keys() - was)
             found[pool] = {
                 "nodes": len(nodes), "in_use": now, "before": before,
@@ -207,7 +205,7 @@
         """What `zones status` shows."""
         member, now = self.tiered.link.member, steady()
         words = {} if member is None else member.words(now)
-        return {"ok": True, "mode": self.mode, **self.helm.status(now, words)}
+        return {"ok": True, "mode": self.mode, **self.helm.status(now, self.helm.hear(words))}
 
 
 def _by_pool(state: State) -> dict[str, dict[str, str]]:
--- a/sailhitch/lab/judge.py
+++ b/sailhitch/lab/judge.py
@@ -108,7 +108,6 @@
             spare = set(self.result.scenario.spares())
             left = [one for one in self.nodes if (one in spare) != bool(step.value)]
             self._none(told, over, left, lambda effect: not effect.safe and not effect.key)
-
         elif step.do == "leave":
             over = self._until(told, lambda one: one.do == "return" and one.node == step.node)
             left = [name for name in self.nodes if self.result.scenario.zone_of(name) == step.node]
@@ -119,7 +118,6 @@
     def _paced(self, told: Told) -> None:
         """A way back uses no more nodes than its steps have had time for."""
         scenario, zone = self.result.scenario, told.step.node
-        assert scenario.step is not None
         here = [name for name in self.nodes if scenario.zone_of(name) == zone]
         over = self._until(told, lambda one: one.do in ("leave", "return") and one.node == zone)
         first = sorted(
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -11,8 +11,10 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from ..daemon.link import BEAT
 from ..daemon.schema import read_duration
-from ..model.tier import EVERY, TierProcess, World
+from ..daemon.tiered import ASKED, LEAVING
+from ..model.tier import TierProcess, World
 from ..model.truth import BrokenError
 from ..tier.forms import End, Version
 from ..tier.member import Member, Standing
@@ -24,8 +26,6 @@
 S: Final = 1_000_000
 STEP: Final = S // 50  # us of virtual time between two looks
 PATIENCE: Final = 60 * S  # us for what a step waits for
-DECIDED: Final = 10 * S  # us for a change to be decided, as in the daemon
-LEAVING: Final = S  # us that a process that leaves in good order is given
 
 
 @dataclass
@@ -61,10 +61,9 @@
         self.within = read_duration(scenario.agree_within)
         # All nodes may be sent to, and payouts go to the first pool.
         self.world = World(
-            seed, scenario.gateways, scenario.voters, lease, 100_000, EVERY, scenario.late,
-            range(self.nodes + 1), self.nodes + 2, self._zones(),
-            2 * read_duration(scenario.cold_time)
-            if scenario.step is None else read_duration(scenario.step), scenario.mode == "act",
+            seed, scenario.gateways, scenario.voters, lease, beat=int(BEAT * S),
+            late=scenario.late, first=range(self.nodes + 1), acts=self.nodes + 2,
+            zones=self._zones(), step=read_duration(scenario.step), act=scenario.mode == "act",
         )  # fmt: skip
         self.commands: list[_Command] = []
 
@@ -205,7 +204,7 @@
             process.kill()
         elif step.do == "stop":
             process.ask(Member.leave)
-            self._go_on(self.world.kernel.now + LEAVING)
+            self._go_on(self.world.kernel.now + int(LEAVING * S))
             process.kill()
         elif step.do == "start":
             disk.full = False
@@ -298,7 +297,7 @@
             return
         done = process.ended.get(one.job)
         if done is None:
-            if now - one.asked >= DECIDED:
+            if now - one.asked >= ASKED * S:
                 self._end(one, "refused")
         elif one.step.do in ZONES:
             if done.end is not End.ACTIVE:
--- a/sailhitch/lab/scenario.py
+++ b/sailhitch/lab/scenario.py
@@ -54,7 +54,7 @@
     late: list[str] = []  # gateways that no other's file has, started by a step
     nodes: Annotated[int, Field(ge=1, le=20)] = 4
     zones: Annotated[int, Field(ge=0, le=5)] = 0  # z1, z2, ..., with equal parts of all
-    step: str | None = None  # how long a step of a way back into a zone lasts
+    step: str = "600ms"  # how long a step of a way back into a zone lasts
     mode: Literal["off", "advise", "act"] = "advise"  # of gateways, about zones
     cold_time: str = "100ms"
     spare: Annotated[int, Field(ge=0, le=19)] = 0  # the last so many nodes are a pool of their own
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -168,9 +168,7 @@
             {"id": i, "address": node.addr, "zone": scenario.zone_of(i)}
             for i, node in self.nodes.items()
         ]
-        zones: dict[str, str] = {"mode": scenario.mode}
-        if scenario.step is not None:
-            zones["step"] = scenario.step
+        zones = {"mode": scenario.mode, "step": scenario.step}
         count = len(nodes) - self.scenario.spare
         pools = [{"name": "claims", "nodes": nodes[:count]}]
         if self.scenario.spare:
@@ -205,12 +203,16 @@
         said = await asyncio.gather(*(one.status() for one in running))
         return all(one.get("standing") == "in" for one in said)
 
-    async def _is_back(self, step: StepPart, want: str = "in use") -> bool:
+    async def _zone(self, step: StepPart) -> list[dict[str, Any]]:
+        """What each of those named says of a zone."""
         asked = (self.gateways[name].ask({"op": "zones", "act": "status"}) for name in step.who)
-        said = await asyncio.gather(*asked)
-        if want == "out":
-            return all(not one["zones"][step.node]["in_use"] for one in said)
-        return all(one["zones"][step.node]["phase"] == want for one in said)
+        return [one["zones"][step.node] for one in await asyncio.gather(*asked)]
+
+    async def _is_back(self, step: StepPart) -> bool:
+        return all(one["phase"] == "in use" for one in await self._zone(step))
+
+    async def _is_left(self, step: StepPart) -> bool:
+        return all(not one["in_use"] for one in await self._zone(step))
 
     async def _all_tell_dead(self, step: StepPart) -> bool:
         said = await asyncio.gather(*(self.gateways[name].status() for name in step.who))
@@ -301,7 +303,7 @@
         elif step.do == "back":
             await self._until(f"{step.node} is back", lambda: self._is_back(step))
         elif step.do == "left":
-            await self._until(f"{step.node} is left", lambda: self._is_back(step, "out"))
+            await self._until(f"{step.node} is left", lambda: self._is_left(step))
             took = asyncio.get_running_loop().time() - now
             if took > step.value:
                 self.result.broken.append(f"{step.node} was left after {took:.2f} s")
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -92,18 +92,18 @@
 
     def _steer(self) -> None:
         helm, member = self.helm, self.member
-        if helm is None or member is None:
+        now = self.clock()
+        if helm is None or member is None or not helm.due(now):
             return
-        member.word, news = helm.word(self.clock())
+        member.word, news = helm.word(now)
         if news:
-            member.hurry(self.clock())
-        found = helm.look(self.clock(), member.words(self.clock()))
-        if found is not None and member.standing(self.clock()) is Standing.IN:
+            member.hurry(now)
+        found = helm.look(now, helm.hear(member.words(now)))
+        if found is not None and member.standing(now) is Standing.IN:
             self.pose_zones(found[0])
 
     def hear(self, sender: str, message: Message) -> None:
         """A datagram has come."""
-
         if self.up and not self.paused:  # as `guarded` would do it, for most of what happens here
             self._heard(sender, message)
         else:
@@ -187,7 +187,11 @@
         made = content(new, weight)
         self.world.contents[digest_of(made)] = made
         waits = new != self.world.permitted(base.digest)
-        job = self.member.propose(made, base.serial, waits, "model", 0)
+        return self._asked(self.member.propose(made, base.serial, waits, "model", 0))
+
+    def _asked(self, job: int) -> int:
+        """A change is under way; the truth knows it by what the core calls it."""
+        assert self.member is not None
         self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
         self._take()
         return job
@@ -196,20 +200,15 @@
         """Propose another posture; it permits and forbids nothing."""
         if not self.up or self.paused or self.member is None or self.view is None:
             return
-        made = content(frozenset(), weight)
         held = self.view.posture
-        job = self.member.pose(made, 0 if held is None else held.serial, "model", 0)
-        self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
-        self._take()
+        made = content(frozenset(), weight)
+        self._asked(self.member.pose(made, 0 if held is None else held.serial, "model", 0))
 
     def pose_zones(self, posture: Posture) -> int:
         """Propose this about zones; the number of the job."""
         assert self.member is not None
         assert self.helm is not None
-        job = self.member.pose(posture.content(), self.helm.serial, "model", 0)
-        self.changes[job] = f"{self.name}-{self.member.boot:x}-{job - 1}"
-        self._take()
-        return job
+        return self._asked(self.member.pose(posture.content(), self.helm.serial, "model", 0))
 
     def ask(self, what: Callable[[Member], int | None]) -> int | None:
         """Have the core do a job; its number, or None where it can't now."""
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -190,7 +190,7 @@
         self._gossip_at = self._busy_until = 0
         self._news_of_head = False
         self._enrol_at = self._poll_at = self._read_at = self._retell_at = 0
-        self.out.append(Keep({SELF: msgspec.msgpack.encode(life + 1)}))
+        self._keep_life()
         # Danger: the leave of an earlier life of this process may still be under way. If it were
         # decided after this life has read that it is inside, no change would wait for it.
         self.proposer.add(Job(None, self._read, LEFT in kept))
@@ -422,9 +422,8 @@
         if self._via is not None and to == self._via[0]:
             self.out.append(Send(self._via[1], Via(self.terms.name, to, message)))
         elif isinstance(message, QUESTIONS) and self.prober.alive(to):
-            helper = None
-            if self.paths.asks(to):
-                helper = self._alive(self.rng.choice(self._others), but=to)
+            ask_too = self.paths.asks(to)
+            helper = self._alive(self.rng.choice(self._others), but=to) if ask_too else None
             if helper is not None:
                 self.out.append(Send(helper, Via(self.terms.name, to, message)))
 
@@ -474,7 +473,7 @@
         elif isinstance(message, Via):
             self._hear_via(sender, message, now)
         elif isinstance(message, (Ping, Ack, Nack)):
-            self._hear_probe(sender, message, now)
+            self._hear_probe(sender, message)
         elif isinstance(message, QUESTIONS):
             if self.voter is not None:
                 self._hear_as_voter(self.voter, sender, message, now)
@@ -498,12 +497,12 @@
                 self.prober.has_passed(via.to, via.message.number)
             self._say(via.to, via)
 
-    def _hear_probe(self, sender: str, message: Ping | Ack | Nack, now: int) -> None:
+    def _hear_probe(self, sender: str, message: Ping | Ack | Nack) -> None:
         if isinstance(message, Ping):
             self._refute(message.doubted)
             self._say(sender, Ack(message.number))
         elif isinstance(message, Ack):
-            self.prober.answered(sender, message.number, now)
+            self.prober.answered(sender, message.number)
         else:
             self.prober.not_answered(sender, message.number)
 
@@ -511,7 +510,10 @@
         """A life of this member is doubted: go on in the next."""
         if life and self.crew.live_above(life):
             self.prober.ill()
-            self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
+            self._keep_life()
+
+    def _keep_life(self) -> None:
+        self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
 
     def _hear_as_voter(
         self, voter: Voter, sender: str, message: Look | Prepare | Accept | Hello | Poll, now: int
@@ -586,7 +588,7 @@
 
     def _hear_news(self, sender: str, news: News, now: int) -> None:
         if self.crew.merge(news.rows, now):
-            self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
+            self._keep_life()
             self.out.append(Tell("name heard in another life", {"life": self.crew.mine.life}))
         self.prober.seen(news.rows)
         self._refute(self.prober.doubted(news.doubts, self.crew.life_of, now))
--- a/sailhitch/tier/probes.py
+++ b/sailhitch/tier/probes.py
@@ -77,7 +77,6 @@
     def __init__(self, name: str, rng: random.Random, now: int) -> None:
         self.name, self.rng = name, rng
         self.unwell = 0
-        self.heard: dict[str, int] = {}  # when each last answered a probe, by whatever way
         self._suspicions: dict[str, _Suspicion] = {}
         self._probe: _Probe | None = None
         self._turn: list[str] = []
@@ -221,9 +220,8 @@
             self.ill()  # Danger: helpers that say nothing at all are more likely out of reach
         self._suspect(probe.name, life_of(probe.name), [self.name], now)
 
-    def answered(self, name: str, number: int, now: int) -> None:
+    def answered(self, name: str, number: int) -> None:
         """A probed member has answered, by whatever way."""
-        self.heard[name] = now
         probe = self._probe
         if probe is not None and (probe.name, probe.number) == (name, number):
             self._probe = None
--- a/sailhitch/zones/diagnosis.py
+++ b/sailhitch/zones/diagnosis.py
@@ -50,7 +50,6 @@
     kind: Kind
     sure: float
     told: str
-    places: tuple[str, ...] = ()  # from which it is gone
 
 
 def sick(reports: Sequence[Report], sizes: Mapping[str, int]) -> list[str]:
@@ -99,11 +98,11 @@
         f"{share:.0%} of its nodes fail from {place or 'here'} ({len(by_place[place])} gateways)"
         for place, share in sorted(shares.items())
     )
-    gone = tuple(sorted(place for place, share in shares.items() if share >= GONE))
+    gone = sorted(place for place, share in shares.items() if share >= GONE)
     if gone and len(gone) == len(shares):
-        return Finding(Kind.GONE, _sure(able, zone, GONE), told, gone)
+        return Finding(Kind.GONE, _sure(able, zone, GONE), told)
     if gone and any(share <= WELL for share in shares.values()):
-        return Finding(Kind.CUT, _sure(by_place[gone[0]], zone, GONE), told, gone)
+        return Finding(Kind.CUT, _sure(by_place[gone[0]], zone, GONE), told)
     if any(share >= GRAY for share in shares.values()):
         return Finding(Kind.GRAY, _sure(able, zone, GRAY), told)
     return Finding(Kind.WELL, 1 - _sure(able, zone, GRAY), told)
--- a/sailhitch/zones/helm.py
+++ b/sailhitch/zones/helm.py
@@ -11,14 +11,14 @@
 from collections import Counter, deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from . import course, evidence
 from .diagnosis import Finding, Kind, Report, diagnose
 from .posture import NOTHING, Posture, PostureError, check, renewed, unused
 from .sight import Eyes
 
-LOOK: Final = 200_000  # us between two looks at the way back
+LOOK: Final = 200_000  # us between two looks at what all say
 SPREAD: Final = 1_000_000  # us over which members' proposals of one step are spread
 MOST_WHY: Final = 200  # letters of an operator's reason
 GONE_FOR: Final = 500_000  # us for which a zone must be found gone before anybody proposes it
@@ -28,6 +28,13 @@
 Words = Mapping[str, bytes]  # by the gateway that says them
 
 
+class Heard(NamedTuple):
+    """The words that can be read, and what each zone is taken for by them."""
+
+    said: list[evidence.Word]
+    found: dict[str, Finding]
+
+
 @dataclass(frozen=True, slots=True)
 class ZoneTerms:
     """What a gateway is told of zones at its start. Times in microseconds."""
@@ -99,17 +106,26 @@
 
     # --- What the fleet sees
 
-    def findings(self, words: Words) -> dict[str, Finding]:
-        """What each zone is taken for, by what all say."""
-        reports = [Report(n, one.place, one.sights) for n, one in read_words(words).items()]
-        return diagnose(reports, Counter(self.zone_of.values()))
+    def due(self, now: int) -> bool:
+        """Whether it is time to look again at what all say, and to say something; then it has."""
+        if now < self._look_at:
+            return False
+        self._look_at = now + LOOK
+        return True
+
+    def hear(self, words: Words) -> Heard:
+        """What all say, this gateway too, read and made sense of once for all that asks for it."""
+        read = {name: evidence.read(word) for name, word in words.items()}
+        said = {name: made for name, made in read.items() if made is not None}
+        reports = [Report(name, one.place, one.sights) for name, one in said.items()]
+        return Heard(list(said.values()), diagnose(reports, Counter(self.zone_of.values())))
 
-    def leaving(self, now: int, words: Words) -> tuple[Posture, str] | None:
+    def leaving(self, now: int, heard: Heard) -> tuple[Posture, str] | None:
         """The posture to propose where a zone is gone, and why.
 
         It is proposed once the finding has lasted for `GONE_FOR` and a while of this gateway's own.
         """
-        found = self.findings(words)
+        found = heard.found
         gone = {zone for zone, one in found.items() if one.kind is Kind.GONE and one.sure > 0.5}
         gone -= self.posture.zones.keys()
         self._gone_since = {zone: self._gone_since.get(zone, now) for zone in gone}
@@ -131,17 +147,13 @@
             return wanted, f"{zone} is gone: {found[zone].told}"
         return None
 
-    def look(self, now: int, words: Words) -> tuple[Posture, str] | None:
-        """The posture to propose now, and why, by what all have said (this gateway's word too)."""
-        if now < self._look_at:
-            return None
-        self._look_at = now + LOOK
-        gone = self.leaving(now, words)
-        if gone is not None or self.posture.held or not self.posture.zones:
+    def look(self, now: int, heard: Heard) -> tuple[Posture, str] | None:
+        """The posture to propose now, and why."""
+        gone = self.leaving(now, heard)
+        if gone is not None or self.posture.held:
             return gone
-        said = list(read_words(words).values())
         for zone, order in self.posture.zones.items():
-            since = evidence.fleet(said, zone, order.step)
+            since = evidence.fleet(heard.said, zone, order.step)
             found = course.judge(order, self.age(zone, now), since)
             if found is not None:
                 return self.posture.with_zone(zone, found[0]), f"{zone}: {found[1]}"
@@ -182,12 +194,11 @@
         dwell = max(self.terms.step, step or 0)
         return self.posture.with_zone(zone, course.begin(order, dwell, by, why))
 
-    def status(self, now: int, words: Words) -> dict[str, Any]:
+    def status(self, now: int, heard: Heard) -> dict[str, Any]:
         """What `zones status` shows."""
-        said, found, told = list(read_words(words).values()), self.findings(words), {}
-        out = all_unused(self.posture, self.nodes)
+        told, out = {}, all_unused(self.posture, self.nodes)
         for name, count in sorted(Counter(self.zone_of.values()).items()):
-            order, finding = self.posture.zones.get(name), found[name]
+            order, finding = self.posture.zones.get(name), heard.found[name]
             used = sum(zone == name and node not in out for node, zone in self.zone_of.items())
             told[name] = {
                 "nodes": count, "in_use": used, "share": 1.0, "phase": "in use",
@@ -195,7 +206,7 @@
                 "seen": finding.told,
             }  # fmt: skip
             if order is not None:
-                since = evidence.fleet(said, name, order.step)
+                since = evidence.fleet(heard.said, name, order.step)
                 told[name] |= {
                     "share": order.share, "phase": order.phase, "by": order.by, "why": order.why,
                     "relapses": order.relapses, "ended": since.ended, "failed": since.failed,
@@ -204,12 +215,6 @@
         return {"serial": self.serial, "held": self.posture.held, "zones": told}
 
 
-def read_words(words: Words) -> dict[str, evidence.Word]:
-    """Those that can be read, by who said them."""
-    found = {name: evidence.read(word) for name, word in words.items()}
-    return {name: made for name, made in found.items() if made is not None}
-
-
 def all_renewed(old: Posture, new: Posture, nodes: Nodes) -> frozenset[str]:
     """Nodes in use that are to be tried as if they had just started."""
     zones = set(renewed(old, new))
--- a/sailhitch/zones/sight.py
+++ b/sailhitch/zones/sight.py
@@ -43,7 +43,7 @@
 
     def keep(self, nodes: Mapping[str, str]) -> None:
         """These are the nodes, with the zone of each; others are forgotten."""
-        if len(self._last) > len(nodes) or not self._last.keys() <= nodes.keys():
+        if not self._last.keys() <= nodes.keys():
             self._last = {name: one for name, one in self._last.items() if name in nodes}
 
     def forget(self, names: frozenset[str]) -> None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -219,7 +219,7 @@
 
 def test_who_holds_keeps_what_is_and_an_operators_word_goes_on() -> None:
     helm = _helm(Posture({"z1": BACK}))
-    words = {"g2": evidence.write(evidence.Word({"z1": (1, 100, 0)}))}
+    words = helm.hear({"g2": evidence.write(evidence.Word({"z1": (1, 100, 0)}))})
     assert helm.look(10 * S, words) is not None
     helm.goes_by(2, helm.asked("hold", "", "", "ada", None), POOLS, 10 * S)
     assert helm.look(60 * S, words) is None
@@ -502,7 +502,8 @@
 
 
 def test_only_so_many_leaves_an_hour_without_an_operator() -> None:
-    helm, words = _helm(act=True, leaves_an_hour=2), _said(GOOD, GOOD, BAD)
+    helm = _helm(act=True, leaves_an_hour=2)
+    words = helm.hear(_said(GOOD, GOOD, BAD))
     now, serial = 0, 1
     for _ in range(2):
         assert helm.leaving(now, words) is None  # it has to last
@@ -511,14 +512,15 @@
         for posture in (found[0], NOTHING):
             serial, now = serial + 1, now + 10 * S
             helm.goes_by(serial, posture, POOLS, now)
-            assert helm.leaving(now, _said(GOOD, GOOD, GOOD)) is None
+            assert helm.leaving(now, helm.hear(_said(GOOD, GOOD, GOOD))) is None
     assert helm.leaving(now, words) is None
     assert helm.leaving(now + 2 * S, words) is None
     assert helm.leaving(now + HOUR, words) is not None
 
 
 def test_who_only_advises_proposes_nothing_and_shows_what_it_finds() -> None:
-    helm, words = _helm(), _said(GOOD, GOOD, BAD)
+    helm = _helm()
+    words = helm.hear(_said(GOOD, GOOD, BAD))
     assert [helm.leaving(at * S, words) for at in range(9)] == [None] * 9
     told = helm.status(9 * S, words)["zones"]["z2"]
     assert (told["finding"], told["sure"]) == ("gone", 1.0)
