Write nothing to a host that was announced as leaving while its connection came up

Seen by reading, then by test: an attempt that waits for a connection was written when that came up, whatever the list had said of its host meanwhile (Hosts._connect asked only whether the request was closed or its time over).

Ruled out: the way over an idle connection, which is written in the same turn as the module's choice by the same list; the daemon's may_write, which is unset on the platform's line.

Now what was chosen under older news (the host leaves, is gone, replaced at its address, moved or started anew) is withheld: an outcome of its own that proves it never ran, is no sign against any host, costs no retry and goes elsewhere. Before, a host that had moved while a connection came up was shunned for it.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -24,6 +24,7 @@
     OK,
     RESTORED,
     TIMEOUT,
+    WITHHELD,
     Knowledge,
     Report,
 )
@@ -268,7 +269,7 @@
     def _count(self, server: str, status: str) -> None:
         statuses = self.core.counters.statuses
         statuses[status] = statuses.get(status, 0) + 1
-        if status in (MOOT, CANCELLED):
+        if status in (MOOT, CANCELLED, WITHHELD):
             return
         if self.seen is not None:
             self.seen(server, status)
--- a/sailhitch/interface.py
+++ b/sailhitch/interface.py
@@ -16,7 +16,9 @@
 # How an attempt ended.
 OK, ERROR, BUSY, TIMEOUT = "ok", "error", "full", "timeout"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
-NEVER_RAN = frozenset((BUSY, CONNECT_FAILED, MOOT))  # these prove that the attempt did not run
+WITHHELD = "withheld"  # nothing of it was written: news since the choice forbids this server
+# These prove that the attempt did not run.
+NEVER_RAN = frozenset((BUSY, CONNECT_FAILED, MOOT, WITHHELD))
 
 
 class Listed(NamedTuple):
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -24,7 +24,9 @@
     ERROR,
     MOOT,
     OK,
+    READY,
     RESET,
+    WITHHELD,
     Listed,
     Report,
 )
@@ -482,7 +484,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # What the system takes in of an answer that is not read shows in no budget.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-            addr = host.addr
+            addr, boot = host.addr, host.listed.boot
             await core.loop.sock_connect(sock, addr)
             # Danger: on one machine a port that nobody listens on may meet itself.
             if sock.getsockname() != addr and not attempt.over:
@@ -505,13 +507,20 @@
         if conn is not None:
             self.opened += 1
             self.open[conn] = None
-            if host.addr != addr or conn.transport is None or conn.transport.is_closing():
+            if conn.transport is None or conn.transport.is_closing():
                 conn.close()
                 conn = None
         now = core.clock()
+        # Guards what the module chose by an older list: while the connection came up, news may have
+        # come that this host leaves, is gone, has moved or has started anew, and is cold.
+        stands = self._is_there(host) and host.addr == addr and host.listed.boot == boot
+        if conn is not None and not stands:
+            conn.close()
         if attempt.over:
-            if conn is not None:
+            if conn is not None and stands:
                 self.give_back(conn)
+        elif not stands:
+            pool.ended(attempt, WITHHELD, None, None)
         elif conn is None:
             pool.ended(attempt, CONNECT_FAILED, None, None)
         elif attempt.exchange.closed or now >= attempt.ends or self._held_back(attempt):
@@ -525,6 +534,11 @@
         """Whether the rules that hold now forbid what the module chose under others."""
         return self.pool.may_write is not None and not self.pool.may_write(attempt)
 
+    def _is_there(self, host: Host) -> bool:
+        """Whether new requests may go to it, by the news so far."""
+        listed = self.hosts.get(host.id) is host and host.listed.state == READY
+        return listed and not host.replaced
+
     def give_back(self, conn: Upstream) -> None:
         conn.idle_since = self.core.clock()
         if self.hosts.get(conn.host.id) is conn.host:
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -15,6 +15,7 @@
     OK,
     RESTORED,
     TIMEOUT,
+    WITHHELD,
     Listed,
     Port,
     Report,
@@ -311,12 +312,13 @@
         if request.attempts >= self.settings.limits.max_attempts:
             self._finish(now, request, refuse=True)
             return
-        if self.retries.bank < 1.0 and status != CONNECT_FAILED:
+        free = status in (CONNECT_FAILED, WITHHELD)  # no server has had any of it
+        if self.retries.bank < 1.0 and not free:
             self.figures["spent"] += 1
             # Danger: at overload every refusal by a server would come back as another attempt.
             self._finish(now, request, refuse=True)
             return
-        self.retries.bank -= 1.0 if status != CONNECT_FAILED else 0.0
+        self.retries.bank -= 0.0 if free else 1.0
         self._place_or_hold(now, request)
 
     def _arm_hedge(self) -> None:
--- /dev/null
+++ b/tests/test_leaving_hosts.py
@@ -0,0 +1,43 @@
+"""Nothing new reaches a host once it is announced as leaving, whatever was under way to it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.crossings import PATIENT, held_connects
+from tests.sockets import Registry, Server, entry, gate, request, until
+
+
+@pytest.mark.parametrize("state", ["leaving", "left", "missing"])
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_what_was_on_its_way_to_a_host_that_is_then_leaving_goes_to_another(
+    state: str, body: bytes | None
+) -> None:
+    """Chosen before the news, and its connection comes up after it."""
+
+    async def play() -> None:
+        async with Server() as leaving, Server() as staying:
+            registry = Registry(("a", leaving.addr))
+            async with (
+                registry,
+                gate(("a", leaving.addr), discovery=registry.addr, settings=PATIENT) as it,
+                held_connects(leaving.addr) as held,
+            ):
+                client = await it.client()
+                client.send(request("r1", body))
+                await until(lambda: held.waiting == 1)
+                registry.entries = [entry("b", staying.addr)]
+                if state != "missing":
+                    registry.entries.append(entry("a", leaving.addr, state))
+                registry.version += 1
+                await until(lambda: "b" in it.pool.listed)
+                held.go.set()
+                assert await client.answer() == (200, b"served")
+                assert len(staying.seen) == 1
+                assert leaving.seen == []
+                # It never ran there, and says nothing of any host.
+                assert "connect_failed" not in it.core.counters.statuses
+
+    asyncio.run(play())
