Hear discovery within the settings' grace, and a silent watch's news before it is told

Only the pause after a failed call followed the grace. Where discovery is asked, 3.5 s of waiting, 1.7 s of patience, the module's pause and a new call come to more than the 6 s by which what a silent watch misses counts as told. A reload that changed the grace, the number of gateways or who is asked changed none of this.

Ruled out: the pauses (bounded since, and by test), the move of discovery (a call at the old address is broken off), the module (it drops a leaving server in the turn of the news).

Now wait, call, whole and pause follow from the grace, connecting counted in; a quarter is left for the next call. A watch that falls silent on a connection that had been answered is opened anew at once, once. Where discovery is asked, what waits follows from the 6 s. A call whose time is over is looked at once more after a turn of the loop. Lists that are truncated, endless, no list, or older than what was said now change nothing and bring the whole list; before, older changes were applied and a spoilt answer brought a watch from the old version.

--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -5,22 +5,27 @@
 import asyncio
 import contextlib
 import json
-from typing import Final, cast
+from typing import Final, NamedTuple, cast
 
 from ..core.pool import Pool
 from ..core.terms import Address
+from ..settings import Settings
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
 
 PATH: Final = "/registry/instances"
-# What changes counts as told 6 s later at the latest, and 2 s after the wait of a call is over. A
-# cut-off connection says nothing, so a call must have ended well before that.
-WAIT_ASKED: Final = 3_500  # ms that a watch waits where discovery is one service for all
-PATIENCE_ASKED: Final = 1.7  # s more for its answer
-WAIT_PUSHED: Final = 400  # the agent is on this machine, and what it has counts as told at once
+# What a watch misses counts as told so long after it fell silent (s). The call that is out then,
+# and the one after it, have to fit into that; there is some left for the CPU.
+TOLD: Final = 6.0
+PATIENCE_ASKED: Final = 1.7  # s for an answer where discovery is one service for all
+WAIT_ASKED: Final = TOLD - 2 * PATIENCE_ASKED - 0.1  # s that a watch waits there
+WAIT_PUSHED: Final = 0.4  # the most where the agent is on this machine
 PATIENCE_PUSHED: Final = 0.3
-CONNECT: Final = 0.5
+# Parts of the grace of the rule on drains that a call to the agent may wait, and then be silent,
+# and that a pause may take. What is left is for the next call and for the CPU.
+WAITING, SILENT, PAUSING = 0.3, 0.25, 0.15
+SHORTEST: Final = 0.1  # s; by a shorter grace a gateway would do nothing but ask
 SOON: Final = 0.02  # between two calls where an answer came at once and had no news
 AGAIN: Final = 0.05  # shortest pause after a failed call to the agent...
 AGAIN_MOST: Final = 0.3  # ...and the longest, with few gateways
@@ -28,19 +33,43 @@
 MAX_ANSWER: Final = 2 << 20  # some ten thousand hosts; more would be a threat to memory
 
 
-def longest_pause(grace: int) -> float:
-    """The longest pause after a failed call to the agent, in seconds, by the rule on drains.
+class Times(NamedTuple):
+    """How long a call and a pause may take, in seconds."""
+
+    wait: float  # a watch waits so long for news
+    call: float  # from its first packet to its last, a call may take so long; its wait included
+    whole: float  # ...and one for the whole list, which has nothing to wait for
+    pause: float  # the longest after a failed call
+
+
+def times(settings: Settings) -> Times:
+    """By who is asked, and by the grace of the rule on drains.
 
     Danger: what the agent has counts as told, also while nobody asks it. It may come back right
-    after a call was sent to it that it never answers; that call, the pause and the next call all
-    have to fit into the grace (us). Half of what is left is for the next call and for the CPU.
+    after a call was sent to it that it never answers, be it the first of a new process; that call,
+    connecting for it, the pause and the next call all have to fit into the grace.
     """
-    left = grace / 1e6 - (WAIT_PUSHED / 1000 + PATIENCE_PUSHED)
-    return max(AGAIN, left / 2)
+    if settings.must_ask:
+        return Times(WAIT_ASKED, WAIT_ASKED + PATIENCE_ASKED, PATIENCE_ASKED, AGAIN_MOST)
+    grace = max(SHORTEST, settings.rules.drain_grace / 1e6)
+    wait = min(WAIT_PUSHED, WAITING * grace)
+    call = wait + min(PATIENCE_PUSHED, SILENT * grace)
+    return Times(wait, call, call, PAUSING * grace)
 
 
 class CallError(Exception):
-    """A call brought no list; the text says why."""
+    """A call brought no list; the text says why.
+
+    `spoilt` if an answer had begun: what it was about to say is not known.
+    """
+
+    def __init__(self, why: str, spoilt: bool = False) -> None:
+        super().__init__(why)
+        self.spoilt = spoilt
+
+
+class SilentError(CallError):
+    """A watch on a connection that had been answered before has fallen silent."""
 
 
 class MovedError(Exception):
@@ -50,13 +79,14 @@
 class Call(AnswerReader, asyncio.Protocol):
     """A connection to discovery."""
 
-    __slots__ = ("body", "done", "transport")
+    __slots__ = ("body", "done", "heard", "transport")
 
     def __init__(self) -> None:
         super().__init__()
         self.transport: asyncio.Transport | None = None
         self.done: asyncio.Future[None] | None = None
         self.body = bytearray()
+        self.heard = False  # something has come since it was asked
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -65,6 +95,7 @@
         assert self.transport is not None
         self.expect()
         self.body = bytearray()
+        self.heard = False
         self.done = done
         host = f"{address[0]}:{address[1]}"
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
@@ -81,6 +112,7 @@
         if self.done is None:
             self.close()
             return
+        self.heard = True
         try:
             self.feed(data)
         except MalformedError as error:
@@ -107,9 +139,13 @@
     def _fail(self, why: str) -> None:
         done, self.done = self.done, None
         if done is not None and not done.done():
-            done.set_exception(CallError(why))
+            done.set_exception(CallError(why, self.begun()))
         self.close()
 
+    def begun(self) -> bool:
+        """Whether something of a list has come, or of what is none."""
+        return self.heard and self.status in (0, 200)
+
     def close(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -125,18 +161,22 @@
         self.pool, self.core = pool, pool.core
         self.wire = config.wire
         self.address = config.discovery
-        self.asked = config.settings.must_ask
         self.version = config.known.version
         self.settled = asyncio.Event()  # the first call has had its answer, or has failed
         self._wanted = asyncio.Event()
         self._moved = asyncio.Event()
         self._call: Call | None = None
         self._backoff = Backoff(AGAIN, AGAIN_MOST, config.seed)
-        grace = config.settings.rules.drain_grace
-        self._backoff.limit(config.settings.gateways, CALLS, longest_pause(grace))
-        self._whole = True  # the next call asks for the whole list
+        self._adopt(config.settings)
+        # The next call asks for the whole list. Where discovery is shared, a watch from the known
+        # list on costs it least.
+        self._whole = not self.asked
         pool.watch_wanted = self.want
 
+    def _adopt(self, settings: Settings) -> None:
+        self.asked, self.times = settings.must_ask, times(settings)
+        self._backoff.limit(settings.gateways, CALLS, self.times.pause)
+
     def want(self, on: bool) -> None:
         """The module asks for a watch, where discovery must be asked, or ends it."""
         if on:
@@ -155,8 +195,13 @@
         self._wanted.set()
 
     def reconfigure(self, config: Config) -> None:
-        """Read lists in the terms of another configuration, from where it says."""
-        self.wire = config.wire
+        """Read lists in the terms of another configuration, from where it says, in its rhythm."""
+        before, self.wire = self.wire, config.wire
+        if (before.zones, before.kinds) != (self.wire.zones, self.wire.kinds):
+            self._whole = True  # what is listed was read by other names
+        if config.settings.must_ask and not self.asked:
+            self._wanted.set()  # until now nobody had to say so
+        self._adopt(config.settings)
         self._move(config.discovery)
 
     def _move(self, address: Address) -> None:
@@ -188,11 +233,10 @@
                 self.core.fault("the watch on discovery", error)
                 self._drop()
                 self._whole = True
-                await self._pause(AGAIN_MOST)
+                await self._pause(self.times.pause)
 
     async def _watch(self) -> None:
-        # Where discovery is shared, a watch from the known list on costs it least.
-        self._whole = not self.asked
+        again = False  # a watch that fell silent is opened anew at once, but only once
         while True:
             if self.asked:
                 await self._wanted.wait()
@@ -208,10 +252,17 @@
                 self._drop()
                 if self.address != address:
                     continue
+                if isinstance(error, CallError) and error.spoilt:
+                    # Danger: what it would have said is not known, and may not be said again.
+                    self._whole = True
                 self.settled.set()
                 self.core.counters.bad_lists += 1
                 why = str(error) or type(error).__name__
                 self.core.logger.often("discovery", f"discovery: call failed: {why[:120]}")
+                if isinstance(error, SilentError) and not again:
+                    # What it misses is about to count as told, or does so already.
+                    again = True
+                    continue
                 if self.asked:
                     # When to ask again is the module's decision.
                     self._wanted.clear()
@@ -219,6 +270,7 @@
                 else:
                     await self._pause(self._backoff.pause())
                 continue
+            again = False
             self._backoff.reset()
             self.settled.set()
             idle = not news and self.version == version
@@ -234,20 +286,23 @@
 
     async def _once(self, address: Address) -> bool:
         """One call; whether it brought entries."""
-        wait, patience = (
-            (WAIT_ASKED, PATIENCE_ASKED) if self.asked else (WAIT_PUSHED, PATIENCE_PUSHED)
-        )
-        target = PATH
-        limit = patience + wait / 1000
-        if self._whole:
-            limit = PATIENCE_ASKED
-        else:
-            target += f"?after={self.version}&wait_ms={wait}"
-        loop = self.core.loop
-        call = self._call
-        if call is None or not call.usable():
+        rhythm, loop, target = self.times, self.core.loop, PATH
+        whole, self._whole = self._whole, False
+        if not whole:
+            target += f"?after={self.version}&wait_ms={int(rhythm.wait * 1000)}"
+        limit = loop.time() + (rhythm.whole if whole else rhythm.call)
+        try:
+            return await self._ask(target, address, limit, whole)
+        except BaseException:
+            self._whole = self._whole or whole  # it is still to be asked for
+            raise
+
+    async def _ask(self, target: str, address: Address, limit: float, whole: bool) -> bool:
+        loop, call = self.core.loop, self._call
+        watched = call is not None and call.usable()
+        if call is None or not watched:
             self._drop()
-            async with asyncio.timeout(CONNECT):
+            async with asyncio.timeout_at(limit):
                 _, call = await loop.create_connection(Call, *address)
             if self.address != address:
                 call.close()
@@ -255,8 +310,16 @@
             self._call = call
         done: asyncio.Future[None] = loop.create_future()
         call.ask(target, address, done)
-        async with asyncio.timeout(limit):
-            await done
+        await asyncio.wait((done,), timeout=limit - loop.time())
+        if not done.done():
+            # Danger: a loop that was held up lets timers speak before sockets. One turn of it reads
+            # what has come.
+            await asyncio.sleep(0.001)
+        if not done.done():
+            done.cancel()
+            error = SilentError if watched else CallError
+            raise error("no answer in time", call.begun())
+        done.result()
         if self.address != address:
             raise MovedError
         if call.status != 200:
@@ -264,12 +327,15 @@
         try:
             roster = parse_roster(json.loads(bytes(call.body)), self.wire)
         except (ValueError, RecursionError) as error:
-            raise CallError(f"malformed list: {error}") from None
-        if self._whole and not roster.full:
+            raise CallError(f"malformed list: {error}", spoilt=True) from None
+        if whole and not roster.full:
             raise CallError("changes instead of the whole list")
-        # Danger: changes that can't be read, or that count from an older version, leave a hole in
-        # the list that no later change fills: a drain would be missed. The whole list fills it.
-        self._whole = not roster.full and (roster.bad > 0 or roster.version < self.version)
+        if not whole and roster.version < self.version:
+            # Danger: it is older than what has been said, and would undo a drain.
+            raise CallError(f"version {roster.version} after {self.version}", spoilt=True)
+        # Danger: changes that can't be read leave a hole in the list that no later change fills: a
+        # drain would be missed. The whole list fills it.
+        self._whole = self._whole or (not roster.full and roster.bad > 0)
         self.version = roster.version
         if roster.bad:
             self.core.counters.bad_lists += 1
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,173 @@
+"""The watch on discovery: what is told is heard in time, whatever was under way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from sailhitch.net.config import parse_config
+from sailhitch.net.discovery import TOLD
+from tests.sockets import Registry, Server, Writer, answer, config_value, entry, gate
+from tests.virtual import eventually, play
+
+
+class Agent(Registry):
+    """Holds news at once; silent for a while, it never answers what it was asked meanwhile."""
+
+    def __init__(self, *hosts: tuple[str, str], delay: float = 0.0) -> None:
+        super().__init__(*hosts)
+        self.silent = False
+        self.breaks = 0  # calls that were out at one are never answered
+        self.delay = delay
+
+    async def reply(self, message: bytes, writer: Writer) -> None:
+        breaks, silent = self.breaks, self.silent
+        target = message.split(b" ")[1]
+        if f"after={self.version}&".encode() in target:
+            await asyncio.sleep(int(target.partition(b"wait_ms=")[2]) / 1000)
+        await asyncio.sleep(self.delay)
+        if silent or self.silent or self.breaks > breaks:
+            await asyncio.Event().wait()
+        text = {"version": self.version, "full": True, "servers": self.entries}
+        writer.write(answer(json.dumps(text).encode()))
+
+    def drain(self, name: str, addr: str) -> None:
+        self.entries = [entry(name, addr, "leaving")]
+        self.version += 1
+
+
+def _drained(it: Any) -> bool:
+    return bool(it.pool.listed["a"].listed.state == "draining")
+
+
+def rules(grace: int, **more: Any) -> dict[str, Any]:
+    return {"balancers": 200, "rules": {"drainGrace": grace}} | more
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+@pytest.mark.parametrize("grace", [200_000, 250_000, 1_000_000, 3_000_000])
+@pytest.mark.parametrize("phase", range(6))
+def test_an_agent_that_comes_back_is_heard_within_the_grace(
+    fresh: bool, grace: int, phase: int
+) -> None:
+    """Whatever was asked of it last, by a process that has just started too."""
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        async with Agent(("a", "127.0.0.1:9")) as agent:
+            if fresh:
+                agent.silent = True
+            async with gate(
+                ("a", "127.0.0.1:9"), discovery=agent.addr, settings=rules(grace)
+            ) as it:
+                await asyncio.sleep(0.5)
+                agent.silent = True
+                # It comes back at any moment of a call and of the pause after it.
+                await asyncio.sleep(4.0 + 0.31 * phase)
+                agent.drain("a", "127.0.0.1:9")
+                agent.silent = False
+                back = loop.time()
+                await eventually(lambda: _drained(it))
+                assert loop.time() - back < grace / 1e6
+
+    play(story())
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("phase", range(6))
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told(
+    asked: bool, phase: int
+) -> None:
+    """Discovery is well, and only the watches that were open are broken."""
+    more = {"discovery": "subscribe"} if asked else {}
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        async with (
+            Agent(("a", "127.0.0.1:9"), delay=1.5 if asked else 0.0) as agent,
+            gate(("a", "127.0.0.1:9"), discovery=agent.addr, settings=rules(250_000, **more)) as it,
+        ):
+            await eventually(lambda: it.discovery.settled.is_set())
+            await asyncio.sleep(4.0 + 0.4 * phase)
+            agent.breaks += 1  # those that are open now never get an answer
+            agent.drain("a", "127.0.0.1:9")
+            fell = loop.time()
+            await eventually(lambda: _drained(it))
+            assert loop.time() - fell < TOLD
+
+    play(story())
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{",  # and silence
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n{\r\n",
+        answer(b'{"version": 9, "full": false, "servers": [{"id": "a", "state"'),
+        answer(b'{"version": "9", "full": true, "servers": []}'),
+        answer(b'{"version": 0, "full": false, "servers": []}'),
+        answer(b'{"version": 0, "full": true, "servers": []}'),
+        b"\x00\xff noise\r\n\r\n",
+    ],
+    ids=["cut", "endless", "truncated", "version", "older", "older whole", "noise"],
+)
+def test_a_list_that_is_none_changes_nothing_and_the_whole_list_is_asked_for(raw: bytes) -> None:
+    async def story() -> None:
+        async with (
+            Registry(("a", "127.0.0.1:9"), version=5) as registry,
+            gate(("a", "127.0.0.1:9"), discovery=registry.addr) as it,
+        ):
+            await eventually(lambda: it.discovery.version == 5)
+            registry.raw = raw
+            await eventually(lambda: registry.raw is None)
+            asked = len(registry.seen)
+            await eventually(lambda: it.core.counters.bad_lists > 0 and len(registry.seen) > asked)
+            assert b"after" not in registry.seen[asked]
+            assert list(it.pool.listed) == ["a"]
+            assert it.discovery.version == 5
+
+    play(story())
+
+
+def test_an_indented_list_is_a_list() -> None:
+    async def story() -> None:
+        async with Registry(("a", "127.0.0.1:9")) as registry:
+            registry.version, registry.entries = 7, [entry("b", "127.0.0.1:9")]
+            text = {"version": 7, "full": True, "servers": registry.entries}
+            registry.raw = answer(json.dumps(text, indent=4).encode())
+            async with gate(("a", "127.0.0.1:9"), discovery=registry.addr) as it:
+                await eventually(lambda: list(it.pool.listed) == ["b"])
+                assert it.core.counters.bad_lists == 0
+
+    play(story())
+
+
+def test_new_settings_change_the_rhythm_and_who_says_when_to_ask() -> None:
+    async def story() -> None:
+        async with (
+            Server() as host,
+            Registry(("a", host.addr)) as registry,
+            gate(("a", host.addr), discovery=registry.addr) as it,
+        ):
+            await eventually(lambda: it.discovery.version == 1)
+            before = it.platform.config
+            value = config_value(
+                registry.addr,
+                ("a", host.addr),
+                settings=rules(200_000) | {"discovery": "subscribe"},
+            )
+            slow = it.discovery.times
+            it.platform.reconfigure(parse_config(value, {}))
+            assert it.discovery.asked
+            asked = len(registry.seen)
+            await eventually(lambda: len(registry.seen) > asked + 1)  # nobody had to say so
+            value["settings"]["discovery"] = "automatic"
+            it.platform.reconfigure(parse_config(value, {}))
+            assert not it.discovery.asked
+            assert it.discovery.times.call < slow.call
+            assert before.settings.rules.drain_grace > 200_000
+
+    play(story())
