Send nothing on of a request whose client has left while it waited

The end of a client's connection is not always read: not while a body is held (hold pauses reading), not while the loop is held up, and a request behind another on its connection, in the backlog, waiting for a connection or between two attempts was then sent for nobody; a payout among them. A body whose rest was still here went on to its last byte, with which its host begins.

Ruled out: clients whose connection is being read, whose end comes before anything waits further (eof_received, as before); a peek in place of a poll, which bytes before the end would blind.

What a host has not been given whole when its client leaves is taken back.

33 cases over loopback, by the hosts' logs: FIN, reset, and bytes unread before the FIN; held in the backlog, waiting for a connect, between two attempts, a second copy, behind another, half a body before and after its start, last bytes here.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -237,9 +237,11 @@
         exchange.closed = True
         if exchange.pool is not None:
             exchange.pool.gone(exchange, self.clock())
-            if exchange.filling():
-                # What was out with half a body never ran, and says nothing of its host.
-                for attempt in list(exchange.out):
+            # What is out without its last byte never ran, and says nothing of its host. Nobody
+            # wants it to run any more.
+            for attempt in list(exchange.out):
+                unsent = attempt.conn is not None and attempt.conn.holds_back()
+                if exchange.filling() or unsent:
                     attempt.withdraw()
                     exchange.pool.ended(attempt, MOOT, None, None)
         self.release_exchange(exchange)
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -245,8 +245,10 @@
         attempt.over = True
         attempt.connect_by = 0
         exchange = attempt.exchange
-        exchange.out.remove(attempt)
         core = self.core
+        if status == MOOT and _left(exchange):
+            core.client_gone(exchange)
+        exchange.out.remove(attempt)
         now = core.clock()
         latency = now - attempt.sent
         if not exchange.closed:
@@ -385,3 +387,8 @@
         """A watch that the module asked for has failed."""
         now = self.core.clock()
         self._tell(None, lambda: self.module.members(now, FAILED, ()))
+
+
+def _left(exchange: Exchange) -> bool:
+    """Whether this one's client has gone unnoticed."""
+    return exchange.client is not None and exchange.client.left()
--- a/sailhitch/core/seams.py
+++ b/sailhitch/core/seams.py
@@ -38,6 +38,9 @@
     def cut(self) -> None:
         """The rest will not come: the client must be able to tell."""
 
+    def left(self) -> bool:
+        """Whether the client has gone, also by what has not been read of its connection."""
+
 
 class Giver(Protocol):
     """Where an answer comes from that is passed on as it comes."""
@@ -89,6 +92,9 @@
     def abandon(self) -> None:
         """Stop waiting: its answer may still come, and must reach nobody."""
 
+    def holds_back(self) -> bool:
+        """Whether some of the request is still held here: given up now, it never ran."""
+
 
 class Pending(Protocol):
     """What waits for a connection on behalf of an attempt."""
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -9,6 +9,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 from collections import deque
 from http import HTTPStatus
@@ -132,6 +133,23 @@
         # A client that closes its connection has gone; the transport closes itself after this.
         self._drop_request()
 
+    def left(self) -> bool:
+        """Whether the client has closed its connection, also by what the loop has not read.
+
+        Danger: its end is not read while its body is held, nor while the loop is held up, and bytes
+        that it sent before hide the end from a look at what comes next.
+        """
+        if self.transport is None or self.sock.fileno() < 0:
+            return True
+        look = select.poll()
+        look.register(self.sock, select.POLLRDHUP)
+        return bool(look.poll(0))
+
+    def _let_go_of_left(self) -> None:
+        """The client has gone, and what it sent before must not be read and sent on."""
+        self._drop_request()
+        self.abort()
+
     def _drop_request(self) -> None:
         exchange, self.exchange = self.exchange, None
         giver, self.giver, self.reader = self.giver, None, None
@@ -541,6 +559,8 @@
 
     def _end_upload(self, exchange: Exchange, upload: Upload) -> None:
         """Its last byte has come. What has come of it in this read goes out with its end."""
+        if self.left():
+            return  # which is read next; with its last byte the request would run for nobody
         upload.whole = True
         self.fed = 0
         upload.flush()
@@ -557,6 +577,10 @@
     def go_on(self) -> None:
         """Read on."""
         if self.transport is not None and not self.transport.is_closing():
+            if self.making is not None and not self.discarding and self.left():
+                # Not at once: this may be said from inside the module.
+                self.core.loop.call_soon(self._let_go_of_left)
+                return
             self.transport.resume_reading()
             if self.writer is not None:
                 self.writer.go(self.core.clock())
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -317,6 +317,11 @@
         """Whether the request's last byte has surely not been written."""
         return self.unsent is not None or self.rest
 
+    def holds_back(self) -> bool:
+        """Whether some of the request is still held here."""
+        waits = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        return self._incomplete() or waits
+
     def _over(self, status: str) -> None:
         """The attempt has its outcome; the connection goes back to the pool or is closed."""
         attempt = self.attempt
@@ -441,7 +446,7 @@
         if host is None or host.replaced:
             self.pool.later(attempt, CONNECT_FAILED)
             return
-        if self._held_back(attempt):
+        if self._held_back(attempt) or self._unwanted(attempt):
             self.pool.later(attempt, MOOT)
             return
         while host.idle:
@@ -523,7 +528,7 @@
             pool.ended(attempt, WITHHELD, None, None)
         elif conn is None:
             pool.ended(attempt, CONNECT_FAILED, None, None)
-        elif attempt.exchange.closed or now >= attempt.ends or self._held_back(attempt):
+        elif now >= attempt.ends or self._held_back(attempt) or self._unwanted(attempt):
             self.give_back(conn)
             pool.ended(attempt, MOOT, None, None)
         elif not conn.begin(attempt, now):
@@ -534,6 +539,15 @@
         """Whether the rules that hold now forbid what the module chose under others."""
         return self.pool.may_write is not None and not self.pool.may_write(attempt)
 
+    def _unwanted(self, attempt: Attempt) -> bool:
+        """Whether nobody waits for this one any more.
+
+        Danger: a request that has waited, for a token, a connection, another attempt or its turn,
+        may have lost its client in the meantime, and nobody has read the end of that connection.
+        """
+        exchange = attempt.exchange
+        return exchange.closed or exchange.client is None or exchange.client.left()
+
     def _is_there(self, host: Host) -> bool:
         """Whether new requests may go to it, by the news so far."""
         listed = self.hosts.get(host.id) is host and host.listed.state == READY
--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -4,10 +4,14 @@
 
 import asyncio
 import contextlib
+import select
+import socket
+import struct
 from collections.abc import AsyncIterator
 from typing import Any
 
-from tests.sockets import PATIENCE
+from sailhitch.net.downstream import Downstream
+from tests.sockets import PATIENCE, Client, Gate, until
 
 # No time-out of ours decides a race that a test holds open.
 PATIENT: dict[str, Any] = {"limits": {"connectTimeout": 20_000_000}}
@@ -44,3 +48,28 @@
     finally:
         held.go.set()
         loop.sock_connect = connect
+
+
+def leave(client: Client, how: str) -> None:
+    """A client closes its connection: in the ordinary way, with a reset, or with more behind."""
+    sock = client.writer.get_extra_info("socket")
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    elif how == "bytes before":
+        client.send(b"GET /more HTTP/1.1\r\nHost: h\r\n")
+    client.writer.transport.abort()
+
+
+def unread(it: Gate) -> Downstream:
+    """A client's connection that the loop has no time to read."""
+    (conn,) = it.clients()
+    assert conn.transport is not None
+    conn.transport.pause_reading()
+    return conn
+
+
+async def ended(conn: Downstream) -> None:
+    """The end of a client's connection has come, whoever has read it."""
+    look = select.poll()
+    look.register(conn.sock, select.POLLRDHUP)
+    await until(lambda: bool(look.poll(0)))
--- /dev/null
+++ b/tests/test_clients_gone.py
@@ -0,0 +1,253 @@
+"""A request whose client has left while it waited reaches no host.
+
+Each story holds the request where it waits, ends its client's connection without the loop having
+read that, and lets the request go on. A second client's request, which comes after, shows that the
+gateway had the time to send the first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from sailhitch.core.budget import HELD_MOST
+from sailhitch.core.terms import Roster
+from tests.crossings import PATIENT, ended, held_connects, leave, unread
+from tests.sockets import Client, Gate, Server, Writer, answer, gate, request, until
+
+HOW = ("end", "reset", "bytes before")
+pytestmark = pytest.mark.parametrize("how", HOW)
+
+
+async def gone(it: Gate, client: Client, how: str) -> None:
+    """Its connection ends, and the loop has read nothing of that."""
+    conn = unread(it)
+    leave(client, how)
+    await ended(conn)
+
+
+async def later_one(it: Gate) -> None:
+    """Another client's request is served."""
+    client = await it.client()
+    assert await client.ask(request("later")) == (200, b"served")
+
+
+def sent(*hosts: Server) -> list[bytes]:
+    """What has reached hosts but for the later one's request."""
+    return [m for host in hosts for m in host.seen if b"Req-Id: later" not in m]
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_held_for_a_host(how: str, body: bytes | None) -> None:
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            known = it.pool.listed["a"]
+            it.pool.list_news(Roster(1, True, (), 0, frozenset()))
+            client = await it.client()
+            client.send(request("r1", body))
+            await until(lambda: bool(it.pool.module.backlog.held))
+            await gone(it, client, how)
+            it.pool.list_news(Roster(2, True, (known,), 0, frozenset()))
+            await later_one(it)
+            assert sent(host) == []
+            assert it.core.counters.gone == 1
+            assert it.core.counters.refused == 0
+            assert not it.core.live
+            assert not it.pool.module.live
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_waiting_for_a_connection(how: str, body: bytes | None) -> None:
+    async def play() -> None:
+        async with (
+            Server() as host,
+            gate(("a", host.addr), settings=PATIENT) as it,
+            held_connects(host.addr) as held,
+        ):
+            client = await it.client()
+            client.send(request("r1", body))
+            await until(lambda: held.waiting == 1)
+            await gone(it, client, how)
+            held.go.set()
+            await later_one(it)
+            assert sent(host) == []
+            assert it.core.counters.gone == 1
+            assert not it.core.live
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_between_two_attempts(how: str, body: bytes | None) -> None:
+    asked, go = asyncio.Event(), asyncio.Event()
+
+    async def turn_away(message: bytes, writer: Writer) -> None:
+        if b"Req-Id: later" in message:
+            writer.write(answer(b"served"))
+            return
+        asked.set()
+        await go.wait()
+        writer.write(b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def play() -> None:
+        async with (
+            Server(turn_away) as one,
+            Server(turn_away) as two,
+            gate(("a", one.addr), ("b", two.addr)) as it,
+        ):
+            client = await it.client()
+            client.send(request("r1", body))
+            await asked.wait()
+            await gone(it, client, how)
+            go.set()
+            await until(lambda: "full" in it.core.counters.statuses)
+            await later_one(it)
+            assert len(sent(one, two)) == 1
+            assert it.core.counters.gone == 1
+            assert not it.core.live
+
+    asyncio.run(play())
+
+
+def test_a_second_copy_beside_a_silent_first(how: str) -> None:
+    asked = asyncio.Event()
+
+    async def silent(message: bytes, writer: Writer) -> None:
+        if b"Req-Id: later" in message:
+            writer.write(answer(b"served"))
+        asked.set()
+
+    async def play() -> None:
+        async with (
+            Server(silent) as one,
+            Server(silent) as two,
+            gate(("a", one.addr), ("b", two.addr)) as it,
+        ):
+            client = await it.client()
+            client.send(request("r1"))
+            await asked.wait()
+            await gone(it, client, how)
+            (req,) = it.core.live
+            other = "b" if one.seen else "a"
+            it.pool._tell(None, lambda: it.pool.send(req, other, 0))  # as the module's hedge does
+            await later_one(it)
+            assert len(sent(one, two)) == 1
+            assert it.core.counters.gone == 1
+
+    asyncio.run(play())
+
+
+def test_behind_another_on_its_connection(how: str) -> None:
+    asked, go = asyncio.Event(), asyncio.Event()
+
+    async def wait(message: bytes, writer: Writer) -> None:
+        asked.set()
+        await go.wait()
+        writer.write(answer(b"served"))
+
+    async def play() -> None:
+        async with Server(wait) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            client.send(request("r1") + request("r2", b"pay"))
+            await asked.wait()
+            await gone(it, client, how)
+            go.set()
+            await later_one(it)
+            assert len(sent(host)) == 1
+
+    asyncio.run(play())
+
+
+def _long(name: str, size: int) -> tuple[bytes, bytes]:
+    """A long request in two parts: with as much of its body as is held, and the rest."""
+    whole = request(name, b"~" * size, wait_ms=20_000)
+    first = whole.index(b"\r\n\r\n") + 4 + HELD_MOST + 1000
+    return whole[:first], whole[first:]
+
+
+def test_with_half_a_body_and_no_connection_yet(how: str) -> None:
+    async def play() -> None:
+        async with (
+            Server() as host,
+            gate(("a", host.addr), settings=PATIENT) as it,
+            held_connects(host.addr) as held,
+        ):
+            client = await it.client()
+            first, rest = _long("r1", HELD_MOST + 9000)
+            client.send(first)
+            await until(lambda: held.waiting == 1)
+            client.send(rest)  # which is not read: the body is held
+            await client.writer.drain()
+            (conn,) = it.clients()
+            leave(client, how)
+            await ended(conn)
+            held.go.set()
+            await later_one(it)
+            assert sent(host) == []
+            await until(lambda: not it.core.live)
+            await until(lambda: len(it.clients()) == 1)
+
+    asyncio.run(play())
+
+
+def test_with_the_rest_of_a_body_unread(how: str) -> None:
+    """Its host has the start; with the last byte it would begin."""
+    begun = asyncio.Event()
+
+    async def play() -> None:
+        async def read(reader: asyncio.StreamReader, writer: Writer) -> None:
+            got[writer] = b""
+            while data := await reader.read(65536):
+                got[writer] += data
+                begun.set()
+
+        got: dict[Writer, bytes] = {}
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        addr = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with server, gate(("a", addr), settings=PATIENT) as it:
+            client = await it.client()
+            first, rest = _long("r1", HELD_MOST + 9000)
+            client.send(first)
+            await begun.wait()
+            conn = unread(it)
+            client.send(rest)
+            await client.writer.drain()
+            leave(client, how)
+            await ended(conn)
+            conn.go_on()  # the host has taken what there was
+            await until(lambda: not it.core.live)
+            await until(lambda: not it.clients())
+            await until(lambda: all(writer.is_closing() for writer in got) or not it.hosts.open)
+            assert HELD_MOST <= sum(one.count(b"~") for one in got.values()) < HELD_MOST + 9000
+
+    asyncio.run(play())
+
+
+def test_with_its_last_bytes_still_here(how: str) -> None:
+    """The host reads slowly, and has not been given all of it."""
+
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert await client.ask(request("r0")) == (200, b"served")
+            (conn,) = it.hosts.open
+            (far,) = host.writers
+            conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            far.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            far.transport.pause_reading()  # type: ignore[attr-defined]
+            client.send(request("r1", b"x" * 60_000, wait_ms=20_000))
+            await until(lambda: bool(conn.attempt))
+            assert conn.holds_back()
+            leave(client, how)
+            await until(lambda: it.core.counters.gone == 1)
+            far.transport.resume_reading()  # type: ignore[attr-defined]
+            await until(lambda: not it.hosts.open or len(host.seen) > 1)
+            await later_one(it)
+            assert len(sent(host)) == 1
+            assert not it.core.live
+
+    asyncio.run(play())
