Answer what is open at SIGTERM while the process still has the time to

A request taken right before SIGTERM keeps its client's deadline, which may lie past SIGKILL (the site's payouts have 5 s, an ending process 3.7 s). At a host that hangs just then nothing ended the attempt before core.finish() reset the client's connection: the request was lost. Only requests that came after SIGTERM had their deadline cut to what the process has (Core._deadline).

Ruled out: the module's own time-out, which is 1.5 times the aim and covers most classes, but not a payout's 3.75 s or settings whose aim lies near a long deadline; finish(), which waits for all that is owed up to its last moment.

Now drain() cuts the deadlines of what is open, and fixes its own end, which a reload in the meantime moved with the longest deadline. What the core gives up itself and never sent is refused, as a repeat is harmless, and no more failed.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -66,6 +66,7 @@
         self.counters = Counters()
         self.ready = False
         self.drain_since = 0
+        self.drain_until = 0  # by then the last answer is out
         self.hanging_up = False  # no connection is kept any more
         # Takes connections that fall idle, where another process of this gateway goes on with them.
         self.passing: Callable[[Connection], bool] | None = None
@@ -178,9 +179,12 @@
         if not exchange.closed and now >= exchange.deadline + OVERDUE:
             # The module still owes this one: its client must not be left without an answer.
             self.counters.overdue += 1
-            self.logger.often("overdue", "a request was still held after its deadline; failed")
+            self.logger.often("overdue", "a request was still held after its deadline")
             pool.gone(exchange, now)
-            self.answer_failed(exchange)
+            if exchange.attempts:
+                self.answer_failed(exchange)
+            else:
+                self.answer_refused(exchange, 0)  # it was never sent
         self.schedule(exchange)
 
     # --- Requests
@@ -210,7 +214,7 @@
         wait = exchange.wait_ms * MS
         deadline = arrived + wait - min(MARGIN, wait // 10)
         if self.drain_since:
-            deadline = min(deadline, self.drain_since + self.last_answer())
+            deadline = min(deadline, self.drain_until)
         return deadline
 
     def body_whole(self, exchange: Exchange) -> None:
@@ -387,11 +391,21 @@
         so closing each with its next answer would take from them the only service there is.
         """
         self.drain_since = self.clock()
+        # Fixed now: settings that come later don't move the end of this process.
+        self.drain_until = self.drain_since + self.last_answer()
         self.ready = False
+        # Danger: what is open may have been promised more time than this process has.
+        for exchange in list(self.live.values()):
+            if exchange.closed or exchange.filling() or exchange.deadline <= self.drain_until:
+                continue
+            exchange.deadline = self.drain_until
+            for attempt in exchange.out:
+                attempt.ends = min(attempt.ends, self.drain_until)
+            self.schedule(exchange)
 
     def drain_hold(self) -> int:
         """How long after SIGTERM connections are kept: what is taken then still has its time."""
-        return min(DRAIN_HOLD, self.last_answer() // 2)
+        return min(DRAIN_HOLD, (self.drain_until - self.drain_since) // 2)
 
     def hang_up(self) -> bool:
         """From now on each answer closes its connection, and those with none owed are closed.
--- a/sailhitch/core/process.py
+++ b/sailhitch/core/process.py
@@ -36,6 +36,6 @@
 async def finish(core: Core) -> None:
     """Draining: each answer is a connection's last. Returns when nothing is owed, or time is up."""
     # Peers that never get on with it must not keep the process from its end.
-    last = core.drain_since + core.last_answer() + AFTERWARDS
+    last = core.drain_until + AFTERWARDS
     while core.hang_up() and core.clock() < last:
         await asyncio.sleep(STEP)
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -249,7 +249,7 @@
         self.after.send(bytes((told.DRAINING,)))
         self.listener.leave_to_others()
         core.passing = self._pass
-        last = core.drain_since + core.last_answer() + AFTERWARDS
+        last = core.drain_until + AFTERWARDS
         while self.can_pass_on() and core.clock() < last and self._owing():
             await asyncio.sleep(STEP)
         core.passing = None
