Hold signals until somebody heeds them, and again once nobody does

SIGTERM between the start of main and its handler ended the process by the signal; a SIGHUP after the file had been read and before its handler was set was ignored for good (SIG_IGN), so the new file was not read. At the other end the interpreter gives its handlers back before it exits: a SIGHUP in that moment ended a drained process by the signal.

Ruled out by a probe: that the loop's close gives the handlers back at once (uvloop 0.23 leaves a handler that does nothing, up to the interpreter's own end). Left: the start of the interpreter and the package's import, before main.

Now main holds the three signals, each is heeded once its handler stands, and they are held again before the loop goes; the daemon does the same. Each of the five cases failed before: three by a signal to itself before it has a loop, two by signals without a pause from the last line in the log up to the end (-15 and -1 in place of 0).

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -13,7 +13,7 @@
 
 from . import __version__
 from .core.log import Log
-from .core.process import drain, finish, settle_memory
+from .core.process import drain, finish, heed, hold_signals, settle_memory
 from .net.config import Config, ConfigError, adopt_socket, load_config, reload_config
 from .net.downstream import Listener
 from .net.platform import Platform
@@ -71,12 +71,14 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
+    heed(signal.SIGTERM, signal.SIGINT)
     platform.begin()
     listener = platform.listen(config.listen, BACKLOG, held)
     succession = await _succeed(platform, listener) if held is not None else None
     desk = await _open_desk(config, platform, succession)
     watch = loop.create_task(discovery.run())
     loop.add_signal_handler(signal.SIGHUP, Reloader(platform, log).reload)
+    heed(signal.SIGHUP)
     if held is None:
         listener.start()
     log.say(
@@ -107,6 +109,8 @@
     if succession is not None:
         succession.close()
     core.finish()
+    # Danger: the loop takes its handlers with it, and one that comes after it would kill.
+    hold_signals()
     log.say("drained")
 
 
@@ -151,8 +155,7 @@
     if arguments:
         print(f"sailhitch: unknown argument: {arguments[0]}", file=sys.stderr)
         return 2
-    # One that comes before the gateway can heed it is answered by the file, which is read below.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    hold_signals()
     try:
         config = load_config(os.environ)
         held = None if config.held_socket is None else adopt_socket(config.held_socket)
--- a/sailhitch/core/process.py
+++ b/sailhitch/core/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import signal
 from collections.abc import Callable
 from typing import Final
 
@@ -13,6 +14,22 @@
 STEP: Final = 0.02
 AFTERWARDS: Final = 50_000  # us after the last answer that is surely out
 
+HEEDED: Final = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
+
+
+def hold_signals() -> None:
+    """From here on they wait: what comes before a handler is set, or after it is gone, kills.
+
+    At the start they are heeded once somebody can (`heed`), be it late; at the end they wait for a
+    process that is over.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEEDED)
+
+
+def heed(*signals: signal.Signals) -> None:
+    """Their handlers are set: from here on, and by now, they are heeded."""
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)
+
 
 def settle_memory() -> None:
     """Called once all that lives as long as the process is there."""
--- a/sailhitch/daemon/process.py
+++ b/sailhitch/daemon/process.py
@@ -13,7 +13,7 @@
 
 from ..core.core import Core
 from ..core.log import Log
-from ..core.process import drain, settle_memory
+from ..core.process import drain, heed, hold_signals, settle_memory
 from ..tier.disk import DiskError
 from ..tier.wire import KeyFileError, load_keys
 from .admin import Admin, AdminError
@@ -103,6 +103,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload, source)
+        heed(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
     def _reload(self, source: Source) -> None:
         task = asyncio.get_running_loop().create_task(self._reread(source))
@@ -140,11 +141,15 @@
             found = {"ok": True, "gateway": live.gateway.name, "serial": live.applied.serial}
             print(json.dumps(found), flush=True)
 
+    hold_signals()
     try:
         made = load_file(path)
 
         async def main() -> None:
-            await Daemon(path, made, step, admin).run(ready)
+            try:
+                await Daemon(path, made, step, admin).run(ready)
+            finally:
+                hold_signals()  # the loop takes its handlers with it
 
         uvloop.run(main())
     except FileError as error:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -1,15 +1,104 @@
-"""The last moments of a process: what is owed."""
+"""The first and the last moments of a process: signals at the wrong instant, and what is owed."""
 
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
 
 import pytest
 
 from sailhitch.core.process import drain
-from tests.sockets import Server, Writer, gate, request
+from sailhitch.lab.ports import free_port
+from tests.sockets import PATIENCE, Registry, Server, Writer, config_value, gate, request
 from tests.virtual import eventually, play
 
+# The real program, with a signal to itself before it has a loop.
+EARLY = """
+import os, signal, sys
+import sailhitch.__main__ as program
+load = program.load_config
+def first(env):
+    config = load(env)
+    os.kill(os.getpid(), signal.SIGNAL)  # it has read its file, and has no loop yet
+    return config
+program.load_config = first
+sys.exit(program.main([]))
+"""
+
+
+async def _run(text: str, name: str, path: Path, stop_at: bytes | None) -> tuple[int | None, bytes]:
+    async with Server() as host, Registry(("a", host.addr)) as registry:
+        addr = f"127.0.0.1:{free_port()}"
+        path.write_text(json.dumps(config_value(registry.addr, ("a", host.addr))))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+        env |= {"EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": addr}
+        program = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-c", text.replace("SIGNAL", name), env=env,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        assert program.stderr is not None
+        said = b""
+        try:
+            async with asyncio.timeout(PATIENCE):
+                while line := await program.stderr.readline():
+                    said += line
+                    if stop_at is not None and stop_at in line:
+                        program.send_signal(signal.SIGTERM)
+                await program.wait()
+        finally:
+            if program.returncode is None:
+                program.kill()
+        return program.returncode, said
+
+
+def _storm(path: Path, number: signal.Signals) -> int | None:
+    """The real program's end, with signals on it from its last line up to its last moment."""
+    host = free_port()
+    path.write_text(json.dumps(config_value(f"127.0.0.1:{host}")))
+    env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    env |= {"EDGE_CONFIG": str(path), "EDGE_NAME": "n0", "EDGE_LISTEN": f"127.0.0.1:{free_port()}"}
+    with subprocess.Popen(
+        [sys.executable, "-B", "-m", "sailhitch"], env=env, stderr=subprocess.PIPE
+    ) as program:
+        assert program.stderr is not None
+        for line in program.stderr:
+            if b" ready" in line:
+                program.terminate()
+            if b"drained" in line:
+                break
+        until = time.monotonic() + PATIENCE
+        while program.poll() is None and time.monotonic() < until:
+            program.send_signal(number)
+        program.kill()
+        return program.returncode
+
+
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM"])
+def test_a_signal_to_a_process_that_is_over_does_not_kill_it(name: str, tmp_path: Path) -> None:
+    """Not even when the interpreter has given its handlers back."""
+    assert _storm(tmp_path / "config.json", signal.Signals[name]) == 0
+
+
+@pytest.mark.parametrize("name", ["SIGTERM", "SIGINT"])
+def test_an_end_that_is_asked_for_before_the_loop_runs_is_a_drain(
+    name: str, tmp_path: Path
+) -> None:
+    code, said = asyncio.run(_run(EARLY, name, tmp_path / "config.json", None))
+    assert code == 0, said
+    assert b"drained" in said
+
+
+def test_a_new_file_that_is_told_before_the_loop_runs_is_read(tmp_path: Path) -> None:
+    code, said = asyncio.run(_run(EARLY, "SIGHUP", tmp_path / "config.json", b"SIGHUP: new"))
+    assert code == 0, said
+
+
 LONG = {
     "classes": [
         {
