Never let a first byte wait for a full socket, and start by no figures that can't be

An attempt on a connection at hand whose socket takes nothing was kept until it would: its first byte went out whenever the host read again, with nobody asking whether the host leaves by then or its client has left. It is given up as never sent, and a new connection is opened. What had taken up a body that flows lets go of it too, when its first write fails.

At a reload a file with no attempts, no time or a class without a name was refused with the field named; at the start it was taken, and requests were answered by figures that make no sense. The start says so and ends with 2, a line each.

Six cases, each failed before: two over loopback with the socket filled by the test (the request waited for ever), four starts.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -160,7 +160,8 @@
         config = load_config(os.environ)
         held = None if config.held_socket is None else adopt_socket(config.held_socket)
     except ConfigError as error:
-        print(f"sailhitch: {error}", file=sys.stderr)
+        for line in str(error).splitlines():
+            print(f"sailhitch: {line}", file=sys.stderr)
         return 2
     try:
         uvloop.run(serve(config, Log(config.name), held))
--- a/sailhitch/net/config.py
+++ b/sailhitch/net/config.py
@@ -293,7 +293,12 @@
 
 def load_config(env: Mapping[str, str]) -> Config:
     """Read what the environment points to; raises ConfigError."""
-    return parse_config(read_file(env), env)
+    value = read_file(env)
+    if isinstance(value, dict):
+        problems = [*bad_figures(value.get("settings"))]
+        if problems:
+            raise ConfigError("\n".join(problems))
+    return parse_config(value, env)
 
 
 def read_file(env: Mapping[str, str]) -> Any:
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -119,9 +119,11 @@
         first = head + body if small else head
         try:
             count = self.sock.send(first)
-        except BlockingIOError:
-            count = 0
         except OSError:
+            # Danger: a full socket is no place to wait in. Its first byte would go out at any later
+            # time, to a host that leaves by then or for a client that has left.
+            if upload is not None:
+                upload.left(self)
             return False
         self.expect()
         self._clear()
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
 
 import pytest
 
 from sailhitch.adapter import _load
 from sailhitch.interface import Report
 from sailhitch.net.config import parse_load
-from tests.sockets import Server, Writer, answer, gate, request
+from tests.sockets import Server, Writer, answer, config_value, gate, request
 
 
 def test_a_load_report_reaches_the_module_in_its_units() -> None:
@@ -35,3 +40,28 @@
 )
 def test_a_report_that_cannot_be_read_says_nothing(value: bytes) -> None:
     assert parse_load(value) == {}
+
+
+@pytest.mark.parametrize(
+    ("part", "key", "value", "says"),
+    [
+        ("limits", "attemptsCap", 0, "settings.limits.attemptsCap"),
+        ("classes", "deadline", 0, "settings.classes[0].deadline"),
+        ("classes", "goalTime", 0, "settings.classes[0].goalTime"),
+        ("classes", "name", "", "settings.classes[0].name"),
+    ],
+)
+def test_a_start_by_figures_that_cannot_be_is_refused_naming_the_field(
+    part: str, key: str, value: object, says: str, tmp_path: Path
+) -> None:
+    wrong = config_value("127.0.0.1:9")
+    at = wrong["settings"][part]
+    (at[0] if isinstance(at, list) else at)[key] = value
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(wrong))
+    env = {"EDGE_CONFIG": str(path), "PATH": os.environ["PATH"]}
+    ended = subprocess.run(
+        [sys.executable, "-B", "-m", "sailhitch"], env=env, capture_output=True, timeout=30
+    )
+    assert ended.returncode == 2
+    assert says.encode() in ended.stderr
--- a/tests/test_leaving_hosts.py
+++ b/tests/test_leaving_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -41,3 +42,23 @@
                 assert "connect_failed" not in it.core.counters.statuses
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_a_first_byte_does_not_wait_for_a_full_socket(body: bytes | None) -> None:
+    """It would go out whenever the host reads again, whatever has been said of it by then."""
+
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert await client.ask(request("r0")) == (200, b"served")
+            (conn,) = it.hosts.open
+            (far,) = host.writers
+            far.transport.pause_reading()  # type: ignore[attr-defined]
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    conn.sock.send(b"x" * 65536)
+            assert await client.ask(request("r1", body)) == (200, b"served")
+            assert len(host.writers) == 2
+
+    asyncio.run(play())
