Write no repeat of a keyed request once its hosts may have forgotten the first

The module chooses a repeat while the key is remembered, with a tenth of the memory's span left for the way. Likewise a host that came to another zone or cell while its connection came up is not in the group any more.

Ruled out: repeats on a connection at hand, which are written in the turn of the choice; unsafe requests, which are not repeated once they may have run.

The pool notes when the first attempt went out that may have run, and is asked right before the first byte. What the module's choice rests on is kept from the choice on, and no more from the first turn of the task that connects.

Five more cases of what was chosen by what no longer holds (moved, started anew, replaced, another cell, banned).

--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -18,8 +18,8 @@
 
     __slots__ = (
         "attempts", "bare", "body", "client", "closed", "deadline", "fallback", "head", "id",
-        "keep", "key", "kind", "name", "old_http", "out", "pool", "repeat", "reserved", "rules",
-        "tenant", "upload", "wait_ms", "wake", "work",
+        "keep", "key", "kind", "name", "old_http", "out", "pool", "ran_at", "repeat", "reserved",
+        "rules", "tenant", "upload", "wait_ms", "wake", "work",
     )  # fmt: skip
 
     def __init__(self, client: Client) -> None:
@@ -41,6 +41,7 @@
         self.fallback: Answer | None = None  # a host's own word of failure, if nothing better comes
         self.old_http = False  # HTTP/1.0: closed unless asked otherwise
         self.deadline = self.wake = 0
+        self.ran_at = 0  # when the first attempt went out that may have run; 0 if none has
         self.attempts = 0
         self.out: list[Attempt] = []
         self.closed = False
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -21,6 +21,7 @@
     FULL,
     GONE,
     MOOT,
+    NEVER_RAN,
     OK,
     RESTORED,
     TIMEOUT,
@@ -28,8 +29,8 @@
     Knowledge,
     Report,
 )
-from ..policy import Gateway
-from ..settings import RequestClass, Settings
+from ..policy import WINDOW_MARGIN, Gateway
+from ..settings import KEYED, RequestClass, Settings
 from .exchange import Attempt, Exchange
 from .kinds import Kinds
 from .learned import learned, teach
@@ -202,6 +203,17 @@
         """An outcome that is known while the module is still speaking: told right after."""
         self._later.append((attempt, status))
 
+    def remembered(self, exchange: Exchange, now: int) -> bool:
+        """Whether a repeat that is written now is still known as one by its hosts.
+
+        Danger: the module chose while it was; a connection may take longer to come up than what is
+        left of that time, and then the effect would happen twice.
+        """
+        kind = exchange.kind
+        if kind is None or kind.effect != KEYED or not exchange.ran_at:
+            return True
+        return now < exchange.ran_at + int(kind.window * WINDOW_MARGIN)
+
     def due(self, attempt: Attempt, now: int) -> None:
         """Look at an attempt's time-outs."""
         if attempt.ends <= now:
@@ -246,6 +258,8 @@
         attempt.connect_by = 0
         exchange = attempt.exchange
         core = self.core
+        if status not in NEVER_RAN and not exchange.ran_at:
+            exchange.ran_at = attempt.sent
         if status == MOOT and _left(exchange):
             core.client_gone(exchange)
         exchange.out.remove(attempt)
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -379,6 +379,15 @@
         self.transport.set_write_buffer_limits(high=0)
 
 
+Chosen = tuple[Address, int, int, int]
+
+
+def _place(host: Host) -> Chosen:
+    """What the module's choice of a host rests on, besides its state."""
+    listed = host.listed
+    return host.addr, listed.boot, listed.zone, listed.cell
+
+
 class Hosts:
     """All hosts of a pool and the connections to them: a `Transport` over HTTP/1.1."""
 
@@ -470,9 +479,9 @@
         attempt.connect_by = now + self.pool.reach.connect_timeout
         self.connecting += 1
         host.open += 1
-        attempt.task = self.core.loop.create_task(self._connect(attempt, host))
+        attempt.task = self.core.loop.create_task(self._connect(attempt, host, _place(host)))
 
-    async def _connect(self, attempt: Attempt, host: Host) -> None:
+    async def _connect(self, attempt: Attempt, host: Host, chosen: Chosen) -> None:
         core, pool = self.core, self.pool
         conn = None
         try:
@@ -491,10 +500,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # What the system takes in of an answer that is not read shows in no budget.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-            addr, boot = host.addr, host.listed.boot
-            await core.loop.sock_connect(sock, addr)
+            await core.loop.sock_connect(sock, chosen[0])
             # Danger: on one machine a port that nobody listens on may meet itself.
-            if sock.getsockname() != addr and not attempt.over:
+            if sock.getsockname() != chosen[0] and not attempt.over:
                 conn = Upstream(self, host, sock)
                 made = conn
                 await core.loop.create_connection(lambda: made, sock=sock)
@@ -520,7 +528,7 @@
         now = core.clock()
         # Guards what the module chose by an older list: while the connection came up, news may have
         # come that this host leaves, is gone, has moved or has started anew, and is cold.
-        stands = self._is_there(host) and host.addr == addr and host.listed.boot == boot
+        stands = self._is_there(host) and _place(host) == chosen
         if conn is not None and not stands:
             conn.close()
         if attempt.over:
@@ -530,6 +538,9 @@
             pool.ended(attempt, WITHHELD, None, None)
         elif conn is None:
             pool.ended(attempt, CONNECT_FAILED, None, None)
+        elif not pool.remembered(attempt.exchange, now):
+            self.give_back(conn)
+            pool.ended(attempt, WITHHELD, None, None)
         elif now >= attempt.ends or self._held_back(attempt) or self._unwanted(attempt):
             self.give_back(conn)
             pool.ended(attempt, MOOT, None, None)
--- a/sailhitch/policy/__init__.py
+++ b/sailhitch/policy/__init__.py
@@ -23,5 +23,6 @@
 """
 
 from .gateway import Gateway
+from .request import WINDOW_MARGIN
 
-__all__ = ["Gateway"]
+__all__ = ["WINDOW_MARGIN", "Gateway"]
--- a/tests/test_leaving_hosts.py
+++ b/tests/test_leaving_hosts.py
@@ -62,3 +62,42 @@
             assert len(host.writers) == 2
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("news", ["moved", "started anew", "replaced", "other cell", "banned"])
+def test_what_was_chosen_by_what_no_longer_holds_is_chosen_anew(news: str) -> None:
+    """Its address, its life, who is there, its group, or what staff say of it."""
+
+    async def play() -> None:
+        async with Server() as one, Server() as other, Server() as third:
+            registry = Registry(("a", one.addr))
+            async with (
+                registry,
+                gate(("a", one.addr), discovery=registry.addr, settings=PATIENT) as it,
+                held_connects(one.addr) as held,
+            ):
+                client = await it.client()
+                client.send(request("r1", b"pay"))
+                await until(lambda: held.waiting == 1)
+                listed = {
+                    "moved": entry("a", third.addr),
+                    "started anew": entry("a", one.addr) | {"started_ms": 1_700_000_000_000},
+                    "other cell": entry("a", one.addr) | {"cell": 7},
+                }.get(news, entry("a", one.addr))
+                registry.entries = [listed, entry("b", other.addr)]
+                if news == "replaced":
+                    registry.entries.append(entry("c", one.addr) | {"started_ms": 1000})
+                registry.version += 1
+                await until(lambda: "b" in it.pool.listed)
+                if news == "banned":
+                    it.pool.take_out("a")
+                held.go.set()
+                assert await client.answer() == (200, b"served")
+                assert it.core.counters.statuses["withheld"] == 1
+                if news != "replaced":  # which fails by itself if it is chosen again
+                    assert "connect_failed" not in it.core.counters.statuses
+                assert len(one.seen) + len(other.seen) + len(third.seen) == 1
+                if news in ("moved", "banned"):
+                    assert one.seen == []
+
+    asyncio.run(play())
