--- a/benchmarks/tier_cpu.py
+++ b/benchmarks/tier_cpu.py
@@ -1,6 +1,7 @@
 """What being in a tier costs: CPU of idle daemons, and of a request beside a daemon that is alone.
 
-    python benchmarks/tier_cpu.py [--members 5,25] [--seconds 20] [--requests 6000] [--json]
+    python benchmarks/tier_cpu.py [--members 5,25] [--seconds 20] [--requests 6000] [--turns 5]
+        [--json]
 
 Idle: so many real daemons with nobody asking, their CPU over the time, by /proc. Requests: one
 client that asks one after the other, at a member of a tier of three and at a daemon that is alone,
@@ -12,7 +13,6 @@
 import argparse
 import asyncio
 import json
-import os
 import statistics
 import tempfile
 from pathlib import Path
@@ -23,14 +23,16 @@
 from sailhitch.lab.scenario import Scenario
 from sailhitch.lab.tier import Gateway, Lab
 
-TICK = os.sysconf("SC_CLK_TCK")
-
 
 def cpu(gateway: Gateway) -> float:
-    """Seconds of CPU that a daemon has used so far."""
+    """Seconds of CPU that a daemon has used so far, of all its threads.
+
+    By the scheduler's own count (proc(5), schedstat): what `stat` tells is sampled at the system's
+    ticks, which timers of the daemon's own fall together with.
+    """
     assert gateway.program is not None
-    fields = Path(f"/proc/{gateway.program.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICK
+    tasks = Path(f"/proc/{gateway.program.pid}/task").glob("*/schedstat")
+    return sum(int(task.read_text().split()[0]) for task in tasks) / 1e9
 
 
 async def idle(members: int, seconds: float) -> list[float]:
@@ -63,7 +65,7 @@
     return (used - (cpu(gateway) - before)) / requests * 1e6
 
 
-async def requests(count: int, turns: int = 5) -> dict[str, list[float]]:
+async def requests(count: int, turns: int) -> dict[str, list[float]]:
     """CPU a request at a member of a tier and at a daemon that is alone, in turns."""
     scenario = Scenario(name="requests", gateways=3, clients=0)
     with tempfile.TemporaryDirectory(prefix="sailhitch-") as folder:
@@ -100,6 +102,7 @@
     parser.add_argument("--members", default="5,25")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--requests", type=int, default=6000)
+    parser.add_argument("--turns", type=int, default=5)
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
     found: dict[str, object] = {}
@@ -109,7 +112,7 @@
         if not options.json:
             mean, most = statistics.mean(parts), max(parts)
             print(f"{members} idle: {mean:.2%} of a core each, {most:.2%} at the most", flush=True)
-    said = asyncio.run(requests(options.requests))
+    said = asyncio.run(requests(options.requests, options.turns))
     if options.json:
         print(json.dumps({**found, **said}))
         return
