Count a client that comes in once at every turn of the loop

A connection is among the clients from `connection_made` on, and left `arriving` only two turns of the loop later, when the task that takes it in went on; between them it counted twice. Ruled out: a place that is not given back (the count was too high on the side of clients, and right a turn later).

Now `arriving` is the set of those connections, and whoever becomes a client leaves it in that moment. What asks whether anybody is half-way in (the way in, the hang-up, handing over) sees it the same way.

Without the fix the new test counts (1, 2) in place of (1, 1) each time; with it, it passes.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -60,7 +60,7 @@
         self.pools: list[Pool] = []
         self.clients: dict[Connection, None] = {}
         self.door = Door(bounds.sizes(), self.clock())
-        self.arriving = 0  # accepted, and not yet among the clients
+        self.arriving: set[Connection] = set()  # accepted, and not yet among the clients
         self.names: dict[bytes, Exchange] = {}  # of requests that are open, here or at a host
         self.live: dict[int, Exchange] = {}
         self.counters = Counters()
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -117,6 +117,7 @@
         self.transport = cast(asyncio.Transport, transport)
         # An answer goes out at once, and what is left of it is known as soon as it is written.
         self.transport.set_write_buffer_limits(high=0)
+        self.core.arriving.discard(self)
         self.core.clients[self] = None
         self.place.holder = self
 
@@ -897,10 +898,10 @@
         self._let_in(sock, self.core.door.adopted(self.core.clock(), address))
 
     def _let_in(self, sock: socket.socket, place: Place) -> None:
-        core = self.core
-        core.arriving += 1
+        made = Downstream(self, sock, place)
+        self.core.arriving.add(made)
         # Danger: the loop itself holds a task by a weak reference only.
-        task = core.loop.create_task(self._serve(sock, place))
+        task = self.core.loop.create_task(self._serve(made))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -929,18 +930,17 @@
         if self.sock.fileno() >= 0:
             self.core.loop.add_reader(self.sock, self._accept)
 
-    async def _serve(self, sock: socket.socket, place: Place) -> None:
-        core = self.core
-        made = Downstream(self, sock, place)
+    async def _serve(self, made: Downstream) -> None:
+        core, sock = self.core, made.sock
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await core.loop.connect_accepted_socket(lambda: made, sock)
         except OSError:
             sock.close()  # it has gone already
-            core.door.closed(place, core.clock())
+            core.door.closed(made.place, core.clock())
         finally:
-            core.arriving -= 1
+            core.arriving.discard(made)  # it is among the clients since it was made, or has gone
 
     def retire(self) -> None:
         """Stop for good: what has been taken is finished, and its connections end with it."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -229,7 +229,7 @@
         crowd = [await it.client() for _ in range(300)]
         client = await it.client()
         assert await client.ask(request("among")) == (200, b"served")
-        held = len(it.core.clients) + it.core.arriving + it.hosts.size()
+        held = len(it.core.clients) + len(it.core.arriving) + it.hosts.size()
         assert held <= it.platform.config.sockets
         for one in crowd:
             one.writer.close()
@@ -284,7 +284,7 @@
         async with Server(silent) as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
             _held = await fill(it, 80)
             await until(lambda: it.core.counters.crowded > 0)
-            held = len(it.core.clients) + it.core.arriving + it.hosts.size()
+            held = len(it.core.clients) + len(it.core.arriving) + it.hosts.size()
             assert held <= 64
             last = await it.client()
             # Answered at once: nothing of its request was looked at, so asking again is harmless.
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -69,7 +69,7 @@
         assert self.honest.twice == 0
         assert all(count == 1 for count in self.node.effects.values())
         assert core.counters.panics == core.counters.faults == 0
-        assert core.door.held == len(core.clients) + core.arriving
+        assert core.door.held == len(core.clients) + len(core.arriving)
         assert core.door.held + self.it.hosts.size() <= self.it.platform.config.sockets
 
 
@@ -253,6 +253,31 @@
     play(act)
 
 
+def test_a_client_that_comes_in_is_counted_once_at_every_turn(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def act(scene: Scene) -> None:
+        core, real, counts = scene.it.core, downstream.Downstream.connection_made, []
+
+        def counted() -> tuple[int, int]:
+            return core.door.held, len(core.clients) + len(core.arriving)
+
+        def made(self: downstream.Downstream, transport: asyncio.BaseTransport) -> None:
+            counts.append(counted())  # it has been accepted
+            real(self, transport)
+            counts.append(counted())  # it is a client, and its accepting is not over yet
+
+        monkeypatch.setattr(downstream.Downstream, "connection_made", made)
+        clients = []
+        for turn in range(2):
+            clients.append(await scene.it.client())
+            assert (await clients[turn].ask(request(f"in{turn}")))[0] == 200
+            counts.append(counted())
+        assert counts == [(1, 1)] * 3 + [(2, 2)] * 3
+
+    play(act)
+
+
 # --- Limits that change, and that are not what was told
 
 
