Hear nobody on a zone who sees it otherwise than gone and has not asked there lately

With "33% of its nodes fail from z2" the zone was gray. Who saw a zone well and had not asked since was already no witness; who had met one bad node was, though C3 turns away from that zone all the same. Ruled out: the load (the proposal followed 1 s after "gone"), words that were late (rows went round within 0.2 s).

Now who does not see a zone gone is heard on it only by what it has seen within two seconds, as long as most see it gone. One who asks now is heard as before.

--- a/sailhitch/zones/diagnosis.py
+++ b/sailhitch/zones/diagnosis.py
@@ -109,14 +109,15 @@
 
 
 def _witnesses(able: list[Report], zone: str) -> list[Report]:
-    """Without those who saw a zone well and have not asked since, if most see it gone.
+    """Without those who see it otherwise and have not asked lately, if most see it gone.
 
-    Danger: only then. Where little is asked, as at night, most have not asked lately, and the few
-    that happened to meet its bad nodes would speak for all.
+    What they saw well, or as one bad node of several, may be older than the zone's end, and the
+    decision module keeps them away from it. Danger: only then. Where little is asked, as at night,
+    most have not asked lately, and the few that happened to meet its bad nodes would speak for all.
     """
     if 2 * sum(_share(one, zone) >= GONE for one in able) <= len(able):
         return able
-    return [one for one in able if _share(one, zone) > WELL or one.sights[zone].age <= LATELY]
+    return [one for one in able if _share(one, zone) >= GONE or one.sights[zone].age <= LATELY]
 
 
 def _can_tell(one: Report, zone: str, sizes: Mapping[str, int]) -> bool:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -381,6 +381,9 @@
             [*LOST_Z2, *[("z2", GOOD, GOOD, Sight(10, 0, 0, 9))] * 4],
             (Kind.WELL, Kind.WELL, Kind.CUT),
         ),
+        # The same of one who met a single bad node then; one who asks now is heard.
+        ([*LOST_Z2, ("z2", GOOD, GOOD, Sight(3, 1, 0, 7))], (Kind.WELL, Kind.WELL, Kind.GONE)),
+        ([*LOST_Z2, ("z2", GOOD, GOOD, Sight(3, 1, 0, 0))], (Kind.WELL, Kind.WELL, Kind.GRAY)),
         ([*ALL_WELL * 2, ("z0", GOOD, GOOD, Sight(9999, 9999, 0))], (Kind.WELL,) * 3),
         # Nobody knows enough of it.
         ([("z0", GOOD, GOOD, Sight(1, 1, 0))] * 2, (Kind.WELL, Kind.WELL, Kind.UNKNOWN)),
