Let a connection rest before its next request, so that a late second answer meets none

Cause: a host may send an answer twice, the second time some milliseconds late, and nothing in HTTP/1.1 tells that from the answer to the next request on the connection. The newest idle connection was used again at once. By test: the first request's answer, sent once more when the second request has been written, was given to the second one's client as a 200 ("first" for "second"), a payout's too. Ruled out: telling it by its time (answers that hosts give at once come as fast), or by a field (none names the request).

A connection rests for 10 ms now; until then the newest that has rested is used, or a new one. Bytes that come meanwhile close it, as before.

--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -35,6 +35,9 @@
 
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
 RECEIVE_BUFFER: Final = 128 * 1024
+# us that a connection rests after an answer. A host may send one twice, the second time some
+# milliseconds late (up to 3.8 were seen), and nothing tells that from the next request's answer.
+REST: Final = 10_000
 SOON: Final = 300_000  # us after its head an answer of unknown length is passed on, whole or not
 # A host that is passing an answer on has stopped, or trickles, below these (bytes a second, us).
 FLOW_RATE: Final = 4 * 1024
@@ -53,6 +56,13 @@
         self.open = 0  # connections, those being opened too
         self.replaced = False  # another host is at its address now
 
+    def take_rested(self, now: int) -> Upstream | None:
+        """The newest idle connection on which no late second answer is to be feared any more."""
+        for i in range(len(self.idle) - 1, -1, -1):
+            if now - self.idle[i].idle_since >= REST:
+                return self.idle.pop(i)
+        return None
+
 
 class Upstream(AnswerReader, asyncio.Protocol):
     """A connection to a host. It carries one attempt at a time, or is idle in its host's pool."""
@@ -452,7 +462,7 @@
             conn.close()
 
     def start(self, attempt: Attempt, now: int) -> None:
-        """Send an attempt on the newest idle connection, or on a new one."""
+        """Send an attempt on the newest idle connection that has rested, or on a new one."""
         host = self.hosts.get(attempt.server)
         if host is None or host.replaced:
             self.pool.later(attempt, CONNECT_FAILED)
@@ -460,8 +470,7 @@
         if self._held_back(attempt) or self._unwanted(attempt):
             self.pool.later(attempt, MOOT)
             return
-        while host.idle:
-            conn = host.idle.pop()
+        while (conn := host.take_rested(now)) is not None:
             # Danger: a host ends what has stood idle for long, and a request that crosses that
             # counts as one that may have run.
             if (
