Hear news that came during a stall before requests that came in it

Cause: a loop that was held up finds requests and news of members unread in one turn, and reads them in the order in which they came. A request read first went out on a connection at hand by a list that the news contradicts, however long ago that was told: by test, a request to a host announced as leaving, on asyncio's loop and on uvloop. The wheel lets sockets speak before timers after a stall, but nothing let one socket speak before another. Ruled out: the call's rhythm, which holds while the loop has its turns; connections that come up late, which are looked at again.

Now, where the beat is overdue by more than a turn's ordinary lateness (65 ms; the shortest grace that a gateway goes by is 100), an attempt looks whether the watch has something unread. If so it takes a new connection, which costs a turn, and asks again before its first byte, as any connection does that has come up. The look is one poll(2), and only after a stall or on a new connection.

`look.shows` serves this look and the one for clients that left. Four cases fail without it.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -19,7 +19,7 @@
 from .pool import Pool
 from .seams import Client, Connection, Giver
 from .terms import FAR, Answer, Bounds
-from .wheel import Wheel
+from .wheel import LATE, Wheel
 
 MS: Final = 1000
 MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it
@@ -81,6 +81,10 @@
     def clock(self) -> int:
         return (time.monotonic_ns() + self._epoch) // 1000
 
+    def held_up(self, now: int) -> bool:
+        """Whether the loop has had no turn for a while, and what has come meanwhile is unread."""
+        return now - self._beat_at > BEAT + LATE
+
     def begin(self) -> None:
         """Start the periodic work."""
         now = self.clock()
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -58,6 +58,8 @@
         # Asked right before an attempt's first byte is written, where rules may have changed since
         # the module chose; None where they can't.
         self.may_write: Callable[[Attempt], bool] | None = None
+        # Whether news of members has come that nobody has read yet; None where none comes so.
+        self.news_waits: Callable[[], bool] | None = None
         # Told of each attempt's server and outcome, where somebody sums them up.
         self.seen: Callable[[str, str], None] | None = None
         self.stamp = b""  # fields that every attempt carries, as of the rules it is sent by
@@ -199,6 +201,10 @@
 
     # --- Attempts
 
+    def unheard(self) -> bool:
+        """Whether what the module chose by may be older than news that has come."""
+        return self.news_waits is not None and self.news_waits()
+
     def later(self, attempt: Attempt, status: str) -> None:
         """An outcome that is known while the module is still speaking: told right after."""
         self._later.append((attempt, status))
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import select
 from typing import Final, NamedTuple, cast
 
 from ..core.pool import Pool
@@ -13,6 +14,7 @@
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
+from .look import shows
 
 PATH: Final = "/registry/instances"
 # What a watch misses counts as told so long after it fell silent (s). The call that is out then,
@@ -150,6 +152,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read."""
+        sock = None if self.transport is None else self.transport.get_extra_info("socket")
+        return sock is not None and sock.fileno() >= 0 and shows(sock.fileno(), select.POLLIN)
+
     def usable(self) -> bool:
         return self.keep and self.transport is not None and not self.transport.is_closing()
 
@@ -166,12 +173,14 @@
         self._wanted = asyncio.Event()
         self._moved = asyncio.Event()
         self._call: Call | None = None
+        self._answer: asyncio.Future[None] | None = None  # of the call that is out
         self._backoff = Backoff(AGAIN, AGAIN_MOST, config.seed)
         self._adopt(config.settings)
         # The next call asks for the whole list. Where discovery is shared, a watch from the known
         # list on costs it least.
         self._whole = not self.asked
         pool.watch_wanted = self.want
+        pool.news_waits = self.waits
 
     def _adopt(self, settings: Settings) -> None:
         self.asked, self.times = settings.must_ask, times(settings)
@@ -184,6 +193,12 @@
         else:
             self._wanted.clear()
 
+    def waits(self) -> bool:
+        """Whether an answer has come, or a call's end, that the module has not been told of."""
+        if self._answer is not None and self._answer.done():
+            return True
+        return self._call is not None and self._call.unread()
+
     def inherit(self, version: int) -> None:
         """Another process of this gateway has told its list; the watch goes on from there.
 
@@ -309,12 +324,16 @@
                 raise MovedError
             self._call = call
         done: asyncio.Future[None] = loop.create_future()
+        self._answer = done
         call.ask(target, address, done)
-        await asyncio.wait((done,), timeout=limit - loop.time())
-        if not done.done():
-            # Danger: a loop that was held up lets timers speak before sockets. One turn of it reads
-            # what has come.
-            await asyncio.sleep(0.001)
+        try:
+            await asyncio.wait((done,), timeout=limit - loop.time())
+            if not done.done():
+                # Danger: a loop that was held up lets timers speak before sockets. One turn of it
+                # reads what has come.
+                await asyncio.sleep(0.001)
+        finally:
+            self._answer = None  # up to the module nothing is waited for any more
         if not done.done():
             done.cancel()
             error = SilentError if watched else CallError
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -27,6 +27,7 @@
 from ..front import Place, Reason, State, Verdict
 from .http import BLANK, HOP, MAX_HEAD, chunk
 from .intake import READ, SINGLE, Intake, RejectError
+from .look import shows
 
 REASONS: Final = {
     400: b"400 Bad Request",
@@ -142,9 +143,7 @@
         """
         if self.transport is None or self.sock.fileno() < 0:
             return True
-        look = select.poll()
-        look.register(self.sock, select.POLLRDHUP)
-        return bool(look.poll(0))
+        return shows(self.sock.fileno(), select.POLLRDHUP)
 
     def _let_go_of_left(self) -> None:
         """The client has gone, and what it sent before must not be read and sent on."""
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -470,7 +470,10 @@
         if self._held_back(attempt) or self._unwanted(attempt):
             self.pool.later(attempt, MOOT)
             return
-        while (conn := host.take_rested(now)) is not None:
+        # Danger: in the turn after a stall requests may be read before news that has waited as long
+        # as they have. Connecting takes a turn, and news is looked at after it.
+        late = self.core.held_up(now) and self.pool.unheard()
+        while not late and (conn := host.take_rested(now)) is not None:
             # Danger: a host ends what has stood idle for long, and a request that crosses that
             # counts as one that may have run.
             if (
@@ -515,6 +518,8 @@
                 conn = Upstream(self, host, sock)
                 made = conn
                 await core.loop.create_connection(lambda: made, sock=sock)
+            while pool.unheard():
+                await asyncio.sleep(0.001)
         except OSError:
             conn = None
         except asyncio.CancelledError:
--- a/tests/test_leaving_hosts.py
+++ b/tests/test_leaving_hosts.py
@@ -4,11 +4,19 @@
 
 import asyncio
 import contextlib
+import json
+import os
+import time
+from collections.abc import Callable
 
 import pytest
+import uvloop
 
+from sailhitch.core.core import BEAT
+from sailhitch.core.wheel import LATE
+from sailhitch.net.upstream import REST
 from tests.crossings import PATIENT, held_connects
-from tests.sockets import Registry, Server, entry, gate, request, until
+from tests.sockets import Registry, Server, Writer, answer, entry, gate, request, until
 
 
 @pytest.mark.parametrize("state", ["leaving", "left", "missing"])
@@ -101,3 +109,44 @@
                     assert one.seen == []
 
     asyncio.run(play())
+
+
+class Held(Registry):
+    """Answers a call that has nothing new to hear when the test writes to it."""
+
+    async def reply(self, message: bytes, writer: Writer) -> None:
+        if f"after={self.version}&".encode() not in message:
+            await super().reply(message, writer)
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop])
+def test_news_that_came_during_a_stall_is_heard_before_requests_that_came_in_it(
+    body: bytes | None, loop: Callable[[], asyncio.AbstractEventLoop]
+) -> None:
+    """The request came first, is read first, and its host has a connection at hand."""
+
+    def wrote(writer: Writer, data: bytes) -> None:
+        assert os.write(writer.get_extra_info("socket").fileno(), data) == len(data)
+
+    async def story() -> None:
+        async with Server() as leaving, Server() as staying:
+            registry = Held(("a", leaving.addr))
+            async with registry, gate(("a", leaving.addr), discovery=registry.addr) as it:
+                client = await it.client()
+                assert await client.ask(request("r1")) == (200, b"served")
+                await asyncio.sleep(REST / 1e6)
+                seen = len(registry.seen)
+                await until(lambda: len(registry.seen) > seen)  # a call has just begun to wait
+                listed = [entry("a", leaving.addr, "leaving"), entry("b", staying.addr)]
+                text = {"version": 2, "full": True, "servers": listed}
+                # The loop has no turn from here on.
+                wrote(client.writer, request("r2", body))
+                wrote(registry.writers[-1], answer(json.dumps(text).encode()))
+                registry.version = 2
+                time.sleep(2 * (BEAT + LATE) / 1e6)
+                assert await client.answer() == (200, b"served")
+                assert (len(leaving.seen), len(staying.seen)) == (1, 1)
+
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(story())
