Answer who still waits in the system's queue when the listener closes

Cause: at its end a listener takes in whoever has connected by then. Where descriptors are short it was told to wait a turn for those that are being closed, stopped at the first such client, and closed: all behind it were reset. By test: 80 clients with a request each come in the turn in which the listener of a gateway with 64 descriptors closes; `ConnectionResetError` for those past its room. Ruled out: the system's own shortage, which the reserve covers here.

There is no later turn for a closing listener, so who finds no room then is turned away as in any crowd: a 503 with `Retry-After` where settings allow. `Gate` of the tests carries its listener.

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -864,11 +864,11 @@
         """Take in whoever waits."""
         self.core.loop.add_reader(self.sock, self._accept)
 
-    def _accept(self, most: int = ACCEPTS) -> None:
+    def _accept(self, most: int = ACCEPTS, last: bool = False) -> None:
         core = self.core
         for _ in range(most):
             way = core.way_in()
-            if way == Verdict.WAIT:
+            if way == Verdict.WAIT and not last:
                 return  # descriptors that are being closed are free on the loop's next turn
             try:
                 sock, peer = self.sock.accept()
@@ -959,7 +959,10 @@
         self.sock.close()
 
     def close(self) -> None:
-        """Stop listening; whoever has connected by now is let in."""
-        self._accept(self.backlog)
+        """Stop listening; whoever has connected by now is let in, or told that there is no room.
+
+        Danger: who still waits in the system's queue then is reset, with no answer.
+        """
+        self._accept(self.backlog, last=True)
         self.core.loop.remove_reader(self.sock)
         self.sock.close()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -16,7 +16,7 @@
 from sailhitch.lab.ports import free_port
 from sailhitch.net.config import parse_config
 from sailhitch.net.discovery import Discovery
-from sailhitch.net.downstream import Downstream
+from sailhitch.net.downstream import Downstream, Listener
 from sailhitch.net.platform import Platform
 from sailhitch.net.upstream import Hosts
 from tests.fake import settings_value
@@ -197,8 +197,9 @@
 class Gate:
     """A gateway in this process, listening on loopback."""
 
-    def __init__(self, platform: Platform, addr: str) -> None:
-        self.platform, self.addr = platform, addr
+    def __init__(self, platform: Platform, listener: Listener) -> None:
+        self.platform, self.listener = platform, listener
+        self.addr = f"127.0.0.1:{listener.sock.getsockname()[1]}"
         self.core, self.pool = platform.core, platform.pool
 
     @property
@@ -229,9 +230,10 @@
     server.start()
     platform.core.ready = True
     try:
-        yield Gate(platform, f"127.0.0.1:{server.sock.getsockname()[1]}")
+        yield Gate(platform, server)
     finally:
-        server.close()
+        if server.sock.fileno() >= 0:
+            server.close()
         platform.core.finish()
         if watch is not None:
             watch.cancel()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import socket
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -293,6 +295,27 @@
     asyncio.run(run())
 
 
+def test_who_waits_as_the_listener_closes_is_answered_without_a_descriptor_to_spare() -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server() as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
+            name, _, port = it.addr.rpartition(":")
+            with contextlib.ExitStack() as stack:
+                crowd = []
+                for i in range(80):  # the loop has no turn to take anybody in
+                    one = stack.enter_context(socket.create_connection((name, int(port))))
+                    one.sendall(request(f"w{i}"))
+                    one.setblocking(False)
+                    crowd.append(one)
+                it.listener.close()
+                async with asyncio.timeout(PATIENCE):
+                    got = [await loop.sock_recv(one, 1000) for one in crowd]
+            said = Counter(one[:13] for one in got)
+            assert set(said) == {b"HTTP/1.1 200 ", b"HTTP/1.1 503 "}, said
+
+    asyncio.run(run())
+
+
 def test_blanks_around_a_value_are_none_of_it() -> None:
     async def blank(message: bytes, writer: Writer) -> None:
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: \t 6 \t\r\n\r\nserved")
