Give a client in a hurry its answer while it still waits

Their answer is due a tenth of their time before they leave, 0.3 ms, and the loop's timers count in whole milliseconds, rounded up. Ruled out: connections closed with bytes unread (none), answers to nobody (none), a loop held up (lag 0 at each).

The margin is never less than 2 ms, what a timer may be late; for longer waits than 20 ms nothing changes. Who has no more than that left is refused at once.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -22,7 +22,8 @@
 from .wheel import LATE, Wheel
 
 MS: Final = 1000
-MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it
+MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it,
+TICK: Final = 2 * MS  # and never less than a timer may be late: the loop's count in milliseconds
 OVERDUE: Final = 25 * MS  # so long after that the module has surely forgotten a request
 BEAT: Final = 25 * MS  # how often lateness of the loop is looked at
 SWEEP: Final = 1000 * MS
@@ -216,7 +217,7 @@
 
     def _deadline(self, exchange: Exchange, arrived: int) -> int:
         wait = exchange.wait_ms * MS
-        deadline = arrived + wait - min(MARGIN, wait // 10)
+        deadline = arrived + wait - min(wait, max(TICK, min(MARGIN, wait // 10)))
         if self.drain_since:
             deadline = min(deadline, self.drain_until)
         return deadline
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from sailhitch.net.upstream import REST
 from tests import virtual
 from tests.sockets import (
     Gate,
@@ -20,6 +19,7 @@
     request,
     until,
 )
+from tests.virtual import eventually
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 SPOILT = {
@@ -183,6 +183,28 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("wait_ms", [1, 2, 3, 5, 8, 12, 40])
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_a_client_in_a_hurry_has_its_answer_while_it_waits(
+    wait_ms: int, body: bytes | None
+) -> None:
+    """Timers count in milliseconds, and the answer has to cross the way back."""
+
+    async def silent(message: bytes, writer: Writer) -> None:
+        await asyncio.Event().wait()
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server(silent) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            await eventually(lambda: len(it.core.clients) == 1)
+            asked = loop.time()
+            assert (await client.ask(request("r1", body, wait_ms)))[0] in (502, 503, 504)
+            assert loop.time() - asked <= (wait_ms - 1) / 1000
+
+    virtual.play(story())
+
+
 def test_own_lack_of_descriptors_is_not_held_against_hosts() -> None:
     async def act(it: Gate) -> None:
         it.core.make_room = lambda: False  # type: ignore[method-assign]
