Force three crossings that had no test of their own

Need: docs/design/crossings.md had rows that were shown by reading alone: a client gone when the last byte of its body has just been read, settings that come while the process drains, zones under other names at a reload.

Each is forced by conditions: bytes and end in one turn of the loop, a drain under way, a list in which nothing has changed. Each fails with its safeguard taken out (the look before the last byte, the end that is fixed at SIGTERM, the whole list asked anew), and passes with it; no fault was found.

--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
@@ -227,6 +228,35 @@
     asyncio.run(play())
 
 
+def test_with_its_last_byte_read_in_the_same_turn(how: str) -> None:
+    """The rest of its body and the end are there before the loop has another turn."""
+
+    async def play() -> None:
+        async def read(reader: asyncio.StreamReader, writer: Writer) -> None:
+            while data := await reader.read(65536):
+                got.append(data.count(b"~"))
+
+        got: list[int] = []
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        addr = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        async with server, gate(("a", addr), settings=PATIENT) as it:
+            name, _, port = it.addr.rpartition(":")
+            first, rest = _long("r1", HELD_MOST + 9000)
+            with socket.create_connection((name, int(port))) as client:
+                client.setblocking(False)
+                await asyncio.get_running_loop().sock_sendall(client, first)
+                await until(lambda: sum(got) >= HELD_MOST)
+                if how == "reset":
+                    linger = struct.pack("ii", 1, 0)
+                    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                more = b"GET /more HTTP/1.1\r\n" if how == "bytes before" else b""
+                assert client.send(rest + more) == len(rest + more)
+            await until(lambda: not it.core.live and not it.clients() and not it.hosts.open)
+            assert HELD_MOST <= sum(got) < HELD_MOST + 9000
+
+    asyncio.run(play())
+
+
 def test_with_its_last_bytes_still_here(how: str) -> None:
     """The host reads slowly, and has not been given all of it."""
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -15,6 +15,7 @@
 
 from sailhitch.core.process import drain
 from sailhitch.lab.ports import free_port
+from sailhitch.net.config import parse_config
 from tests.sockets import PATIENCE, Registry, Server, Writer, config_value, gate, request
 from tests.virtual import eventually, play
 
@@ -138,3 +139,29 @@
                 assert not it.core.live
 
     play(story())
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_settings_that_come_while_it_drains_do_not_move_its_end(body: bytes | None) -> None:
+    """They allow more time, and requests that come by them are answered before SIGKILL too."""
+
+    async def hang(message: bytes, writer: Writer) -> None:
+        await asyncio.Event().wait()
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server(hang) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            await eventually(lambda: len(it.core.clients) == 1)
+            begun, end = loop.time(), it.core.last_answer()
+            ending = asyncio.create_task(drain(it.core, lambda: None))
+            await asyncio.sleep(0.1)
+            value = config_value("127.0.0.1:9", ("a", host.addr), settings=LONG)
+            it.platform.reconfigure(parse_config(value, {}))
+            assert it.core.last_answer() >= end
+            client.send(request("r1", body, wait_ms=10_000))
+            assert (await client.answer())[0] in (503, 504)
+            await ending
+            assert loop.time() - begun <= end / 1e6 + 0.1
+
+    play(story())
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -171,3 +171,23 @@
             assert before.settings.rules.drain_grace > 200_000
 
     play(story())
+
+
+def test_zones_by_other_names_bring_the_whole_list_anew() -> None:
+    """What is listed was read by the old ones, and nothing has changed for discovery."""
+
+    async def story() -> None:
+        async with (
+            Registry(("a", "127.0.0.1:9")) as registry,
+            gate(("a", "127.0.0.1:9"), discovery=registry.addr) as it,
+        ):
+            await eventually(lambda: it.discovery.version == 1)
+            assert it.pool.listed["a"].listed.zone == 0
+            value = config_value(registry.addr, settings={"zones": ["y", "z"]})
+            value["settings"]["dcs"] = ["y", "z"]
+            asked = len(registry.seen)
+            it.platform.reconfigure(parse_config(value, {}))
+            await eventually(lambda: it.pool.listed["a"].listed.zone == 1)
+            assert any(b"after" not in one for one in registry.seen[asked:])
+
+    play(story())
