Close a resting connection that a request gives up waiting for

Cause: found by asking what may come while a request waits for a connection to rest. A request whose time ends there gave the connection back to its host; where news had meanwhile moved that host, or told that it had started anew, `hang_up` had not seen it among the idle ones, and the next request went to the old address. By test: r3 reached the host that "a" had been before.

It is closed in that case, which costs one connection. The case in which the request goes on was right: it asks again whether its host stands. The test has both; the first fails without the change.

--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -508,7 +508,7 @@
             while self.pool.unheard():
                 await asyncio.sleep(0.001)
         except asyncio.CancelledError:
-            self.give_back(conn)
+            conn.close()  # its host may have moved or started anew meanwhile
             raise
         if conn.usable():
             attempt.task = None
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sailhitch.net.config import parse_roster
 from tests import virtual
 from tests.sockets import (
     Gate,
@@ -123,6 +124,30 @@
     virtual.play(story())
 
 
+@pytest.mark.parametrize("in_time", [True, False])
+def test_a_connection_that_rests_is_not_used_once_its_host_has_moved(in_time: bool) -> None:
+    """While a request waits for it, which is given up meanwhile or not."""
+
+    async def story() -> None:
+        async with Server() as old, Server() as new, gate(("a", old.addr)) as it:
+            client = await it.client()
+            assert await client.ask(request("r1")) == (200, b"served")
+            client.send(request("r2", wait_ms=3000 if in_time else 4))
+            while not it.core.live:
+                await asyncio.sleep(0)  # the clock stands
+            moved = parse_roster(
+                {"version": 1, "full": True, "servers": [entry("a", new.addr)]},
+                it.platform.config.wire,
+            )
+            it.pool.list_news(moved)
+            assert (await client.answer())[0] == (200 if in_time else 503)
+            assert await client.ask(request("r3")) == (200, b"served")
+            assert len(old.seen) == 1
+            await eventually(lambda: len(it.hosts.open) == 1)
+
+    virtual.play(story())
+
+
 def test_interim_answers_ahead_are_passed_over() -> None:
     async def reply(message: bytes, writer: Writer) -> None:
         writer.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n")
