Refuse, and do not fail, what ran out of time before it was written

Cause: an attempt whose time ended while its connection was still coming up was told to the module as a time-out, which may have run. By test, with a connect time-out longer than the client waits: a payout of which no byte was written got 504, which promises nothing, in place of 503, which says that a repeat is harmless; and its start counted for the memory of its key. Ruled out: the connect time-out itself, which was told as never run; it comes later where a deadline is nearer, as with customers' short deadlines or connections that come up late.

Such an attempt ends as `expired` now: a proof that it did not run, and to the host's record what a time-out is, as a host that lets connections hang has to be shunned by somebody. One that waited for a connection to rest ends as moot, which says nothing of its host. A resting attempt has no connect time-out; it gets one where it goes on to a new connection.

Without it both cases of the new test fail (timeout, 504). The property test draws the new outcome too.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -17,6 +17,7 @@
     CHANGES,
     CONNECT_FAILED,
     ERROR,
+    EXPIRED,
     FAILED,
     FULL,
     GONE,
@@ -223,7 +224,9 @@
     def due(self, attempt: Attempt, now: int) -> None:
         """Look at an attempt's time-outs."""
         if attempt.ends <= now:
-            self._give_up(attempt, TIMEOUT)
+            # What has not been written never ran, whatever it waited for.
+            unsent = EXPIRED if attempt.connect_by else MOOT
+            self._give_up(attempt, TIMEOUT if attempt.conn is not None else unsent)
         elif attempt.connect_by and attempt.connect_by <= now:
             self._give_up(attempt, CONNECT_FAILED)
 
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -486,18 +486,18 @@
         if host.idle and not late:
             work = self._rest(attempt, host, _place(host), host.idle.pop(0))
         elif self.core.make_room():
-            self._open(host)
+            self._open(attempt, host, now)
             work = self._connect(attempt, host, _place(host))
         else:
             # Danger: told as a failed connection this would count against the host, and one host
             # after the other would be shunned for what this gateway lacks.
             self.pool.later(attempt, MOOT)
             return
-        attempt.connect_by = now + self.pool.reach.connect_timeout
         attempt.task = self.core.loop.create_task(work)
 
-    def _open(self, host: Host) -> None:
+    def _open(self, attempt: Attempt, host: Host, now: int) -> None:
         """A connection is about to be opened."""
+        attempt.connect_by = now + self.pool.reach.connect_timeout
         self.connecting += 1
         host.open += 1
 
@@ -512,11 +512,11 @@
             raise
         if conn.usable():
             attempt.task = None
-            attempt.connect_by = 0
             self._settle_on(attempt, host, chosen, conn)
             return
         conn.close()
-        self._open(host)
+        self._open(attempt, host, self.core.clock())
+        self.core.schedule(attempt.exchange)
         await self._connect(attempt, host, chosen)
 
     async def _connect(self, attempt: Attempt, host: Host, chosen: Chosen) -> None:
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -9,6 +9,7 @@
     BUSY,
     BY_HAND,
     CONNECT_FAILED,
+    EXPIRED,
     FAILED,
     MOOT,
     NEVER_RAN,
@@ -300,7 +301,7 @@
         """An attempt failed and the request is still owed an answer."""
         if request.out:
             return
-        if status in (TIMEOUT, MOOT) or now >= request.hold_until:
+        if status in (TIMEOUT, EXPIRED, MOOT) or now >= request.hold_until:
             # Danger: what a failing server still holds is no sign that the fleet is overloaded.
             if not failing:
                 self.overload.late(now, request, status != MOOT)
--- a/sailhitch/policy/health.py
+++ b/sailhitch/policy/health.py
@@ -5,7 +5,7 @@
 import math
 import random
 
-from ..interface import BUSY, CONNECT_FAILED, ERROR, OK, RESET, TIMEOUT, Report
+from ..interface import BUSY, CONNECT_FAILED, ERROR, EXPIRED, OK, RESET, TIMEOUT, Report
 from .overload import Overload
 from .rate import RATE_TAU, SADDLE_MIN
 from .roster import Roster
@@ -70,7 +70,7 @@
                 self._shun(now, server)
         elif status == CONNECT_FAILED:
             self._shun(now, server)
-        elif status == TIMEOUT:
+        elif status in (TIMEOUT, EXPIRED):
             if sent is not None and server.seen < sent:
                 # Nothing came from it since: it is silent, not busy.
                 self._shun(now, server)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -9,6 +9,7 @@
 
 from sailhitch.net.config import parse_roster
 from tests import virtual
+from tests.crossings import PATIENT, held_connects
 from tests.sockets import (
     Gate,
     Registry,
@@ -208,6 +209,25 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_what_was_never_written_in_its_time_is_refused_and_not_failed(body: bytes | None) -> None:
+    """Its connection does not come up; a payout that is told failed may have run."""
+
+    async def play() -> None:
+        async with (
+            Server() as host,
+            gate(("a", host.addr), settings=PATIENT) as it,
+            held_connects(host.addr) as held,
+        ):
+            client = await it.client()
+            assert await client.ask(request("r1", body, wait_ms=200)) == (503, b"")
+            assert held.waiting == 1
+            assert it.core.counters.statuses == {"expired": 1}
+            assert host.seen == []
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("wait_ms", [1, 2, 3, 5, 8, 12, 40])
 @pytest.mark.parametrize("body", [None, b"pay"])
 def test_a_client_in_a_hurry_has_its_answer_while_it_waits(
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -12,6 +12,7 @@
     CONNECT_FAILED,
     DRAINING,
     ERROR,
+    EXPIRED,
     FAILED,
     FULL,
     GONE,
@@ -29,7 +30,7 @@
 from tests.fake import MS, START, FakePort, S, settings_value
 
 NAMES = [f"s{i}" for i in range(6)]
-STATUSES = [OK, ERROR, BUSY, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED]
+STATUSES = [OK, ERROR, BUSY, TIMEOUT, EXPIRED, CONNECT_FAILED, RESET, CANCELLED]
 REPORTS = st.one_of(
     st.none(),
     st.builds(
