Read the operator file for one SIGHUP at a time

Cause: found by asking what a second SIGHUP meets. The daemon reads its file in a thread, and takes its turn at the switch only afterwards. Of two readings at a time the older could be gone by last, and the gateway would stay on settings that the file no longer has, with no line that says so. The platform's line reads in one turn of the loop and has no such moment.

The second reading begins once the first is gone by, or refused.

--- a/sailhitch/daemon/process.py
+++ b/sailhitch/daemon/process.py
@@ -46,6 +46,7 @@
         self.log = Log(self.gateway.name)
         self.stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._reading = asyncio.Lock()
 
     async def run(self, ready: Callable[[Live], None] = lambda live: None) -> None:
         """Serve until SIGTERM has been honoured; raises StartError."""
@@ -112,14 +113,16 @@
 
     async def _reread(self, source: Source) -> None:
         """SIGHUP: go to what the file says now, or stay as it was."""
-        try:
-            made = await asyncio.to_thread(load_file, self.path)
-            if made.gateway != self.gateway:
-                self.log.say("SIGHUP: [gateway] has changed; that holds from the next start on")
-            applied = await source.apply_file(made, "SIGHUP")
-            self.log.say(f"SIGHUP: serial {applied.serial}: {applied.summary}")
-        except (FileError, ApplyError) as error:
-            self.log.say(f"SIGHUP: nothing was changed: {error}")
+        # Danger: of two readings at a time the older could be the one that is gone by last.
+        async with self._reading:
+            try:
+                made = await asyncio.to_thread(load_file, self.path)
+                if made.gateway != self.gateway:
+                    self.log.say("SIGHUP: [gateway] has changed; that holds from the next start on")
+                applied = await source.apply_file(made, "SIGHUP")
+                self.log.say(f"SIGHUP: serial {applied.serial}: {applied.summary}")
+            except (FileError, ApplyError) as error:
+                self.log.say(f"SIGHUP: nothing was changed: {error}")
 
     async def _drain(self, core: Core, live: Live) -> None:
         self.log.say("SIGTERM: draining")
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import socket
+import threading
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -16,11 +17,14 @@
 
 from sailhitch.daemon.live import ApplyError
 from sailhitch.daemon.plan import MovedError, PlanError
+from sailhitch.daemon.process import Daemon
+from sailhitch.daemon.schema import OperatorFile, load_file
 from sailhitch.daemon.store import Store, StoreError
+from sailhitch.lab.files import toml_text
 from sailhitch.lab.load import Load
 from sailhitch.lab.node import Fault, Memory, Node, doubled
 from sailhitch.lab.ports import free_port
-from tests.daemons import Inside, file_value, inside, outside, part, pool
+from tests.daemons import Inside, file_value, inside, made, outside, part, pool
 from tests.sockets import PATIENCE, Client, until
 from tests.test_daemon import get, post
 
@@ -678,6 +682,40 @@
     run(work)
 
 
+def test_of_two_sighups_the_later_file_holds(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first reading is held up until the second one is gone by, or has not begun."""
+    readings: list[OperatorFile] = []
+    gone_by = threading.Event()
+
+    def held(path: str) -> OperatorFile:
+        made_ = load_file(path)
+        readings.append(made_)
+        if len(readings) == 1:
+            gone_by.wait(1.0)
+        return made_
+
+    async def work() -> None:
+        monkeypatch.setattr("sailhitch.daemon.process.load_file", held)
+        file, port = tmp_path / "g1.toml", free_port()
+        values = [file_value([pool("p", {name: "127.0.0.1:9"})], port) for name in "abc"]
+        async with inside(tmp_path, values[0]) as it:
+            daemon = Daemon(str(file), made(values[0]))
+            for count, value in enumerate(values[1:], 1):
+                file.write_text(toml_text(value))
+                daemon._reload(it.source)
+                if count == 1:
+                    await until(lambda: bool(readings))
+            await until(lambda: it.live.applied.serial > 1)
+            gone_by.set()
+            await until(lambda: not daemon._tasks)
+            assert len(readings) == 2
+            assert set(it.live.applied.state["nodes"]) == {"p/c"}
+
+    run(work)
+
+
 # --- The admin socket
 
 
