Let nobody in by a change that comes while the daemon ends

Cause: found by asking what an apply or a SIGHUP meets between the end of listening and the exit. A listener that the change adds was started, and took clients into a process that is about to go; one that the change removes was closed a second time, and what that raised in the middle of the switch left it half done: `OSError: [Errno 9] Bad file descriptor`, then `ValueError: Invalid file descriptor: -1`, by test. The change itself is right to take: it holds at the next start.

Once the daemon takes nobody in, a new listener is let go of, and closing one twice does nothing. All three cases of the test fail without it.

--- a/sailhitch/daemon/live.py
+++ b/sailhitch/daemon/live.py
@@ -77,6 +77,7 @@
         self.pools: dict[str, Pool] = {}
         self.places = Places(core)
         self.listeners: dict[str, Listener] = {}
+        self.ending = False  # nobody is taken in any more
         self.applied = Applied(0, 0, "nobody", EMPTY)
         self.out: set[str] = set()  # nodes that are banned, or not in use
         self.past: list[Applied] = []  # all that held, where there is no store
@@ -231,7 +232,10 @@
             listener = old.pop((part.address, part.protocol), None)
             if listener is None:
                 listener = bound[part.name]
-                listener.start()
+                if self.ending:
+                    listener.discard()
+                else:
+                    listener.start()
             self.listeners[part.name] = listener
         for listener in old.values():
             listener.retire()
@@ -242,7 +246,8 @@
         return {(said[n]["address"], said[n]["protocol"]): one for n, one in self.listeners.items()}
 
     def stop_listening(self) -> None:
-        """Take nobody new in; whoever is inside is served on."""
+        """Take nobody new in, whatever is decided from here on; whoever is inside is served on."""
+        self.ending = True
         for listener in self.listeners.values():
             listener.close()
 
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -963,6 +963,8 @@
 
         Danger: who still waits in the system's queue then is reset, with no answer.
         """
+        if self.sock.fileno() < 0:
+            return  # it was closed at the process's end, and settings that come then say so again
         self._accept(self.backlog, last=True)
         self.core.loop.remove_reader(self.sock)
         self.sock.close()
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -25,7 +25,7 @@
 from sailhitch.lab.node import Fault, Memory, Node, doubled
 from sailhitch.lab.ports import free_port
 from tests.daemons import Inside, file_value, inside, made, outside, part, pool
-from tests.sockets import PATIENCE, Client, until
+from tests.sockets import PATIENCE, Client, dial, until
 from tests.test_daemon import get, post
 
 
@@ -716,6 +716,29 @@
     run(work)
 
 
+@pytest.mark.parametrize("what", ["another", "one more", "none"])
+def test_a_change_that_comes_while_it_ends_lets_nobody_in(what: str, tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a:
+            port, more = free_port(), free_port()
+            value = file_value([pool("p", {"a": a})], port)
+            async with inside(tmp_path, value) as it:
+                client = await it.client()
+                assert (await client.ask(get()))[0] == 200
+                it.live.stop_listening()
+                listeners = [{"name": "more", "address": f"127.0.0.1:{more}"}]
+                if what == "one more":
+                    listeners = value["listeners"] + listeners
+                await it.go({**value, "listeners": [] if what == "none" else listeners})
+                for gone in (port, more):
+                    with pytest.raises(ConnectionRefusedError):
+                        await dial(f"127.0.0.1:{gone}")
+                if what == "one more":  # else its listener has gone, and the connection with it
+                    assert (await client.ask(get()))[0] == 200
+
+    run(work)
+
+
 # --- The admin socket
 
 
