Let go of a connection's place where an attempt is taken back in the turn it was made in

Cause: found by asking what a cancel meets before the work's first step. A task that is cancelled in the turn it was made in never begins, so neither its `except` nor its `finally` runs: the connection that was about to be opened stayed counted as under way for ever, one descriptor less for the life of the process; one that was to rest stayed with nobody. By test, with attempts taken back as the module takes back a second copy: hosts' size was one above what is idle, for good. Ruled out that clients which send much at once and go get there: the look at the client comes before the work is made, and reading is paused after it; both had to be passed over for it to show.

Whoever makes the work says what undoes it, and that is called where it was cancelled, begun or not.

--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import socket
-from typing import Final, cast
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, cast
 
 from ..core.budget import HELD_MOST, LONGEST
 from ..core.exchange import Attempt
@@ -484,16 +485,28 @@
                 return
             conn.close()
         if host.idle and not late:
-            work = self._rest(attempt, host, _place(host), host.idle.pop(0))
+            conn = host.idle.pop(0)
+            self._wait(attempt, self._rest(attempt, host, _place(host), conn), conn.close)
         elif self.core.make_room():
             self._open(attempt, host, now)
-            work = self._connect(attempt, host, _place(host))
+            self._wait(
+                attempt, self._connect(attempt, host, _place(host)), lambda: self._unopened(host)
+            )
         else:
             # Danger: told as a failed connection this would count against the host, and one host
             # after the other would be shunned for what this gateway lacks.
             self.pool.later(attempt, MOOT)
-            return
-        attempt.task = self.core.loop.create_task(work)
+
+    def _wait(
+        self, attempt: Attempt, work: Coroutine[Any, Any, None], undo: Callable[[], None]
+    ) -> None:
+        """Have an attempt wait for this work; `undo` if it is taken back before that is done.
+
+        Danger: work that is cancelled in the turn it was made in never begins, and none of it runs,
+        what it would let go of at its end included.
+        """
+        attempt.task = task = self.core.loop.create_task(work)
+        task.add_done_callback(lambda done: undo() if done.cancelled() else None)
 
     def _open(self, attempt: Attempt, host: Host, now: int) -> None:
         """A connection is about to be opened."""
@@ -501,15 +514,17 @@
         self.connecting += 1
         host.open += 1
 
+    def _unopened(self, host: Host) -> None:
+        """It was not."""
+        self.connecting -= 1
+        host.open -= 1
+
     async def _rest(self, attempt: Attempt, host: Host, chosen: Chosen, conn: Upstream) -> None:
         """Write on a connection once it has rested, or on a new one if it does not bear that."""
-        try:
-            await asyncio.sleep((conn.idle_since + REST - self.core.clock()) / 1e6)
-            while self.pool.unheard():
-                await asyncio.sleep(0.001)
-        except asyncio.CancelledError:
-            conn.close()  # its host may have moved or started anew meanwhile
-            raise
+        # Cancelled here it is closed: its host may have moved or started anew meanwhile.
+        await asyncio.sleep((conn.idle_since + REST - self.core.clock()) / 1e6)
+        while self.pool.unheard():
+            await asyncio.sleep(0.001)
         if conn.usable():
             attempt.task = None
             self._settle_on(attempt, host, chosen, conn)
@@ -527,8 +542,7 @@
         except OSError:
             # Danger: what escapes here leaves the attempt to its time-out, and counted as under
             # way for ever. It says nothing of the host: the system has no descriptor.
-            self.connecting -= 1
-            host.open -= 1
+            self._unopened(host)
             attempt.task, attempt.connect_by = None, 0
             core.exhausted()
             if not attempt.over:
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sailhitch.core.exchange import Attempt
 from sailhitch.net.config import parse_roster
 from tests import virtual
 from tests.crossings import PATIENT, held_connects
@@ -125,6 +126,28 @@
     virtual.play(story())
 
 
+def test_an_attempt_taken_back_in_the_turn_it_was_made_in_leaves_nothing_behind() -> None:
+    """While it was about to wait for a new connection, then for one that rests."""
+
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            client, start = await it.client(), it.hosts.start
+
+            def taken_back(attempt: Attempt, now: int) -> None:
+                start(attempt, now)
+                it.pool.cancel(attempt.exchange.id, attempt.n)
+
+            for name in ("r1", "r2"):
+                it.hosts.start = taken_back  # type: ignore[method-assign]
+                assert (await client.ask(request(name)))[0] in (502, 503)
+                it.hosts.start = start  # type: ignore[method-assign]
+                await until(lambda: it.hosts.size() == len(it.hosts.hosts["a"].idle))
+                assert it.hosts.hosts["a"].open == len(it.hosts.open)
+                assert await client.ask(request(f"{name}-after")) == (200, b"served")
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("in_time", [True, False])
 def test_a_connection_that_rests_is_not_used_once_its_host_has_moved(in_time: bool) -> None:
     """While a request waits for it, which is given up meanwhile or not."""
