Say set-ups of the crossings' tests once, and leave out a wait that decides nothing

The test of news in a stall waited for a connection to rest, which the stall itself outlasts. No assertion has changed.

Left: stories that begin alike and end differently.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from sailhitch.net.downstream import Downstream
-from tests.sockets import PATIENCE, Client, Gate, until
+from tests.sockets import PATIENCE, Client, Gate, Server, gate, until
 
 # No time-out of ours decides a race that a test holds open.
 PATIENT: dict[str, Any] = {"limits": {"connectTimeout": 20_000_000}}
@@ -50,11 +50,27 @@
         loop.sock_connect = connect
 
 
+@contextlib.asynccontextmanager
+async def waiting_gate() -> AsyncIterator[tuple[Server, Gate, Held]]:
+    """A gateway with one host, whose connections come up when the test says so."""
+    async with (
+        Server() as host,
+        gate(("a", host.addr), settings=PATIENT) as it,
+        held_connects(host.addr) as held,
+    ):
+        yield host, it, held
+
+
+def reset_at_close(sock: Any) -> None:
+    """Closing it resets the connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def leave(client: Client, how: str) -> None:
     """A client closes its connection: in the ordinary way, with a reset, or with more behind."""
     sock = client.writer.get_extra_info("socket")
     if how == "reset":
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_at_close(sock)
     elif how == "bytes before":
         client.send(b"GET /more HTTP/1.1\r\nHost: h\r\n")
     client.writer.transport.abort()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
@@ -189,6 +190,12 @@
         return await self.answer()
 
 
+def plain(addr: str) -> socket.socket:
+    """A connection that the test uses without the loop."""
+    host, _, port = addr.rpartition(":")
+    return socket.create_connection((host, int(port)))
+
+
 async def dial(addr: str) -> Client:
     host, _, port = addr.rpartition(":")
     return Client(*await asyncio.open_connection(host, int(port)))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -14,7 +14,7 @@
 
 from sailhitch.core.budget import Budget
 from sailhitch.front import door
-from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, request, until
+from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, plain, request, until
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: x1\r\nReq-Kind: side_effect-all\r\n"
 WAIT = b"Req-Deadline-Ms: 900\r\n"
@@ -241,7 +241,7 @@
 
 def test_a_connection_whose_next_request_is_here_unread_is_not_closed_as_idle() -> None:
     async def act(it: Gate, host: Server) -> None:
-        sock = socket.create_connection(tuple(it.addr.split(":")))  # type: ignore[arg-type]
+        sock = plain(it.addr)
         with sock:
             await until(lambda: len(it.core.clients) == 1)
             (client,) = it.clients()
@@ -299,11 +299,10 @@
     async def run() -> None:
         loop = asyncio.get_running_loop()
         async with Server() as host, gate(("a", host.addr), limits={"sockets": 64}) as it:
-            name, _, port = it.addr.rpartition(":")
             with contextlib.ExitStack() as stack:
                 crowd = []
                 for i in range(80):  # the loop has no turn to take anybody in
-                    one = stack.enter_context(socket.create_connection((name, int(port))))
+                    one = stack.enter_context(plain(it.addr))
                     one.sendall(request(f"w{i}"))
                     one.setblocking(False)
                     crowd.append(one)
--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -9,14 +9,13 @@
 
 import asyncio
 import socket
-import struct
 
 import pytest
 
 from sailhitch.core.budget import HELD_MOST
 from sailhitch.core.terms import Roster
-from tests.crossings import PATIENT, ended, held_connects, leave, unread
-from tests.sockets import Client, Gate, Server, Writer, answer, gate, request, until
+from tests.crossings import PATIENT, ended, leave, reset_at_close, unread, waiting_gate
+from tests.sockets import Client, Gate, Server, Writer, answer, gate, plain, request, until
 
 HOW = ("end", "reset", "bytes before")
 pytestmark = pytest.mark.parametrize("how", HOW)
@@ -64,11 +63,7 @@
 @pytest.mark.parametrize("body", [None, b"pay"])
 def test_waiting_for_a_connection(how: str, body: bytes | None) -> None:
     async def play() -> None:
-        async with (
-            Server() as host,
-            gate(("a", host.addr), settings=PATIENT) as it,
-            held_connects(host.addr) as held,
-        ):
+        async with waiting_gate() as (host, it, held):
             client = await it.client()
             client.send(request("r1", body))
             await until(lambda: held.waiting == 1)
@@ -172,11 +167,7 @@
 
 def test_with_half_a_body_and_no_connection_yet(how: str) -> None:
     async def play() -> None:
-        async with (
-            Server() as host,
-            gate(("a", host.addr), settings=PATIENT) as it,
-            held_connects(host.addr) as held,
-        ):
+        async with waiting_gate() as (host, it, held):
             client = await it.client()
             first, rest = _long("r1", HELD_MOST + 9000)
             client.send(first)
@@ -240,15 +231,13 @@
         server = await asyncio.start_server(read, "127.0.0.1", 0)
         addr = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         async with server, gate(("a", addr), settings=PATIENT) as it:
-            name, _, port = it.addr.rpartition(":")
             first, rest = _long("r1", HELD_MOST + 9000)
-            with socket.create_connection((name, int(port))) as client:
+            with plain(it.addr) as client:
                 client.setblocking(False)
                 await asyncio.get_running_loop().sock_sendall(client, first)
                 await until(lambda: sum(got) >= HELD_MOST)
                 if how == "reset":
-                    linger = struct.pack("ii", 1, 0)
-                    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    reset_at_close(client)
                 more = b"GET /more HTTP/1.1\r\n" if how == "bytes before" else b""
                 assert client.send(rest + more) == len(rest + more)
             await until(lambda: not it.core.live and not it.clients() and not it.hosts.open)
--- a/tests/test_hosts.py
+++ b/tests/test_hosts.py
@@ -10,7 +10,7 @@
 from sailhitch.core.exchange import Attempt
 from sailhitch.net.config import parse_roster
 from tests import virtual
-from tests.crossings import PATIENT, held_connects
+from tests.crossings import waiting_gate
 from tests.sockets import (
     Gate,
     Registry,
@@ -237,11 +237,7 @@
     """Its connection does not come up; a payout that is told failed may have run."""
 
     async def play() -> None:
-        async with (
-            Server() as host,
-            gate(("a", host.addr), settings=PATIENT) as it,
-            held_connects(host.addr) as held,
-        ):
+        async with waiting_gate() as (host, it, held):
             client = await it.client()
             assert await client.ask(request("r1", body, wait_ms=200)) == (503, b"")
             assert held.waiting == 1
--- a/tests/test_leaving_hosts.py
+++ b/tests/test_leaving_hosts.py
@@ -14,7 +14,6 @@
 
 from sailhitch.core.core import BEAT
 from sailhitch.core.wheel import LATE
-from sailhitch.net.upstream import REST
 from tests.crossings import PATIENT, held_connects
 from tests.sockets import Registry, Server, Writer, answer, entry, gate, request, until
 
@@ -135,7 +134,6 @@
             async with registry, gate(("a", leaving.addr), discovery=registry.addr) as it:
                 client = await it.client()
                 assert await client.ask(request("r1")) == (200, b"served")
-                await asyncio.sleep(REST / 1e6)
                 seen = len(registry.seen)
                 await until(lambda: len(registry.seen) > seen)  # a call has just begun to wait
                 listed = [entry("a", leaving.addr, "leaving"), entry("b", staying.addr)]
