--- /dev/null
+++ b/sailhitch/pages/page.py
@@ -0,0 +1,256 @@
+"""The encoding of one page: a leaf of entries, or a branch of up to 16 children.
+
+Integers are big-endian. Each page has exactly one encoding, and the decoder accepts no other.
+
+- Leaf: `L`, then for each entry, in the order of paths: the lengths of group, name and value
+  (2, 2 and 4 bytes), the group, the name, the value.
+- Branch: `B`, the number of digits that it skips (1 byte), these digits (two to a byte, an odd
+  last one followed by a zero digit), a bit for each child (2 bytes, the lowest bit for digit 0),
+  then for each child, in the order of digits: digest (32 bytes), number of entries (4 bytes) and
+  encoded size of the entries (8 bytes) of its subtree.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import NamedTuple
+
+from .interface import MAX_NAME_BYTES, MAX_PAGE_BYTES, Key, PageError
+from .paths import PATH_DIGITS, key_path
+
+DIGITS = "0123456789abcdef"
+_LEAF = b"L"
+_BRANCH = b"B"
+_LENGTHS = struct.Struct(">HHI")
+_CHILDREN = struct.Struct(">H")
+_CHILD = struct.Struct(">32sIQ")
+_SKIP_AT = 2  # after the kind and the number of skipped digits
+MAX_ENTRY_BYTES = MAX_PAGE_BYTES - len(_LEAF)
+
+
+class Entry(NamedTuple):
+    """An entry with its path, and as it stands in a leaf."""
+
+    path: str
+    key: Key
+    encoded: bytes
+
+    @property
+    def value(self) -> bytes:
+        return self.encoded[len(self.encoded) - _LENGTHS.unpack_from(self.encoded)[2] :]
+
+
+@dataclass(frozen=True, slots=True)
+class Leaf:
+    """Entries in the order of their paths; only the root may have none."""
+
+    entries: tuple[Entry, ...]
+
+    @property
+    def count(self) -> int:
+        return len(self.entries)
+
+    @property
+    def size(self) -> int:
+        return sum(len(entry.encoded) for entry in self.entries)
+
+
+@dataclass(frozen=True, slots=True)
+class Reference:
+    """What a branch holds of a child: its digest, and the totals of the entries below it."""
+
+    digest: str
+    count: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Branch:
+    """The digits that all paths below share from the page's place on, and children by digit."""
+
+    skip: str
+    children: Mapping[str, Reference]
+
+
+def page_digest(raw: bytes) -> str:
+    """The name of a page: its SHA-256 in hexadecimal digits."""
+    return sha256(raw).hexdigest()
+
+
+def make_entry(key: Key, value: bytes) -> Entry:
+    """The entry for a key and its value; raises ValueError if either is too long."""
+    group = _encode_name("group", key.group)
+    name = _encode_name("name", key.name)
+    encoded = b"".join((_LENGTHS.pack(len(group), len(name), len(value)), group, name, value))
+    if len(encoded) > MAX_ENTRY_BYTES:
+        raise ValueError(
+            f"entry {key.group!r} {key.name!r}: {len(encoded)} bytes, at most {MAX_ENTRY_BYTES}"
+        )
+    return Entry(key_path(key), key, encoded)
+
+
+def check_key(key: Key) -> None:
+    """Raise ValueError if the key can't be that of an entry."""
+    _encode_name("group", key.group)
+    _encode_name("name", key.name)
+
+
+def _encode_name(field: str, text: str) -> bytes:
+    try:
+        encoded = text.encode()
+    except UnicodeEncodeError as error:
+        raise ValueError(f"{field} {text[:80]!r}: not valid Unicode") from error
+    if len(encoded) > MAX_NAME_BYTES:
+        raise ValueError(
+            f"{field} {text[:80]!r}...: {len(encoded)} bytes of UTF-8, at most {MAX_NAME_BYTES}"
+        )
+    return encoded
+
+
+def encode_leaf(entries: Iterable[Entry]) -> bytes:
+    """The raw page of entries that are in the order of their paths."""
+    return _LEAF + b"".join(entry.encoded for entry in entries)
+
+
+def encode_branch(branch: Branch) -> bytes:
+    """The raw page of a branch."""
+    skip = branch.skip
+    parts = [_BRANCH, bytes((len(skip),)), _pack_digits(skip)]
+    digits = sorted(branch.children)
+    parts.append(_CHILDREN.pack(sum(1 << DIGITS.index(digit) for digit in digits)))
+    for digit in digits:
+        child = branch.children[digit]
+        parts.append(_CHILD.pack(bytes.fromhex(child.digest), child.count, child.size))
+    return b"".join(parts)
+
+
+def _pack_digits(digits: str) -> bytes:
+    return bytes.fromhex(digits if len(digits) % 2 == 0 else digits + "0")
+
+
+def decode(raw: bytes) -> Leaf | Branch:
+    """The page that is encoded so; raises PageError if none is."""
+    if len(raw) > MAX_PAGE_BYTES:
+        raise PageError(f"page: {len(raw)} bytes, at most {MAX_PAGE_BYTES}")
+    kind = raw[:1]
+    if kind == _LEAF:
+        return _decode_leaf(raw)
+    if kind == _BRANCH:
+        return _decode_branch(raw)
+    raise PageError(f"page: unknown kind {kind!r}")
+
+
+def _decode_leaf(raw: bytes) -> Leaf:
+    entries: list[Entry] = []
+    at = len(_LEAF)
+    previous = ""
+    while at < len(raw):
+        entry = _decode_entry(raw, at)
+        if entry.path <= previous:
+            raise PageError(f"leaf, byte {at}: entry {entry.key!r} is not after the one before it")
+        previous = entry.path
+        entries.append(entry)
+        at += len(entry.encoded)
+    return Leaf(tuple(entries))
+
+
+def _decode_entry(raw: bytes, at: int) -> Entry:
+    start = at + _LENGTHS.size
+    if start > len(raw):
+        raise PageError(f"leaf, byte {at}: ends within the lengths of an entry")
+    group_length, name_length, value_length = _LENGTHS.unpack_from(raw, at)
+    name_start = start + group_length
+    value_start = name_start + name_length
+    end = value_start + value_length
+    if end > len(raw):
+        raise PageError(f"leaf, byte {at}: ends within an entry of {end - at} bytes")
+    group = _decode_name("group", raw, start, name_start)
+    name = _decode_name("name", raw, name_start, value_start)
+    key = Key(group, name)
+    return Entry(key_path(key), key, raw[at:end])
+
+
+def _decode_name(field: str, raw: bytes, start: int, end: int) -> str:
+    if end - start > MAX_NAME_BYTES:
+        raise PageError(
+            f"leaf, byte {start}: {field} of {end - start} bytes, at most {MAX_NAME_BYTES}"
+        )
+    try:
+        return raw[start:end].decode()
+    except UnicodeDecodeError as error:
+        raise PageError(f"leaf, byte {start}: {field} is not UTF-8") from error
+
+
+def _decode_branch(raw: bytes) -> Branch:
+    skip, at = _decode_skip(raw)
+    if at + _CHILDREN.size > len(raw):
+        raise PageError("branch: ends before its children")
+    (present,) = _CHILDREN.unpack_from(raw, at)
+    at += _CHILDREN.size
+    digits = [digit for bit, digit in enumerate(DIGITS) if present >> bit & 1]
+    if len(digits) < 2:
+        raise PageError(f"branch: {len(digits)} children, at least 2")
+    expected = at + len(digits) * _CHILD.size
+    if len(raw) != expected:
+        raise PageError(f"branch: {len(raw)} bytes, its {len(digits)} children take {expected}")
+    children = {
+        digit: _decode_child(raw, at + index * _CHILD.size, digit)
+        for index, digit in enumerate(digits)
+    }
+    if len({child.digest for child in children.values()}) < len(children):
+        raise PageError("branch: has a child twice")
+    return Branch(skip, children)
+
+
+def _decode_skip(raw: bytes) -> tuple[str, int]:
+    if len(raw) < _SKIP_AT:
+        raise PageError("branch: ends before the number of skipped digits")
+    length = raw[1]
+    if length >= PATH_DIGITS:
+        raise PageError(f"branch: skips {length} digits, at most {PATH_DIGITS - 1}")
+    end = _SKIP_AT + (length + 1) // 2
+    if end > len(raw):
+        raise PageError("branch: ends within the skipped digits")
+    digits = raw[_SKIP_AT:end].hex()
+    if digits[length:] not in ("", "0"):
+        raise PageError("branch: the skipped digits are not followed by a zero digit")
+    return digits[:length], end
+
+
+def _decode_child(raw: bytes, at: int, digit: str) -> Reference:
+    digest, count, size = _CHILD.unpack_from(raw, at)
+    if not count:
+        raise PageError(f"branch: child {digit} has no entries")
+    if size < count * _LENGTHS.size:
+        raise PageError(f"branch: child {digit} has {count} entries in {size} bytes")
+    return Reference(digest.hex(), count, size)
+
+
+def child_digests(raw: bytes) -> tuple[str, ...]:
+    """The digests of a branch's children, () for a leaf; raises PageError.
+
+    A leaf's entries are not looked at: `verify` does that.
+    """
+    if raw[:1] == _LEAF and len(raw) <= MAX_PAGE_BYTES:
+        return ()
+    page = decode(raw)
+    if isinstance(page, Leaf):
+        return ()
+    return tuple(child.digest for child in page.children.values())
+
+
+def verified(raw: bytes, digest: str) -> Leaf | Branch:
+    """The page with this digest; raises PageError if it is malformed, too large or another."""
+    page = decode(raw)
+    actual = page_digest(raw)
+    if actual != digest:
+        raise PageError(f"page {digest}: its content has the digest {actual}")
+    return page
+
+
+def verify(raw: bytes, digest: str) -> None:
+    """Raise PageError if the page is malformed, too large, or not the one with this digest."""
+    verified(raw, digest)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -52,13 +52,31 @@
 
 
 @pytest.mark.parametrize(
-    ("part", "more"), [("tier", ()), ("zones", ()), ("model", ("tier", "zones"))]
+    ("part", "more"),
+    [
+        ("pages", ()),
+        ("tier", ("pages",)),
+        ("zones", ()),
+        ("model", ("pages", "tier", "zones")),
+    ],
 )
 def test_the_tier_knows_nothing_of_the_gateway(part: str, more: tuple[str, ...]) -> None:
-    for path in sorted((ROOT / part).glob("*.py")):
+    paths = sorted((ROOT / part).glob("*.py"))
+    assert paths
+    for path in paths:
         assert _imports(path) <= {part, *more}, path.name
 
 
+def test_the_pages_need_the_standard_library_alone() -> None:
+    for path in sorted((ROOT / "pages").glob("*.py")):
+        for node in ast.walk(ast.parse(path.read_text())):
+            names = [alias.name for alias in node.names] if isinstance(node, ast.Import) else []
+            if isinstance(node, ast.ImportFrom) and not node.level:
+                names = [node.module or ""]
+            used = {name.partition(".")[0] for name in names}
+            assert used <= set(sys.stdlib_module_names), path.name
+
+
 def test_no_source_of_states_knows_another_and_the_switch_knows_none() -> None:
     names = {"live": {"source", "tiered", "link", "rules"}, "source": {"tiered", "link", "rules"}}
     for name, others in names.items():
