Test pages by random histories, chosen names and malformed pages

A branch whose one child is left is now replaced before its entries are gathered, which read a lone leaf that keeps its page; a test found it. Totals that no branch above could hold are refused. tests/test_pages.py: 89 passed.

--- a/sailhitch/pages/page.py
+++ b/sailhitch/pages/page.py
@@ -29,6 +29,8 @@
 _CHILD = struct.Struct(">32sIQ")
 _SKIP_AT = 2  # after the kind and the number of skipped digits
 MAX_ENTRY_BYTES = MAX_PAGE_BYTES - len(_LEAF)
+_MAX_COUNT = (1 << 32) - 1
+_MAX_SIZE = (1 << 64) - 1
 
 
 class Entry(NamedTuple):
@@ -202,9 +204,20 @@
     }
     if len({child.digest for child in children.values()}) < len(children):
         raise PageError("branch: has a child twice")
+    _check_totals(children)
     return Branch(skip, children)
 
 
+def _check_totals(children: Mapping[str, Reference]) -> None:
+    """The totals must fit into the page of a branch above."""
+    count = sum(child.count for child in children.values())
+    if count > _MAX_COUNT:
+        raise PageError(f"branch: {count} entries, at most {_MAX_COUNT}")
+    size = sum(child.size for child in children.values())
+    if size > _MAX_SIZE:
+        raise PageError(f"branch: entries of {size} bytes, at most {_MAX_SIZE}")
+
+
 def _decode_skip(raw: bytes) -> tuple[str, int]:
     if len(raw) < _SKIP_AT:
         raise PageError("branch: ends before the number of skipped digits")
--- a/sailhitch/pages/tree.py
+++ b/sailhitch/pages/tree.py
@@ -159,14 +159,14 @@
 
     def _canonical(self, prefix: str, children: Mapping[str, Node]) -> Node:
         """The node of these children, which are canonical themselves."""
+        if len(children) == 1:
+            (child,) = children.values()
+            # A leaf's page is the same in any place; a branch's holds the digits from its place.
+            return child if _fits(child, self._leaf_size) else self._load(child)
         branch = make_branch(prefix, children)
         if _fits(branch, self._leaf_size):
             return Leaf(tuple(self._entries_of(children.values())))
-        if len(children) > 1:
-            return branch
-        (child,) = children.values()
-        # A leaf's page is the same in any place; that of a branch holds the digits from its place.
-        return child if _fits(child, self._leaf_size) else self._load(child)
+        return branch
 
     def _entries_of(self, children: Iterable[Node]) -> Iterator[Entry]:
         """The entries of children that fit into one leaf, and so are leaves each."""
--- /dev/null
+++ b/tests/test_pages.py
@@ -0,0 +1,672 @@
+"""Trees of pages: one shape for the same entries, cheap edits, and no page believed unseen."""
+
+from __future__ import annotations
+
+import struct
+import tracemalloc
+import zlib
+from collections.abc import Iterator, Mapping
+from itertools import count, pairwise
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sailhitch.pages import (
+    LEAF_SIZE,
+    MAX_NAME_BYTES,
+    MAX_PAGE_BYTES,
+    Change,
+    Key,
+    PageError,
+    Tree,
+    build,
+    child_digests,
+    compress,
+    decompress,
+    difference,
+    page_digest,
+    read_entries,
+    update,
+    verify,
+)
+from sailhitch.pages.page import (
+    MAX_ENTRY_BYTES,
+    Branch,
+    Leaf,
+    Reference,
+    decode,
+    encode_branch,
+    encode_leaf,
+    make_entry,
+)
+from sailhitch.pages.paths import PATH_DIGITS, common_prefix, key_path
+
+Entries = dict[Key, bytes]
+Edits = dict[Key, bytes | None]
+GROUP_DIGITS = 16
+ENTRY_HEAD = 8  # bytes of an entry beside its names and its value
+BRANCH_HEAD = 4  # bytes of a branch that skips nothing, before its children
+CHILD_BYTES = 44
+
+
+class Source:
+    """Pages in memory, with the digests of all that were read."""
+
+    def __init__(self, *trees: Tree) -> None:
+        self.pages: dict[str, bytes] = {}
+        self.read: list[str] = []
+        for tree in trees:
+            self.pages.update(tree.pages)
+
+    def page(self, digest: str) -> bytes:
+        self.read.append(digest)
+        return self.pages[digest]
+
+    def add(self, raw: bytes) -> str:
+        digest = page_digest(raw)
+        self.pages[digest] = raw
+        return digest
+
+
+def edited(entries: Mapping[Key, bytes], edits: Mapping[Key, bytes | None]) -> Entries:
+    """What a dict would have after the edits."""
+    after = dict(entries)
+    for key, value in edits.items():
+        if value is None:
+            after.pop(key, None)
+        else:
+            after[key] = value
+    return after
+
+
+def dict_changes(old: Entries, new: Entries) -> list[Change]:
+    """The difference of two dicts, in the order of paths."""
+    changes = [Change(key, old.get(key), new.get(key)) for key in old.keys() | new.keys()]
+    changes = [change for change in changes if change.before != change.after]
+    return sorted(changes, key=lambda change: key_path(change.key))
+
+
+def placed(pages: Mapping[str, bytes], digest: str, place: str = "") -> Iterator[tuple[str, str]]:
+    """The place and the digest of each page of a tree."""
+    yield place, digest
+    page = decode(pages[digest])
+    if isinstance(page, Branch):
+        for digit, child in page.children.items():
+            yield from placed(pages, child.digest, place + page.skip + digit)
+
+
+def names_at(digits: str, group: str = "g") -> Iterator[Key]:
+    """Keys of a group whose paths go on with these digits after the group's."""
+    for number in count():
+        key = Key(group, f"n{number}")
+        if key_path(key).startswith(digits, GROUP_DIGITS):
+            yield key
+
+
+# --- One shape, whatever the history
+
+KEYS = st.builds(
+    Key, st.sampled_from(["a", "b", "pool/c"]), st.integers(0, 30).map(lambda number: f"n{number}")
+)
+VALUES = st.binary(max_size=40)
+EDITS = st.dictionaries(KEYS, st.none() | VALUES, max_size=20)
+LEAF_SIZES = st.sampled_from([1, 30, 100, 400, LEAF_SIZE])
+
+
+@settings(max_examples=150)
+@given(st.lists(EDITS, max_size=8), LEAF_SIZES)
+def test_a_tree_is_the_same_whatever_led_to_it(history: list[Edits], leaf_size: int) -> None:
+    entries: Entries = {}
+    tree = build({}, leaf_size)
+    source = Source(tree)
+    for edits in history:
+        entries = edited(entries, edits)
+        whole = build(entries, leaf_size)
+        updated = update(source, tree.root, edits, leaf_size)
+        assert updated.root == whole.root
+        assert updated.pages.keys() == whole.pages.keys() - tree.pages.keys()
+        assert {**whole.pages, **updated.pages} == whole.pages
+        source.pages.update(updated.pages)
+        assert dict(read_entries(source, updated.root)) == entries
+        tree = whole
+
+
+@settings(max_examples=150)
+@given(st.dictionaries(KEYS, VALUES), EDITS, LEAF_SIZES)
+def test_a_difference_is_that_of_the_dicts_and_reads_what_differs_alone(
+    old: Entries, edits: Edits, leaf_size: int
+) -> None:
+    new = edited(old, edits)
+    old_tree, new_tree = build(old, leaf_size), build(new, leaf_size)
+    source = Source(old_tree, new_tree)
+    assert list(difference(source, old_tree.root, new_tree.root)) == dict_changes(old, new)
+    assert len(source.read) == len(set(source.read))
+    # A page in both trees is read only if it has come to another place, or is a root.
+    differing = set(placed(source.pages, old_tree.root)) ^ set(placed(source.pages, new_tree.root))
+    assert set(source.read) <= {digest for _, digest in differing}
+
+
+def test_entries_are_read_in_the_order_of_their_paths_group_by_group() -> None:
+    entries = {Key(f"g{number % 3}", f"n{number}"): b"v" for number in range(60)}
+    tree = build(entries, 50)
+    keys = [key for key, _ in read_entries(Source(tree), tree.root)]
+    assert keys == sorted(entries, key=key_path)
+    groups = [key.group for key in keys]
+    assert groups == sorted(groups, key=groups.index)  # each group is one run
+
+
+def test_no_entries_are_an_empty_leaf() -> None:
+    tree = build({})
+    assert len(tree.pages) == 1
+    source = Source(tree)
+    assert list(read_entries(source, tree.root)) == []
+    assert child_digests(tree.pages[tree.root]) == ()
+    key = Key("g", "n")
+    one = update(source, tree.root, {key: b""})
+    source.pages.update(one.pages)
+    assert list(read_entries(source, one.root)) == [(key, b"")]
+    assert update(source, one.root, {key: None}).root == tree.root
+    assert list(difference(source, tree.root, one.root)) == [Change(key, None, b"")]
+    assert list(difference(source, one.root, tree.root)) == [Change(key, b"", None)]
+
+
+def test_what_changes_nothing_makes_no_page() -> None:
+    entries = {Key("g", f"n{number}"): bytes(20) for number in range(100)}
+    tree = build(entries, 200)
+    source = Source(tree)
+    for edits in ({}, {Key("g", "n7"): bytes(20)}, {Key("g", "none"): None}, {Key("h", ""): None}):
+        assert update(source, tree.root, edits, 200) == Tree(tree.root, {})
+
+
+# --- What an edit and a difference cost
+
+
+def test_one_edit_reads_and_writes_one_way_down() -> None:
+    entries = {Key(f"g{number % 20}", f"n{number}"): bytes(50) for number in range(5000)}
+    tree = build(entries, 500)
+    source = Source(tree)
+    depth = max(len(place) for place, _ in placed(tree.pages, tree.root))
+    assert depth > GROUP_DIGITS
+    for number in (0, 17, 4999):
+        source.read.clear()
+        edit = {Key(f"g{number % 20}", f"n{number}"): bytes(49) + b"x"}
+        updated = update(source, tree.root, edit, 500)
+        way = [d for place, d in placed(tree.pages, tree.root) if d in source.read]
+        assert sorted(way) == sorted(source.read)
+        assert len(source.read) == len(updated.pages) < 8
+        source.pages.update(updated.pages)
+        source.read.clear()
+        assert len(list(difference(source, tree.root, updated.root))) == 1
+        assert len(source.read) == 2 * len(updated.pages)
+
+
+def test_edits_of_one_group_touch_its_pages_alone() -> None:
+    entries = {Key(f"g{number % 20}", f"n{number}"): bytes(50) for number in range(2000)}
+    tree = build(entries, 500)
+    source = Source(tree)
+    edits: Edits = {key: b"new" for key in entries if key.group == "g3"}
+    updated = update(source, tree.root, edits, 500)
+    group_path = key_path(Key("g3", ""))[:GROUP_DIGITS]
+    for place, digest in placed(tree.pages, tree.root):
+        if digest in source.read:
+            assert group_path.startswith(place[:GROUP_DIGITS])
+    assert len(updated.pages) < len(tree.pages) / 5
+
+
+# --- Going back to fewer pages
+
+
+def test_entries_that_fit_into_one_leaf_again_are_one() -> None:
+    first, second, third = names_at("0"), names_at("1"), names_at("2")
+    small = {next(first): b"", next(second): b""}
+    large = next(third)
+    size = sum(len(make_entry(key, value).encoded) for key, value in small.items())
+    tree = build({**small, large: bytes(size)}, size)
+    assert len(tree.pages) == 4
+    source = Source(tree)
+    updated = update(source, tree.root, {large: None}, size)
+    assert updated.pages == build(small, size).pages
+    assert len(updated.pages) == 1
+    # One byte less and they don't fit.
+    tree = build({**small, large: bytes(size)}, size - 1)
+    updated = update(Source(tree), tree.root, {large: None}, size - 1)
+    assert updated.root == build(small, size - 1).root
+    assert len(build(small, size - 1).pages) == 3
+
+
+def test_what_does_not_fit_is_not_read_to_find_that_out() -> None:
+    keys = [next(names_at(digit)) for digit in "01234567"]
+    tree = build(dict.fromkeys(keys, bytes(100)), 200)
+    source = Source(tree)
+    update(source, tree.root, {keys[0]: None}, 200)
+    assert len(source.read) == 2  # the root and the leaf of the entry
+
+
+def test_a_leaf_left_alone_takes_its_branchs_place_unread() -> None:
+    alone, gone = next(names_at("0")), next(names_at("1"))
+    tree = build({alone: bytes(500), gone: bytes(500)}, 100)
+    source = Source(tree)
+    updated = update(source, tree.root, {gone: None}, 100)
+    assert updated.root == build({alone: bytes(500)}, 100).root
+    assert updated.root not in source.read
+    assert updated.pages == {}  # it is a page of the tree already
+
+
+def test_a_branch_left_alone_skips_the_digits_of_the_one_above() -> None:
+    below, gone = names_at("5"), next(names_at("6"))
+    kept = {next(below): bytes(100) for _ in range(20)}
+    tree = build({**kept, gone: b""}, 150)
+    source = Source(tree)
+    updated = update(source, tree.root, {gone: None}, 150)
+    assert updated.root == build(kept, 150).root
+    assert len(source.read) == 3  # the root, the leaf of the entry, and the branch alone
+    root = decode(updated.pages[updated.root])
+    assert isinstance(root, Branch)
+    assert root.skip == key_path(next(iter(kept)))[: GROUP_DIGITS + 1]
+
+
+def test_all_gone_is_an_empty_leaf() -> None:
+    entries = {Key(f"g{number % 5}", f"n{number}"): bytes(30) for number in range(500)}
+    tree = build(entries, 100)
+    assert update(Source(tree), tree.root, dict.fromkeys(entries), 100).root == build({}).root
+
+
+# --- Names and values that were chosen
+
+
+def test_names_whose_paths_share_many_digits_make_a_deep_tree_and_no_more() -> None:
+    keys = sorted((Key("g", f"n{number}") for number in range(200_000)), key=key_path)
+    paths = [key_path(key) for key in keys]
+    shared = [len(common_prefix(a, b)) for a, b in pairwise(paths)]
+    best = max(range(len(shared)), key=shared.__getitem__)
+    assert shared[best] >= GROUP_DIGITS + 7
+    target = paths[best]
+    # One name that leaves the target's path after each number of digits: a branch for each.
+    chosen = {len(common_prefix(target, path)): key for key, path in zip(keys, paths, strict=True)}
+    entries = {key: b"value" for key in chosen.values()}
+    tree = build(entries, 1)
+    depth = max(len(place) for place, _ in placed(tree.pages, tree.root))
+    assert depth == shared[best] + 1
+    assert sum(bool(child_digests(raw)) for raw in tree.pages.values()) >= 5
+    source = Source(tree)
+    assert dict(read_entries(source, tree.root)) == entries
+    root = tree.root
+    left = dict(entries)
+    for key in entries:  # taking them out one by one, from the top and the bottom in turn
+        updated = update(source, root, {key: None}, 1)
+        del left[key]
+        assert updated.root == build(left, 1).root
+        source.pages.update(updated.pages)
+        changes = list(difference(source, root, updated.root))
+        assert changes == [Change(key, b"value", None)]
+        root = updated.root
+
+
+def test_one_group_of_very_many_is_cut_by_names() -> None:
+    entries = {Key("tenants", f"t{number}"): b"{}" for number in range(20_000)}
+    tree = build(entries)
+    assert max(map(len, tree.pages.values())) <= LEAF_SIZE + 1
+    assert max(len(place) for place, _ in placed(tree.pages, tree.root)) <= GROUP_DIGITS + 6
+    assert len(dict(read_entries(Source(tree), tree.root))) == 20_000
+
+
+def test_a_value_larger_than_a_leaf_is_a_leaf_of_its_own() -> None:
+    large, small = Key("g", "large"), Key("g", "small")
+    key_bytes = ENTRY_HEAD + len("g") + len("large")
+    entries = {large: bytes(MAX_ENTRY_BYTES - key_bytes), small: b"x"}
+    tree = build(entries)
+    assert max(map(len, tree.pages.values())) == MAX_PAGE_BYTES
+    for digest, raw in tree.pages.items():
+        verify(raw, digest)
+    source = Source(tree)
+    assert dict(read_entries(source, tree.root)) == entries
+    over = {large: entries[large] + b"x"}
+    with pytest.raises(ValueError, match="'large': 262144 bytes, at most 262143"):
+        build(over)
+    with pytest.raises(ValueError, match="'large': 262144 bytes, at most 262143"):
+        update(source, tree.root, over)
+
+
+@pytest.mark.parametrize("field", ["group", "name"])
+def test_names_are_bounded_in_bytes_of_utf8(field: str) -> None:
+    longest = "é" * (MAX_NAME_BYTES // 2)
+    key = Key("g", "n")._replace(**{field: longest})
+    tree = build({key: b"v"})
+    verify(tree.pages[tree.root], tree.root)
+    assert list(read_entries(Source(tree), tree.root)) == [(key, b"v")]
+    over = key._replace(**{field: longest + "x"})
+    wrong = key._replace(**{field: "\ud800"})
+    for value in (b"v", None):
+        with pytest.raises(ValueError, match=f"^{field} .*1025 bytes of UTF-8, at most 1024"):
+            update(Source(tree), tree.root, {over: value})
+        with pytest.raises(ValueError, match=f"^{field} .*not valid Unicode"):
+            update(Source(tree), tree.root, {wrong: value})
+
+
+def test_names_and_values_of_any_look_are_kept() -> None:
+    names = ["", "\0", "a\0b", "b", "/", "../x", "\n", "\U0001f600", "L", "B" * 300]
+    entries = {Key(group, name): f"{group}L\0B{name}".encode() for group in names for name in names}
+    tree = build(entries, 60)
+    assert dict(read_entries(Source(tree), tree.root)) == entries
+
+
+@pytest.mark.parametrize("leaf_size", [-1, 0, MAX_ENTRY_BYTES + 1])
+def test_a_leaf_size_that_no_page_can_have_is_refused(leaf_size: int) -> None:
+    tree = build({})
+    with pytest.raises(ValueError, match=f"leaf_size {leaf_size}"):
+        build({}, leaf_size)
+    with pytest.raises(ValueError, match=f"leaf_size {leaf_size}"):
+        update(Source(tree), tree.root, {}, leaf_size)
+
+
+def test_an_update_under_another_leaf_size_is_refused() -> None:
+    entries = {Key("g", f"n{number}"): bytes(50) for number in range(40)}
+    one, many = build(entries, 4000), build(entries, 200)
+    with pytest.raises(PageError, match="not a leaf at leaf size 200"):
+        update(Source(one), one.root, {Key("g", "n1"): b""}, 200)
+    with pytest.raises(PageError, match="not a branch at leaf size 4000"):
+        update(Source(many), many.root, {Key("g", "n1"): b""}, 4000)
+
+
+def test_a_page_that_is_not_there_is_a_key_error() -> None:
+    entries = {Key("g", f"n{number}"): bytes(50) for number in range(40)}
+    tree = build(entries, 200)
+    other = build({}, 200)
+    source = Source(tree, other)
+    (lost, *_) = child_digests(tree.pages[tree.root])
+    del source.pages[lost]
+    with pytest.raises(KeyError, match=lost):
+        list(read_entries(source, tree.root))
+    with pytest.raises(KeyError, match=lost):
+        list(difference(source, other.root, tree.root))
+    with pytest.raises(KeyError, match=lost):
+        update(source, tree.root, dict.fromkeys(entries, b""), 200)
+
+
+# --- Pages that are wrong
+
+
+def accepted(raw: bytes) -> bool:
+    """Whether a page with its own digest passes; if so it must be the encoding of what it says."""
+    try:
+        verify(raw, page_digest(raw))
+    except PageError:
+        return False
+    page = decode(raw)
+    again = encode_leaf(page.entries) if isinstance(page, Leaf) else encode_branch(page)
+    assert again == raw
+    return True
+
+
+def sample_pages() -> list[bytes]:
+    """A leaf, and branches that skip an even number, an odd one and none."""
+    entries = {Key("g", f"n{number}"): f"value {number}".encode() for number in range(5)}
+    pages = [next(iter(build(entries).pages.values()))]
+    children = {
+        digit: Reference(page_digest(digit.encode()), 2, 40 + int(digit, 16)) for digit in "01af"
+    }
+    return pages + [encode_branch(Branch(skip, children)) for skip in ("", "b", "0c", "0" * 63)]
+
+
+SAMPLES = sample_pages()
+
+
+@pytest.mark.parametrize("raw", SAMPLES)
+def test_any_byte_changed_is_found_by_the_digest(raw: bytes) -> None:
+    digest = page_digest(raw)
+    verify(raw, digest)
+    for at in range(len(raw)):
+        for bit in range(8):
+            changed = bytearray(raw)
+            changed[at] ^= 1 << bit
+            with pytest.raises(PageError):
+                verify(bytes(changed), digest)
+
+
+@pytest.mark.parametrize("raw", SAMPLES)
+def test_a_page_has_one_encoding(raw: bytes) -> None:
+    assert accepted(raw)
+    for at in range(len(raw)):
+        for value in {0, 1, 0xFF, *(raw[at] ^ 1 << bit for bit in range(8))}:
+            accepted(raw[:at] + bytes((value,)) + raw[at + 1 :])
+    for tail in (b"\0", b"L", bytes(ENTRY_HEAD - 1), bytes(CHILD_BYTES)):
+        assert not accepted(raw + tail)
+
+
+@given(st.binary(max_size=200), st.sampled_from([b"", b"L", b"B", b"B\0", b"B\2\x12"]))
+def test_no_bytes_break_the_decoder(tail: bytes, head: bytes) -> None:
+    accepted(head + tail)
+
+
+@pytest.mark.parametrize("raw", SAMPLES)
+def test_a_page_cut_short_is_refused(raw: bytes) -> None:
+    page = decode(raw)
+    whole = {1}  # where a leaf may end
+    if isinstance(page, Leaf):
+        for entry in page.entries:
+            whole.add(max(whole) + len(entry.encoded))
+    for length in range(len(raw)):
+        is_leaf = isinstance(page, Leaf) and length in whole
+        assert accepted(raw[:length]) == is_leaf, length
+
+
+def one_entry(group: bytes, name: bytes, value: bytes = b"") -> bytes:
+    return struct.pack(">HHI", len(group), len(name), len(value)) + group + name + value
+
+
+def in_order(*names: str) -> list[bytes]:
+    keys = sorted((Key("g", name) for name in names), key=key_path)
+    return [make_entry(key, b"v").encoded for key in keys]
+
+
+FIRST, SECOND = in_order("one", "two")
+HEAD = b"B\0" + struct.pack(">H", 0b11)
+CHILD = bytes(32) + struct.pack(">IQ", 1, 9)
+OTHER = b"\1" * 32 + struct.pack(">IQ", 1, 9)
+
+
+@pytest.mark.parametrize(
+    ("raw", "said"),
+    [
+        (b"", "unknown kind b''"),
+        (b"X", "unknown kind b'X'"),
+        (b"L" + bytes(MAX_PAGE_BYTES), "262145 bytes, at most 262144"),
+        (b"B" + bytes(MAX_PAGE_BYTES), "262145 bytes, at most 262144"),
+        (b"L" + SECOND + FIRST, "not after the one before"),
+        (b"L" + FIRST + FIRST, "not after the one before"),
+        (b"L" + FIRST[:-1] + b"w" + FIRST, "not after the one before"),
+        (b"L" + bytes(7), "ends within the lengths of an entry"),
+        (b"L" + FIRST + bytes(7), "ends within the lengths of an entry"),
+        (b"L" + b"\xff" * 8, "ends within an entry of 4295098373 bytes"),
+        (b"L" + one_entry(b"g" * 1025, b"n"), "group of 1025 bytes, at most 1024"),
+        (b"L" + one_entry(b"g", b"n" * 1025), "name of 1025 bytes, at most 1024"),
+        (b"L" + one_entry(b"\xff", b"n"), "byte 9: group is not UTF-8"),
+        (b"L" + one_entry(b"g", b"\xed\xa0\x80"), "byte 10: name is not UTF-8"),
+        (b"B", "ends before the number of skipped digits"),
+        (b"B\x40", "skips 64 digits, at most 63"),
+        (b"B\x02", "ends within the skipped digits"),
+        (b"B\x01\x1f" + HEAD[2:] + CHILD + OTHER, "not followed by a zero digit"),
+        (b"B\x00\x00", "ends before its children"),
+        (b"B\0\0\0", "0 children, at least 2"),
+        (b"B\0\0\1" + CHILD, "1 children, at least 2"),
+        (HEAD + CHILD, "48 bytes, its 2 children take 92"),
+        (HEAD + CHILD + OTHER + b"\0", "93 bytes, its 2 children take 92"),
+        (HEAD + CHILD + CHILD, "has a child twice"),
+        (HEAD + CHILD + bytes(44), "child 1 has no entries"),
+        (HEAD + CHILD + bytes(32) + struct.pack(">IQ", 2, 15), "2 entries in 15 bytes"),
+        (HEAD + CHILD + b"\1" * 32 + struct.pack(">IQ", 2**32 - 1, 2**40), "4294967296 entries"),
+        (
+            HEAD + CHILD + b"\1" * 32 + struct.pack(">IQ", 1, 2**64 - 1),
+            "18446744073709551624 bytes",
+        ),
+    ],
+)
+def test_what_is_wrong_with_a_page_is_said(raw: bytes, said: str) -> None:
+    with pytest.raises(PageError, match=said):
+        verify(raw, page_digest(raw))
+    if raw[:1] != b"L" or len(raw) > MAX_PAGE_BYTES:
+        with pytest.raises(PageError, match=said):
+            child_digests(raw)
+
+
+def test_children_are_named_in_the_order_of_digits() -> None:
+    assert child_digests(HEAD + CHILD + OTHER) == ("00" * 32, "01" * 32)
+
+
+def test_a_page_of_another_digest_is_refused_wherever_it_is_read() -> None:
+    tree, other = build({Key("g", "n"): b"v"}), build({Key("g", "n"): b"w"})
+    source = Source(tree, other)
+    source.pages[tree.root] = other.pages[other.root]
+    with pytest.raises(PageError, match=f"{tree.root}: its content has the digest {other.root}"):
+        verify(source.pages[tree.root], tree.root)
+    with pytest.raises(PageError, match=tree.root):
+        list(read_entries(source, tree.root))
+    with pytest.raises(PageError, match=tree.root):
+        list(difference(source, tree.root, other.root))
+    with pytest.raises(PageError, match=tree.root):
+        update(source, tree.root, {Key("g", "n"): None})
+
+
+# --- Pages that are right alone and wrong where they lie
+
+LEAF = 100  # of the trees below
+
+
+def family() -> tuple[Source, Branch, dict[str, list[Key]]]:
+    """A root branch over leaves at digits 0 and 1, and one over a branch at 2."""
+    keys = {"0": [next(names_at("0"))], "1": [next(names_at("1"))]}
+    below = names_at("2")
+    keys["2"] = [next(below) for _ in range(6)]
+    entries = {key: bytes(60) for part in keys.values() for key in part}
+    tree = build(entries, LEAF)
+    root = decode(tree.pages[tree.root])
+    assert isinstance(root, Branch)
+    assert root.skip == key_path(keys["0"][0])[:GROUP_DIGITS]
+    assert child_digests(tree.pages[root.children["2"].digest])
+    return Source(tree), root, keys
+
+
+def assert_refused(source: Source, wrong: Branch, said: str, digits: str) -> None:
+    """All that walks through the wrong branch refuses it."""
+    root = source.add(encode_branch(wrong))
+    empty = source.add(build({}).pages[build({}).root])
+    verify(source.pages[root], root)  # by itself it is well formed
+    with pytest.raises(PageError, match=said):
+        list(read_entries(source, root))
+    for pair in ((empty, root), (root, empty)):
+        with pytest.raises(PageError, match=said):
+            list(difference(source, *pair))
+    edits = {next(names_at(digit)): b"" for digit in digits}
+    with pytest.raises(PageError, match=said):
+        update(source, root, edits, LEAF)
+
+
+@pytest.mark.parametrize("digits", ["01", "02", "12"])
+def test_children_in_each_others_place_are_refused(digits: str) -> None:
+    source, root, _ = family()
+    first, second = digits[0], digits[1]
+    swapped = {first: root.children[second], second: root.children[first]}
+    wrong = Branch(root.skip, {**root.children, **swapped})
+    assert_refused(source, wrong, "does not belong at", digits)
+
+
+@pytest.mark.parametrize("skip", ["f" * GROUP_DIGITS, "", "0"])
+def test_wrong_skipped_digits_are_refused(skip: str) -> None:
+    source, root, _ = family()
+    wrong = Branch(skip, root.children)
+    digest = source.add(encode_branch(wrong))
+    right = source.add(encode_branch(root))
+    with pytest.raises(PageError, match="does not belong at"):
+        list(read_entries(source, digest))
+    for pair in ((digest, right), (right, digest)):
+        with pytest.raises(PageError, match="does not belong at"):
+            list(difference(source, *pair))
+
+
+@pytest.mark.parametrize(("more_count", "more_size"), [(1, 0), (0, 1), (0, -1), (5, 500)])
+@pytest.mark.parametrize("digit", ["0", "2"])
+def test_wrong_totals_of_a_child_are_refused(digit: str, more_count: int, more_size: int) -> None:
+    source, root, _ = family()
+    child = root.children[digit]
+    told = Reference(child.digest, child.count + more_count, child.size + more_size)
+    wrong = Branch(root.skip, {**root.children, digit: told})
+    assert_refused(source, wrong, "its parent says", digit)
+
+
+def test_branches_below_the_last_digit_are_refused() -> None:
+    children = dict(zip("01", (Reference(page_digest(b"x"), 1, 9),) * 2, strict=True))
+    children["1"] = Reference(page_digest(b"y"), 1, 9)
+    source = Source()
+    low = source.add(encode_branch(Branch("0" * 32, children)))
+    upper = {"0": Reference(low, 2, 18), "1": children["1"]}
+    root = source.add(encode_branch(Branch("0" * 31, upper)))
+    with pytest.raises(PageError, match=f"branch at digit 64, of {PATH_DIGITS} in a path"):
+        list(read_entries(source, root))
+
+
+def test_a_page_used_in_many_places_is_not_walked_over_and_over() -> None:
+    """Branches that name the same two pages all the way down would be a walk of 2**30 leaves."""
+    source = Source()
+    first, second = (next(names_at(digit, "g")) for digit in "01")
+    pair = [Reference(source.add(encode_leaf([make_entry(key, b"")])), 1, 11) for key in (first,)]
+    pair.append(Reference(source.add(encode_leaf([make_entry(second, b"")])), 1, 11))
+    for _ in range(30):
+        size = sum(child.size for child in pair)
+        total = sum(child.count for child in pair)
+        pages = [
+            encode_branch(Branch("", dict(zip(digits, pair, strict=True))))
+            for digits in ("01", "23")
+        ]
+        pair = [Reference(source.add(raw), total, size) for raw in pages]
+    root = source.add(encode_branch(Branch("", dict(zip("01", pair, strict=True)))))
+    with pytest.raises(PageError):
+        list(read_entries(source, root))
+    assert len(source.read) < 100  # the first page that lies wrong ends the walk
+
+
+# --- Packing
+
+
+@given(st.binary(max_size=3000))
+def test_what_is_packed_comes_back(raw: bytes) -> None:
+    packed = compress(raw)
+    assert decompress(packed, len(raw)) == raw
+    assert decompress(packed, MAX_PAGE_BYTES) == raw
+    if raw:
+        with pytest.raises(PageError, match=f"more than {len(raw) - 1} bytes"):
+            decompress(packed, len(raw) - 1)
+
+
+def test_a_bomb_is_left_when_it_grows_too_large() -> None:
+    bomb = zlib.compress(bytes(100 << 20), 9)
+    tracemalloc.start()
+    try:
+        with pytest.raises(PageError, match="more than 262144 bytes"):
+            decompress(bomb, MAX_PAGE_BYTES)
+        peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak < 4 * MAX_PAGE_BYTES
+
+
+def test_packed_pages_that_are_wrong_are_refused() -> None:
+    raw = SAMPLES[0]
+    packed = compress(raw)
+    for length in range(len(packed)):
+        with pytest.raises(PageError, match="packed page: ends too early"):
+            decompress(packed[:length], len(raw))
+    for tail in (b"\0", packed):
+        with pytest.raises(PageError, match=f"{len(tail)} bytes after its end"):
+            decompress(packed + tail, len(raw))
+    for wrong in (b"not packed", packed[:-1] + bytes((packed[-1] ^ 1,)), b"\x78\xbb" + packed[2:]):
+        with pytest.raises(PageError, match="packed page: "):
+            decompress(wrong, len(raw))
+    with pytest.raises(ValueError, match="most -1"):
+        decompress(packed, -1)
+
+
+def test_a_bound_of_nothing_is_one() -> None:
+    assert decompress(compress(b""), 0) == b""
+    with pytest.raises(PageError, match="more than 0 bytes"):
+        decompress(compress(b"x"), 0)
