Hear a shared discovery within 6 s of its return, whatever calls failed before

Observed: where discovery is asked, a change counts as told 6 s after discovery had it and could be reached. By the code the next call after a failed one came up to 6 s later: the module's back-off (4 s, with jitter half as much again) was waited for in whole, after a call that may itself be out for 4.2 s; connecting (0.5 s) and a whole list (1.7 s) come on top. A new process's first call came up to 0.35 of `askWithin` after its start. Checked by the virtual clock: seven ways to fail (refused, connection never up, reset, 503 at once or late, silent, spoilt), alone and in turn. Excluded: pushed lists, whose call, pause and next call fit into the grace; a silent watch alone, which was opened anew at once.

To blame: `Discovery._watch`, which waited for the module's word without a limit, and `WAIT_ASKED`, which left no time for connecting.

Change: the next call begins 3.6 s (`NEXT_CALL`, from the 6 s clock, less 0.2 s for the CPU, 0.5 s for connecting, 1.7 s for the answer) after the start of one that fails, at the latest; how long that call was out counts. Pauses before that are drawn as where lists are pushed, by the number of gateways. Connecting has 0.5 s of its own. A watch waits 1.9 s for 2.5 s.

--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -17,11 +17,16 @@
 from .look import shows
 
 PATH: Final = "/registry/instances"
-# What a watch misses counts as told so long after it fell silent (s). The call that is out then,
-# and the one after it, have to fit into that; there is some left for the CPU.
+# A change counts as told so long after discovery had it and could be reached (s), whatever calls
+# failed before, and so does what a watch misses that fell silent.
 TOLD: Final = 6.0
-PATIENCE_ASKED: Final = 1.7  # s for an answer where discovery is one service for all
-WAIT_ASKED: Final = TOLD - 2 * PATIENCE_ASKED - 0.1  # s that a watch waits there
+SPARE: Final = 0.2  # s of that for the CPU
+CONNECT_ASKED: Final = 0.5  # s for a connection where discovery is one service for all...
+PATIENCE_ASKED: Final = 1.7  # ...and for an answer, a whole list too
+# Latest start of the next call (s after the start of one that fails): connecting for it and its
+# answer have to fit into what is left.
+NEXT_CALL: Final = TOLD - SPARE - CONNECT_ASKED - PATIENCE_ASKED
+WAIT_ASKED: Final = NEXT_CALL - PATIENCE_ASKED  # s that a watch waits there
 WAIT_PUSHED: Final = 0.4  # the most where the agent is on this machine
 PATIENCE_PUSHED: Final = 0.3
 # Parts of the grace of the rule on drains that a call to the agent may wait, and then be silent,
@@ -31,6 +36,8 @@
 SOON: Final = 0.02  # between two calls where an answer came at once and had no news
 AGAIN: Final = 0.05  # shortest pause after a failed call to the agent...
 AGAIN_MOST: Final = 0.3  # ...and the longest, with few gateways
+AGAIN_ASKED: Final = 0.25  # the same where discovery is one service for all
+AGAIN_MOST_ASKED: Final = 1.0
 CALLS: Final = 100.0  # failing calls a second that all gateways together may make
 MAX_ANSWER: Final = 2 << 20  # some ten thousand hosts; more would be a threat to memory
 
@@ -39,9 +46,13 @@
     """How long a call and a pause may take, in seconds."""
 
     wait: float  # a watch waits so long for news
+    connect: float  # a connection may take so long to come up
     call: float  # from its first packet to its last, a call may take so long; its wait included
     whole: float  # ...and one for the whole list, which has nothing to wait for
-    pause: float  # the longest after a failed call
+    again: float  # the shortest pause after a failed call, with few failures before
+    again_most: float  # the longest, with few gateways
+    pause: float  # the longest, with any number of them
+    next_call: float  # ...and so long after that call's start the next one begins at the latest
 
 
 def times(settings: Settings) -> Times:
@@ -52,11 +63,29 @@
     connecting for it, the pause and the next call all have to fit into the grace.
     """
     if settings.must_ask:
-        return Times(WAIT_ASKED, WAIT_ASKED + PATIENCE_ASKED, PATIENCE_ASKED, AGAIN_MOST)
+        return Times(
+            wait=WAIT_ASKED,
+            connect=CONNECT_ASKED,
+            call=NEXT_CALL,
+            whole=CONNECT_ASKED + PATIENCE_ASKED,
+            again=AGAIN_ASKED,
+            again_most=AGAIN_MOST_ASKED,
+            pause=NEXT_CALL,
+            next_call=NEXT_CALL,
+        )
     grace = max(SHORTEST, settings.rules.drain_grace / 1e6)
     wait = min(WAIT_PUSHED, WAITING * grace)
     call = wait + min(PATIENCE_PUSHED, SILENT * grace)
-    return Times(wait, call, call, PAUSING * grace)
+    return Times(
+        wait=wait,
+        connect=call,
+        call=call,
+        whole=call,
+        again=AGAIN,
+        again_most=AGAIN_MOST,
+        pause=PAUSING * grace,
+        next_call=grace,
+    )
 
 
 class CallError(Exception):
@@ -174,7 +203,7 @@
         self._moved = asyncio.Event()
         self._call: Call | None = None
         self._answer: asyncio.Future[None] | None = None  # of the call that is out
-        self._backoff = Backoff(AGAIN, AGAIN_MOST, config.seed)
+        self._seed = config.seed
         self._adopt(config.settings)
         # The next call asks for the whole list. Where discovery is shared, a watch from the known
         # list on costs it least.
@@ -184,6 +213,7 @@
 
     def _adopt(self, settings: Settings) -> None:
         self.asked, self.times = settings.must_ask, times(settings)
+        self._backoff = Backoff(self.times.again, self.times.again_most, self._seed)
         self._backoff.limit(settings.gateways, CALLS, self.times.pause)
 
     def want(self, on: bool) -> None:
@@ -248,13 +278,24 @@
                 self.core.fault("the watch on discovery", error)
                 self._drop()
                 self._whole = True
-                await self._pause(self.times.pause)
+                await self._pause(min(self.times.pause, AGAIN_MOST))
+
+    async def _first_wanted(self) -> None:
+        """Wait until the module wants a watch, and no longer than news may wait for one.
+
+        Danger: the module spreads the first calls of a fleet over a part of the settings' time to
+        ask, which may be longer.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.times.next_call):
+                await self._wanted.wait()
+        self._wanted.set()
 
     async def _watch(self) -> None:
         again = False  # a watch that fell silent is opened anew at once, but only once
         while True:
             if self.asked:
-                await self._wanted.wait()
+                await self._first_wanted()
             started = self.core.clock()
             version = self.version
             address = self.address
@@ -279,11 +320,8 @@
                     again = True
                     continue
                 if self.asked:
-                    # When to ask again is the module's decision.
-                    self._wanted.clear()
                     self.pool.list_failed()
-                else:
-                    await self._pause(self._backoff.pause())
+                await self._pause(self._until_next(started))
                 continue
             again = False
             self._backoff.reset()
@@ -292,6 +330,16 @@
             if idle and self.core.clock() - started < 50_000:
                 await self._pause(SOON)
 
+    def _until_next(self, started: int) -> float:
+        """How long to wait after a call that failed, by when it began.
+
+        Danger: news that has come to discovery since then is not heard before the next call's
+        answer, and counts as told however many calls fail. The module's own back-off, which the
+        simulator goes by, knows nothing of connections and of how long a call was out.
+        """
+        left = self.times.next_call - (self.core.clock() - started) / 1e6
+        return max(0.0, min(self._backoff.pause(), left))
+
     async def _pause(self, seconds: float) -> None:
         """Wait between two calls, unless discovery moves."""
         self._moved.clear()
@@ -317,7 +365,7 @@
         watched = call is not None and call.usable()
         if call is None or not watched:
             self._drop()
-            async with asyncio.timeout_at(limit):
+            async with asyncio.timeout_at(min(limit, loop.time() + self.times.connect)):
                 _, call = await loop.create_connection(Call, *address)
             if self.address != address:
                 call.close()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import json
+from collections.abc import Iterator
 from typing import Any
+from unittest import mock
 
 import pytest
 
 from sailhitch.net.config import parse_config
-from sailhitch.net.discovery import TOLD
-from tests.sockets import Registry, Server, Writer, answer, config_value, entry, gate
+from sailhitch.net.discovery import TOLD, Call
+from tests.sockets import Registry, Server, Writer, answer, config_value, entry, gate, request
 from tests.virtual import eventually, play
 
 
@@ -101,6 +105,159 @@
     play(story())
 
 
+FAILURES = ("refused", "lost", "reset", "turned away", "turned away late", "silent", "spoilt")
+CONNECTING = 0.45  # s until a connection to discovery comes up
+ANSWERING = 1.65  # s that it takes for a whole list
+
+
+class Shared(Agent):
+    """One discovery for all gateways, which fails in one way after the other while it is down."""
+
+    def __init__(self, *hosts: tuple[str, str]) -> None:
+        super().__init__(*hosts, delay=ANSWERING)
+        self.failures: Iterator[str] | None = None
+        self.failure = ""  # of the call that is being made
+
+    def fail(self, failures: Iterator[str]) -> None:
+        """It goes down: watches end."""
+        self.failures = failures
+        for writer in self.writers:
+            writer.transport.abort()
+
+    def come_back(self) -> None:
+        """A call that is out gets no answer any more."""
+        self.failures = None
+        self.breaks += 1
+
+    async def connect(self) -> None:
+        """A connection to it is being opened."""
+        self.failure = next(self.failures) if self.failures is not None else ""
+        if self.failure == "refused":
+            raise ConnectionRefusedError
+        if self.failure == "lost":
+            await asyncio.Event().wait()
+        await asyncio.sleep(CONNECTING)
+
+    async def reply(self, message: bytes, writer: Writer) -> None:
+        failure = self.failure if self.failures is not None else ""
+        if failure == "reset":
+            writer.transport.abort()
+        elif failure.startswith("turned away"):
+            await asyncio.sleep(ANSWERING if "late" in failure else 0.0)
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        elif failure == "silent":
+            await asyncio.Event().wait()
+        elif failure == "spoilt":
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{")
+        else:
+            await super().reply(message, writer)
+
+
+@contextlib.contextmanager
+def connecting(shared: Shared) -> Iterator[None]:
+    """Connections to discovery come up when it says so, those to hosts at once."""
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def create_connection(factory: Any, *args: Any, **more: Any) -> Any:
+        if factory is Call:
+            await shared.connect()
+        return await connect(factory, *args, **more)
+
+    with mock.patch.object(loop, "create_connection", create_connection):
+        yield
+
+
+@pytest.mark.parametrize(
+    ("gateways", "failures"),
+    [*((200, (one,)) for one in FAILURES), (5, FAILURES), (200, FAILURES)],
+)
+@pytest.mark.parametrize("phase", range(3))
+def test_a_shared_discovery_that_comes_back_is_heard_before_its_news_counts_as_told(
+    gateways: int, failures: tuple[str, ...], phase: int
+) -> None:
+    """Whatever failed before: connecting, the calls and their pauses are as long as they may be."""
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        settings = rules(250_000, discovery="subscribe") | {"balancers": gateways}
+        async with Shared(("a", "127.0.0.1:9")) as shared:
+            with connecting(shared):
+                async with gate(
+                    ("a", "127.0.0.1:9"), discovery=shared.addr, settings=settings
+                ) as it:
+                    await eventually(lambda: it.discovery.version == 1)
+                    shared.fail(itertools.cycle(failures))
+                    await asyncio.sleep(12.0 + 0.83 * phase)
+                    shared.drain("a", "127.0.0.1:9")
+                    shared.come_back()
+                    back = loop.time()
+                    await eventually(lambda: _drained(it))
+                    assert loop.time() - back < TOLD
+
+    play(story())
+
+
+def test_a_new_process_asks_a_shared_discovery_before_old_news_counts_as_told() -> None:
+    """However long the settings let a fleet spread its first calls."""
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        settings = rules(250_000, discovery="subscribe")
+        settings["rules"]["askWithin"] = 600_000_000
+        async with Shared(("a", "127.0.0.1:9")) as shared:
+            shared.drain("a", "127.0.0.1:9")
+            with connecting(shared):
+                async with gate(
+                    ("a", "127.0.0.1:9"), discovery=shared.addr, settings=settings
+                ) as it:
+                    started = loop.time()
+                    await eventually(lambda: _drained(it))
+                    assert loop.time() - started < TOLD
+
+    play(story())
+
+
+@pytest.mark.parametrize("phase", range(3))
+def test_a_drained_host_gets_nothing_new_once_a_shared_discovery_has_come_back(phase: int) -> None:
+    """Clients go on all the while, and the list names another host."""
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        grace = 250_000
+        sent: list[float] = []
+
+        async def note(message: bytes, writer: Writer) -> None:
+            sent.append(loop.time())
+            writer.write(answer(b"served"))
+
+        settings = rules(grace, discovery="subscribe")
+        async with contextlib.AsyncExitStack() as stack:
+            a = await stack.enter_async_context(Server(note))
+            b = await stack.enter_async_context(Server())
+            shared = await stack.enter_async_context(Shared(("a", a.addr), ("b", b.addr)))
+            stack.enter_context(connecting(shared))
+            it = await stack.enter_async_context(
+                gate(("a", a.addr), ("b", b.addr), discovery=shared.addr, settings=settings)
+            )
+            await eventually(lambda: it.discovery.version == 1)
+            shared.fail(itertools.repeat("lost"))
+            await asyncio.sleep(12.0 + 1.1 * phase)
+            shared.entries[0]["state"] = "leaving"
+            shared.version += 1
+            shared.come_back()
+            back = loop.time()
+            client = await it.client()
+            for number in range(90):
+                await client.ask(request(f"r{number}"))
+                await asyncio.sleep(0.1)
+            assert sent
+            assert max(sent) - back < TOLD + grace / 1e6
+            assert b.seen
+
+    play(story())
+
+
 @pytest.mark.parametrize(
     "raw",
     [
