Count a request's time from its last byte, also where it waits behind another

Observed by a probe on the test's clock: of two requests sent at once on one connection, the second was told its host at its turn with its whole time (1,385 of 1,400 ms, 1.45 s after its last byte), and sent on though its client's time was over. A request's time counts from its last byte. Checked and in order: further attempts, and ones that waited for a connection: `Upstream.begin` reckons at the write.

To blame: `Core.request`, which took the turn for the arrival; `Downstream.on_message_complete` noted no time.

Change: the time of the last byte is noted as it is read, less the loop's lag, and the deadline runs from there.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -198,9 +198,8 @@
         """A request has come whole; from here on its client is owed one answer."""
         pool = exchange.pool
         assert pool is not None
-        # Danger: a loop that was held up reads late what came long ago.
         now = self.clock()
-        arrived = now - self.wheel.lag
+        arrived = exchange.came or self.arrival(now)
         deadline = self._deadline(exchange, arrived)
         exchange.deadline = FAR if exchange.filling() else deadline
         exchange.id = self._next_id
@@ -215,6 +214,10 @@
         if not exchange.closed:
             self.schedule(exchange)
 
+    def arrival(self, now: int) -> int:
+        """When what is read now came: a loop that was held up reads late what came long ago."""
+        return now - self.wheel.lag
+
     def _deadline(self, exchange: Exchange, arrived: int) -> int:
         wait = exchange.wait_ms * MS
         deadline = arrived + wait - min(wait, max(TICK, min(MARGIN, wait // 10)))
@@ -227,7 +230,7 @@
         if exchange.closed:
             return
         now = self.clock()
-        exchange.deadline = self._deadline(exchange, now - self.wheel.lag)
+        exchange.deadline = self._deadline(exchange, self.arrival(now))
         for attempt in exchange.out:
             attempt.sent = now
             patience = attempt.patience
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -17,9 +17,9 @@
     """One client's request, from its last byte to its one answer and its last attempt's outcome."""
 
     __slots__ = (
-        "attempts", "bare", "body", "client", "closed", "deadline", "fallback", "head", "id",
-        "keep", "key", "kind", "name", "old_http", "out", "pool", "ran_at", "repeat", "reserved",
-        "rules", "tenant", "upload", "wait_ms", "wake", "work",
+        "attempts", "bare", "body", "came", "client", "closed", "deadline", "fallback", "head",
+        "id", "keep", "key", "kind", "name", "old_http", "out", "pool", "ran_at", "repeat",
+        "reserved", "rules", "tenant", "upload", "wait_ms", "wake", "work",
     )  # fmt: skip
 
     def __init__(self, client: Client) -> None:
@@ -40,6 +40,7 @@
         self.bare = False  # only the head of its answer goes out (HEAD)
         self.fallback: Answer | None = None  # a host's own word of failure, if nothing better comes
         self.old_http = False  # HTTP/1.0: closed unless asked otherwise
+        self.came = 0  # when its last byte was read, where it waits for its turn; 0 if not at all
         self.deadline = self.wake = 0
         self.ran_at = 0  # when the first attempt went out that may have run; 0 if none has
         self.attempts = 0
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -522,6 +522,8 @@
         if self.chunked:
             exchange.head += b"Content-Length: %d\r\n" % self.got
         self.fed = 0
+        # Danger: a client that asks again ahead of its answer waits from now on, not from the turn.
+        exchange.came = self.core.arrival(self.core.clock())
         self.queue.append(exchange)
         if len(self.queue) > QUEUE:
             raise RejectError(400, "too many requests ahead of their answers")
