End an answer that breaks off with a reset, also to a client of HTTP/1.0

Observed by a probe over loopback: a long answer without a length that its host resets, or a chunked one that breaks off, is passed on to a client of HTTP/1.0 with no framing but the connection's end, and that end came in order (FIN): the client took half an answer for the whole. Checked and in order: the host's side (`AnswerReader.ended` takes only an end, never a reset, for the answer's), short answers, which are held and answered 502, and HTTP/1.1, where the last chunk is missing.

Change: whoever is cut with an answer half out, or unsent, is reset (SO_LINGER of no time).

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -11,6 +11,7 @@
 import os
 import select
 import socket
+import struct
 from collections import deque
 from http import HTTPStatus
 from typing import Final, cast
@@ -53,6 +54,7 @@
 READ_GRACE: Final = 10_000_000
 READ_STALL: Final = (10_000_000, 4_000_000)  # ...and at full strain
 # What a system says that has no more descriptors or buffers to give.
+RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 SCARCE: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 IDLE, HEAD, BODY, CLOSING = range(4)
@@ -177,9 +179,17 @@
         return self.chunked or bool(self.content_length)
 
     def abort(self) -> None:
-        """Close at once, whatever is open."""
-        if self.transport is not None:
-            self.transport.abort()
+        """Close at once, whatever is open; with a reset where an answer is half out.
+
+        Danger: an end in order would make such an answer whole where only the end tells it.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        if (self.reader is not None or transport.get_write_buffer_size()) and not self.is_closed():
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        transport.abort()
 
     def is_closed(self) -> bool:
         """Closed by this side, with nothing left to write: its descriptor is about to be free."""
@@ -290,7 +300,7 @@
             return
         if reason == Reason.UNREAD:
             door.closing(self.place, now, reason)
-            transport.abort()
+            self.abort()
         elif reason == Reason.SLOW:
             if not (self.core.wheel.lag and self._unread()):
                 self._reject(408, "request too slow", reason)
@@ -305,7 +315,7 @@
         reader.stall = READ_STALL[0] + int(door.strain * (READ_STALL[1] - READ_STALL[0]))
         if size and reader.overdue(now) and self.transport is not None:
             door.closing(self.place, now, Reason.UNREAD)
-            self.transport.abort()
+            self.abort()
 
     def _took(self, size: int, now: int, written: int = 0) -> None:
         """So many bytes are left of what was written for the client, `written` of it just now."""
@@ -651,12 +661,13 @@
         if self.exchange is not None and status == 503:
             status = 502  # what is open may have run, and a refusal would say that it has not
         after = self.core.retry_after() if status == 503 else 0
-        midway = self.giver is not None  # an answer is half out: nothing can be said any more
         self._leave(reason)
+        if self.giver is not None:
+            self.abort()  # an answer is half out: nothing can be said any more
+            self._drop_request()
+            return
         self._drop_request()
-        if midway:
-            self.abort()
-        if self.transport is None or midway:
+        if self.transport is None:
             return
         if not self.transport.is_reading():
             self.transport.resume_reading()
@@ -773,8 +784,8 @@
 
     def cut(self) -> None:
         """The rest will not come. A reset tells the client so, whatever the framing was."""
-        self.giver = self.reader = None
         self.abort()
+        self.giver = self.reader = None
 
     def refuse(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away; `retry_after` in microseconds, 0 for no advice."""
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import gc
 import random
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,7 @@
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
 from sailhitch.net import downstream, upstream
+from tests.crossings import reset_at_close
 from tests.sockets import (
     PATIENCE,
     Client,
@@ -252,6 +254,68 @@
     play(act, Server(broken))
 
 
+def reset(writer: Writer) -> None:
+    """End a connection with a reset; what was written has been taken."""
+    reset_at_close(writer.get_extra_info("socket"))
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("size", [10, HELD_MOST // 2, MB])
+def test_an_answer_without_a_length_that_is_reset_is_not_passed_on_as_whole(
+    size: int, version: bytes
+) -> None:
+    """Its end is the connection's, and a reset is none. A client of HTTP/1.0 gets it as it came."""
+
+    gates: list[Gate] = []
+
+    async def breaks(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BODY[:size])
+        await writer.drain()
+        await until(lambda: any(conn.size >= size for conn in gates[0].hosts.open))
+        reset(writer)
+
+    async def act(it: Gate, host: Server) -> None:
+        gates.append(it)
+        client = await it.client()
+        asked = request("r", b"effect", fields=b"Connection: close\r\n")
+        client.send(asked.replace(b"HTTP/1.1", version, 1))
+        got = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := await client.reader.read(65536):
+                got += data
+            # An end in order: what came must say that it failed, or miss its last chunk.
+            assert got.startswith(b"HTTP/1.1 502") or not got.endswith(b"0\r\n\r\n")
+            assert got.startswith(b"HTTP/1.1 502") or b"chunked" in got.lower()
+        assert len(host.seen) == 1
+
+    play(act, Server(breaks))
+
+
+def test_a_long_answer_that_is_broken_off_ends_with_a_reset() -> None:
+    """Whatever its framing was: over HTTP/1.0 an end in order would make it whole."""
+
+    async def breaks(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(16):
+            writer.write(b"10000\r\n%s\r\n" % (b"x" * 65536))
+        await begun.wait()
+        writer.transport.close()
+
+    begun = asyncio.Event()
+
+    async def act(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(request("r", b"effect").replace(b"HTTP/1.1", b"HTTP/1.0", 1))
+        assert await client.reader.read(65536)
+        begun.set()
+        with pytest.raises(ConnectionResetError):
+            await client.reader.read()
+        assert it.core.counters.cut == 1
+
+    play(act, Server(breaks))
+
+
 def test_a_host_that_declines_early_is_answered_for_while_the_body_still_comes() -> None:
     class Declines(Server):
         """Turns a request away once some of its body is there."""
