Let a client go for the watch where the system has no descriptor for it

Observed by a probe on the real program: discovery goes down, clients that have asked once rest, and the system has no descriptor more than they hold. When discovery comes back every call fails with EMFILE until clients have idled out (30 s), while nobody new knocks: the news counts as told long before. Checked and in order: where the settings tell the limit truly, the reserve of 36 keeps the watch's socket free (64 descriptors, a crowd that knocks through the start and the return), and a process is ready 0.5 s after its start whatever discovery does (`FIRST_LIST`).

To blame: `Discovery._ask`, which took EMFILE for any failed call; hosts' connections and the listener already call `Core.exhausted`.

Change: so does the watch, and the next call finds what was let go of.

--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -14,7 +14,7 @@
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
-from .look import shows
+from .look import SCARCE, shows
 
 PATH: Final = "/registry/instances"
 # A change counts as told so long after discovery had it and could be reached (s), whatever calls
@@ -365,8 +365,7 @@
         watched = call is not None and call.usable()
         if call is None or not watched:
             self._drop()
-            async with asyncio.timeout_at(min(limit, loop.time() + self.times.connect)):
-                _, call = await loop.create_connection(Call, *address)
+            call = await self._connect(address, min(limit, loop.time() + self.times.connect))
             if self.address != address:
                 call.close()
                 raise MovedError
@@ -411,6 +410,21 @@
             self.pool.list_news(roster)
         return bool(roster.entries)
 
+    async def _connect(self, address: Address, limit: float) -> Call:
+        """A new connection; raises OSError or TimeoutError.
+
+        Guards against clients that have taken every descriptor while discovery was down, and rest:
+        without one of theirs the watch would never come back, and drains never be heard of.
+        """
+        try:
+            async with asyncio.timeout_at(limit):
+                _, call = await self.core.loop.create_connection(Call, *address)
+        except OSError as error:
+            if error.errno in SCARCE:
+                self.core.exhausted()  # the next call finds what is let go of here
+            raise
+        return call
+
     def _drop(self) -> None:
         if self._call is not None:
             self._call.close()
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import contextlib
-import errno
 import os
 import select
 import socket
@@ -28,7 +27,7 @@
 from ..front import Place, Reason, State, Verdict
 from .http import BLANK, HOP, MAX_HEAD, chunk
 from .intake import READ, SINGLE, Intake, RejectError
-from .look import shows
+from .look import SCARCE, shows
 
 REASONS: Final = {
     400: b"400 Bad Request",
@@ -53,9 +52,7 @@
 READ_RATE: Final = 8 * 1024
 READ_GRACE: Final = 10_000_000
 READ_STALL: Final = (10_000_000, 4_000_000)  # ...and at full strain
-# What a system says that has no more descriptors or buffers to give.
 RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
-SCARCE: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 IDLE, HEAD, BODY, CLOSING = range(4)
 
--- a/sailhitch/net/look.py
+++ b/sailhitch/net/look.py
@@ -1,8 +1,13 @@
-"""A look at a socket past the loop: what the system has of it that has not been read yet."""
+"""What the system says past the loop: of a socket's unread state, and of its own shortness."""
 
 from __future__ import annotations
 
+import errno
 import select
+from typing import Final
+
+# What a system says that has no more descriptors or buffers to give.
+SCARCE: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 def shows(descriptor: int, event: int) -> bool:
