Force the end of a client whose request waits for a connection to rest

Of the paths on which an attempt may begin after its client's close (backlog, connecting, a resting connection, a retry, a second copy, a request with its body), the resting connection had no test. No fault was found.

--- a/tests/test_clients_gone.py
+++ b/tests/test_clients_gone.py
@@ -14,6 +14,7 @@
 
 from sailhitch.core.budget import HELD_MOST
 from sailhitch.core.terms import Roster
+from sailhitch.net import upstream
 from tests.crossings import PATIENT, ended, leave, reset_at_close, unread, waiting_gate
 from tests.sockets import Client, Gate, Server, Writer, answer, gate, plain, request, until
 
@@ -77,6 +78,35 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_waiting_for_a_connection_that_rests(
+    how: str, body: bytes | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its connection has just had an answer, and rests before it is used again."""
+    monkeypatch.setattr(upstream, "REST", 300_000)
+
+    async def play() -> None:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            first = await it.client()
+            assert await first.ask(request("r0")) == (200, b"served")
+            first.writer.close()
+            await until(lambda: not it.clients())
+            client = await it.client()
+            client.send(request("r1", body))
+            await until(lambda: bool(it.core.live))
+            (exchange,) = it.core.live.values()
+            (attempt,) = exchange.out
+            assert attempt.task is not None
+            assert not it.hosts.connecting
+            await gone(it, client, how)
+            await until(lambda: not it.core.live)
+            await later_one(it)
+            assert len(sent(host)) == 1
+            assert it.core.counters.gone == 1
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("body", [None, b"pay"])
 def test_between_two_attempts(how: str, body: bytes | None) -> None:
     asked, go = asyncio.Event(), asyncio.Event()
