Answer requests that were read ahead of their turn before the end

Observed by a probe over loopback: a client sends three requests at once, and the gateway is told to end while the first is out. Its answer closed the connection, and the two others, which had been read and so taken, were dropped without an answer.

To blame: `Downstream._closes`, which by `hanging_up` (or a listener that has been retired) made any answer the last, and `_after`, which then forgets the queue.

Change: at the end of a gateway an answer is the connection's last only when nothing read waits behind it. A client that asks for the close, or errs, is treated as before.

Measured: the new case of tests/test_clients.py fails without the change (end of connection for the second answer) and passes with it.

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -698,7 +698,13 @@
             self._after(close)
 
     def _closes(self, exchange: Exchange) -> bool:
-        return not exchange.keep or self.core.hanging_up or self.listener.retired
+        """Whether this one's answer is the connection's last.
+
+        Danger: at the gateway's end requests that have been read behind it are taken, and closing
+        on them would lose them.
+        """
+        ends = self.core.hanging_up or self.listener.retired
+        return not exchange.keep or (ends and not self.queue)
 
     def _connection(self, exchange: Exchange, close: bool) -> bytes:
         if close:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sailhitch.core.budget import Budget
+from sailhitch.core.process import finish
 from sailhitch.front import door
 from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, plain, request, until
 
@@ -167,6 +168,33 @@
     asyncio.run(run())
 
 
+def test_requests_read_ahead_of_their_turn_are_answered_before_the_end() -> None:
+    """The gateway ends while the first is out; the last answer closes the connection."""
+    asked, go = asyncio.Event(), asyncio.Event()
+
+    async def wait(message: bytes, writer: Writer) -> None:
+        asked.set()
+        await go.wait()
+        writer.write(answer(b"served"))
+
+    async def run() -> None:
+        async with Server(wait) as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            client.send(request("r1") + request("r2", b"pay") + request("r3"))
+            await asked.wait()
+            it.core.drain()
+            end = asyncio.create_task(finish(it.core))
+            await until(lambda: it.core.hanging_up)
+            go.set()
+            for _ in range(3):
+                assert await client.answer() == (200, b"served")
+            assert await client.rest() == b""
+            await end
+            assert len(host.seen) == 3
+
+    asyncio.run(run())
+
+
 def test_more_requests_while_one_is_open_end_the_connection_with_one_error() -> None:
     async def silent(message: bytes, writer: Writer) -> None:
         await asyncio.sleep(PATIENCE)
