--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,49 @@
+"""Tests that fail for a real fault that is not mended yet, as `KNOWN-RED.txt` lists them.
+
+A line has the test's identifier, the cause and the issue, separated by ` | `; empty lines and those
+that begin with `#` are comments. Such a test is expected to fail: it runs, the run passes over its
+failure and prints it, and a run in which it passes fails, so that the line is taken out.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Final, NamedTuple
+
+MOST: Final = 3
+SEPARATOR: Final = " | "
+FILE: Final = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+class KnownRedError(ValueError):
+    """The list can't be used; the text names the line."""
+
+
+class KnownRed(NamedTuple):
+    """A test that is expected to fail."""
+
+    test: str  # pytest's identifier of it, from the root
+    cause: str
+    issue: str
+
+
+def parse(text: str) -> list[KnownRed]:
+    """Read the list; raises KnownRedError."""
+    found: list[KnownRed] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        parts = [part.strip() for part in line.split(SEPARATOR)]
+        if len(parts) != 3 or not all(parts):
+            raise KnownRedError(f"line {number}: not `TEST{SEPARATOR}CAUSE{SEPARATOR}ISSUE`")
+        found.append(KnownRed(*parts))
+    if len(found) > MOST:
+        raise KnownRedError(f"{len(found)} tests; {MOST} at most")
+    if len({one.test for one in found}) < len(found):
+        raise KnownRedError("a test is listed twice")
+    return found
+
+
+def load(path: Path = FILE) -> list[KnownRed]:
+    """Read the list at the root; empty where there is none. Raises KnownRedError."""
+    return parse(path.read_text()) if path.exists() else []
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,79 @@
+"""The list of tests whose failure is passed over: what it may hold, and what it does."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.known_red import FILE, KnownRed, KnownRedError, load, parse
+
+ROOT = Path(__file__).parent.parent
+PLAYED = """
+def test_red():
+    assert False
+
+def test_green():
+    assert True
+"""
+
+
+def test_lines_and_comments_are_read() -> None:
+    text = "# why\n\ntests/test_a.py::test_b[1] | a queue grows | issue 7\n"
+    assert parse(text) == [KnownRed("tests/test_a.py::test_b[1]", "a queue grows", "issue 7")]
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("tests/a.py::b | why", "line 1: not"),
+        ("# c\ntests/a.py::b |  | issue 7", "line 2: not"),
+        ("\n".join(f"t{i} | why | issue 7" for i in range(4)), "4 tests; 3 at most"),
+        ("t | why | issue 7\nt | why | issue 8", "listed twice"),
+    ],
+)
+def test_a_list_that_cannot_be_used_is_refused(text: str, message: str) -> None:
+    with pytest.raises(KnownRedError, match=message):
+        parse(text)
+
+
+def test_what_the_list_names_is_there() -> None:
+    for one in load(FILE):
+        path, _, test = one.test.partition("::")
+        assert f"def {test.partition('[')[0]}(" in (ROOT / path).read_text()
+
+
+def _play(folder: Path, listed: str) -> subprocess.CompletedProcess[str]:
+    """Run two tests, of which one fails, beside a list."""
+    tests = folder / "tests"
+    tests.mkdir()
+    for name in ("__init__.py", "conftest.py", "known_red.py"):
+        shutil.copy(ROOT / "tests" / name, tests / name)
+    (tests / "test_played.py").write_text(PLAYED)
+    (folder / "KNOWN-RED.txt").write_text(f"tests/test_played.py::{listed} | a fault | issue 7\n")
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "tests"]
+    return subprocess.run(
+        command, cwd=folder, capture_output=True, text=True, timeout=60, check=False
+    )
+
+
+def test_a_listed_failure_is_passed_over_and_printed(tmp_path: Path) -> None:
+    played = _play(tmp_path, "test_red")
+    assert played.returncode == 0, played.stdout
+    assert "known red: tests/test_played.py::test_red: a fault (issue 7)" in played.stdout
+    assert "1 passed, 1 xfailed" in played.stdout
+
+
+def test_a_failure_that_is_not_listed_fails_the_run(tmp_path: Path) -> None:
+    played = _play(tmp_path, "test_gone")
+    assert played.returncode == 1
+    assert "1 failed, 1 passed" in played.stdout
+
+
+def test_a_listed_test_that_passes_fails_the_run(tmp_path: Path) -> None:
+    played = _play(tmp_path, "test_green")
+    assert played.returncode == 1
+    assert "[XPASS(strict)]" in played.stdout
