--- a/benchmarks/tier.py
+++ b/benchmarks/tier.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from sailhitch.model.tier import TierProcess, World
-from sailhitch.tier.member import Standing
+from sailhitch.tier.member import MemberStatus
 
 S = 1_000_000
 
@@ -73,7 +73,7 @@
 
 def _is_in(process: TierProcess) -> bool:
     member = process.member
-    return member is not None and member.standing(process.clock()) is Standing.IN
+    return member is not None and member.standing(process.clock()) is MemberStatus.IN
 
 
 def _active(process: Any) -> bool:
--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -21,11 +21,12 @@
 import msgspec
 
 from ..core.terms import Address
+from ..tier.content_store import ContentStore
 from ..tier.disk import Disk, DiskError
-from ..tier.forms import Act, Acting, Done, Effect, Keep, Message, Send, Tell
-from ..tier.forms import Decided as HeadDecided
-from ..tier.library import Library
-from ..tier.member import CONTENT, KNOWN, Founding, Member, Standing, Terms
+from ..tier.effects import Act, Acting, Done, Effect, Keep, Send, Tell
+from ..tier.member import CONTENT, KNOWN, Founding, Member, MemberStatus, TierConfig
+from ..tier.messages import Decided as HeadDecided
+from ..tier.messages import Message
 from ..tier.wire import Keys, Wire
 from .places import address_of
 
@@ -46,7 +47,7 @@
     """Runs a member's core."""
 
     def __init__(
-        self, terms: Terms, addresses: Mapping[str, Address], keys: Keys, folder: Path,
+        self, terms: TierConfig, addresses: Mapping[str, Address], keys: Keys, folder: Path,
         act: Callable[[Acting], None], say: Callable[[str], None],
     ) -> None:  # fmt: skip
         """Raises DiskError."""
@@ -82,7 +83,7 @@
         if version is None or CONTENT + version.digest not in self.kept:
             return None
         packed = self.kept[CONTENT + version.digest]
-        return Library({version.digest: packed}).read(version.digest)
+        return ContentStore({version.digest: packed}).read(version.digest)
 
     async def start(self, founding: Founding | None) -> None:
         """Take part; raises LinkError."""
@@ -114,9 +115,9 @@
         if self._writing is None:
             self.disk.close()
 
-    def standing(self) -> Standing:
+    def standing(self) -> MemberStatus:
         """Whether this process may act on what contradicts, at this moment."""
-        return Standing.HEARING if self.member is None else self.member.standing(steady())
+        return MemberStatus.HEARING if self.member is None else self.member.standing(steady())
 
     async def done(self, ask: Callable[[Member], int | None]) -> Done | None:
         """Have the core do a job, and wait for its end; None: it can't now."""
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -20,8 +20,9 @@
 from ..core.log import Log
 from ..core.terms import Answer
 from ..settings import SAFE
-from ..tier.forms import Acting, Done, End, Head, Version
-from ..tier.member import Founding, Member, Standing, Terms
+from ..tier.effects import Acting, Done, End
+from ..tier.member import Founding, Member, MemberStatus, TierConfig
+from ..tier.messages import Head, Version
 from ..tier.wire import Keys
 from .intake import come_back
 from .link import Link, steady
@@ -58,7 +59,7 @@
         self.live, self.part, self.own, self.log = live, part, own, log
         name = live.gateway.name
         addresses = {m.name: address_of(m.address) for m in part.members}
-        terms = Terms(name, tuple(part.voters), tuple(addresses), part.lease)
+        terms = TierConfig(name, tuple(part.voters), tuple(addresses), part.lease)
         self.link = Link(terms, addresses, keys, folder, self._act, log.say)
         self.link.beaten = self._beaten
         self.listeners: Mapping[str, Any] = {}
@@ -68,7 +69,7 @@
         self._last: Acting | None = None
         self._rules = 0  # counts switches after which older requests must not be sent as they were
         self._base = Applied(0, 0, "nobody", live.applied.state)
-        self._standing: Standing | None = None
+        self._standing: MemberStatus | None = None
         self.stopped = False
         self.zoned = Zoned(self, live, zones, live.gateway)
 
@@ -122,7 +123,7 @@
 
     def _gate(self, effect: str) -> Answer | None:
         """Danger: asked when a request is read; what is asked at the write is `_may_write`."""
-        return None if effect == SAFE or self.link.standing() is Standing.IN else OUT
+        return None if effect == SAFE or self.link.standing() is MemberStatus.IN else OUT
 
     def _may_write(self, attempt: Attempt) -> bool:
         """Whether the rules that hold at this moment allow what was chosen under others."""
@@ -132,12 +133,12 @@
             return False
         if exchange.kind is None or exchange.kind.effect == SAFE:
             return True
-        return exchange.rules >= self._rules and self.link.standing() is Standing.IN
+        return exchange.rules >= self._rules and self.link.standing() is MemberStatus.IN
 
     def _beaten(self) -> None:
         core, standing = self.live.core, self.link.standing()
         self.zoned.beat()
-        core.ready = standing is Standing.IN and not core.drain_since and not self.stopped
+        core.ready = standing is MemberStatus.IN and not core.drain_since and not self.stopped
         if standing is not self._standing:
             self._standing = standing
             self.log.say(f"tier: {standing.name.lower()}: {standing.value}")
@@ -212,7 +213,7 @@
         )
 
     def _read(self, member: Member, version: Version) -> State:
-        state: dict[str, Any] = json.loads(member.library.read(version.digest))
+        state: dict[str, Any] = json.loads(member.contents.read(version.digest))
         return {**state, "listeners": {}}
 
     # --- What operators ask for
@@ -246,7 +247,7 @@
     async def _propose(self, state: State, by: str) -> Applied:
         base = self._base
         state = {**state, "listeners": {}}
-        if self.link.standing() is not Standing.IN:
+        if self.link.standing() is not MemberStatus.IN:
             raise ApplyError(f"this gateway {self.link.standing().value}; ask another one")
         if state == base.state:
             # Danger: what this member goes by may be over, and "nothing to do" be untrue.
@@ -335,7 +336,7 @@
         member = self.link.member
         if member is None or not member.settled():
             raise ApplyError("this gateway has not heard what holds yet; try again")
-        known = {*member.terms.peers, *member.roster.places}
+        known = {*member.config.peers, *member.roster.places}
         why = member.why_not_admitted(name)
         if why:
             raise ApplyError(f"{name!r}: {why}")
--- a/sailhitch/daemon/zoned.py
+++ b/sailhitch/daemon/zoned.py
@@ -15,8 +15,9 @@
 
 from ..core.pool import Pool
 from ..interface import BUSY, OK
-from ..tier.forms import End, Version
-from ..tier.member import Standing
+from ..tier.effects import End
+from ..tier.member import MemberStatus
+from ..tier.messages import Version
 from ..zones import course
 from ..zones.diagnosis import Kind
 from ..zones.helm import Heard, Helm, ZoneTerms, all_renewed, all_unused
@@ -57,7 +58,7 @@
         member = self.tiered.link.member
         assert member is not None
         try:
-            return read(member.library.read(version.digest))
+            return read(member.contents.read(version.digest))
         except PostureError as error:
             raise ApplyError(str(error)) from None
 
@@ -117,7 +118,7 @@
             member.hurry(now)
         heard = self.helm.hear(member.words(now))
         self._tell(heard)
-        if self._proposing is not None or self.tiered.link.standing() is not Standing.IN:
+        if self._proposing is not None or self.tiered.link.standing() is not MemberStatus.IN:
             return
         found = self.helm.look(now, heard)
         if found is not None:
@@ -164,7 +165,7 @@
         if self.part is None:
             raise ApplyError("this gateway's file has no [zones]")
         standing = self.tiered.link.standing()
-        if standing is not Standing.IN:
+        if standing is not MemberStatus.IN:
             raise ApplyError(f"this gateway {standing.value}; ask another one")
         try:
             wanted = self.helm.asked(act, zone, why, by, step if isinstance(step, int) else None)
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -16,8 +16,9 @@
 from ..daemon.tiered import ASKED, LEAVING
 from ..model.tier import TierProcess, World
 from ..model.truth import BrokenError
-from ..tier.forms import End, Version
-from ..tier.member import Member, Standing
+from ..tier.effects import End
+from ..tier.member import Member, MemberStatus
+from ..tier.messages import Version
 from ..zones.posture import PostureError
 from .judge import Result, Told
 from .scenario import Scenario, StepPart
@@ -120,7 +121,7 @@
         process = self.world.processes[name]
         if process.member is None or not process.up:
             return False
-        return process.member.standing(process.clock()) is Standing.IN
+        return process.member.standing(process.clock()) is MemberStatus.IN
 
     def _agree(self, names: Sequence[str]) -> bool:
         running = [name for name in names if self.world.processes[name].up]
--- a/sailhitch/model/explore.py
+++ b/sailhitch/model/explore.py
@@ -24,18 +24,9 @@
 
 import msgspec
 
-from ..tier.forms import (
-    Accept,
-    Accepted,
-    Ballot,
-    End,
-    Head,
-    Message,
-    Prepare,
-    Promise,
-    Version,
-)
+from ..tier.effects import End
 from ..tier.line import Change, Step
+from ..tier.messages import Accept, Accepted, Ballot, Head, Message, Prepare, Promise, Version
 from ..tier.register import Acceptor, Mode, Phase, Round, Vote
 
 VOTERS: Final = ("v1", "v2", "v3")
--- a/sailhitch/model/process.py
+++ b/sailhitch/model/process.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from ..tier.forms import Act, Done, Effect, Keep, Send, Tell
+from ..tier.effects import Act, Done, Effect, Keep, Send, Tell
 from .kernel import Kernel
 
 SYNC = (200, 6_000)  # us that a sync takes, at least and at most
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -14,9 +14,10 @@
 
 import msgspec
 
-from ..tier.forms import Act, Acting, Done, Keep, Message, Send, Tell, Version
-from ..tier.library import digest_of
-from ..tier.member import Founding, Member, Standing, Terms
+from ..tier.content_store import digest_of
+from ..tier.effects import Act, Acting, Done, Keep, Send, Tell
+from ..tier.member import Founding, Member, MemberStatus, TierConfig
+from ..tier.messages import Message, Version
 from ..tier.register import VOTE
 from ..zones.helm import Helm, ZoneTerms, all_unused
 from ..zones.posture import NOTHING, Posture, read
@@ -99,7 +100,7 @@
         if news:
             member.hurry(now)
         found = helm.look(now, helm.hear(member.words(now)))
-        if found is not None and member.standing(now) is Standing.IN:
+        if found is not None and member.standing(now) is MemberStatus.IN:
             self.pose_zones(found[0])
 
     def hear(self, sender: str, message: Message) -> None:
@@ -120,7 +121,7 @@
         act = self._draw.randrange(self.world.acts)
         free = self.view is not None and act in self.allowed
         free = free and str(act) not in self.unused
-        if free and self.member.standing(self.clock()) is Standing.IN:
+        if free and self.member.standing(self.clock()) is MemberStatus.IN:
             assert self.view is not None
             zone = self.world.zones.get(str(act))
             if self.helm is not None and zone is not None:
@@ -154,7 +155,7 @@
         if acting.pending is not None:
             self.allowed &= self.world.permitted(acting.pending.digest)
         if self.helm is not None and acting.posture is not None:
-            posture = read(self.member.library.read(acting.posture.digest))
+            posture = read(self.member.contents.read(acting.posture.digest))
             nodes = {"all": self.world.zones}
             self.helm.goes_by(acting.posture.serial, posture, nodes, self.clock())
             self.unused = all_unused(posture, nodes)
@@ -259,9 +260,9 @@
         for name, rate in zip(self.names, rates, strict=True):
             self.processes[name] = TierProcess(self, name, float(rate))
 
-    def terms(self, name: str) -> Terms:
+    def terms(self, name: str) -> TierConfig:
         peers = tuple(one for one in self.names if one == name or one not in self.late)
-        return Terms(name, self.voters, peers, self.lease)
+        return TierConfig(name, self.voters, peers, self.lease)
 
     def place_of(self, name: str) -> str:
         """The zone that a member is in: of those that there are, by turns."""
--- a/sailhitch/model/truth.py
+++ b/sailhitch/model/truth.py
@@ -12,7 +12,8 @@
 
 import msgspec
 
-from ..tier.forms import Acting, Ballot, Done, End, Head, Version
+from ..tier.effects import Acting, Done, End
+from ..tier.messages import Ballot, Head, Version
 from ..tier.register import Vote, majority
 
 RECOVERY = 10_000_000  # us; promise 5
--- a/sailhitch/tier/library.py
+++ b/sailhitch/tier/content_store.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-from .forms import Get, Piece
+from .messages import Block, BlockRequest
 
-PIECE: Final = 1024  # bytes; a piece and its seal fit any path's datagrams
+BLOCK_SIZE: Final = 1024  # bytes; a piece and its seal fit any path's datagrams
 WINDOW: Final = 16  # pieces asked for at a time
 PATIENCE: Final = 150_000  # us until a piece is asked for again
 MOST: Final = 64 << 20  # bytes of a content; ten thousand nodes take one and a half
@@ -30,7 +30,7 @@
         self.asked: dict[int, int] = {}  # offset: when
 
 
-class Library:
+class ContentStore:
     """What is here, packed, and what is wanted."""
 
     def __init__(self, packed: dict[str, bytes]) -> None:
@@ -70,37 +70,37 @@
         if digest not in self.packed and digest not in self._fetches:
             self._fetches[digest] = _Fetch(source)
 
-    def asks(self, now: int, others: Sequence[str], pick: int) -> list[tuple[str, Get]]:
+    def asks(self, now: int, others: Sequence[str], pick: int) -> list[tuple[str, BlockRequest]]:
         """What to ask whom now. A source that does not answer gives way to `others[pick]`."""
         found = []
         for digest, fetch in self._fetches.items():
             late = any(now - at >= PATIENCE for at in fetch.asked.values())
             if late and others:
                 fetch.source = others[pick % len(others)]
-            found += [(fetch.source, Get(digest, offset)) for offset in _next(fetch, now)]
+            found += [(fetch.source, BlockRequest(digest, offset)) for offset in _next(fetch, now)]
         return found
 
-    def answer(self, get: Get) -> Piece | None:
+    def answer(self, get: BlockRequest) -> Block | None:
         """A piece of what is here."""
         packed = self.packed.get(get.digest)
-        if packed is None or not 0 <= get.offset < len(packed) or get.offset % PIECE:
+        if packed is None or not 0 <= get.offset < len(packed) or get.offset % BLOCK_SIZE:
             return None
-        data = packed[get.offset : get.offset + PIECE]
-        return Piece(get.digest, get.offset, len(packed), data)
+        data = packed[get.offset : get.offset + BLOCK_SIZE]
+        return Block(get.digest, get.offset, len(packed), data)
 
-    def take(self, piece: Piece) -> bytes | None:
+    def take(self, piece: Block) -> bytes | None:
         """A piece has come; the packed content, once it is whole and right."""
         fetch = self._fetches.get(piece.digest)
-        if fetch is None or not 0 < piece.total <= MOST or piece.offset % PIECE:
+        if fetch is None or not 0 < piece.total <= MOST or piece.offset % BLOCK_SIZE:
             return None
         if fetch.total is None:
             fetch.total = piece.total
-        size = min(PIECE, fetch.total - piece.offset)
+        size = min(BLOCK_SIZE, fetch.total - piece.offset)
         if piece.total != fetch.total or len(piece.data) != size:
             return None
         fetch.pieces[piece.offset] = piece.data
         fetch.asked.pop(piece.offset, None)
-        if len(fetch.pieces) * PIECE < fetch.total:
+        if len(fetch.pieces) * BLOCK_SIZE < fetch.total:
             return None
         packed = b"".join(fetch.pieces[at] for at in sorted(fetch.pieces))
         del self._fetches[piece.digest]
@@ -121,7 +121,7 @@
     if fetch.total is None:
         offsets: Iterable[int] = (0,)
     else:
-        offsets = range(0, fetch.total, PIECE)
+        offsets = range(0, fetch.total, BLOCK_SIZE)
     chosen: list[int] = []
     under_way = sum(now - at < PATIENCE for at in fetch.asked.values())
     for offset in offsets:
--- /dev/null
+++ b/sailhitch/tier/effects.py
@@ -0,0 +1,67 @@
+"""What a core asks of its process: values, in the order in which they have to happen."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+from .messages import Head, Message, Version
+
+
+class Send(NamedTuple):
+    """Say this to a member; it may get lost, late or doubled."""
+
+    to: str
+    message: Message
+
+
+class Keep(NamedTuple):
+    """Have this on disk before any effect after it happens; None: it may be forgotten.
+
+    Danger: where that fails, no later effect may happen: the process falls silent in the tier.
+    """
+
+    items: dict[str, bytes | None]
+
+
+class Acting(NamedTuple):
+    """What to act by: the rules of `active`, met with those of `pending` where there is one."""
+
+    turn: int
+    active: Version
+    pending: Version | None
+    posture: Version | None = None
+
+
+class Act(NamedTuple):
+    """Go by this, and say so with `Member.acted` once nothing goes by anything older."""
+
+    acting: Acting
+
+
+class End(Enum):
+    """How a change asked for has ended."""
+
+    ACTIVE = "active"
+    PENDING = "pending"  # decided, and waits for members
+    STALE = "stale"  # made from a version that is not the active one any more
+    BUSY = "busy"  # another change is pending
+    NONE = "none"  # there was nothing to do
+
+
+class Done(NamedTuple):
+    """A job's end; `head` is what holds."""
+
+    job: int
+    end: End
+    head: Head
+
+
+class Tell(NamedTuple):
+    """An act worth a line in the log: its name and what belongs to it."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = Send | Keep | Act | Done | Tell
--- a/sailhitch/tier/line.py
+++ b/sailhitch/tier/line.py
@@ -11,7 +11,8 @@
 
 from msgspec.structs import replace
 
-from .forms import End, Head, Version
+from .effects import End
+from .messages import Head, Version
 
 
 class Step(NamedTuple):
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -19,45 +19,38 @@
 
 import msgspec
 
-from .crew import Crew
-from .forms import (
+from .content_store import ContentStore
+from .effects import Act, Acting, Done, Effect, End, Keep, Send, Tell
+from .lease import Grants, Lease
+from .line import Change, activate, enrol, found, offer, pose, withdraw
+from .membership import MembershipTable
+from .messages import (
     Accept,
     Accepted,
     Ack,
-    Act,
-    Acting,
+    Block,
+    BlockRequest,
     Decided,
-    Done,
-    Effect,
-    End,
-    Get,
     Grant,
     Head,
-    Hello,
-    Here,
-    Keep,
-    Look,
     Message,
     Nack,
     News,
-    Piece,
     Ping,
     Poll,
     Prepare,
     Promise,
-    Seen,
-    Send,
-    Tell,
+    ReadReply,
+    ReadRequest,
+    Relayed,
     Version,
-    Via,
+    VoteRecoveryReply,
+    VoteRecoveryRequest,
 )
-from .lease import Grants, Lease
-from .library import Library
-from .line import Change, activate, enrol, found, offer, pose, withdraw
-from .paths import Paths
 from .probes import Health, Prober
 from .proposer import Job, Proposer
 from .register import VOTE, majority
+from .relay import RelayPolicy
 from .voter import STAMPS, Voter, digests
 
 ROWS: Final = 12  # in a datagram of gossip
@@ -75,7 +68,7 @@
 BUSY: Final = 3_000_000  # us after something new in which each beat has a round
 
 
-QUESTIONS = (Look, Prepare, Accept, Hello, Poll)  # to voters
+QUESTIONS = (ReadRequest, Prepare, Accept, VoteRecoveryRequest, Poll)  # to voters
 
 
 class Roster(msgspec.Struct, frozen=True):
@@ -101,7 +94,7 @@
         return Roster(tuple(inside), tuple(out), self.places)
 
 
-class Standing(Enum):
+class MemberStatus(Enum):
     """Whether a member may act on what contradicts, and why not."""
 
     IN = "in"
@@ -114,7 +107,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class TierConfig:
     """What a member is told of its tier at its start. Times in microseconds."""
 
     name: str  # this member's
@@ -137,18 +130,18 @@
     """The sans-IO core of a member. Methods take the time; `take` gives what to do, in order."""
 
     def __init__(
-        self, terms: Terms, boot: int, kept: dict[str, bytes], rng: random.Random, now: int,
+        self, terms: TierConfig, boot: int, kept: dict[str, bytes], rng: random.Random, now: int,
         founding: Founding | None,
     ) -> None:  # fmt: skip
-        self.terms, self.boot, self.rng, self.founding = terms, boot, rng, founding
+        self.config, self.boot, self.rng, self.founding = terms, boot, rng, founding
         self.out: list[Effect] = []
         self._others = [name for name in terms.peers if name != terms.name]
         self.since = now
-        self.prober, self.paths = Prober(terms.name, rng, now), Paths()
+        self.prober, self.relays = Prober(terms.name, rng, now), RelayPolicy()
         self._via: tuple[str, str] | None = None  # who is answered, and through whom as well
         life = 0 if SELF not in kept else int(msgspec.msgpack.decode(kept[SELF]))
-        self.crew = Crew(terms.name, life + 1, boot)
-        self.library = Library(
+        self.membership = MembershipTable(terms.name, life + 1, boot)
+        self.contents = ContentStore(
             {k.removeprefix(CONTENT): v for k, v in kept.items() if k.startswith(CONTENT)}
         )
         self.stamps: dict[str, int] = msgspec.msgpack.decode(
@@ -167,7 +160,7 @@
         if terms.name in terms.voters:
             grants = None if terms.lease is None else Grants(terms.lease, now)
             self.voter = Voter(
-                terms.name, terms.voters, kept.get(VOTE), self.library, self.stamps, grants,
+                terms.name, terms.voters, kept.get(VOTE), self.contents, self.stamps, grants,
                 self.proposer.ballot, boot, self.out,
             )  # fmt: skip
             self.proposer.rank(self.voter.acceptor.vote.promised)
@@ -205,7 +198,7 @@
 
     def tick(self, now: int) -> None:
         """Time passes; some ten times a second."""
-        self.crew.beat(self.confirmed, self.trouble, self.word)
+        self.membership.beat(self.confirmed, self.trouble, self.word)
         if self.voter is not None:
             self._say_all(self.voter.tick(now))
         self._say_all(self.proposer.tick(now))
@@ -215,21 +208,21 @@
             self.proposer.add(Job(None, self._read))
         if not self.settled():
             self._settle()
-        self._say_all(self.library.asks(now, others, self.rng.randrange(1 << 20)))
+        self._say_all(self.contents.asks(now, others, self.rng.randrange(1 << 20)))
         self._poll(now)
-        self._say_all(self.prober.tick(now, others, self.crew.life_of))
+        self._say_all(self.prober.tick(now, others, self.membership.life_of))
         if self._news_of_head:
             self._news_of_head, self._busy_until = False, now + BUSY
         lapsed = self._my_lapsed(now)
         if lapsed is not None:
-            self._lapsed[self.terms.name] = lapsed
+            self._lapsed[self.config.name] = lapsed
         self._enrol(now)
         self._consider(now)
         self._keep_stamps()
         self._tell_proposer(now)
         if now >= self._gossip_at or self._is_busy(now):
             self._gossip_at = now + QUIET
-            self._gossip(self.terms.fanout, now)
+            self._gossip(self.config.fanout, now)
         self._drain(now)
 
     def heard(self, sender: str, message: Message, now: int) -> None:
@@ -242,18 +235,18 @@
         if turn > self.confirmed:
             self._busy_until = now + BUSY
             self.confirmed, self.trouble = turn, ""
-            self.crew.beat(turn, "", self.word)
+            self.membership.beat(turn, "", self.word)
             self._poll_at = now
             self._poll(now)
             self._consider(now)
-            self._gossip(self.terms.fanout, now)
+            self._gossip(self.config.fanout, now)
             self._tell_proposer(now)
         self._drain(now)
 
     def _tell_proposer(self, now: int) -> None:
         """Confirm to who waits for it, now and again while it does; gossip brings it later."""
         pending = None if self.known is None else self.known.head.pending
-        if pending is None or pending.by == self.terms.name or now < self._retell_at:
+        if pending is None or pending.by == self.config.name or now < self._retell_at:
             return
         if self.acting is not None and (self.confirmed >= self.acting.turn or self.trouble):
             self._retell_at = now + RETELL
@@ -277,12 +270,12 @@
     def _version(self, content: bytes, base: int, who: str, when: int) -> tuple[Version, str]:
         """Something to be offered, and its content's digest."""
         digest = self._add(content)
-        change = f"{self.terms.name}-{self.boot:x}-{self._jobs}"
-        return Version(0, base, digest, self.terms.name, who, when, change), digest
+        change = f"{self.config.name}-{self.boot:x}-{self._jobs}"
+        return Version(0, base, digest, self.config.name, who, when, change), digest
 
     def _add(self, content: bytes) -> str:
         """A content that a job needs."""
-        digest, packed = self.library.add(content)
+        digest, packed = self.contents.add(content)
         self.out.append(Keep({CONTENT + digest: packed}))
         self._offers.add(digest)
         return digest
@@ -314,10 +307,10 @@
         """
         if name not in self.roster.inside:
             return "not in the roster; `sailhitch tier members` shows it"
-        if name == self.terms.name:
+        if name == self.config.name:
             return "is the gateway that you ask, and surely not dead"
         # One of which nothing was heard since this member started may have been heard before.
-        age = now - self.crew.seen.get(name, self.since)
+        age = now - self.membership.seen.get(name, self.since)
         if age < quiet:
             return (
                 f"a sign of life came {age / 1e6:.1f} s ago, and `gone` is for one that gave none "
@@ -370,7 +363,7 @@
         if not self.settled():
             return None
         self.out.append(Keep({LEFT: b"1"}))
-        rest = tuple(one for one in self.roster.inside if one != self.terms.name)
+        rest = tuple(one for one in self.roster.inside if one != self.config.name)
         return self._job_roster(self.roster.but(rest, self.roster.out))
 
     def _job_roster(self, roster: Roster) -> int:
@@ -386,46 +379,46 @@
             if digest is not None:
                 self._offers.discard(digest)
             if decided is not None:
-                self._learn(decided, self.terms.name)
+                self._learn(decided, self.config.name)
                 self.out.append(Done(number, end, decided.head))
 
         self.proposer.add(Job(change, ended))
         return number
 
-    # --- Standing
+    # --- Status
 
-    def standing(self, now: int) -> Standing:
+    def standing(self, now: int) -> MemberStatus:
         """Whether this member may act on what contradicts; asked right before it acts."""
         if self.broken:
-            return Standing.BROKEN
-        if self.crew.twin(now):
-            return Standing.TWIN
+            return MemberStatus.BROKEN
+        if self.membership.twin(now):
+            return MemberStatus.TWIN
         if not self.heard_register:
-            return Standing.HEARING
+            return MemberStatus.HEARING
         if not self.joined or self.left:
-            return Standing.OUTSIDE
+            return MemberStatus.OUTSIDE
         if self.confirmed < self.joined:
-            return Standing.BEHIND
+            return MemberStatus.BEHIND
         if self.lease is not None and now >= self.lease.until():
-            return Standing.LAPSED
-        return Standing.IN
+            return MemberStatus.LAPSED
+        return MemberStatus.IN
 
     # --- Saying and hearing
 
     def _say(self, to: str, message: Message) -> None:
-        if to == self.terms.name:
+        if to == self.config.name:
             self._local.append(message)
             return
         self.out.append(Send(to, message))
-        if isinstance(message, Via):
+        if isinstance(message, Relayed):
             return
         if self._via is not None and to == self._via[0]:
-            self.out.append(Send(self._via[1], Via(self.terms.name, to, message)))
+            self.out.append(Send(self._via[1], Relayed(self.config.name, to, message)))
         elif isinstance(message, QUESTIONS) and self.prober.alive(to):
-            ask_too = self.paths.asks(to)
+            ask_too = self.relays.asks(to)
             helper = self._alive(self.rng.choice(self._others), but=to) if ask_too else None
             if helper is not None:
-                self.out.append(Send(helper, Via(self.terms.name, to, message)))
+                self.out.append(Send(helper, Relayed(self.config.name, to, message)))
 
     def _say_all(self, said: list[tuple[str, Any]]) -> None:
         for to, message in said:
@@ -454,37 +447,37 @@
             return True
         if known.head.pending is not None or self.roster.out or not self.settled():
             return True
-        return bool(self.proposer.jobs) or self.crew.has_news() or self.prober.has_news()
+        return bool(self.proposer.jobs) or self.membership.has_news() or self.prober.has_news()
 
     def _drain(self, now: int) -> None:
         """What this member says to itself is heard at once; what it says to others follows it."""
         while self._local:
-            self._hear(self.terms.name, self._local.popleft(), now)
+            self._hear(self.config.name, self._local.popleft(), now)
 
     def _hear(self, sender: str, message: Message, now: int) -> None:
         if isinstance(message, News):
             self._hear_news(sender, message, now)
-        elif isinstance(message, Get):
-            piece = self.library.answer(message)
+        elif isinstance(message, BlockRequest):
+            piece = self.contents.answer(message)
             if piece is not None:
                 self._say(sender, piece)
-        elif isinstance(message, Piece):
+        elif isinstance(message, Block):
             self._hear_piece(message, now)
-        elif isinstance(message, Via):
+        elif isinstance(message, Relayed):
             self._hear_via(sender, message, now)
         elif isinstance(message, (Ping, Ack, Nack)):
             self._hear_probe(sender, message)
         elif isinstance(message, QUESTIONS):
             if self.voter is not None:
                 self._hear_as_voter(self.voter, sender, message, now)
-        elif sender in self.terms.voters:
+        elif sender in self.config.voters:
             if self._via is None:
-                self.paths.answered(sender)
+                self.relays.answered(sender)
             self._hear_voter(sender, message, now)
 
-    def _hear_via(self, sender: str, via: Via, now: int) -> None:
+    def _hear_via(self, sender: str, via: Relayed, now: int) -> None:
         """Pass something on, or take what was passed on; what it is answered goes back that way."""
-        if via.to == self.terms.name:
+        if via.to == self.config.name:
             self._via = via.origin, sender
             try:
                 self._hear(via.origin, via.message, now)
@@ -508,19 +501,23 @@
 
     def _refute(self, life: int) -> None:
         """A life of this member is doubted: go on in the next."""
-        if life and self.crew.live_above(life):
+        if life and self.membership.live_above(life):
             self.prober.ill()
             self._keep_life()
 
     def _keep_life(self) -> None:
-        self.out.append(Keep({SELF: msgspec.msgpack.encode(self.crew.mine.life)}))
+        self.out.append(Keep({SELF: msgspec.msgpack.encode(self.membership.mine.life)}))
 
     def _hear_as_voter(
-        self, voter: Voter, sender: str, message: Look | Prepare | Accept | Hello | Poll, now: int
+        self,
+        voter: Voter,
+        sender: str,
+        message: ReadRequest | Prepare | Accept | VoteRecoveryRequest | Poll,
+        now: int,
     ) -> None:
         answer: Message | None = None
-        if isinstance(message, Look):
-            answer = Seen(message.number, voter.wants()) if voter.votes else None
+        if isinstance(message, ReadRequest):
+            answer = ReadReply(message.number, voter.wants()) if voter.votes else None
         elif isinstance(message, Prepare):
             self.proposer.rank(message.ballot)
             answer = voter.prepare(message)
@@ -530,21 +527,21 @@
             if answer is None and voter.votes:
                 self._awaited.extend(digests(message.head))
                 self._want_contents(message.head, sender)
-                self._say_all(self.library.asks(now, (), 0))
-        elif isinstance(message, Hello):
+                self._say_all(self.contents.asks(now, (), 0))
+        elif isinstance(message, VoteRecoveryRequest):
             answer = voter.here(message)
         elif self.heard_register and self.known is not None:
             inside = sender in self.roster.inside
             ok = inside and voter.grant(sender, message, self.known.head.floor, now)
             answer = Grant(message.number, ok)
-            if not ok and sender != self.terms.name:
+            if not ok and sender != self.config.name:
                 self._say(sender, self._news(now))
         if answer is not None:
             self._say(sender, answer)
 
     def _hear_voter(self, sender: str, message: Message, now: int) -> None:
         """A voter's answer to something that this member asked."""
-        if isinstance(message, Seen):
+        if isinstance(message, ReadReply):
             self.proposer.seen(sender, message)
         elif isinstance(message, Promise):
             self._stamp(sender, message.stamp)
@@ -554,14 +551,14 @@
         elif isinstance(message, Accepted):
             self._stamp(sender, message.stamp)
             self._say_all(self.proposer.accepted(sender, message, now))
-        elif isinstance(message, Here) and self.voter is not None:
+        elif isinstance(message, VoteRecoveryReply) and self.voter is not None:
             self.voter.heard(sender, message, now)
         elif isinstance(message, Grant) and message.ok and self.lease is not None:
             self.lease.granted(sender, message.number)
 
     def _stamp(self, voter: str, stamp: int) -> None:
         self.stamps[voter] = max(stamp, self.stamps.get(voter, 0))
-        if self.voter is not None and voter == self.terms.name:
+        if self.voter is not None and voter == self.config.name:
             self.voter.is_known(stamp)
 
     def _keep_stamps(self) -> None:
@@ -569,10 +566,10 @@
             self._stamps_kept = dict(self.stamps)
             self.out.append(Keep({STAMPS: msgspec.msgpack.encode(self.stamps)}))
 
-    def _hear_piece(self, piece: Piece, now: int) -> None:
-        packed = self.library.take(piece)
+    def _hear_piece(self, piece: Block, now: int) -> None:
+        packed = self.contents.take(piece)
         if packed is None:
-            self._say_all(self.library.asks(now, (), 0))
+            self._say_all(self.contents.asks(now, (), 0))
             return
         self.out.append(Keep({CONTENT + piece.digest: packed}))
         if self.voter is not None:
@@ -582,23 +579,23 @@
     # --- Gossip
 
     def _news(self, now: int) -> News:
-        rows = self.crew.pick(ROWS, self.rng)
-        stamps = {v: s for v, s in self.stamps.items() if v in self.terms.voters}
+        rows = self.membership.pick(ROWS, self.rng)
+        stamps = {v: s for v, s in self.stamps.items() if v in self.config.voters}
         return News(self.known, rows, stamps, self._my_lapsed(now), self.prober.news())
 
     def _hear_news(self, sender: str, news: News, now: int) -> None:
-        if self.crew.merge(news.rows, now):
+        if self.membership.merge(news.rows, now):
             self._keep_life()
-            self.out.append(Tell("name heard in another life", {"life": self.crew.mine.life}))
+            self.out.append(Tell("name heard in another life", {"life": self.membership.mine.life}))
         self.prober.seen(news.rows)
-        self._refute(self.prober.doubted(news.doubts, self.crew.life_of, now))
-        doubted = self.prober.doubt_of(sender, self.crew.life_of)
+        self._refute(self.prober.doubted(news.doubts, self.membership.life_of, now))
+        doubted = self.prober.doubt_of(sender, self.membership.life_of)
         if doubted:
             self._say(sender, Ping(0, doubted))  # it is there, and may not know what is said of it
         for voter, stamp in news.stamps.items():
-            if stamp > self.stamps.get(voter, 0) or voter == self.terms.name:
+            if stamp > self.stamps.get(voter, 0) or voter == self.config.name:
                 self._stamp(voter, stamp)
-        if news.lapsed is not None and sender in self.terms.voters:
+        if news.lapsed is not None and sender in self.config.voters:
             self._lapsed[sender] = news.lapsed
         if news.decided is not None:
             self.proposer.rank(news.decided.ballot)
@@ -616,20 +613,20 @@
                 self._went_back(decided.head)
             self.heard_register = True
             self.out.append(Keep({LEFT: None}))
-            self._learn(decided, self.rng.choice(self.terms.voters))
+            self._learn(decided, self.rng.choice(self.config.voters))
             self._settle()
         elif self._kept_turn:
             self._went_back(None)
         elif self.known is not None:
             # Others know of a head: it was decided meanwhile, or the voters' disks are lost.
             self._read_again = True
-        elif self.founding is not None and self.terms.name in self.terms.voters:
+        elif self.founding is not None and self.config.name in self.config.voters:
             founding = self.founding
             digest = self._add(founding.content)
-            roster = self._add(Roster(self.terms.peers, ()).content())
+            roster = self._add(Roster(self.config.peers, ()).content())
             version = Version(
-                founding.serial, 0, digest, self.terms.name, founding.who, 0,
-                f"{self.terms.name}-{self.boot:x}-founding",
+                founding.serial, 0, digest, self.config.name, founding.who, 0,
+                f"{self.config.name}-{self.boot:x}-founding",
             )  # fmt: skip
             self.proposer.add(Job(found(version, roster), self._read))
         else:
@@ -648,7 +645,7 @@
 
     def _want_contents(self, head: Head, source: str) -> None:
         for digest in digests(head):
-            self.library.want(digest, source)
+            self.contents.want(digest, source)
 
     def _learn(self, decided: Decided, source: str) -> None:
         """A head that was decided, by whoever's word: words are sealed with the tier's key."""
@@ -670,15 +667,15 @@
             return
         head = known.head
         if not self._is_here(head):
-            self._want_contents(head, self.rng.choice(self.terms.voters))
+            self._want_contents(head, self.rng.choice(self.config.voters))
             return
         if self.voter is not None:
             self.voter.learn(known)
-        self.roster = msgspec.json.decode(self.library.read(head.roster), type=Roster)
+        self.roster = msgspec.json.decode(self.contents.read(head.roster), type=Roster)
         self._settled = head.turn
-        more = [name for name in self.roster.places if name not in self.terms.peers]
-        self._others = [n for n in (*self.terms.peers, *more) if n != self.terms.name]
-        if self.terms.name not in self.roster.inside:
+        more = [name for name in self.roster.places if name not in self.config.peers]
+        self._others = [n for n in (*self.config.peers, *more) if n != self.config.name]
+        if self.config.name not in self.roster.inside:
             self.joined = 0
         elif self.heard_register:
             self.joined = self.joined or head.turn
@@ -695,7 +692,7 @@
         accepted = None if self.voter is None else self.voter.wants()
         if accepted is not None:
             wanted.update(digests(accepted.head))
-        gone = self.library.keep_only(wanted)
+        gone = self.contents.keep_only(wanted)
         if gone:
             self.out.append(Keep({CONTENT + digest: None for digest in gone}))
 
@@ -711,7 +708,7 @@
             return
         if self.left or not self.settled():
             return
-        roster, me = self.roster, self.terms.name
+        roster, me = self.roster, self.config.name
         gone = [one for one in roster.out if one != me and self._is_lapsed(one)]
         # Danger: one that was put out comes back only after it has lapsed: what it may still do
         # by an older lease would otherwise count as confirmed with what it does by the new one.
@@ -728,7 +725,7 @@
             self._enrolling = False
             self._offers.discard(digest)
             if decided is not None:
-                self._learn(decided, self.rng.choice(self.terms.voters))
+                self._learn(decided, self.rng.choice(self.config.voters))
 
         self.proposer.add(Job(enrol(known.head.roster, digest), ended))
 
@@ -736,7 +733,7 @@
         if self.lease is not None and now >= self._poll_at:
             self._poll_at = now + self.lease.length // POLLS
             number = self.lease.ask(now)
-            for voter in self.terms.voters:
+            for voter in self.config.voters:
                 self._say(voter, Poll(number, self.confirmed))
 
     def _my_lapsed(self, now: int) -> tuple[int, bytes] | None:
@@ -756,8 +753,8 @@
 
     def _has_confirmed(self, name: str) -> bool:
         assert self.known is not None
-        row = self.crew.rows.get(name)
-        own = self.confirmed if name == self.terms.name else 0
+        row = self.membership.rows.get(name)
+        own = self.confirmed if name == self.config.name else 0
         return max(own, row.confirmed if row is not None else 0) >= self.known.head.floor
 
     def _is_lapsed(self, name: str) -> bool:
@@ -765,7 +762,9 @@
         assert self.known is not None
         at, turn = self.roster.names().index(name), self.known.head.turn
         said = [bits for t, bits in self._lapsed.values() if t == turn and len(bits) > at // 8]
-        return sum(bits[at // 8] >> at % 8 & 1 for bits in said) >= majority(len(self.terms.voters))
+        return sum(bits[at // 8] >> at % 8 & 1 for bits in said) >= majority(
+            len(self.config.voters)
+        )
 
     def waiting_for(self) -> list[str]:
         """Members that a pending version waits for."""
@@ -785,13 +784,13 @@
         Danger: who dies with a zone has said of it, last, that it is well. Its word does not count
         from when it is suspected.
         """
-        rows, health = self.crew.rows, self.prober.health
+        rows, health = self.membership.rows, self.prober.health
         found = {
-            name: rows[name].word for name, seen in self.crew.seen.items()
+            name: rows[name].word for name, seen in self.membership.seen.items()
             if now - seen <= WORD_LIFE and rows[name].word
             and health(name, rows[name].life) is Health.ALIVE
         }  # fmt: skip
-        return {**found, self.terms.name: self.word} if self.word else found
+        return {**found, self.config.name: self.word} if self.word else found
 
     def hurry(self, now: int) -> None:
         """What this member has to say is news that others wait for."""
@@ -799,15 +798,15 @@
 
     def lagging(self) -> list[str]:
         """Members that are there, and have not said that they act by what this one acts by."""
-        rows, dead = self.crew.rows, self.prober.dead()
+        rows, dead = self.membership.rows, self.prober.dead()
         return [
             name for name in self.roster.inside
-            if name not in dead and name != self.terms.name
+            if name not in dead and name != self.config.name
             and (name not in rows or rows[name].confirmed < self.confirmed)
         ]  # fmt: skip
 
     def _is_here(self, head: Head) -> bool:
-        return self.library.has(*digests(head))
+        return self.contents.has(*digests(head))
 
     def _consider(self, now: int) -> None:
         """Make a pending version active once nobody has to be waited for."""
@@ -819,7 +818,7 @@
             return
         pending = known.head.pending
         if self._ready_at is None:
-            mine = pending.by == self.terms.name
+            mine = pending.by == self.config.name
             self._ready_at = now + (0 if mine else self.rng.randrange(FIRST_AFTER, LAST_AFTER))
         if now >= self._ready_at:
             self._activating = True
@@ -828,7 +827,7 @@
     def _activated(self, decided: Decided | None, end: End) -> None:
         self._activating = False
         if decided is not None:
-            self._learn(decided, self.rng.choice(self.terms.voters))
+            self._learn(decided, self.rng.choice(self.config.voters))
 
     # --- For people
 
@@ -836,20 +835,20 @@
         """What `tier status` shows. Ages are by this process's clock."""
         head = None if self.known is None else self.known.head
         members = []
-        for name in sorted({*self.roster.names(), *self.crew.rows}):
-            row, seen = self.crew.rows.get(name), self.crew.seen.get(name)
-            me = name == self.terms.name
+        for name in sorted({*self.roster.names(), *self.membership.rows}):
+            row, seen = self.membership.rows.get(name), self.membership.seen.get(name)
+            me = name == self.config.name
             members.append({
                 "name": name, "inside": name in self.roster.inside,
-                "voter": name in self.terms.voters,
+                "voter": name in self.config.voters,
                 "confirmed": 0 if row is None else row.confirmed,
                 "age": 0 if me else None if seen is None else now - seen,
                 "trouble": "" if row is None else row.trouble,
-                "health": self.prober.health(name, self.crew.life_of(name)).value,
+                "health": self.prober.health(name, self.membership.life_of(name)).value,
                 "place": self.roster.places.get(name),
             })  # fmt: skip
         return {
-            "name": self.terms.name, "standing": self.standing(now).name.lower(),
+            "name": self.config.name, "standing": self.standing(now).name.lower(),
             "why": self.standing(now).value, "turn": 0 if head is None else head.turn,
             "active": None if head is None else head.active.serial,
             "pending": None if head is None or head.pending is None else head.pending.serial,
--- a/sailhitch/tier/crew.py
+++ b/sailhitch/tier/membership.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from .forms import Row
+from .messages import MemberRecord
 
 TIMES: Final = 6  # datagrams that a news goes out with before it takes its turn like the others
 TWIN_AFTER: Final = 4  # lives taken against others' within `TWIN_QUIET` each
@@ -21,12 +21,12 @@
 TWIN_QUIET: Final = 20_000_000
 
 
-class Crew:
+class MembershipTable:
     """Rows of members, this one's own among them."""
 
     def __init__(self, name: str, life: int, boot: int) -> None:
         self.name = name
-        self.rows: dict[str, Row] = {name: Row(name, life, boot, 0, 0, "")}
+        self.rows: dict[str, MemberRecord] = {name: MemberRecord(name, life, boot, 0, 0, "")}
         self.seen: dict[str, int] = {}  # when each one's row last moved on
         self.refuted = 0  # lives taken in a row against another's
         self._refuted_at = 0
@@ -34,7 +34,7 @@
         self._turn: list[str] = []  # whose rows are to be passed on before anybody's again
 
     @property
-    def mine(self) -> Row:
+    def mine(self) -> MemberRecord:
         return self.rows[self.name]
 
     def twin(self, now: int) -> bool:
@@ -44,11 +44,11 @@
     def beat(self, confirmed: int, trouble: str, word: bytes = b"") -> None:
         """One more sign of life."""
         old = self.mine
-        self.rows[self.name] = Row(
+        self.rows[self.name] = MemberRecord(
             self.name, old.life, old.boot, old.beats + 1, confirmed, trouble[:TROUBLE], word
         )
 
-    def merge(self, rows: Iterable[Row], now: int) -> bool:
+    def merge(self, rows: Iterable[MemberRecord], now: int) -> bool:
         """Take in others' rows; whether this one's own life had to be raised."""
         raised, known, me = False, self.rows, self.name
         for row in rows:
@@ -68,7 +68,7 @@
             self.seen[name] = now
         return raised
 
-    def _about_me(self, row: Row, now: int) -> bool:
+    def _about_me(self, row: MemberRecord, now: int) -> bool:
         mine = self.mine
         if row.boot == mine.boot or row.life < mine.life:
             return False
@@ -93,7 +93,7 @@
         """Whether a row has changed and was not passed on often enough."""
         return bool(self._fresh)
 
-    def pick(self, most: int, rng: random.Random) -> list[Row]:
+    def pick(self, most: int, rng: random.Random) -> list[MemberRecord]:
         """Rows for one datagram: this one's own, then what is news, then the others in turn.
 
         The work is bounded by `most`, whatever the number of members.
--- a/sailhitch/tier/forms.py
+++ b/sailhitch/tier/messages.py
@@ -1,4 +1,4 @@
-"""What is agreed on, what is said, and what a core asks of its process. Values, no behaviour.
+"""What members agree on and what they send to each other: values, no behaviour.
 
 Times are microseconds of the process's own steady clock; no two processes' times are ever compared.
 A digest is the SHA-256 of a content in hex.
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import NamedTuple
 
 import msgspec
@@ -54,7 +53,7 @@
     head: Head
 
 
-class Row(msgspec.Struct, frozen=True, array_like=True):
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
     """A member's word about itself, passed on by others as it is."""
 
     name: str
@@ -69,13 +68,13 @@
 # --- What is said
 
 
-class Look(msgspec.Struct, frozen=True, array_like=True, tag="l"):
+class ReadRequest(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """What has this voter accepted? Asked without a ballot: nothing is promised."""
 
     number: int
 
 
-class Seen(msgspec.Struct, frozen=True, array_like=True, tag="L"):
+class ReadReply(msgspec.Struct, frozen=True, array_like=True, tag="L"):
     number: int
     accepted: Decided | None  # accepted by this voter, which may be the only one
 
@@ -110,18 +109,18 @@
     beside: list[str]  # the voters of whose promises this one now knows, by the `Accept`
 
 
-class Hello(msgspec.Struct, frozen=True, array_like=True, tag="h"):
+class VoteRecoveryRequest(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """A voter that has started asks what is known of its earlier votes."""
 
     nonce: int
 
 
-class Here(msgspec.Struct, frozen=True, array_like=True, tag="H"):
+class VoteRecoveryReply(msgspec.Struct, frozen=True, array_like=True, tag="H"):
     nonce: int
     stamps: dict[str, int]  # the latest known of each voter's votes
 
 
-class Doubt(msgspec.Struct, frozen=True, array_like=True):
+class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """A life of a member that does not answer, and who has found so by probes of its own."""
 
     name: str
@@ -133,10 +132,10 @@
     """Gossip; each is of use alone, in any order."""
 
     decided: Decided | None
-    rows: list[Row]
+    rows: list[MemberRecord]
     stamps: dict[str, int]
     lapsed: tuple[int, bytes] | None  # a voter's: of a turn, bits by the roster's names in order
-    doubts: list[Doubt] = []
+    doubts: list[Suspicion] = []
 
 
 class Poll(msgspec.Struct, frozen=True, array_like=True, tag="q"):
@@ -151,12 +150,12 @@
     ok: bool
 
 
-class Get(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+class BlockRequest(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     digest: str
     offset: int
 
 
-class Piece(msgspec.Struct, frozen=True, array_like=True, tag="C"):
+class Block(msgspec.Struct, frozen=True, array_like=True, tag="C"):
     digest: str
     offset: int
     total: int
@@ -181,12 +180,12 @@
 
 
 Plain = (
-    Look | Seen | Prepare | Promise | Accept | Accepted | Hello | Here | News | Poll | Grant | Get
-    | Piece | Ping | Ack | Nack
+    ReadRequest | ReadReply | Prepare | Promise | Accept | Accepted | VoteRecoveryRequest
+    | VoteRecoveryReply | News | Poll | Grant | BlockRequest | Block | Ping | Ack | Nack
 )  # fmt: skip
 
 
-class Via(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+class Relayed(msgspec.Struct, frozen=True, array_like=True, tag="v"):
     """Something that goes through one other member, where the straight way may be cut."""
 
     origin: str
@@ -194,66 +193,4 @@
     message: Plain
 
 
-Message = Plain | Via
-
-
-# --- What a core asks of its process
-
-
-class Send(NamedTuple):
-    """Say this to a member; it may get lost, late or doubled."""
-
-    to: str
-    message: Message
-
-
-class Keep(NamedTuple):
-    """Have this on disk before any effect after it happens; None: it may be forgotten.
-
-    Danger: where that fails, no later effect may happen: the process falls silent in the tier.
-    """
-
-    items: dict[str, bytes | None]
-
-
-class Acting(NamedTuple):
-    """What to act by: the rules of `active`, met with those of `pending` where there is one."""
-
-    turn: int
-    active: Version
-    pending: Version | None
-    posture: Version | None = None
-
-
-class Act(NamedTuple):
-    """Go by this, and say so with `Member.acted` once nothing goes by anything older."""
-
-    acting: Acting
-
-
-class End(Enum):
-    """How a change asked for has ended."""
-
-    ACTIVE = "active"
-    PENDING = "pending"  # decided, and waits for members
-    STALE = "stale"  # made from a version that is not the active one any more
-    BUSY = "busy"  # another change is pending
-    NONE = "none"  # there was nothing to do
-
-
-class Done(NamedTuple):
-    """A job's end; `head` is what holds."""
-
-    job: int
-    end: End
-    head: Head
-
-
-class Tell(NamedTuple):
-    """An act worth a line in the log: its name and what belongs to it."""
-
-    event: str
-    fields: dict[str, object]
-
-
-Effect = Send | Keep | Act | Done | Tell
+Message = Plain | Relayed
--- a/sailhitch/tier/probes.py
+++ b/sailhitch/tier/probes.py
@@ -19,7 +19,7 @@
 from enum import Enum
 from typing import Final
 
-from .forms import Doubt, Message, Nack, Ping, Row, Via
+from .messages import MemberRecord, Message, Nack, Ping, Relayed, Suspicion
 
 INTERVAL: Final = 1_000_000  # us between two probes of a member that is well
 REPEAT: Final = 200_000  # us until an unanswered question is said again
@@ -112,7 +112,7 @@
         """Whether a suspicion was not passed on often enough."""
         return any(one.told < TIMES for one in self._suspicions.values())
 
-    def news(self) -> list[Doubt]:
+    def news(self) -> list[Suspicion]:
         """Suspicions to pass on with a datagram, those that went out least before others."""
         if not self._suspicions:
             return []
@@ -121,10 +121,10 @@
         for _, name in sorted(open_)[:CARRIED]:
             one = self._suspicions[name]
             one.told += 1
-            said.append(Doubt(name, one.life, sorted(one.by)))
+            said.append(Suspicion(name, one.life, sorted(one.by)))
         return said
 
-    def doubted(self, doubts: Iterable[Doubt], life_of: LifeOf, now: int) -> int:
+    def doubted(self, doubts: Iterable[Suspicion], life_of: LifeOf, now: int) -> int:
         """Others' suspicions; the highest life of this member that is doubted, or 0.
 
         `life_of` tells the latest known of a member: an older one's suspicion is void.
@@ -137,7 +137,7 @@
                 self._suspect(doubt.name, doubt.life, doubt.by, now)
         return mine
 
-    def seen(self, rows: Iterable[Row]) -> None:
+    def seen(self, rows: Iterable[MemberRecord]) -> None:
         """Members' words about themselves: a later life than the suspected one refutes it."""
         if not self._suspicions:
             return
@@ -210,7 +210,9 @@
             return []
         able = [one for one in others if one != probe.name and self.alive(one)]
         probe.helpers = set(self.rng.sample(able, min(HELPERS, len(able))))
-        ping = Via(self.name, probe.name, Ping(probe.number, self.doubt_of(probe.name, life_of)))
+        ping = Relayed(
+            self.name, probe.name, Ping(probe.number, self.doubt_of(probe.name, life_of))
+        )
         return [(one, ping) for one in sorted(probe.helpers)]
 
     def _failed(self, probe: _Probe, life_of: LifeOf, now: int) -> None:
--- a/sailhitch/tier/proposer.py
+++ b/sailhitch/tier/proposer.py
@@ -11,8 +11,9 @@
 from collections.abc import Callable, Collection
 from typing import Final
 
-from .forms import Accepted, Ballot, Decided, End, Look, Message, Promise, Seen
+from .effects import End
 from .line import Change, read
+from .messages import Accepted, Ballot, Decided, Message, Promise, ReadReply, ReadRequest
 from .register import Phase, Round, majority
 
 RESEND: Final = 100_000  # us until something unanswered is said again
@@ -47,10 +48,10 @@
         self._seen: dict[str, Decided | None] = {}
 
     def unanswered(self) -> list[tuple[str, Message]]:
-        look = Look(self.number)
+        look = ReadRequest(self.number)
         return [(v, look) for v in self.voters if v not in self._seen]
 
-    def seen(self, voter: str, answer: Seen) -> None:
+    def seen(self, voter: str, answer: ReadReply) -> None:
         """A voter's answer."""
         if answer.number == self.number:
             self._seen[voter] = answer.accepted
@@ -131,8 +132,8 @@
         at = self.round or self.reading
         return [] if at is None else at.unanswered()
 
-    def seen(self, voter: str, answer: Seen) -> None:
-        """A voter's answer to `Look`."""
+    def seen(self, voter: str, answer: ReadReply) -> None:
+        """A voter's answer to `ReadRequest`."""
         if self.reading is not None:
             self.reading.seen(voter, answer)
             found = self.reading.found()
--- a/sailhitch/tier/register.py
+++ b/sailhitch/tier/register.py
@@ -21,18 +21,18 @@
 
 import msgspec
 
-from .forms import (
+from .line import Change, Step
+from .messages import (
     NO_BALLOT,
     Accept,
     Accepted,
     Ballot,
     Decided,
-    Here,
     Message,
     Prepare,
     Promise,
+    VoteRecoveryReply,
 )
-from .line import Change, Step
 
 VOTE: Final = "vote"  # the name under which a voter's vote is kept
 
@@ -118,7 +118,7 @@
         self.old, self.mode = True, Mode.MENDING
         return True
 
-    def heard(self, voter: str, answer: Here, lone: bool) -> None:
+    def heard(self, voter: str, answer: VoteRecoveryReply, lone: bool) -> None:
         """An answer to this voter's own question, asked since it started.
 
         With `lone` fewer answers do: it has waited for long, and a voter that is down for good
--- a/sailhitch/tier/paths.py
+++ b/sailhitch/tier/relay.py
@@ -12,7 +12,7 @@
 UNANSWERED: Final = 3  # questions in a row after which another way is taken as well
 
 
-class Paths:
+class RelayPolicy:
     """How questions to voters have gone."""
 
     def __init__(self) -> None:
--- a/sailhitch/tier/voter.py
+++ b/sailhitch/tier/voter.py
@@ -7,24 +7,22 @@
 
 import msgspec
 
-from .forms import (
+from .content_store import ContentStore
+from .effects import Effect, Keep, Tell
+from .lease import Grants
+from .messages import (
     Accept,
     Accepted,
     Ballot,
     Decided,
-    Effect,
     Head,
-    Hello,
-    Here,
-    Keep,
     Message,
     Poll,
     Prepare,
     Promise,
-    Tell,
+    VoteRecoveryReply,
+    VoteRecoveryRequest,
 )
-from .lease import Grants
-from .library import Library
 from .register import VOTE, Acceptor, Mode, Vote
 
 STAMPS: Final = "stamps"  # the name under which others' stamps are kept
@@ -46,13 +44,13 @@
     """
 
     def __init__(
-        self, name: str, voters: Collection[str], kept: bytes | None, library: Library,
+        self, name: str, voters: Collection[str], kept: bytes | None, library: ContentStore,
         stamps: dict[str, int], grants: Grants | None, ballot: Callable[[], Ballot], nonce: int,
         out: list[Effect],
     ) -> None:  # fmt: skip
         vote = None if kept is None else msgspec.msgpack.decode(kept, type=Vote)
         self.acceptor = Acceptor(name, voters, vote)
-        self.name, self.library, self.stamps = name, library, stamps
+        self.name, self.contents, self.stamps = name, library, stamps
         self.grants, self.ballot, self.nonce, self.out = grants, ballot, nonce, out
         self.others = self.acceptor.others
         self._said = 0
@@ -95,7 +93,7 @@
         """None: this voter does not vote, or does not have the contents yet."""
         if self.is_known(message.stamps.get(self.name, 0)) or not self.votes:
             return None
-        if not self.library.has(*digests(message.head)):
+        if not self.contents.has(*digests(message.head)):
             return None
         older = any(stamp > self.stamps.get(v, 0) for v, stamp in message.stamps.items())
         for voter, stamp in message.stamps.items():
@@ -131,7 +129,7 @@
             return []
         self._said = now
         if self.acceptor.mode is Mode.ASKING:
-            return [(v, Hello(self.nonce)) for v in self.others]
+            return [(v, VoteRecoveryRequest(self.nonce)) for v in self.others]
         if self._is_found:
             self.settle()
             return []
@@ -139,11 +137,11 @@
             self._mending = self.ballot()
         return [(v, Prepare(self._mending)) for v in self.others]
 
-    def here(self, hello: Hello) -> Here:
+    def here(self, hello: VoteRecoveryRequest) -> VoteRecoveryReply:
         """The answer to a voter that has started."""
-        return Here(hello.nonce, dict(self.stamps))
+        return VoteRecoveryReply(hello.nonce, dict(self.stamps))
 
-    def heard(self, voter: str, answer: Here, now: int) -> None:
+    def heard(self, voter: str, answer: VoteRecoveryReply, now: int) -> None:
         """Another voter says what it knows of this one's votes."""
         if answer.nonce != self.nonce:
             return
@@ -183,7 +181,7 @@
         """Vote again, where all that a mending voter goes on from is here."""
         if not self._is_found or self._mending is None or self.votes:
             return
-        if self._found is not None and not self.library.has(*digests(self._found.head)):
+        if self._found is not None and not self.contents.has(*digests(self._found.head)):
             return
         self.acceptor.mend(self._mending, self._found, self.stamps.get(self.name, 0))
         self._keep()
--- a/sailhitch/tier/wire.py
+++ b/sailhitch/tier/wire.py
@@ -19,7 +19,7 @@
 
 import msgspec
 
-from .forms import Message
+from .messages import Message
 
 VERSION: Final = 1
 MAGIC: Final = b"SH"
--- a/tests/test_tier_cases.py
+++ b/tests/test_tier_cases.py
@@ -9,9 +9,10 @@
 
 from sailhitch.model.story import Event, Story, play
 from sailhitch.model.tier import World
-from sailhitch.tier.crew import TWIN_AFTER, Crew
-from sailhitch.tier.forms import Act, Row, Send
-from sailhitch.tier.member import Standing
+from sailhitch.tier.effects import Act, Send
+from sailhitch.tier.member import MemberStatus
+from sailhitch.tier.membership import TWIN_AFTER, MembershipTable
+from sailhitch.tier.messages import MemberRecord
 
 S = 1_000_000
 
@@ -66,7 +67,7 @@
         process.kill()
     world.kernel.run(world.kernel.now + 10 * S)
     up = [one for one in world.processes.values() if one.up]
-    assert all(one.member and one.member.standing(one.clock()) is Standing.IN for one in up)
+    assert all(one.member and one.member.standing(one.clock()) is MemberStatus.IN for one in up)
     for process in killed:
         process.start()
     assert settled(world).active.serial == 2
@@ -77,7 +78,7 @@
 
     With a lease they are out when it goes on without them.
     """
-    for lease, serial, standing in ((None, 1, Standing.IN), (3 * S, 2, Standing.LAPSED)):
+    for lease, serial, standing in ((None, 1, MemberStatus.IN), (3 * S, 2, MemberStatus.LAPSED)):
         world = stood(lease=lease)
         sides = {"g4", "g5"}
         names = world.names
@@ -162,7 +163,7 @@
 
 def test_two_members_under_one_name_both_stand_back() -> None:
     """Each hears of the other's lives, and raises its own again and again."""
-    one, two = Crew("g1", 1, 11), Crew("g1", 1, 22)
+    one, two = MembershipTable("g1", 1, 11), MembershipTable("g1", 1, 22)
     now = 0
     for _ in range(2 * TWIN_AFTER):
         now += S
@@ -172,8 +173,8 @@
     assert two.twin(now)
     assert not one.twin(now + 60 * S)
     # One that was only restarted raises its life once, and that is that.
-    back, others = Crew("g1", 1, 33), Crew("g2", 1, 44)
-    others.merge([Row("g1", 5, 11, 900, 7, "")], now)
+    back, others = MembershipTable("g1", 1, 33), MembershipTable("g2", 1, 44)
+    others.merge([MemberRecord("g1", 5, 11, 900, 7, "")], now)
     back.merge([others.rows["g1"]], now)
     assert back.mine.life == 6
     others.merge([back.mine], now)
@@ -201,7 +202,7 @@
     knowing.start()
     world.kernel.run(world.kernel.now + 30 * S)
     assert knowing.member is not None
-    assert knowing.member.standing(knowing.clock()) is not Standing.IN
+    assert knowing.member.standing(knowing.clock()) is not MemberStatus.IN
 
 
 def test_where_no_change_contradicts_none_waits() -> None:
--- a/tests/test_tier_model.py
+++ b/tests/test_tier_model.py
@@ -15,7 +15,7 @@
 
 from sailhitch.model.story import Event, Story, broken, draw, play, shrink, tell
 from sailhitch.model.tier import TierProcess, World
-from sailhitch.tier.forms import Act, Acting, Done, Keep, Send, Tell
+from sailhitch.tier.effects import Act, Acting, Done, Keep, Send, Tell
 from sailhitch.tier.lease import Grants
 from sailhitch.tier.member import Member
 from sailhitch.tier.proposer import Reading
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -14,22 +15,37 @@
 from sailhitch.daemon.schema import FileError, parse_value
 from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
+from sailhitch.tier.content_store import BLOCK_SIZE, ContentStore
 from sailhitch.tier.disk import Disk, DiskError
-from sailhitch.tier.forms import (
+from sailhitch.tier.effects import End
+from sailhitch.tier.lease import Grants, Lease
+from sailhitch.tier.line import Step, read
+from sailhitch.tier.messages import (
     Accept,
     Accepted,
+    Ack,
     Ballot,
-    End,
-    Get,
+    Block,
+    BlockRequest,
+    Decided,
+    Grant,
     Head,
-    Hello,
-    Piece,
+    MemberRecord,
+    Message,
+    Nack,
+    News,
+    Ping,
+    Poll,
     Prepare,
+    Promise,
+    ReadReply,
+    ReadRequest,
+    Relayed,
+    Suspicion,
     Version,
+    VoteRecoveryReply,
+    VoteRecoveryRequest,
 )
-from sailhitch.tier.lease import Grants, Lease
-from sailhitch.tier.library import PIECE, Library
-from sailhitch.tier.line import Step, read
 from sailhitch.tier.register import Acceptor, Mode, Round
 from sailhitch.tier.wire import WINDOW, KeyFileError, Keys, Wire, load_keys
 from tests.daemons import file_value
@@ -48,10 +64,10 @@
 
 def test_what_is_sealed_is_opened_once_by_whom_it_is_for() -> None:
     one, two = _pair()
-    data = one.seal("g2", Hello(7))
+    data = one.seal("g2", VoteRecoveryRequest(7))
     envelope = two.open(data)
     assert envelope is not None
-    assert (envelope.sender, envelope.boot, envelope.message) == ("g1", 11, Hello(7))
+    assert (envelope.sender, envelope.boot, envelope.message) == ("g1", 11, VoteRecoveryRequest(7))
     assert two.open(data) is None
     assert Wire(one.keys, "g3", 33).open(data) is None
     assert two.refused == {"replay": 1}
@@ -60,7 +76,7 @@
 @given(st.data())
 def test_no_changed_datagram_is_opened(data: Any) -> None:
     one, two = _pair()
-    sealed = bytearray(one.seal("g2", Get("a" * 64, 1024)))
+    sealed = bytearray(one.seal("g2", BlockRequest("a" * 64, 1024)))
     how = data.draw(st.sampled_from(["flip", "cut", "longer", "other"]))
     if how == "flip":
         at = data.draw(st.integers(0, len(sealed) - 1))
@@ -78,12 +94,12 @@
 @given(st.permutations(range(30)), st.integers(0, 29))
 def test_datagrams_may_come_in_any_order_each_once(order: list[int], again: int) -> None:
     one, two = _pair()
-    sealed = [one.seal("g2", Hello(i)) for i in range(30)]
+    sealed = [one.seal("g2", VoteRecoveryRequest(i)) for i in range(30)]
     assert all(two.open(sealed[i]) for i in order)
     assert two.open(sealed[again]) is None
     for _ in range(WINDOW + 30):
-        one.seal("g2", Hello(0))
-    assert two.open(one.seal("g2", Hello(1))) is not None
+        one.seal("g2", VoteRecoveryRequest(0))
+    assert two.open(one.seal("g2", VoteRecoveryRequest(1))) is not None
     assert two.open(sealed[again]) is None
 
 
@@ -91,9 +107,9 @@
     both_old, both_new = Keys(1, {1: OLD, 2: NEW}), Keys(2, {2: NEW, 1: OLD})
     for ours, theirs in ((Keys(1, {1: OLD}), both_old), (both_old, both_new), (both_new, both_old)):
         one, two = _pair(ours, theirs)
-        assert two.open(one.seal("g2", Hello(1))) is not None
+        assert two.open(one.seal("g2", VoteRecoveryRequest(1))) is not None
     one, two = _pair(Keys(2, {2: NEW}), Keys(1, {1: OLD}))
-    assert two.open(one.seal("g2", Hello(1))) is None
+    assert two.open(one.seal("g2", VoteRecoveryRequest(1))) is None
 
 
 @pytest.mark.parametrize(
@@ -117,12 +133,119 @@
     assert load_keys(path) == Keys(7, {7: b"\xab" * 16})
 
 
+# --- Messages
+
+
+# As the version before the renaming of the types sent them: members of both talk to each other.
+RECORDED = {
+    "l": "92a16c03",
+    "L": (
+        "93a14c03929307a267316397040203970201d9406162616261626162616261626162616261626162"
+        "61626162616261626162616261626162616261626162616261626162616261626162616261626162"
+        "61626162a26731a3616e6e05a767312d36332d30970302d940636463646364636463646364636463"
+        "64636463646364636463646364636463646364636463646364636463646364636463646364636463"
+        "646364636463646364a26732a3626f6206a667322d312d31d9406566656665666566656665666566"
+        "65666566656665666566656665666566656665666566656665666566656665666566656665666566"
+        "65666566656665666566970100d94031323132313231323132313231323132313231323132313231"
+        "323132313231323132313231323132313231323132313231323132313231323132313231323132a2"
+        "6731a3616e6e07a767312d36332d32"
+    ),
+    "p": "92a1709307a2673163",
+    "P": (
+        "96a1509307a2673163c39307a2673163929307a267316397040203970201d9406162616261626162"
+        "61626162616261626162616261626162616261626162616261626162616261626162616261626162"
+        "61626162616261626162616261626162a26731a3616e6e05a767312d36332d30970302d940636463"
+        "64636463646364636463646364636463646364636463646364636463646364636463646364636463"
+        "646364636463646364636463646364636463646364a26732a3626f6206a667322d312d31d9406566"
+        "65666566656665666566656665666566656665666566656665666566656665666566656665666566"
+        "65666566656665666566656665666566656665666566970100d94031323132313231323132313231"
+        "32313231323132313231323132313231323132313231323132313231323132313231323132313231"
+        "3231323132313231323132a26731a3616e6e07a767312d36332d3205"
+    ),
+    "a": (
+        "94a1619307a267316397040203970201d94061626162616261626162616261626162616261626162"
+        "61626162616261626162616261626162616261626162616261626162616261626162616261626162"
+        "6162a26731a3616e6e05a767312d36332d30970302d9406364636463646364636463646364636463"
+        "64636463646364636463646364636463646364636463646364636463646364636463646364636463"
+        "64636463646364a26732a3626f6206a667322d312d31d94065666566656665666566656665666566"
+        "65666566656665666566656665666566656665666566656665666566656665666566656665666566"
+        "6566656665666566970100d940313231323132313231323132313231323132313231323132313231"
+        "32313231323132313231323132313231323132313231323132313231323132313231323132a26731"
+        "a3616e6e07a767312d36332d3281a2673104"
+    ),
+    "A": "96a1419307a2673163c29307a26731630691a26731",
+    "h": "92a16809",
+    "H": "93a1480981a2673104",
+    "n": (
+        "96a16e929307a267316397040203970201d940616261626162616261626162616261626162616261"
+        "62616261626162616261626162616261626162616261626162616261626162616261626162616261"
+        "626162a26731a3616e6e05a767312d36332d30970302d94063646364636463646364636463646364"
+        "63646364636463646364636463646364636463646364636463646364636463646364636463646364"
+        "6364636463646364a26732a3626f6206a667322d312d31d940656665666566656665666566656665"
+        "66656665666566656665666566656665666566656665666566656665666566656665666566656665"
+        "666566656665666566970100d9403132313231323132313231323132313231323132313231323132"
+        "3132313231323132313231323132313231323132313231323132313231323132313231323132a267"
+        "31a3616e6e07a767312d36332d329197a2673101630504a3776879c4017781a26731049204c40101"
+        "9193a267320191a26733"
+    ),
+    "q": "93a1710804",
+    "g": "93a16708c3",
+    "c": (
+        "93a163d9406162616261626162616261626162616261626162616261626162616261626162616261"
+        "6261626162616261626162616261626162616261626162616261626162cd0400"
+    ),
+    "C": (
+        "95a143d9406162616261626162616261626162616261626162616261626162616261626162616261"
+        "6261626162616261626162616261626162616261626162616261626162cd0400cd0800c404646174"
+        "61"
+    ),
+    "i": "93a1690501",
+    "I": "92a14905",
+    "N": "92a14e05",
+    "v": "94a176a26731a2673393a1690500",
+}
+SEALED = "5348010195a267310b01a2673292a16807e8ba4f9c3a385dab428ee72bf306441c"
+
+
+def _samples() -> dict[str, Message]:
+    ballot, first = Ballot(7, "g1", 99), Version(2, 1, "ab" * 32, "g1", "ann", 5, "g1-63-0")
+    second = Version(3, 2, "cd" * 32, "g2", "bob", 6, "g2-1-1")
+    posture = Version(1, 0, "12" * 32, "g1", "ann", 7, "g1-63-2")
+    head = Head(4, 2, 3, first, second, "ef" * 32, posture)
+    decided = Decided(ballot, head)
+    record, suspicion = MemberRecord("g1", 1, 99, 5, 4, "why", b"w"), Suspicion("g2", 1, ["g3"])
+    return {
+        "l": ReadRequest(3), "L": ReadReply(3, decided), "p": Prepare(ballot),
+        "P": Promise(ballot, True, ballot, decided, 5), "a": Accept(ballot, head, {"g1": 4}),
+        "A": Accepted(ballot, False, ballot, 6, ["g1"]), "h": VoteRecoveryRequest(9),
+        "H": VoteRecoveryReply(9, {"g1": 4}),
+        "n": News(decided, [record], {"g1": 4}, (4, b"\x01"), [suspicion]), "q": Poll(8, 4),
+        "g": Grant(8, True), "c": BlockRequest("ab" * 32, 1024),
+        "C": Block("ab" * 32, 1024, 2048, b"data"), "i": Ping(5, 1), "I": Ack(5), "N": Nack(5),
+        "v": Relayed("g1", "g3", Ping(5, 0)),
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize("tag", RECORDED)
+def test_each_message_has_the_bytes_of_the_version_before(tag: str) -> None:
+    message, recorded = _samples()[tag], bytes.fromhex(RECORDED[tag])
+    assert msgspec.msgpack.encode(message) == recorded
+    assert msgspec.msgpack.decode(recorded, type=Message) == message
+
+
+def test_a_sealed_datagram_has_the_bytes_of_the_version_before() -> None:
+    one, two = _pair()
+    sealed = one.seal("g2", VoteRecoveryRequest(7))
+    assert sealed == bytes.fromhex(SEALED)
+    assert two.open(sealed) is not None
+
+
 # --- Contents
 
 
-@given(st.binary(max_size=40 * PIECE), st.integers(0, 1 << 30))
+@given(st.binary(max_size=40 * BLOCK_SIZE), st.integers(0, 1 << 30))
 def test_a_content_is_fetched_whole_through_loss_and_doubling(content: bytes, seed: int) -> None:
-    source, sink, rng = Library({}), Library({}), random.Random(seed)
+    source, sink, rng = ContentStore({}), ContentStore({}), random.Random(seed)
     digest, packed = source.add(content)
     sink.want(digest, "a")
     now = 0
@@ -142,23 +265,23 @@
 
 
 def test_a_content_that_is_not_what_it_should_be_is_not_taken() -> None:
-    source, sink = Library({}), Library({})
+    source, sink = ContentStore({}), ContentStore({})
     digest, _ = source.add(b"x" * 10)
-    other = Library({})
+    other = ContentStore({})
     wrong, packed = other.add(b"another")
     sink.want(digest, "a")
-    assert sink.take(Piece(digest, 0, len(packed), packed)) is None
+    assert sink.take(Block(digest, 0, len(packed), packed)) is None
     assert sink.spoilt == 1
     assert not sink.has(digest)
-    assert sink.take(Piece(digest, 0, 1 << 40, b"")) is None
-    assert sink.take(Piece(wrong, 0, len(packed), packed)) is None  # never asked for
-    assert source.answer(Get(digest, 7)) is None
-    assert source.answer(Get(digest, 1 << 40)) is None
+    assert sink.take(Block(digest, 0, 1 << 40, b"")) is None
+    assert sink.take(Block(wrong, 0, len(packed), packed)) is None  # never asked for
+    assert source.answer(BlockRequest(digest, 7)) is None
+    assert source.answer(BlockRequest(digest, 1 << 40)) is None
 
 
 def test_a_state_of_ten_thousand_nodes_is_a_content() -> None:
     nodes = {f"p/n{i}": {"address": f"10.0.{i // 250}.{i % 250}:80"} for i in range(10_000)}
-    source, sink = Library({}), Library({})
+    source, sink = ContentStore({}), ContentStore({})
     digest, packed = source.add(repr(nodes).encode())
     sink.want(digest, "a")
     now, sent = 0, 0
@@ -169,7 +292,7 @@
             assert piece is not None
             sent += 1
             sink.take(piece)
-    assert sent == -(-len(packed) // PIECE)
+    assert sent == -(-len(packed) // BLOCK_SIZE)
 
 
 # --- Leases
--- a/tests/test_tier_probes.py
+++ b/tests/test_tier_probes.py
@@ -14,10 +14,11 @@
 
 from sailhitch.model.tier import World
 from sailhitch.model.truth import BrokenError
-from sailhitch.tier.forms import Ack, Doubt, Ping, Send, Via
-from sailhitch.tier.member import Member, Standing
-from sailhitch.tier.paths import UNANSWERED, Paths
+from sailhitch.tier.effects import Send
+from sailhitch.tier.member import Member, MemberStatus
+from sailhitch.tier.messages import Ack, Ping, Relayed, Suspicion
 from sailhitch.tier.probes import UNWELL, Health, Prober
+from sailhitch.tier.relay import UNANSWERED, RelayPolicy
 
 S = 1_000_000
 ENDED = 30 * S  # by then all that run tell one that has ended dead (promise 5)
@@ -75,7 +76,7 @@
     world = _world(6)
     _cut(world, ("g2", "g5"))
     _go_on(world, 40)
-    lives = {name: _member(world, name).crew.mine.life for name in world.names}
+    lives = {name: _member(world, name).membership.mine.life for name in world.names}
     assert set(lives.values()) == {1}, "somebody was suspected, and had to refute"
 
 
@@ -83,7 +84,7 @@
     """Its clock ran on for a minute in which it could hear nobody, with a probe under way."""
     prober, others = Prober("g1", random.Random(1), 0), ["a", "b", "c", "d", "e"]
     [(probed, _)] = prober.tick(0, others, lambda name: 1)
-    prober.doubted([Doubt("e", 1, ["a"])], lambda name: 1, 0)
+    prober.doubted([Suspicion("e", 1, ["a"])], lambda name: 1, 0)
     prober.tick(60 * S, others, lambda name: 1)
     found = {name: prober.health(name, 1) for name in others}
     assert found == dict.fromkeys(others, Health.ALIVE) | {"e": Health.SUSPECT}, probed
@@ -176,7 +177,7 @@
     process = world.processes["g6"]
     for _ in range(40):
         _go_on(world, 0.5)
-        assert _member(world, "g6").standing(process.clock()) is Standing.IN
+        assert _member(world, "g6").standing(process.clock()) is MemberStatus.IN
     process.propose(1, 0)
     _go_on(world, 4)
     assert world.truth.latest is not None
@@ -184,26 +185,26 @@
 
 
 def test_without_another_way_the_same_lease_is_over(monkeypatch: Patch) -> None:
-    monkeypatch.setattr(Paths, "asks", lambda *_: False)
+    monkeypatch.setattr(RelayPolicy, "asks", lambda *_: False)
     with pytest.raises(AssertionError):
         test_a_lease_rests_on_others_word_where_no_voter_can_be_reached()
 
 
 def test_another_way_is_taken_once_the_straight_one_has_given_no_answer() -> None:
-    paths = Paths()
-    assert [paths.asks("v") for _ in range(UNANSWERED + 2)] == [False] * UNANSWERED + [True] * 2
-    paths.answered("v")
-    assert not paths.asks("v")
+    relays = RelayPolicy()
+    assert [relays.asks("v") for _ in range(UNANSWERED + 2)] == [False] * UNANSWERED + [True] * 2
+    relays.answered("v")
+    assert not relays.asks("v")
 
 
 def test_nothing_goes_through_more_than_one_other() -> None:
     world = _world(4)
     member = _member(world, "g1")
     member.take()
-    member.heard("g2", Via("g3", "g4", Ping(1, 0)), 0)
-    member.heard("g2", Via("g2", "g4", Ack(1)), 0)
+    member.heard("g2", Relayed("g3", "g4", Ping(1, 0)), 0)
+    member.heard("g2", Relayed("g2", "g4", Ack(1)), 0)
     said = [one for one in member.take() if isinstance(one, Send)]
-    assert [(one.to, one.message) for one in said] == [("g4", Via("g2", "g4", Ack(1)))]
+    assert [(one.to, one.message) for one in said] == [("g4", Relayed("g2", "g4", Ack(1)))]
 
 
 # --- Joining
@@ -219,7 +220,7 @@
     _go_on(world, 2)
     newcomer.start()
     _go_on(world, 6)
-    assert _member(world, "g5").standing(newcomer.clock()) is Standing.IN
+    assert _member(world, "g5").standing(newcomer.clock()) is MemberStatus.IN
     newcomer.pause()
     world.processes["g2"].propose(1, 0)
     _go_on(world, 5)
--- a/tests/test_tier_switch.py
+++ b/tests/test_tier_switch.py
@@ -21,7 +21,7 @@
 from sailhitch.lab.node import Node
 from sailhitch.lab.ports import free_port
 from sailhitch.settings import SAFE, UNSAFE
-from sailhitch.tier.member import Terms
+from sailhitch.tier.member import TierConfig
 from sailhitch.tier.wire import Keys
 from tests.daemons import ROUTES, Inside, file_value, inside, made, pool
 from tests.sockets import PATIENCE, Client, read_message, until
@@ -155,14 +155,15 @@
             "g3": ("127.0.0.1", free_port(socket.SOCK_DGRAM)),
         }  # fmt: skip
         link = Link(
-            Terms("g1", names, names), places, Keys(1, {1: b"k" * 32}), tmp_path, lambda a: None,
-            said.append,
+            TierConfig("g1", names, names), places, Keys(1, {1: b"k" * 32}), tmp_path,
+            lambda a: None, said.append,
         )  # fmt: skip
         await link.start(None)
         await until(lambda: any("EACCES=" in one for one in said))
         assert link.member is not None
-        beats = link.member.crew.mine.beats
-        await until(lambda: link.member is not None and link.member.crew.mine.beats > beats + 1)
+        membership = link.member.membership
+        beats = membership.mine.beats
+        await until(lambda: membership.mine.beats > beats + 1)
         link.close()
 
     with asyncio.Runner(loop_factory=loop) as runner:
@@ -172,7 +173,7 @@
 def test_a_port_that_is_taken_is_told_with_its_field(tmp_path: Path) -> None:
     async def work() -> None:
         def link(name: str) -> Link:
-            terms = Terms("g1", ("g1",), ("g1",))
+            terms = TierConfig("g1", ("g1",), ("g1",))
             keys, here = Keys(1, {1: b"k" * 32}), {"g1": ("127.0.0.1", port)}
             return Link(terms, here, keys, tmp_path / name, lambda a: None, lambda t: None)
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from sailhitch.model.tier import World
-from sailhitch.tier.forms import End
+from sailhitch.tier.effects import End
 from sailhitch.tier.line import Step, pose
 from sailhitch.zones import course, evidence
 from sailhitch.zones.course import FIRST, MOST_RELAPSES, NEEDED, SURE_BAD, Since, judge
