Split the tier's member into modules of one job each

Own modules now: config, roster (with an index), lapse_reports, activation, enrolment, gossip, outbox, first_reading, operator_checks, status_report. Names of a roster and their positions are computed once for a roster: waiting_for sorted all names for each name before. A voter computes its lapse report once a beat and sends that with its gossip. Behaviour is as before otherwise.

--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -12,15 +12,18 @@
 
 import random
 from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
-from enum import Enum
 from typing import Any, Final
 
 import msgspec
 
+from .activation import Activation
+from .config import Founding, MemberStatus, TierConfig
 from .content_store import ContentStore
-from .effects import Act, Acting, Done, Effect, End, Keep, Send, Tell
+from .effects import Act, Acting, Done, Effect, End, Tell
+from .enrolment import Enrolment, enrolled, left, placed, put_out
+from .first_reading import NextStep, after_reading
+from .gossip import Gossip
+from .lapse_reports import LapseReport, LapseReports, encode_lapses
 from .lease import Grants, Lease
 from .line import Change, activate, enrol, found, offer, pose, withdraw
 from .membership import MembershipTable
@@ -47,100 +50,41 @@
     VoteRecoveryReply,
     VoteRecoveryRequest,
 )
+from .operator_checks import why_not_admitted, why_not_gone
+from .outbox import VOTER_REQUESTS, Outbox
 from .probes import Health, Prober
 from .proposer import Job, Proposer
 from .register import VOTE, majority
-from .relay import RelayPolicy
+from .roster import EMPTY_ROSTER, Roster, RosterIndex, decode_roster
+from .status_report import status_report
 from .voter import STAMPS, Voter, digests
 
-ROWS: Final = 12  # in a datagram of gossip
+__all__ = ["CONTENT", "KNOWN", "Founding", "Member", "MemberStatus", "Roster", "TierConfig"]
+
+RECORDS: Final = 12  # of members, in a datagram of gossip
 KNOWN, SELF, LEFT, CONTENT = "known", "self", "left", "content/"  # names on disk
 AWAITED: Final = 24  # contents that are kept for votes under way, whether they come to anything
-# Who proposed a version has it made active; others do so later, each at a time of its own.
-FIRST_AFTER, LAST_AFTER = 600_000, 2_000_000
-RETELL: Final = 300_000  # us between two words to who proposed what is pending
+REPORT_AGAIN: Final = 300_000  # us between two reports to who proposed what is pending
 POLLS: Final = 6  # questions in a lease's length
-AGAIN: Final = 1_000_000  # us between two tries to be enrolled; half of it to read
-DEAD_TOO: Final = 0.1  # part of the gossip that is said to whoever it is, dead or not
-TRIES: Final = 8  # to find one that is not dead
-WORD_LIFE: Final = 10_000_000  # us for which a member's word counts after its last sign of life
-QUIET: Final = 1_000_000  # us between two rounds of gossip where there is nothing new
-BUSY: Final = 3_000_000  # us after something new in which each beat has a round
-
-
-QUESTIONS = (ReadRequest, Prepare, Accept, VoteRecoveryRequest, Poll)  # to voters
-
-
-class Roster(msgspec.Struct, frozen=True):
-    """Whom a change waits for: members, and those that were put out and may still act."""
-
-    inside: tuple[str, ...]
-    out: tuple[str, ...]
-    places: dict[str, str] = {}  # addresses that differ from the files', or that these don't have
-
-    def names(self) -> tuple[str, ...]:
-        """All that a change waits for, in order."""
-        return tuple(sorted({*self.inside, *self.out}))
-
-    def content(self) -> bytes:
-        """One text for one roster."""
-        places = dict(sorted(self.places.items()))
-        return msgspec.json.encode(
-            Roster(tuple(sorted(self.inside)), tuple(sorted(self.out)), places)
-        )
-
-    def but(self, inside: Iterable[str], out: Iterable[str]) -> Roster:
-        """Others inside and out, at the same places."""
-        return Roster(tuple(inside), tuple(out), self.places)
-
-
-class MemberStatus(Enum):
-    """Whether a member may act on what contradicts, and why not."""
-
-    IN = "in"
-    HEARING = "has not heard of a majority of voters since it started"
-    OUTSIDE = "is not in the roster"
-    BEHIND = "does not act by the version that holds yet"
-    LAPSED = "has not heard of a majority of voters within its lease"
-    TWIN = "another process goes by its name"
-    BROKEN = "the register has gone back; see the log"
-
-
-@dataclass(frozen=True, slots=True)
-class TierConfig:
-    """What a member is told of its tier at its start. Times in microseconds."""
-
-    name: str  # this member's
-    voters: tuple[str, ...]
-    peers: tuple[str, ...]  # all members that the file names, this one too
-    lease: int | None = None
-    fanout: int = 2  # members that gossip goes to at each beat
-
-
-@dataclass(frozen=True, slots=True)
-class Founding:
-    """What a tier begins with, if this member is the first to find it empty."""
-
-    content: bytes
-    serial: int
-    who: str
+READ_AGAIN: Final = 500_000  # us between two readings of a register that was empty
+METADATA_LIFE: Final = 10_000_000  # us for which a member's metadata counts after its last record
 
 
 class Member:
     """The sans-IO core of a member. Methods take the time; `take` gives what to do, in order."""
 
     def __init__(
-        self, terms: TierConfig, boot: int, kept: dict[str, bytes], rng: random.Random, now: int,
+        self, config: TierConfig, boot: int, kept: dict[str, bytes], rng: random.Random, now: int,
         founding: Founding | None,
     ) -> None:  # fmt: skip
-        self.config, self.boot, self.rng, self.founding = terms, boot, rng, founding
-        self.out: list[Effect] = []
-        self._others = [name for name in terms.peers if name != terms.name]
+        self.config, self.boot, self.rng, self.founding = config, boot, rng, founding
         self.since = now
-        self.prober, self.relays = Prober(terms.name, rng, now), RelayPolicy()
-        self._via: tuple[str, str] | None = None  # who is answered, and through whom as well
+        self.prober = Prober(config.name, rng, now)
+        others = [name for name in config.peers if name != config.name]
+        self._gossip = Gossip(rng, self.prober, others)
+        self._outbox = Outbox(config.name, self._gossip, self.prober, rng)
         life = 0 if SELF not in kept else int(msgspec.msgpack.decode(kept[SELF]))
-        self.membership = MembershipTable(terms.name, life + 1, boot)
+        self.membership = MembershipTable(config.name, life + 1, boot)
         self.contents = ContentStore(
             {k.removeprefix(CONTENT): v for k, v in kept.items() if k.startswith(CONTENT)}
         )
@@ -152,16 +96,16 @@
         if KNOWN in kept:
             self.known = msgspec.msgpack.decode(kept[KNOWN], type=Decided)
         self._kept_turn = 0 if self.known is None else self.known.head.turn
-        self.proposer = Proposer(terms.name, boot, terms.voters, rng)
+        self.proposer = Proposer(config.name, boot, config.voters, rng)
         self.lease = (
-            None if terms.lease is None else Lease(terms.lease, majority(len(terms.voters)))
+            None if config.lease is None else Lease(config.lease, majority(len(config.voters)))
         )
         self.voter: Voter | None = None
-        if terms.name in terms.voters:
-            grants = None if terms.lease is None else Grants(terms.lease, now)
+        if config.name in config.voters:
+            grants = None if config.lease is None else Grants(config.lease, now)
             self.voter = Voter(
-                terms.name, terms.voters, kept.get(VOTE), self.contents, self.stamps, grants,
-                self.proposer.ballot, boot, self.out,
+                config.name, config.voters, kept.get(VOTE), self.contents, self.stamps, grants,
+                self.proposer.ballot, boot, self._outbox.effects,
             )  # fmt: skip
             self.proposer.rank(self.voter.acceptor.vote.promised)
         self.heard_register = False
@@ -171,58 +115,60 @@
         self.word = b""  # what its rows carry for whoever runs it
         self.acting: Acting | None = None  # what was last asked to be acted by
         self.joined = 0  # the turn by which it came to be in the roster, as far as it acts
-        self.roster = Roster((), ())  # as of the turn `_settled`
+        self._index = RosterIndex(EMPTY_ROSTER)  # as of the turn `_settled`
+        self._roster_digest = ""
         self._settled = 0
         self._offers: set[str] = set()  # digests of contents that a job needs
         self._awaited: deque[str] = deque(maxlen=AWAITED)  # contents that a vote waits for
         self._jobs = 0
-        self._local: deque[Message] = deque()
-        self._lapsed: dict[str, tuple[int, bytes]] = {}  # by voter
-        self._ready_at: int | None = None  # when the pending version may be made active by this one
-        self._activating = self._enrolling = self._read_again = False
-        self._gossip_at = self._busy_until = 0
-        self._news_of_head = False
-        self._enrol_at = self._poll_at = self._read_at = self._retell_at = 0
+        self._lapses = LapseReports(majority(len(config.voters)))
+        self._own_lapses: LapseReport | None = None  # as of the last beat
+        self._activation, self._enrolment = Activation(rng), Enrolment()
+        self._read_again = self._head_is_new = False
+        self._poll_at = self._read_at = self._report_at = 0
         self._keep_life()
         # Danger: the leave of an earlier life of this process may still be under way. If it were
         # decided after this life has read that it is inside, no change would wait for it.
         self.proposer.add(Job(None, self._read, LEFT in kept))
 
+    @property
+    def roster(self) -> Roster:
+        """Whom a change waits for, as of the latest head whose contents are here."""
+        return self._index.roster
+
     # --- What happens
 
     def take(self) -> list[Effect]:
         """What to do, in this order; all since the last call."""
-        out = self.out[:]
-        self.out.clear()
-        return out
+        return self._outbox.take()
 
     def tick(self, now: int) -> None:
         """Time passes; some ten times a second."""
         self.membership.beat(self.confirmed, self.trouble, self.word)
         if self.voter is not None:
-            self._say_all(self.voter.tick(now))
-        self._say_all(self.proposer.tick(now))
-        others = self._others
+            self._outbox.send_all(self.voter.tick(now))
+        self._outbox.send_all(self.proposer.tick(now))
         if self._read_again and now >= self._read_at:
-            self._read_again, self._read_at = False, now + AGAIN // 2
+            self._read_again, self._read_at = False, now + READ_AGAIN
             self.proposer.add(Job(None, self._read))
         if not self.settled():
             self._settle()
-        self._say_all(self.contents.asks(now, others, self.rng.randrange(1 << 20)))
+        others = self._gossip.others
+        self._outbox.send_all(self.contents.asks(now, others, self.rng.randrange(1 << 20)))
         self._poll(now)
-        self._say_all(self.prober.tick(now, others, self.membership.life_of))
-        if self._news_of_head:
-            self._news_of_head, self._busy_until = False, now + BUSY
-        lapsed = self._my_lapsed(now)
-        if lapsed is not None:
-            self._lapsed[self.config.name] = lapsed
+        self._outbox.send_all(self.prober.tick(now, others, self.membership.life_of))
+        if self._head_is_new:
+            self._head_is_new = False
+            self._gossip.hurry(now)
+        self._own_lapses = self._find_lapses(now)
+        if self._own_lapses is not None:
+            self._lapses.record(self.config.name, self._own_lapses)
         self._enrol(now)
-        self._consider(now)
+        self._activate(now)
         self._keep_stamps()
-        self._tell_proposer(now)
-        if now >= self._gossip_at or self._is_busy(now):
-            self._gossip_at = now + QUIET
-            self._gossip(self.config.fanout, now)
+        self._report_confirmed(now)
+        if self._gossip.is_due(now, self._is_busy(now)):
+            self._send_news(now)
         self._drain(now)
 
     def heard(self, sender: str, message: Message, now: int) -> None:
@@ -233,24 +179,24 @@
     def acted(self, turn: int, now: int) -> None:
         """Nothing in this process goes by anything older than this turn's rules any more."""
         if turn > self.confirmed:
-            self._busy_until = now + BUSY
+            self._gossip.hurry(now)
             self.confirmed, self.trouble = turn, ""
             self.membership.beat(turn, "", self.word)
             self._poll_at = now
             self._poll(now)
-            self._consider(now)
-            self._gossip(self.config.fanout, now)
-            self._tell_proposer(now)
+            self._activate(now)
+            self._send_news(now)
+            self._report_confirmed(now)
         self._drain(now)
 
-    def _tell_proposer(self, now: int) -> None:
+    def _report_confirmed(self, now: int) -> None:
         """Confirm to who waits for it, now and again while it does; gossip brings it later."""
         pending = None if self.known is None else self.known.head.pending
-        if pending is None or pending.by == self.config.name or now < self._retell_at:
+        if pending is None or pending.by == self.config.name or now < self._report_at:
             return
         if self.acting is not None and (self.confirmed >= self.acting.turn or self.trouble):
-            self._retell_at = now + RETELL
-            self._say(pending.by, self._news(now))
+            self._report_at = now + REPORT_AGAIN
+            self._outbox.send(pending.by, self._news(now))
 
     def not_acted(self, turn: int, why: str) -> None:
         """This process can't go by that turn's rules; it goes on by the older ones."""
@@ -276,7 +222,7 @@
     def _add(self, content: bytes) -> str:
         """A content that a job needs."""
         digest, packed = self.contents.add(content)
-        self.out.append(Keep({CONTENT + digest: packed}))
+        self._outbox.keep({CONTENT + digest: packed})
         self._offers.add(digest)
         return digest
 
@@ -305,23 +251,11 @@
 
         `quiet` is for how long it must have given no sign of life, in microseconds.
         """
-        if name not in self.roster.inside:
-            return "not in the roster; `sailhitch tier members` shows it"
-        if name == self.config.name:
-            return "is the gateway that you ask, and surely not dead"
         # One of which nothing was heard since this member started may have been heard before.
         age = now - self.membership.seen.get(name, self.since)
-        if age < quiet:
-            return (
-                f"a sign of life came {age / 1e6:.1f} s ago, and `gone` is for one that gave none "
-                f"for {quiet / 1e6:g} s: end its process first"
-            )
-        if self.lease is None and name not in self.prober.dead():
-            return (
-                "is not told dead: somebody may still reach it, and with no lease nothing keeps "
-                "it from acting; wait until `sailhitch tier members` says so"
-            )
-        return ""
+        may_act = self.lease is None and name not in self.prober.dead()
+        is_self = name == self.config.name
+        return why_not_gone(name in self._index.inside, is_self, age, quiet, may_act)
 
     def put_out(self, name: str) -> int | None:
         """A member is gone, by an operator's word: changes wait for it no more.
@@ -331,18 +265,11 @@
         """
         if not self.settled():
             return None
-        rest = tuple(one for one in self.roster.inside if one != name)
-        out = self.roster.out if self.lease is None else (*self.roster.out, name)
-        return self._job_roster(self.roster.but(rest, out))
+        return self._job_roster(put_out(self.roster, name, self.lease is not None))
 
     def why_not_admitted(self, name: str) -> str:
         """Why a name should not be looked for elsewhere; empty: nothing speaks against it."""
-        if name in self.roster.inside and name not in self.prober.dead():
-            return (
-                "is in the roster and not told dead, and two processes of one name would both "
-                "stand back; end it first, and wait until `sailhitch tier members` says so"
-            )
-        return ""
+        return why_not_admitted(name in self._index.inside, name in self.prober.dead())
 
     def admit(self, name: str, place: str) -> int | None:
         """A member is, or is to come, at this address (`host:port`), whatever the files say.
@@ -351,8 +278,7 @@
         """
         if not self.settled():
             return None
-        places = {**self.roster.places, name: place}
-        return self._job_roster(Roster(self.roster.inside, self.roster.out, places))
+        return self._job_roster(placed(self.roster, name, place))
 
     def leave(self) -> int | None:
         """Go, and be waited for no more. This member acts on nothing from here on.
@@ -362,9 +288,8 @@
         self.left = True
         if not self.settled():
             return None
-        self.out.append(Keep({LEFT: b"1"}))
-        rest = tuple(one for one in self.roster.inside if one != self.config.name)
-        return self._job_roster(self.roster.but(rest, self.roster.out))
+        self._outbox.keep({LEFT: b"1"})
+        return self._job_roster(left(self.roster, self.config.name))
 
     def _job_roster(self, roster: Roster) -> int:
         assert self.known is not None
@@ -380,7 +305,7 @@
                 self._offers.discard(digest)
             if decided is not None:
                 self._learn(decided, self.config.name)
-                self.out.append(Done(number, end, decided.head))
+                self._outbox.effects.append(Done(number, end, decided.head))
 
         self.proposer.add(Job(change, ended))
         return number
@@ -403,47 +328,12 @@
             return MemberStatus.LAPSED
         return MemberStatus.IN
 
-    # --- Saying and hearing
-
-    def _say(self, to: str, message: Message) -> None:
-        if to == self.config.name:
-            self._local.append(message)
-            return
-        self.out.append(Send(to, message))
-        if isinstance(message, Relayed):
-            return
-        if self._via is not None and to == self._via[0]:
-            self.out.append(Send(self._via[1], Relayed(self.config.name, to, message)))
-        elif isinstance(message, QUESTIONS) and self.prober.alive(to):
-            ask_too = self.relays.asks(to)
-            helper = self._alive(self.rng.choice(self._others), but=to) if ask_too else None
-            if helper is not None:
-                self.out.append(Send(helper, Relayed(self.config.name, to, message)))
-
-    def _say_all(self, said: list[tuple[str, Any]]) -> None:
-        for to, message in said:
-            self._say(to, message)
-
-    def _gossip(self, count: int, now: int) -> None:
-        """News to so many others; seldom to one taken for dead, which may be back."""
-        for name in self.rng.sample(self._others, min(count, len(self._others))):
-            to = name if self.rng.random() < DEAD_TOO else self._alive(name)
-            if to is not None:
-                self._say(to, self._news(now))
-
-    def _alive(self, first: str, but: str = "") -> str | None:
-        """This one or another that is not taken for dead; None where a few tries find none."""
-        name = first
-        for _ in range(TRIES):
-            if name != but and self.prober.alive(name):
-                return name
-            name = self.rng.choice(self._others)
-        return None
+    # --- Receiving
 
     def _is_busy(self, now: int) -> bool:
         """Whether there is something to be heard by all, or to be heard of, as soon as may be."""
         known = self.known
-        if known is None or not self.heard_register or now < self._busy_until:
+        if known is None or not self.heard_register or self._gossip.is_hurried(now):
             return True
         if known.head.pending is not None or self.roster.out or not self.settled():
             return True
@@ -451,8 +341,8 @@
 
     def _drain(self, now: int) -> None:
         """What this member says to itself is heard at once; what it says to others follows it."""
-        while self._local:
-            self._hear(self.config.name, self._local.popleft(), now)
+        while (message := self._outbox.take_local()) is not None:
+            self._hear(self.config.name, message, now)
 
     def _hear(self, sender: str, message: Message, now: int) -> None:
         if isinstance(message, News):
@@ -460,40 +350,37 @@
         elif isinstance(message, BlockRequest):
             piece = self.contents.answer(message)
             if piece is not None:
-                self._say(sender, piece)
+                self._outbox.send(sender, piece)
         elif isinstance(message, Block):
             self._hear_piece(message, now)
         elif isinstance(message, Relayed):
-            self._hear_via(sender, message, now)
+            self._hear_relayed(sender, message, now)
         elif isinstance(message, (Ping, Ack, Nack)):
             self._hear_probe(sender, message)
-        elif isinstance(message, QUESTIONS):
+        elif isinstance(message, VOTER_REQUESTS):
             if self.voter is not None:
                 self._hear_as_voter(self.voter, sender, message, now)
         elif sender in self.config.voters:
-            if self._via is None:
-                self.relays.answered(sender)
+            if not self._outbox.is_relayed:
+                self._outbox.relays.answered(sender)
             self._hear_voter(sender, message, now)
 
-    def _hear_via(self, sender: str, via: Relayed, now: int) -> None:
-        """Pass something on, or take what was passed on; what it is answered goes back that way."""
-        if via.to == self.config.name:
-            self._via = via.origin, sender
-            try:
-                self._hear(via.origin, via.message, now)
-            finally:
-                self._via = None
-        elif via.origin == sender:  # one other member in between, and no more
-            if isinstance(via.message, Ping):
-                self.prober.passes(sender, via.message.number, now)
-            elif isinstance(via.message, Ack):
-                self.prober.has_passed(via.to, via.message.number)
-            self._say(via.to, via)
+    def _hear_relayed(self, sender: str, relayed: Relayed, now: int) -> None:
+        """Pass a message on, or take one that was passed on; the reply goes back that way."""
+        if relayed.to == self.config.name:
+            with self._outbox.replying_over(relayed.origin, sender):
+                self._hear(relayed.origin, relayed.message, now)
+        elif relayed.origin == sender:  # one other member in between, and no more
+            if isinstance(relayed.message, Ping):
+                self.prober.passes(sender, relayed.message.number, now)
+            elif isinstance(relayed.message, Ack):
+                self.prober.has_passed(relayed.to, relayed.message.number)
+            self._outbox.send(relayed.to, relayed)
 
     def _hear_probe(self, sender: str, message: Ping | Ack | Nack) -> None:
         if isinstance(message, Ping):
             self._refute(message.doubted)
-            self._say(sender, Ack(message.number))
+            self._outbox.send(sender, Ack(message.number))
         elif isinstance(message, Ack):
             self.prober.answered(sender, message.number)
         else:
@@ -506,7 +393,7 @@
             self._keep_life()
 
     def _keep_life(self) -> None:
-        self.out.append(Keep({SELF: msgspec.msgpack.encode(self.membership.mine.life)}))
+        self._outbox.keep({SELF: msgspec.msgpack.encode(self.membership.mine.life)})
 
     def _hear_as_voter(
         self,
@@ -527,17 +414,17 @@
             if answer is None and voter.votes:
                 self._awaited.extend(digests(message.head))
                 self._want_contents(message.head, sender)
-                self._say_all(self.contents.asks(now, (), 0))
+                self._outbox.send_all(self.contents.asks(now, (), 0))
         elif isinstance(message, VoteRecoveryRequest):
             answer = voter.here(message)
         elif self.heard_register and self.known is not None:
-            inside = sender in self.roster.inside
+            inside = sender in self._index.inside
             ok = inside and voter.grant(sender, message, self.known.head.floor, now)
             answer = Grant(message.number, ok)
             if not ok and sender != self.config.name:
-                self._say(sender, self._news(now))
+                self._outbox.send(sender, self._news(now))
         if answer is not None:
-            self._say(sender, answer)
+            self._outbox.send(sender, answer)
 
     def _hear_voter(self, sender: str, message: Message, now: int) -> None:
         """A voter's answer to something that this member asked."""
@@ -545,12 +432,12 @@
             self.proposer.seen(sender, message)
         elif isinstance(message, Promise):
             self._stamp(sender, message.stamp)
-            self._say_all(self.proposer.promised(sender, message, now))
+            self._outbox.send_all(self.proposer.promised(sender, message, now))
             if self.voter is not None:
                 self.voter.promised(sender, message, self._want_to_mend)
         elif isinstance(message, Accepted):
             self._stamp(sender, message.stamp)
-            self._say_all(self.proposer.accepted(sender, message, now))
+            self._outbox.send_all(self.proposer.accepted(sender, message, now))
         elif isinstance(message, VoteRecoveryReply) and self.voter is not None:
             self.voter.heard(sender, message, now)
         elif isinstance(message, Grant) and message.ok and self.lease is not None:
@@ -564,80 +451,92 @@
     def _keep_stamps(self) -> None:
         if self.voter is not None and self.stamps != self._stamps_kept:
             self._stamps_kept = dict(self.stamps)
-            self.out.append(Keep({STAMPS: msgspec.msgpack.encode(self.stamps)}))
+            self._outbox.keep({STAMPS: msgspec.msgpack.encode(self.stamps)})
 
     def _hear_piece(self, piece: Block, now: int) -> None:
         packed = self.contents.take(piece)
         if packed is None:
-            self._say_all(self.contents.asks(now, (), 0))
+            self._outbox.send_all(self.contents.asks(now, (), 0))
             return
-        self.out.append(Keep({CONTENT + piece.digest: packed}))
+        self._outbox.keep({CONTENT + piece.digest: packed})
         if self.voter is not None:
             self.voter.settle()
         self._settle()
 
     # --- Gossip
 
+    def _send_news(self, now: int) -> None:
+        for name in self._gossip.draw(self.config.fanout):
+            self._outbox.send(name, self._news(now))
+
     def _news(self, now: int) -> News:
-        rows = self.membership.pick(ROWS, self.rng)
+        records = self.membership.pick(RECORDS, self.rng)
         stamps = {v: s for v, s in self.stamps.items() if v in self.config.voters}
-        return News(self.known, rows, stamps, self._my_lapsed(now), self.prober.news())
+        lapses = self._own_lapses
+        if lapses is not None and (self.known is None or lapses[0] != self.known.head.turn):
+            lapses = None
+        return News(self.known, records, stamps, lapses, self.prober.news())
 
     def _hear_news(self, sender: str, news: News, now: int) -> None:
         if self.membership.merge(news.rows, now):
             self._keep_life()
-            self.out.append(Tell("name heard in another life", {"life": self.membership.mine.life}))
+            self._outbox.effects.append(
+                Tell("name heard in another life", {"life": self.membership.mine.life})
+            )
         self.prober.seen(news.rows)
         self._refute(self.prober.doubted(news.doubts, self.membership.life_of, now))
         doubted = self.prober.doubt_of(sender, self.membership.life_of)
         if doubted:
-            self._say(sender, Ping(0, doubted))  # it is there, and may not know what is said of it
+            self._outbox.send(
+                sender, Ping(0, doubted)
+            )  # it is there, and may not know what is said of it
         for voter, stamp in news.stamps.items():
             if stamp > self.stamps.get(voter, 0) or voter == self.config.name:
                 self._stamp(voter, stamp)
         if news.lapsed is not None and sender in self.config.voters:
-            self._lapsed[sender] = news.lapsed
+            self._lapses.record(sender, news.lapsed)
         if news.decided is not None:
             self.proposer.rank(news.decided.ballot)
             self._learn(news.decided, sender)
         turn = 0 if news.decided is None else news.decided.head.turn
         if self.known is not None and turn < self.known.head.turn:
-            self._say(sender, self._news(now))  # it is behind, and need not wait to be chosen
+            self._outbox.send(
+                sender, self._news(now)
+            )  # it is behind, and need not wait to be chosen
 
     # --- Heads
 
     def _read(self, decided: Decided | None, end: End) -> None:
         """The reading that a start begins with."""
+        may_found = self.founding is not None and self.voter is not None
+        step = after_reading(decided, self._kept_turn, self.known is not None, may_found)
+        if step is NextStep.REPORT_LOSS:
+            self._went_back(None if decided is None else decided.head)
+        elif step is NextStep.READ_AGAIN:
+            self._read_again = True
+        elif step is NextStep.FOUND:
+            self._found_tier()
         if decided is not None:
-            if decided.head.turn < self._kept_turn:
-                self._went_back(decided.head)
             self.heard_register = True
-            self.out.append(Keep({LEFT: None}))
+            self._outbox.keep({LEFT: None})
             self._learn(decided, self.rng.choice(self.config.voters))
             self._settle()
-        elif self._kept_turn:
-            self._went_back(None)
-        elif self.known is not None:
-            # Others know of a head: it was decided meanwhile, or the voters' disks are lost.
-            self._read_again = True
-        elif self.founding is not None and self.config.name in self.config.voters:
-            founding = self.founding
-            digest = self._add(founding.content)
-            roster = self._add(Roster(self.config.peers, ()).content())
-            version = Version(
-                founding.serial, 0, digest, self.config.name, founding.who, 0,
-                f"{self.config.name}-{self.boot:x}-founding",
-            )  # fmt: skip
-            self.proposer.add(Job(found(version, roster), self._read))
-        else:
-            self._read_again = True  # voters found a tier; others wait until they have
+
+    def _found_tier(self) -> None:
+        founding, name = self.founding, self.config.name
+        assert founding is not None
+        digest = self._add(founding.content)
+        roster = self._add(Roster(self.config.peers, ()).content())
+        change = f"{name}-{self.boot:x}-founding"
+        version = Version(founding.serial, 0, digest, name, founding.who, 0, change)
+        self.proposer.add(Job(found(version, roster), self._read))
 
     def _went_back(self, head: Head | None) -> None:
         """Voters have forgotten what was decided: more disks were lost than a minority."""
         self.broken = True
         known = 0 if self.known is None else self.known.head.turn
         fields: dict[str, object] = {"known": known, "read": 0 if head is None else head.turn}
-        self.out.append(Tell("register went back", fields))
+        self._outbox.tell("register went back", fields)
 
     def _want_to_mend(self, decided: Decided, source: str) -> None:
         self._awaited.extend(digests(decided.head))
@@ -654,9 +553,10 @@
             if decided.head.turn == known.head.turn and decided.head != known.head:
                 self._went_back(decided.head)
             return
-        self.known, self._news_of_head = decided, True
-        self.out.append(Keep({KNOWN: msgspec.msgpack.encode(decided)}))
-        self._ready_at, self._retell_at = None, 0
+        self.known, self._head_is_new = decided, True
+        self._outbox.keep({KNOWN: msgspec.msgpack.encode(decided)})
+        self._activation.restart()
+        self._report_at = 0
         self._want_contents(decided.head, source)
         self._settle()
 
@@ -671,11 +571,9 @@
             return
         if self.voter is not None:
             self.voter.learn(known)
-        self.roster = msgspec.json.decode(self.contents.read(head.roster), type=Roster)
+        self._take_roster(head.roster)
         self._settled = head.turn
-        more = [name for name in self.roster.places if name not in self.config.peers]
-        self._others = [n for n in (*self.config.peers, *more) if n != self.config.name]
-        if self.config.name not in self.roster.inside:
+        if self.config.name not in self._index.inside:
             self.joined = 0
         elif self.heard_register:
             self.joined = self.joined or head.turn
@@ -683,7 +581,16 @@
         if not self.heard_register or (self.acting is not None and self.acting.turn >= head.turn):
             return
         self.acting = Acting(head.turn, head.active, head.pending, head.posture)
-        self.out.append(Act(self.acting))
+        self._outbox.effects.append(Act(self.acting))
+
+    def _take_roster(self, digest: str) -> None:
+        if digest == self._roster_digest:
+            return
+        self._roster_digest = digest
+        self._index = RosterIndex(decode_roster(self.contents.read(digest)))
+        peers, me = self.config.peers, self.config.name
+        more = [name for name in self.roster.places if name not in peers]
+        self._gossip.others = [name for name in (*peers, *more) if name != me]
 
     def _forget(self) -> None:
         """Let go of contents that nobody can ask for any more."""
@@ -694,7 +601,7 @@
             wanted.update(digests(accepted.head))
         gone = self.contents.keep_only(wanted)
         if gone:
-            self.out.append(Keep({CONTENT + digest: None for digest in gone}))
+            self._outbox.keep({CONTENT + digest: None for digest in gone})
 
     # --- The roster and what is pending
 
@@ -704,25 +611,18 @@
         Those that were put out are struck off once they can't act any more.
         """
         known = self.known
-        if known is None or not self.heard_register or self._enrolling or now < self._enrol_at:
+        if known is None or not self.heard_register or not self._enrolment.is_due(now):
             return
         if self.left or not self.settled():
             return
-        roster, me = self.roster, self.config.name
-        gone = [one for one in roster.out if one != me and self._is_lapsed(one)]
-        # Danger: one that was put out comes back only after it has lapsed: what it may still do
-        # by an older lease would otherwise count as confirmed with what it does by the new one.
-        # It strikes others off all the same, or where all are out nobody ever would.
-        out_itself = me in roster.out
-        if not gone and (out_itself or me in roster.inside):
+        roster = enrolled(self._index, self.config.name, self._is_lapsed)
+        if roster is None:
             return
-        inside = roster.inside if out_itself else {*roster.inside, me}
-        out = tuple(one for one in roster.out if one not in gone)
-        self._enrolling, self._enrol_at = True, now + AGAIN
-        digest = self._add(roster.but(inside, out).content())
+        self._enrolment.begin(now)
+        digest = self._add(roster.content())
 
         def ended(decided: Decided | None, end: End) -> None:
-            self._enrolling = False
+            self._enrolment.end()
             self._offers.discard(digest)
             if decided is not None:
                 self._learn(decided, self.rng.choice(self.config.voters))
@@ -734,22 +634,25 @@
             self._poll_at = now + self.lease.length // POLLS
             number = self.lease.ask(now)
             for voter in self.config.voters:
-                self._say(voter, Poll(number, self.confirmed))
+                self._outbox.send(voter, Poll(number, self.confirmed))
+
+    def _find_lapses(self, now: int) -> LapseReport | None:
+        """Members for which no lease of this voter holds, and which get none by an older head.
 
-    def _my_lapsed(self, now: int) -> tuple[int, bytes] | None:
-        """Members for which no lease of this voter holds, and which get none by an older head."""
+        It stays true for as long as the head does: none of them is granted a lease before it has
+        confirmed, and then nobody waits for it anyway.
+        """
         voter, known = self.voter, self.known
         if voter is None or voter.grants is None or known is None:
             return None
         if not self.heard_register or not voter.votes or not self.settled():
             return None
-        names = self.roster.names()
-        bits = bytearray((len(names) + 7) // 8)
-        for i, name in enumerate(names):
-            barred = name in self.roster.out or not self._has_confirmed(name)
-            if barred and voter.grants.lapsed(name, now):
-                bits[i // 8] |= 1 << i % 8
-        return known.head.turn, bytes(bits)
+        names, grants, out = self._index.names, voter.grants, self._index.out
+        lapsed = (
+            position for position, name in enumerate(names)
+            if (name in out or not self._has_confirmed(name)) and grants.lapsed(name, now)
+        )  # fmt: skip
+        return known.head.turn, encode_lapses(len(names), lapsed)
 
     def _has_confirmed(self, name: str) -> bool:
         assert self.known is not None
@@ -760,22 +663,18 @@
     def _is_lapsed(self, name: str) -> bool:
         """Whether a majority of voters say that no lease of this member holds."""
         assert self.known is not None
-        at, turn = self.roster.names().index(name), self.known.head.turn
-        said = [bits for t, bits in self._lapsed.values() if t == turn and len(bits) > at // 8]
-        return sum(bits[at // 8] >> at % 8 & 1 for bits in said) >= majority(
-            len(self.config.voters)
-        )
+        return self._lapses.is_lapsed(self._index.positions[name], self.known.head.turn)
 
     def waiting_for(self) -> list[str]:
         """Members that a pending version waits for."""
         known = self.known
         if known is None or known.head.pending is None or not self.settled():
             return []
+        inside = self._index.inside
         return [
             name
-            for name in self.roster.names()
-            if not (self._has_confirmed(name) and name in self.roster.inside)
-            and not self._is_lapsed(name)
+            for name in self._index.names
+            if not (name in inside and self._has_confirmed(name)) and not self._is_lapsed(name)
         ]
 
     def words(self, now: int) -> dict[str, bytes]:
@@ -787,14 +686,14 @@
         rows, health = self.membership.rows, self.prober.health
         found = {
             name: rows[name].word for name, seen in self.membership.seen.items()
-            if now - seen <= WORD_LIFE and rows[name].word
+            if now - seen <= METADATA_LIFE and rows[name].word
             and health(name, rows[name].life) is Health.ALIVE
         }  # fmt: skip
         return {**found, self.config.name: self.word} if self.word else found
 
     def hurry(self, now: int) -> None:
         """What this member has to say is news that others wait for."""
-        self._busy_until = now + BUSY
+        self._gossip.hurry(now)
 
     def lagging(self) -> list[str]:
         """Members that are there, and have not said that they act by what this one acts by."""
@@ -808,24 +707,21 @@
     def _is_here(self, head: Head) -> bool:
         return self.contents.has(*digests(head))
 
-    def _consider(self, now: int) -> None:
+    def _activate(self, now: int) -> None:
         """Make a pending version active once nobody has to be waited for."""
         known = self.known
-        if known is None or known.head.pending is None or self._activating:
+        if known is None or known.head.pending is None or self._activation.under_way:
             return
         if not self.heard_register or not self.settled() or self.waiting_for():
-            self._ready_at = None
+            self._activation.restart()
             return
         pending = known.head.pending
-        if self._ready_at is None:
-            mine = pending.by == self.config.name
-            self._ready_at = now + (0 if mine else self.rng.randrange(FIRST_AFTER, LAST_AFTER))
-        if now >= self._ready_at:
-            self._activating = True
+        if self._activation.is_due(now, pending.by == self.config.name):
+            self._activation.under_way = True
             self.proposer.add(Job(activate(pending.serial), self._activated))
 
     def _activated(self, decided: Decided | None, end: End) -> None:
-        self._activating = False
+        self._activation.under_way = False
         if decided is not None:
             self._learn(decided, self.rng.choice(self.config.voters))
 
@@ -833,26 +729,4 @@
 
     def status(self, now: int) -> dict[str, Any]:
         """What `tier status` shows. Ages are by this process's clock."""
-        head = None if self.known is None else self.known.head
-        members = []
-        for name in sorted({*self.roster.names(), *self.membership.rows}):
-            row, seen = self.membership.rows.get(name), self.membership.seen.get(name)
-            me = name == self.config.name
-            members.append({
-                "name": name, "inside": name in self.roster.inside,
-                "voter": name in self.config.voters,
-                "confirmed": 0 if row is None else row.confirmed,
-                "age": 0 if me else None if seen is None else now - seen,
-                "trouble": "" if row is None else row.trouble,
-                "health": self.prober.health(name, self.membership.life_of(name)).value,
-                "place": self.roster.places.get(name),
-            })  # fmt: skip
-        return {
-            "name": self.config.name, "standing": self.standing(now).name.lower(),
-            "why": self.standing(now).value, "turn": 0 if head is None else head.turn,
-            "active": None if head is None else head.active.serial,
-            "pending": None if head is None or head.pending is None else head.pending.serial,
-            "waiting_for": self.waiting_for(), "members": members,
-            "voter": None if self.voter is None else self.voter.acceptor.mode.value,
-            "old_disk": self.voter is not None and self.voter.acceptor.old,
-        }  # fmt: skip
+        return status_report(self, now)
--- a/sailhitch/tier/voter.py
+++ b/sailhitch/tier/voter.py
@@ -44,13 +44,13 @@
     """
 
     def __init__(
-        self, name: str, voters: Collection[str], kept: bytes | None, library: ContentStore,
+        self, name: str, voters: Collection[str], kept: bytes | None, contents: ContentStore,
         stamps: dict[str, int], grants: Grants | None, ballot: Callable[[], Ballot], nonce: int,
         out: list[Effect],
     ) -> None:  # fmt: skip
         vote = None if kept is None else msgspec.msgpack.decode(kept, type=Vote)
         self.acceptor = Acceptor(name, voters, vote)
-        self.name, self.contents, self.stamps = name, library, stamps
+        self.name, self.contents, self.stamps = name, contents, stamps
         self.grants, self.ballot, self.nonce, self.out = grants, ballot, nonce, out
         self.others = self.acceptor.others
         self._said = 0
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -15,9 +15,11 @@
 from sailhitch.daemon.schema import FileError, parse_value
 from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
+from sailhitch.model.tier import World
 from sailhitch.tier.content_store import BLOCK_SIZE, ContentStore
 from sailhitch.tier.disk import Disk, DiskError
 from sailhitch.tier.effects import End
+from sailhitch.tier.lapse_reports import LapseReports, encode_lapses
 from sailhitch.tier.lease import Grants, Lease
 from sailhitch.tier.line import Step, read
 from sailhitch.tier.messages import (
@@ -47,6 +49,7 @@
     VoteRecoveryRequest,
 )
 from sailhitch.tier.register import Acceptor, Mode, Round
+from sailhitch.tier.roster import Roster, RosterIndex
 from sailhitch.tier.wire import WINDOW, KeyFileError, Keys, Wire, load_keys
 from tests.daemons import file_value
 
@@ -481,3 +484,59 @@
     _play(after, voters, "cde")
     assert after.step is not None
     assert after.step.head.turn == turn
+
+
+# --- The roster
+
+
+@given(
+    st.sets(st.integers(0, 40)), st.sets(st.integers(0, 40)),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(1, 2), st.sets(st.integers(0, 40)))),
+)  # fmt: skip
+def test_a_lease_has_lapsed_where_a_majority_of_voters_reports_so_of_that_turn(
+    inside: set[int], out: set[int], reports: list[tuple[int, int, set[int]]]
+) -> None:
+    roster = Roster(tuple(f"g{i}" for i in inside), tuple(f"g{i}" for i in out - inside))
+    index = RosterIndex(roster)
+    lapses, latest = LapseReports(2), dict[int, tuple[int, set[str]]]()
+    for voter, turn, numbers in reports:
+        names = {f"g{i}" for i in numbers} & {*index.names}
+        bits = encode_lapses(len(index.names), (index.positions[name] for name in names))
+        lapses.record(f"v{voter}", (turn, bits))
+        latest[voter] = turn, names
+    assert list(index.names) == sorted({*roster.inside, *roster.out})
+    for name in index.names:
+        for turn in (1, 2):
+            said = sum(at == turn and name in names for at, names in latest.values())
+            assert lapses.is_lapsed(index.positions[name], turn) == (said >= 2)
+
+
+def test_a_report_of_a_shorter_roster_says_nothing_of_those_beyond_it() -> None:
+    lapses = LapseReports(1)
+    lapses.record("v", (1, b"\xff"))
+    assert lapses.is_lapsed(7, 1)
+    assert not lapses.is_lapsed(8, 1)
+
+
+def test_the_names_of_a_roster_are_put_in_order_once_whoever_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World(1, 5, 3, 3 * S)
+    world.start()
+    world.kernel.run(4 * S)
+    world.processes["g4"].pause()
+    world.processes["g5"].pause()
+    made = []
+    real = RosterIndex.__init__
+
+    def counted(self: RosterIndex, roster: Roster) -> None:
+        made.append(roster)
+        real(self, roster)
+
+    monkeypatch.setattr(RosterIndex, "__init__", counted)
+    world.processes["g1"].propose(1, 0)
+    world.kernel.run(world.kernel.now + 2 * S)
+    member = world.processes["g1"].member
+    assert member is not None
+    assert member.waiting_for() == ["g4", "g5"]
+    assert made == []
