Fetch the tier's contents as trees of pages, from several sources, within a byte budget

A state of the full size is about 1.5 MB, and each change sent all of it to each member. A content may now be a tree of pages: a digest tree:ROOT is fetched page by page, only those that are lacking, each verified before it is kept, many at a time and from several sources; a wrong, late or refusing source gives way. Pages are kept on disk as they come, so that a restart resumes. Completeness and what may be let go of are counted per page, by what comes and goes.

--- a/sailhitch/tier/config.py
+++ b/sailhitch/tier/config.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..pages import Tree
+
 
 class MemberStatus(Enum):
     """Whether a member may act on what contradicts, and why not."""
@@ -33,6 +35,6 @@
 class Founding:
     """The first version of a tier, for a member that is the first to find the tier empty."""
 
-    content: bytes
+    content: bytes | Tree
     serial: int
     who: str
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -16,9 +16,10 @@
 
 import msgspec
 
+from ..pages import Tree
 from .activation import Activation
 from .config import Founding, MemberStatus, TierConfig
-from .content_store import ContentStore
+from .content_store import CONTENT, Arrival, ContentStore
 from .effects import Act, Acting, Done, Effect, End, Tell
 from .enrolment import Enrolment, enrolled, left, placed, put_out
 from .first_reading import NextStep, after_reading
@@ -39,6 +40,8 @@
     Message,
     Nack,
     News,
+    PageReply,
+    PageRequest,
     Ping,
     Poll,
     Prepare,
@@ -62,9 +65,11 @@
 __all__ = ["CONTENT", "KNOWN", "Founding", "Member", "MemberStatus", "Roster", "TierConfig"]
 
 RECORDS: Final = 12  # of members, in a datagram of gossip
-KNOWN, SELF, LEFT, CONTENT = "known", "self", "left", "content/"  # names on disk
+KNOWN, SELF, LEFT = "known", "self", "left"  # names on disk
 AWAITED: Final = 24  # contents that are kept for votes under way, whether they come to anything
 REPORT_AGAIN: Final = 300_000  # us between two reports to who proposed what is pending
+APPLYING: Final = 4  # heads whose contents stay until the process has applied a later one
+SOURCES: Final = 16  # members that have confirmed, among whom contents are asked for
 POLLS: Final = 6  # questions in a lease's length
 READ_AGAIN: Final = 500_000  # us between two readings of a register that was empty
 METADATA_LIFE: Final = 10_000_000  # us for which a member's metadata counts after its last record
@@ -85,9 +90,7 @@
         self._outbox = Outbox(config.name, self._gossip, self.prober, rng)
         life = 0 if SELF not in kept else int(msgspec.msgpack.decode(kept[SELF]))
         self.membership = MembershipTable(config.name, life + 1, boot)
-        self.contents = ContentStore(
-            {k.removeprefix(CONTENT): v for k, v in kept.items() if k.startswith(CONTENT)}
-        )
+        self.contents = ContentStore.from_disk(kept, now)
         self.stamps: dict[str, int] = msgspec.msgpack.decode(
             kept.get(STAMPS, b"\x80"), type=dict[str, int]
         )
@@ -120,6 +123,8 @@
         self._settled = 0
         self._offers: set[str] = set()  # digests of contents that a job needs
         self._awaited: deque[str] = deque(maxlen=AWAITED)  # contents that a vote waits for
+        # Digests by turn of what the process applies, and of what it was asked to since.
+        self._applying: dict[int, tuple[str, ...]] = {}
         self._jobs = 0
         self._lapses = LapseReports(majority(len(config.voters)))
         self._own_lapses: LapseReport | None = None  # as of the last beat
@@ -153,9 +158,10 @@
             self.proposer.add(Job(None, self._read))
         if not self.settled():
             self._settle()
-        others = self._gossip.others
-        self._outbox.send_all(self.contents.asks(now, others, self.rng.randrange(1 << 20)))
+        if self.contents.is_fetching:
+            self._outbox.send_all(self.contents.requests(now, self.rng, self._sources()))
         self._poll(now)
+        others = self._gossip.others
         self._outbox.send_all(self.prober.tick(now, others, self.membership.life_of))
         if self._head_is_new:
             self._head_is_new = False
@@ -187,6 +193,7 @@
             self._activate(now)
             self._send_news(now)
             self._report_confirmed(now)
+            self._applied(turn)
         self._drain(now)
 
     def _report_confirmed(self, now: int) -> None:
@@ -205,24 +212,28 @@
 
     # --- What operators ask for
 
-    def propose(self, content: bytes, base: int, waits: bool, who: str, when: int) -> int:
+    def propose(self, content: bytes | Tree, base: int, waits: bool, who: str, when: int) -> int:
         """Offer a version made from the active one of serial `base`; the number of the job.
 
-        `waits`: it contradicts its base, and all have to confirm it first.
+        `waits`: it contradicts its base, and all have to confirm it first. A tree has at least the
+        pages that are not here; raises ValueError where others are lacking.
         """
         version, digest = self._version(content, base, who, when)
         return self._job(offer(version, waits), digest)
 
-    def _version(self, content: bytes, base: int, who: str, when: int) -> tuple[Version, str]:
+    def _version(
+        self, content: bytes | Tree, base: int, who: str, when: int
+    ) -> tuple[Version, str]:
         """Something to be offered, and its content's digest."""
         digest = self._add(content)
         change = f"{self.config.name}-{self.boot:x}-{self._jobs}"
         return Version(0, base, digest, self.config.name, who, when, change), digest
 
-    def _add(self, content: bytes) -> str:
-        """A content that a job needs."""
-        digest, packed = self.contents.add(content)
-        self._outbox.keep({CONTENT + digest: packed})
+    def _add(self, content: bytes | Tree) -> str:
+        """A content that a job needs; raises ValueError for a tree that lacks pages."""
+        digest, kept = self.contents.add(content)
+        if kept:
+            self._outbox.keep(dict(kept))
         self._offers.add(digest)
         return digest
 
@@ -348,11 +359,16 @@
         if isinstance(message, News):
             self._hear_news(sender, message, now)
         elif isinstance(message, BlockRequest):
-            piece = self.contents.answer(message)
-            if piece is not None:
-                self._outbox.send(sender, piece)
+            block = self.contents.answer_block(message, now)
+            if block is not None:
+                self._outbox.send(sender, block)
+        elif isinstance(message, PageRequest):
+            for reply in self.contents.answer_pages(message, now):
+                self._outbox.send(sender, reply)
         elif isinstance(message, Block):
-            self._hear_piece(message, now)
+            self._arrived(self.contents.take_block(message), now)
+        elif isinstance(message, PageReply):
+            self._arrived(self.contents.take_pages(sender, message, now), now)
         elif isinstance(message, Relayed):
             self._hear_relayed(sender, message, now)
         elif isinstance(message, (Ping, Ack, Nack)):
@@ -414,7 +430,7 @@
             if answer is None and voter.votes:
                 self._awaited.extend(digests(message.head))
                 self._want_contents(message.head, sender)
-                self._outbox.send_all(self.contents.asks(now, (), 0))
+                self._outbox.send_all(self.contents.requests(now, self.rng))
         elif isinstance(message, VoteRecoveryRequest):
             answer = voter.here(message)
         elif self.heard_register and self.known is not None:
@@ -453,15 +469,37 @@
             self._stamps_kept = dict(self.stamps)
             self._outbox.keep({STAMPS: msgspec.msgpack.encode(self.stamps)})
 
-    def _hear_piece(self, piece: Block, now: int) -> None:
-        packed = self.contents.take(piece)
-        if packed is None:
-            self._outbox.send_all(self.contents.asks(now, (), 0))
-            return
-        self._outbox.keep({CONTENT + piece.digest: packed})
-        if self.voter is not None:
-            self.voter.settle()
-        self._settle()
+    def _arrived(self, arrival: Arrival, now: int) -> None:
+        """Keep what has come, and go by it where it is all that was waited for."""
+        # What is asked for next says nothing of what is here, and need not wait for the disk.
+        self._outbox.send_all(self.contents.requests(now, self.rng))
+        if arrival.kept:
+            self._outbox.keep(dict(arrival.kept))
+        if arrival.is_complete:
+            if self.voter is not None:
+                self.voter.settle()
+            self._settle()
+
+    def _has_confirmed_head(self, name: str) -> bool:
+        """Whether a member applies the head that is known, and so has all of its contents."""
+        record = self.membership.rows.get(name)
+        return (
+            record is not None
+            and self.known is not None
+            and (record.confirmed >= self.known.head.turn)
+        )
+
+    def _sources(self) -> list[str]:
+        """Members to fetch contents from: voters, some that have confirmed the head, and any."""
+        confirmed = [name for name in self.membership.rows if self._has_confirmed_head(name)]
+        others = self._gossip.others
+        drawn = {
+            *self.config.voters,
+            *self.rng.sample(confirmed, min(SOURCES, len(confirmed))),
+            *self.rng.sample(others, min(SOURCES // 4, len(others))),
+        }
+        me, alive = self.config.name, self.prober.alive
+        return sorted(name for name in drawn if name != me and alive(name))
 
     # --- Gossip
 
@@ -498,6 +536,8 @@
         if news.decided is not None:
             self.proposer.rank(news.decided.ballot)
             self._learn(news.decided, sender)
+        if self.contents.is_fetching and self._has_confirmed_head(sender):
+            self.contents.add_source(sender)
         turn = 0 if news.decided is None else news.decided.head.turn
         if self.known is not None and turn < self.known.head.turn:
             self._outbox.send(
@@ -557,6 +597,7 @@
         self._outbox.keep({KNOWN: msgspec.msgpack.encode(decided)})
         self._activation.restart()
         self._report_at = 0
+        self.contents.fetch_only(self._wanted_contents())
         self._want_contents(decided.head, source)
         self._settle()
 
@@ -580,8 +621,7 @@
         self._forget()
         if not self.heard_register or (self.acting is not None and self.acting.turn >= head.turn):
             return
-        self.acting = Acting(head.turn, head.active, head.pending, head.posture)
-        self._outbox.effects.append(Act(self.acting))
+        self._apply(head)
 
     def _take_roster(self, digest: str) -> None:
         if digest == self._roster_digest:
@@ -592,16 +632,38 @@
         more = [name for name in self.roster.places if name not in peers]
         self._gossip.others = [name for name in (*peers, *more) if name != me]
 
-    def _forget(self) -> None:
-        """Let go of contents that nobody can ask for any more."""
-        assert self.known is not None
-        wanted = set(digests(self.known.head)) | self._offers | {*self._awaited}
+    def _wanted_contents(self) -> set[str]:
+        """Digests of all that somebody may ask for, or that is or may be applied here."""
+        wanted = {*self._offers, *self._awaited}
+        if self.known is not None:
+            wanted.update(digests(self.known.head))
         accepted = None if self.voter is None else self.voter.wants()
         if accepted is not None:
             wanted.update(digests(accepted.head))
-        gone = self.contents.keep_only(wanted)
+        for applied in self._applying.values():
+            wanted.update(applied)
+        return wanted
+
+    def _forget(self) -> None:
+        """Let go of contents that nobody can ask for any more."""
+        gone = self.contents.keep_only(self._wanted_contents())
         if gone:
-            self._outbox.keep({CONTENT + digest: None for digest in gone})
+            self._outbox.keep(dict.fromkeys(gone))
+
+    def _apply(self, head: Head) -> None:
+        """Have the process apply a head. What it applies meanwhile stays here until it has."""
+        self.acting = Acting(head.turn, head.active, head.pending, head.posture)
+        self._applying[head.turn] = digests(head)
+        while len(self._applying) > APPLYING:
+            del self._applying[sorted(self._applying)[1]]
+        self._outbox.effects.append(Act(self.acting))
+
+    def _applied(self, turn: int) -> None:
+        """The process applies that turn: what it applied before is compared with it no more."""
+        for older in [one for one in self._applying if one < turn]:
+            del self._applying[older]
+        if self.settled():
+            self._forget()
 
     # --- The roster and what is pending
 
--- a/sailhitch/tier/messages.py
+++ b/sailhitch/tier/messages.py
@@ -162,6 +162,36 @@
     data: bytes
 
 
+class PageRange(NamedTuple):
+    """Blocks of a page in its packed form: so many from an offset on. `digest` in 32 bytes."""
+
+    digest: bytes
+    offset: int
+    blocks: int
+
+
+class PageRequest(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    """Asks for pages of trees; each range is of another page, or of another part of one."""
+
+    ranges: list[PageRange]
+
+
+class PageBlock(NamedTuple):
+    """A part of a page in its packed form, of which `total` bytes are the whole."""
+
+    digest: bytes
+    offset: int
+    total: int
+    data: bytes
+
+
+class PageReply(msgspec.Struct, frozen=True, array_like=True, tag="T"):
+    """Blocks of pages, and pages that this member does not have, or has no room to send now."""
+
+    blocks: list[PageBlock]
+    refused: list[bytes]
+
+
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="i"):
     """Is this member there? `doubted`: a life of it that is suspected, or 0."""
 
@@ -181,7 +211,8 @@
 
 Plain = (
     ReadRequest | ReadReply | Prepare | Promise | Accept | Accepted | VoteRecoveryRequest
-    | VoteRecoveryReply | News | Poll | Grant | BlockRequest | Block | Ping | Ack | Nack
+    | VoteRecoveryReply | News | Poll | Grant | BlockRequest | Block
+    | PageRequest | PageReply | Ping | Ack | Nack
 )  # fmt: skip
 
 
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -16,7 +16,7 @@
 from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
 from sailhitch.model.tier import World
-from sailhitch.tier.content_store import BLOCK_SIZE, ContentStore
+from sailhitch.tier.content_store import BLOCK_SIZE, CONTENT, NOTHING, ContentStore
 from sailhitch.tier.disk import Disk, DiskError
 from sailhitch.tier.effects import End
 from sailhitch.tier.lapse_reports import LapseReports, encode_lapses
@@ -249,21 +249,22 @@
 @given(st.binary(max_size=40 * BLOCK_SIZE), st.integers(0, 1 << 30))
 def test_a_content_is_fetched_whole_through_loss_and_doubling(content: bytes, seed: int) -> None:
     source, sink, rng = ContentStore({}), ContentStore({}), random.Random(seed)
-    digest, packed = source.add(content)
+    digest, kept = source.add(content)
     sink.want(digest, "a")
     now = 0
     for _ in range(400):
         now += 100_000
-        for _, get in sink.asks(now, ["a"], 0):
-            piece = source.answer(get)
-            assert piece is not None
+        for _, request in sink.requests(now, rng, ["a"]):
+            assert isinstance(request, BlockRequest)
+            block = source.answer_block(request, now)
+            assert block is not None
             if rng.random() < 0.4:
                 continue
             for _ in range(1 + (rng.random() < 0.2)):
-                sink.take(piece)
+                sink.take_block(block)
         if sink.has(digest):
             break
-    assert sink.packed == {digest: packed}
+    assert sink.packed == {digest: kept[CONTENT + digest]}
     assert sink.read(digest) == content
 
 
@@ -271,31 +272,34 @@
     source, sink = ContentStore({}), ContentStore({})
     digest, _ = source.add(b"x" * 10)
     other = ContentStore({})
-    wrong, packed = other.add(b"another")
+    wrong, kept = other.add(b"another")
+    packed = kept[CONTENT + wrong]
     sink.want(digest, "a")
-    assert sink.take(Block(digest, 0, len(packed), packed)) is None
+    assert sink.take_block(Block(digest, 0, len(packed), packed)) == NOTHING
     assert sink.spoilt == 1
     assert not sink.has(digest)
-    assert sink.take(Block(digest, 0, 1 << 40, b"")) is None
-    assert sink.take(Block(wrong, 0, len(packed), packed)) is None  # never asked for
-    assert source.answer(BlockRequest(digest, 7)) is None
-    assert source.answer(BlockRequest(digest, 1 << 40)) is None
+    assert sink.take_block(Block(digest, 0, 1 << 40, b"")) == NOTHING
+    never_asked_for = Block(wrong, 0, len(packed), packed)
+    assert sink.take_block(never_asked_for) == NOTHING
+    assert source.answer_block(BlockRequest(digest, 7), 0) is None
+    assert source.answer_block(BlockRequest(digest, 1 << 40), 0) is None
 
 
 def test_a_state_of_ten_thousand_nodes_is_a_content() -> None:
     nodes = {f"p/n{i}": {"address": f"10.0.{i // 250}.{i % 250}:80"} for i in range(10_000)}
     source, sink = ContentStore({}), ContentStore({})
-    digest, packed = source.add(repr(nodes).encode())
+    digest, kept = source.add(repr(nodes).encode())
     sink.want(digest, "a")
     now, sent = 0, 0
     while not sink.has(digest):
         now += 1000
-        for _, get in sink.asks(now, ["a"], 0):
-            piece = source.answer(get)
-            assert piece is not None
+        for _, request in sink.requests(now, random.Random(1), ["a"]):
+            assert isinstance(request, BlockRequest)
+            block = source.answer_block(request, now)
+            assert block is not None
             sent += 1
-            sink.take(piece)
-    assert sent == -(-len(packed) // BLOCK_SIZE)
+            sink.take_block(block)
+    assert sent == -(-len(kept[CONTENT + digest]) // BLOCK_SIZE)
 
 
 # --- Leases
