Play the tier's model through trees of pages

The model's versions are trees of several small pages, made by update from the version before, and read page by page when they are applied. The checker now also finds a voter that has accepted a head of which a page is not on its disk, and a member that acts by a version of which it lacks a page. Two mutations show that it does: a root taken for its tree; contents let go of while they are applied.

--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -1,30 +1,31 @@
 """Members of a tier in the model: the daemon's cores, and rules that are sets of permitted acts.
 
-A version's content is the set of acts that it permits, and a weight that contradicts nothing. Each
-process does what it is free to do, many times a second; `truth` looks at every one of them.
+A version's content is a tree of pages that holds the acts that it permits, and a weight that
+contradicts nothing. Each process does what it is free to do, many times a second; `truth` looks at
+every one of them.
 """
 
 from __future__ import annotations
 
-import json
 import random
 from collections.abc import Callable, Collection, Mapping
-from functools import cache
+from functools import partial
 from typing import Any
 
 import msgspec
 
-from ..tier.content_store import digest_of
+from ..tier.content_store import root_of, tree_digest
 from ..tier.effects import Act, Acting, Done, Keep, Send, Tell
 from ..tier.member import Founding, Member, MemberStatus, TierConfig
 from ..tier.messages import Message, Version
 from ..tier.register import VOTE
 from ..zones.helm import Helm, ZoneTerms, all_unused
 from ..zones.posture import NOTHING, Posture, read
+from .contents import is_on_disk, permitted, tree_of, updated
 from .kernel import Kernel
 from .network import Network
 from .process import Process
-from .truth import Deed, Truth
+from .truth import BrokenError, Deed, Truth
 
 ACTS = 6  # different acts that rules permit or forbid
 EVERY = 20_000  # us between two acts of a process
@@ -33,12 +34,6 @@
 SWITCH = (500, 40_000)  # us that going by other rules takes
 
 
-@cache
-def content(allow: frozenset[int], weight: int) -> bytes:
-    """The content of a version that permits these acts."""
-    return msgspec.json.encode({"allow": sorted(allow), "weight": weight})
-
-
 class TierProcess(Process):
     """A member with a disk and a clock, and what it does."""
 
@@ -62,7 +57,7 @@
         world = self.world
         rng = random.Random(int(self._rng.integers(1 << 62)))
         boot = int(self._rng.integers(1, 1 << 48))
-        founding = Founding(content(world.first, 0), 1, "model")
+        founding = Founding(world.founding, 1, "model")
         self.view, self.changes, self.ended = None, {}, {}
         self.member = Member(
             world.terms(self.name), boot, dict(self.disk.now), rng, self.clock(), founding
@@ -151,9 +146,9 @@
     def _switch(self, acting: Acting) -> None:
         assert self.member is not None
         self.view = acting
-        self.allowed = self.world.permitted(acting.active.digest)
+        self.allowed = self._read(acting.active)
         if acting.pending is not None:
-            self.allowed &= self.world.permitted(acting.pending.digest)
+            self.allowed &= self._read(acting.pending)
         if self.helm is not None and acting.posture is not None:
             posture = read(self.member.contents.read(acting.posture.digest))
             nodes = {"all": self.world.zones}
@@ -163,11 +158,26 @@
         self.member.acted(acting.turn, self.clock())
         self._take()
 
+    def _read(self, version: Version) -> frozenset[int]:
+        """What a version permits, from the pages that this member has."""
+        assert self.member is not None
+        root = root_of(version.digest)
+        assert root is not None
+        try:
+            found = permitted(self.member.contents, root)
+        except KeyError as error:
+            raise BrokenError(
+                f"1: {self.name} acts by {version} without its page {error}"
+            ) from None
+        assert found == self.world.permitted(version.digest), version
+        return found
+
     def written(self, keep: Keep) -> None:
         super().written(keep)
         vote = keep.items.get(VOTE)
         if vote is not None:
-            self.world.truth.voted(self.name, vote)
+            has = partial(is_on_disk, self.disk.now)
+            self.world.truth.voted(self.name, vote, has)
 
     # --- What operators ask for
 
@@ -176,7 +186,7 @@
         if not self.up or self.paused or self.member is None or self.member.known is None:
             return
         active = self.member.known.head.active
-        if active.digest not in self.world.contents:
+        if active.digest not in self.world.permits:
             return
         old = self.world.permitted(active.digest)
         new = old ^ {flip} if 0 <= flip < ACTS else old
@@ -185,8 +195,13 @@
     def offer(self, base: Version, new: frozenset[int], weight: int) -> int:
         """Offer a version that permits these acts, made from `base`; the number of the job."""
         assert self.member is not None
-        made = content(new, weight)
-        self.world.contents[digest_of(made)] = made
+        made, store = tree_of(new, weight), self.member.contents
+        root = root_of(base.digest)
+        if root is not None and store.has(base.digest):
+            changed = updated(store, root, new, weight)
+            assert changed.root == made.root, "the same entries have two roots"
+            made = changed
+        self.world.permits[tree_digest(made.root)] = new
         waits = new != self.world.permitted(base.digest)
         return self._asked(self.member.propose(made, base.serial, waits, "model", 0))
 
@@ -202,7 +217,7 @@
         if not self.up or self.paused or self.member is None or self.view is None:
             return
         held = self.view.posture
-        made = content(frozenset(), weight)
+        made = msgspec.json.encode({"weight": weight})
         self._asked(self.member.pose(made, 0 if held is None else held.serial, "model", 0))
 
     def pose_zones(self, posture: Posture) -> int:
@@ -252,8 +267,9 @@
         self.frozen: set[str] = set()  # zones whose nodes answer nothing
         self._trouble = dict.fromkeys(self.names, 0)  # when each last was out of others' reach
         self.first, self.acts = frozenset(first), acts
-        first = content(self.first, 0)
-        self.contents = {digest_of(first): first}
+        self.founding = tree_of(self.first, 0)
+        # What each version permits, by its digest.
+        self.permits = {tree_digest(self.founding.root): self.first}
         self.truth = Truth(self.voters, lambda digest, act: act in self.permitted(digest))
         self.processes: dict[str, TierProcess] = {}
         rates = self.kernel.stream("rates").uniform(0.99, 1.01, members)
@@ -271,7 +287,7 @@
 
     def permitted(self, digest: str) -> frozenset[int]:
         """What a version permits."""
-        return _permitted(self.contents[digest])
+        return self.permits[digest]
 
     def _deliver(self, sender: str, to: str, message: Any) -> None:
         self.processes[to].hear(sender, message)
@@ -313,8 +329,3 @@
             self.truth.knows_who_is_there(
                 process.name, set(process.member.prober.dead()), {p.name for p in up}, self.names
             )
-
-
-@cache
-def _permitted(made: bytes) -> frozenset[int]:
-    return frozenset(json.loads(made)["allow"])
--- a/sailhitch/model/truth.py
+++ b/sailhitch/model/truth.py
@@ -15,6 +15,7 @@
 from ..tier.effects import Acting, Done, End
 from ..tier.messages import Ballot, Head, Version
 from ..tier.register import Vote, majority
+from ..tier.voter import digests
 
 RECOVERY = 10_000_000  # us; promise 5
 Allows = Callable[[str, int], bool]  # whether the version with this digest permits an act
@@ -50,12 +51,15 @@
 
     # --- Promise 1: one line
 
-    def voted(self, voter: str, kept: bytes) -> None:
-        """A voter's vote is on its disk."""
+    def voted(self, voter: str, kept: bytes, has: Callable[[str], bool]) -> None:
+        """A voter's vote is on its disk; `has` says whether a content is there too, whole."""
         vote = msgspec.msgpack.decode(kept, type=Vote)
         if vote.accepted is None:
             return
         ballot, head = vote.accepted.ballot, vote.accepted.head
+        lacking = [digest for digest in digests(head) if not has(digest)]
+        if lacking:
+            raise BrokenError(f"1: {voter} has accepted turn {head.turn} without {lacking}")
         if self.heads.setdefault(ballot, head) != head:
             raise BrokenError(f"1: two heads under one ballot {ballot}")
         voters = self.votes.setdefault(ballot, set())
--- a/tests/test_tier_model.py
+++ b/tests/test_tier_model.py
@@ -15,6 +15,7 @@
 
 from sailhitch.model.story import Event, Story, broken, draw, play, shrink, tell
 from sailhitch.model.tier import TierProcess, World
+from sailhitch.tier.content_store import ContentStore, root_of
 from sailhitch.tier.effects import Act, Acting, Done, Keep, Send, Tell
 from sailhitch.tier.lease import Grants
 from sailhitch.tier.member import Member
@@ -176,6 +177,26 @@
     patch.setattr("sailhitch.tier.lease.Lease.until", lambda self: 1 << 62)
 
 
+def _takes_a_root_for_its_tree(patch: Patch) -> None:
+    real = ContentStore._has_one
+
+    def has_one(self: ContentStore, digest: str) -> bool:
+        root = root_of(digest)
+        return real(self, digest) if root is None else root in self._pages
+
+    patch.setattr(ContentStore, "_has_one", has_one)
+
+
+def _lets_go_of_what_is_applied(patch: Patch) -> None:
+    real = Member._apply
+
+    def apply(self: Member, head: Any) -> None:
+        real(self, head)
+        self._applying.clear()
+
+    patch.setattr(Member, "_apply", apply)
+
+
 S = 1_000_000
 # g2 hears nothing of a change that g1 and g3 decide; then g3 is away, and g1 without its disk.
 LOST = Story(
@@ -226,6 +247,8 @@
     (_grants_to_those_behind, 15, "2"),
     (_takes_a_lease_for_lapsed_too_early, 37, "2"),
     (_keeps_a_lease_for_ever, 88, "2"),
+    (_takes_a_root_for_its_tree, 0, "1"),
+    (_lets_go_of_what_is_applied, 0, "1"),
 ]
 
 
