Test the hard cases of fetching trees, at a store and at members in the model

In the model, with gossip going on: a change of a state of 1.5 MB brings a member under 16 KB of pages, and a newcomer has all of it within 60 s.

--- a/sailhitch/model/contents.py
+++ b/sailhitch/model/contents.py
@@ -7,37 +7,44 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from functools import cache
 
 from ..pages import MAX_PAGE_BYTES as MOST
 from ..pages import Key, PageSource, Tree, build, child_digests, decompress, read_entries, update
 from ..tier.content_store import CONTENT, PAGE, root_of
 
 LEAF_SIZE = 64  # bytes: a few entries a leaf, so that a tree of a few entries has several pages
-CONSTANT = 12  # entries that are the same in each version
-ACTS, WEIGHT, REST = "acts", Key("weight", "weight"), "constant"
+ACTS, WEIGHT = "acts", Key("weight", "weight")
+CONSTANT = {Key("constant", f"entry{i}"): b"%d" % i for i in range(12)}
 
 
-def entries_of(allow: frozenset[int], weight: int) -> dict[Key, bytes]:
-    """The entries of a version that permits these acts."""
-    entries = {Key(REST, f"entry{i}"): b"%d" % i for i in range(CONSTANT)}
-    entries |= {Key(ACTS, str(act)): b"" for act in allow}
-    return {**entries, WEIGHT: b"%d" % weight}
+class Contents:
+    """Makes the trees of versions. `constant` are the entries that are the same in each."""
 
+    def __init__(self, constant: Mapping[Key, bytes], leaf_size: int) -> None:
+        self._constant, self._leaf_size = constant, leaf_size
+        self._trees: dict[tuple[frozenset[int], int], Tree] = {}
 
-@cache
-def tree_of(allow: frozenset[int], weight: int) -> Tree:
-    """The tree of a version, with all of its pages."""
-    return build(entries_of(allow, weight), LEAF_SIZE)
+    def tree(self, allow: frozenset[int], weight: int) -> Tree:
+        """The tree of a version that permits these acts, with all of its pages."""
+        tree = self._trees.get((allow, weight))
+        if tree is None:
+            entries = {**self._constant, **_entries(allow, weight)}
+            tree = self._trees[allow, weight] = build(entries, self._leaf_size)
+        return tree
 
+    def updated(
+        self, source: PageSource, root: str, old: frozenset[int], new: frozenset[int], weight: int
+    ) -> Tree:
+        """The tree made from that of a version that permits `old`, with its new pages alone."""
+        changes: dict[Key, bytes | None] = {Key(ACTS, str(act)): None for act in old - new}
+        return update(source, root, {**changes, **_entries(new, weight)}, self._leaf_size)
 
-def updated(source: PageSource, root: str, allow: frozenset[int], weight: int) -> Tree:
-    """The same tree with its new pages alone, made from another version's in `source`."""
-    before = dict(read_entries(source, root))
-    after = entries_of(allow, weight)
-    changes: dict[Key, bytes | None] = {key: None for key in before if key not in after}
-    changes |= {key: value for key, value in after.items() if before.get(key) != value}
-    return update(source, root, changes, LEAF_SIZE)
+
+def _entries(allow: frozenset[int], weight: int) -> dict[Key, bytes]:
+    return {**{Key(ACTS, str(act)): b"" for act in allow}, WEIGHT: b"%d" % weight}
+
+
+DEFAULT = Contents(CONSTANT, LEAF_SIZE)
 
 
 def permitted(source: PageSource, root: str) -> frozenset[int]:
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -21,7 +21,7 @@
 from ..tier.register import VOTE
 from ..zones.helm import Helm, ZoneTerms, all_unused
 from ..zones.posture import NOTHING, Posture, read
-from .contents import is_on_disk, permitted, tree_of, updated
+from .contents import DEFAULT, Contents, is_on_disk, permitted
 from .kernel import Kernel
 from .network import Network
 from .process import Process
@@ -195,14 +195,16 @@
     def offer(self, base: Version, new: frozenset[int], weight: int) -> int:
         """Offer a version that permits these acts, made from `base`; the number of the job."""
         assert self.member is not None
-        made, store = tree_of(new, weight), self.member.contents
-        root = root_of(base.digest)
-        if root is not None and store.has(base.digest):
-            changed = updated(store, root, new, weight)
+        contents, store = self.world.contents, self.member.contents
+        made, old, root = contents.tree(new, weight), self.world.permitted(base.digest), None
+        if store.has(base.digest):
+            root = root_of(base.digest)
+        if root is not None:
+            changed = contents.updated(store, root, old, new, weight)
             assert changed.root == made.root, "the same entries have two roots"
             made = changed
         self.world.permits[tree_digest(made.root)] = new
-        waits = new != self.world.permitted(base.digest)
+        waits = new != old
         return self._asked(self.member.propose(made, base.serial, waits, "model", 0))
 
     def _asked(self, job: int) -> int:
@@ -250,6 +252,7 @@
         beat: int = 200_000, every: int = EVERY, late: Collection[str] = (),
         first: Collection[int] = range(0, ACTS, 2), acts: int = ACTS,
         zones: Mapping[str, str] | None = None, step: int = 1_000_000, act: bool = False,
+        contents: Contents = DEFAULT,
     ) -> None:  # fmt: skip
         """`beat` and `every` in microseconds: of the members' cores, and between two acts.
 
@@ -267,7 +270,8 @@
         self.frozen: set[str] = set()  # zones whose nodes answer nothing
         self._trouble = dict.fromkeys(self.names, 0)  # when each last was out of others' reach
         self.first, self.acts = frozenset(first), acts
-        self.founding = tree_of(self.first, 0)
+        self.contents = contents
+        self.founding = contents.tree(self.first, 0)
         # What each version permits, by its digest.
         self.permits = {tree_digest(self.founding.root): self.first}
         self.truth = Truth(self.voters, lambda digest, act: act in self.permitted(digest))
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -8,10 +8,13 @@
 from hashlib import sha256
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sailhitch.model.contents import Contents
+from sailhitch.model.tier import TierProcess, World
 from sailhitch.pages import (
     MAX_PAGE_BYTES,
     Key,
@@ -32,9 +35,24 @@
     root_of,
     tree_digest,
 )
-from sailhitch.tier.messages import Message, PageBlock, PageRange, PageReply, PageRequest
+from sailhitch.tier.effects import Act, Effect, Keep
+from sailhitch.tier.member import Member, MemberStatus, Roster, TierConfig
+from sailhitch.tier.messages import (
+    Accept,
+    Ballot,
+    Decided,
+    Head,
+    Message,
+    PageBlock,
+    PageRange,
+    PageReply,
+    PageRequest,
+    Prepare,
+    Version,
+)
 from sailhitch.tier.page_fetcher import BLOCK_SIZE, MOST_RANGES
 from sailhitch.tier.page_store import PageStore
+from sailhitch.tier.voter import Voter
 from sailhitch.tier.wire import LARGEST, Keys, Wire
 
 S = 1_000_000
@@ -625,6 +643,285 @@
     assert {*play.disk()} == {PAGE + tree.root}
 
 
+# --- Members
+
+
+def _stood(**options: Any) -> World:
+    """A tier in the model that has found itself."""
+    world = World(1, 5, 3, **options)
+    world.start()
+    world.kernel.run(4 * S)
+    world.check_end()
+    return world
+
+
+def _rested(world: World, seconds: int = 20) -> Head:
+    world.kernel.run(world.kernel.now + seconds * S)
+    world.check_end()
+    assert world.truth.latest is not None
+    return world.truth.latest
+
+
+def _member(world: World, name: str) -> Member:
+    member = world.processes[name].member
+    assert member is not None
+    return member
+
+
+def _pages_on(process: TierProcess) -> set[str]:
+    return {name for name in process.disk.now if name.startswith(PAGE)}
+
+
+def _of_versions(world: World, *versions: Version) -> set[str]:
+    """Names on disk of all pages of these versions."""
+    everything: dict[str, bytes] = {}
+    for allow in world.permits.values():
+        everything.update(world.contents.tree(allow, 0).pages)
+    roots = {root for version in versions if (root := root_of(version.digest)) is not None}
+    return {PAGE + page for page in _reached(everything, roots)}
+
+
+def _count(world: World, to: str) -> list[Message]:
+    """What is sent to a member from here on."""
+    sent: list[Message] = []
+    send = world.network.send
+
+    def counted(sender: str, addressee: str, message: Message) -> None:
+        if addressee == to:
+            sent.append(message)
+        send(sender, addressee, message)
+
+    world.network.send = counted  # type: ignore[assignment,method-assign]
+    return sent
+
+
+def _drop(world: World, to: str) -> Callable[[], None]:
+    """No page comes to a member from here on, until the answer is called."""
+    send = world.network.send
+
+    def dropped(sender: str, addressee: str, message: Any) -> None:
+        if addressee != to or not isinstance(message, PageReply):
+            send(sender, addressee, message)
+
+    world.network.send = dropped  # type: ignore[assignment,method-assign]
+    return lambda: setattr(world.network, "send", send)
+
+
+def test_a_voter_that_lacks_a_leaf_does_not_accept() -> None:
+    tree = build(some_entries(50), 500)
+    leaf = next(page for page, raw in tree.pages.items() if not child_digests(raw))
+    pages = {page: compress(raw) for page, raw in tree.pages.items() if page != leaf}
+    store, out, ballot = ContentStore({}, pages), list[Effect](), Ballot(1, "g1", 7)
+    roster, _ = store.add(b"{}")
+    voter = Voter("g1", ("g1",), None, store, {}, None, lambda: ballot, 7, out)
+    version = Version(1, 0, tree_digest(tree.root), "g1", "", 0, "g1-7-0")
+    accept = Accept(ballot, Head(1, 1, 1, version, None, roster), {})
+    assert voter.prepare(Prepare(ballot)) is not None
+    out.clear()
+    assert voter.accept(accept) is None
+    assert out == []
+    play = Play({"a": honest(holding(tree))}, sink=store)
+    play.want(version.digest, "a")
+    assert play.run(version.digest)
+    assert voter.accept(accept) is not None
+    assert [isinstance(effect, Keep) for effect in out] == [True]
+
+
+def test_a_member_does_not_propose_a_tree_of_which_it_lacks_pages() -> None:
+    world = _stood()
+    member = _member(world, "g1")
+    old = build(some_entries(50), 500)
+    new = update(holding(old), old.root, {Key("group1", "name1"): b"changed"}, 500)
+    jobs = len(member.proposer.jobs)
+    with pytest.raises(ValueError, match="neither new nor here"):
+        member.propose(new, 1, False, "test", 0)
+    assert len(member.proposer.jobs) == jobs
+    assert _rested(world).active.serial == 1
+
+
+def test_on_a_full_disk_no_page_is_kept_and_nothing_is_confirmed() -> None:
+    world = _stood()
+    full = world.processes["g4"]
+    before = _pages_on(full)
+    full.disk.full = True
+    world.processes["g1"].propose(1, 0)
+    world.kernel.run(world.kernel.now + 10 * S)
+    latest = world.truth.latest
+    assert latest is not None
+    assert latest.pending is not None
+    assert full.mute
+    assert _pages_on(full) == before
+    assert _member(world, "g1").waiting_for() == ["g4"]
+    full.kill()
+    full.disk.full = False
+    full.start()
+    head = _rested(world)
+    assert (head.active.serial, head.pending) == (2, None)
+    assert _pages_on(full) == _of_versions(world, head.active)
+
+
+@pytest.mark.parametrize("steps", range(1, 12))
+def test_one_killed_after_any_page_that_it_kept_resumes_and_completes(steps: int) -> None:
+    world = _stood()
+    process, kept = world.processes["g5"], list[set[str]]()
+    process.kill()
+    process.disk.now.clear()
+    real = process.written
+
+    def written(keep: Keep) -> None:
+        real(keep)
+        pages = {name for name, value in keep.items.items() if name.startswith(PAGE) and value}
+        if pages:
+            kept.append(pages)
+            if process.life == 2 and len(kept) == steps:
+                process.kill()
+
+    process.written = written  # type: ignore[method-assign]
+    process.start()
+    world.kernel.run(world.kernel.now + 5 * S)
+    assert world.truth.latest is not None
+    wanted = _of_versions(world, world.truth.latest.active)
+    if process.up:  # it was done sooner
+        assert len(kept) < steps
+        assert _pages_on(process) == wanted
+        return
+    here = _pages_on(process)
+    assert here == set().union(*kept)
+    assert here < wanted if steps < 4 else here <= wanted
+    kept.clear()
+    process.start()
+    _rested(world)
+    assert _pages_on(process) == wanted
+    assert set().union(*kept) == wanted - here  # and none of them twice
+    assert sum(map(len, kept)) == len(wanted - here)
+
+
+def test_a_version_withdrawn_while_its_pages_come_to_a_member_leaves_it_as_it_was() -> None:
+    world = _stood()
+    before = _pages_on(world.processes["g5"])
+    heal = _drop(world, "g5")
+    world.processes["g1"].propose(1, 0)
+    world.kernel.run(world.kernel.now + 3 * S)
+    member = _member(world, "g5")
+    assert member.known is not None
+    assert member.known.head.pending is not None
+    assert member.contents.is_fetching
+    assert not member.settled()
+    world.processes["g2"].withdraw()
+    world.kernel.run(world.kernel.now + 3 * S)
+    assert member.settled()
+    assert not member.contents.is_fetching
+    heal()
+    head = _rested(world)
+    assert (head.active.serial, head.pending) == (1, None)
+    assert _pages_on(world.processes["g5"]) == before
+    assert _pages_on(world.processes["g4"]) == before
+    for voter in world.voters:  # they keep for a while what they were asked to accept
+        assert _pages_on(world.processes[voter]) >= before
+
+
+def test_pages_of_a_withdrawn_version_on_an_old_disk_are_let_go_of() -> None:
+    world = _stood()
+    heal = _drop(world, "g4")
+    old = world.processes["g5"]
+    world.processes["g1"].propose(1, 0)
+    world.kernel.run(world.kernel.now + 3 * S)
+    assert world.truth.latest is not None
+    assert world.truth.latest.pending is not None
+    withdrawn = _of_versions(world, world.truth.latest.pending)
+    old.disk.copy()
+    old.kill()
+    world.processes["g2"].withdraw()
+    heal()
+    world.kernel.run(world.kernel.now + 3 * S)
+    old.disk.now = dict(old.disk.days[-1])
+    assert withdrawn <= _pages_on(old)
+    old.start()
+    head = _rested(world)
+    assert _pages_on(old) == _of_versions(world, head.active)
+
+
+def test_a_disk_of_the_version_before_is_read_as_it_is() -> None:
+    """A member of a tier of its own, with a state and a roster as whole contents."""
+    state, roster = b'{"nodes":{}}', Roster(("g1",), ()).content()
+    digest, roster_digest = sha256(state).hexdigest(), sha256(roster).hexdigest()
+    version = Version(4, 3, digest, "g1", "ann", 5, "g1-63-0")
+    decided = Decided(Ballot(7, "g1", 99), Head(6, 4, 1, version, None, roster_digest))
+    encode = msgspec.msgpack.encode
+    disk = {
+        "known": encode(decided), "self": encode(3), "stamps": encode({"g1": 9}),
+        "vote": encode([Ballot(7, "g1", 99), decided, 9]),
+        f"content/{digest}": zlib.compress(state, 6),
+        f"content/{roster_digest}": zlib.compress(roster, 6),
+    }  # fmt: skip
+    member = Member(TierConfig("g1", ("g1",), ("g1",)), 5, disk, random.Random(1), 0, None)
+    for now in range(0, S, S // 10):
+        member.tick(now)
+        acted = [one.acting for one in member.take() if isinstance(one, Act)]
+        for acting in acted:
+            member.acted(acting.turn, now)
+    assert member.standing(S) is MemberStatus.IN
+    assert member.acting is not None
+    assert member.acting.active == version
+    assert member.contents.read(digest) == state
+    # The next version is a tree; the whole content goes once the process applies that.
+    tree = build(some_entries(20), 500)
+    member.propose(tree, 4, False, "ann", 6)
+    for now in range(S, 2 * S, S // 10):
+        member.tick(now)
+        for effect in member.take():
+            if isinstance(effect, Keep):
+                for name, value in effect.items.items():
+                    disk.pop(name, None)
+                    if value is not None:
+                        disk[name] = value
+            elif isinstance(effect, Act):
+                assert f"content/{digest}" in disk
+                member.acted(effect.acting.turn, now)
+    assert member.acting.active.digest == tree_digest(tree.root)
+    contents = {name for name in disk if "/" in name}
+    assert contents == {PAGE + page for page in tree.pages} | {f"content/{roster_digest}"}
+
+
+LARGE = Contents(some_entries(6000, size=250), 4096)
+
+
+def test_a_change_brings_a_member_few_pages_of_a_large_state() -> None:
+    world = World(1, 5, 3, contents=LARGE, every=S)
+    world.start()
+    world.kernel.run(60 * S)  # all have it by then
+    world.check_end()
+    before = {name: _pages_on(process) for name, process in world.processes.items()}
+    sent = _count(world, "g5")
+    world.processes["g4"].propose(1, 0)
+    head = _rested(world)
+    assert head.active.serial == 2
+    replies = [message for message in sent if isinstance(message, PageReply)]
+    wire = Wire(Keys(1, {1: b"k" * 32}), "a-gateway-of-a-region-16", 1 << 47)
+    size = sum(len(wire.seal("a-gateway-of-a-region-17", reply)) for reply in replies)
+    assert 0 < size < 16 * 1024
+    new = _pages_on(world.processes["g5"]) - before["g5"]
+    assert 0 < len(new) <= 8
+    assert len(before["g5"]) > 400
+
+
+def test_a_newcomer_has_a_large_state_within_a_minute_while_gossip_goes_on() -> None:
+    world = World(1, 5, 3, contents=LARGE, every=S, late=["g5"])
+    world.start()
+    world.kernel.run(60 * S)
+    assert world.truth.latest is not None
+    newcomer = world.processes["g5"]
+    newcomer.start()
+    began = world.kernel.now
+    while not (newcomer.view is not None and _member(world, "g5").settled()):
+        world.kernel.run(world.kernel.now + S)
+        assert world.kernel.now - began < 60 * S
+    size = sum(len(newcomer.disk.now[name]) for name in _pages_on(newcomer))
+    assert size > 1.5e6
+    world.kernel.run(world.kernel.now + 5 * S)
+    assert _member(world, "g5").standing(newcomer.clock()) is MemberStatus.IN
+
+
 # --- The budget
 
 
