Ask likely sources of pages first, and silent ones last

Sources have ranks now (announced or proven, voters and those that apply the head, any), one that did not answer is asked last for a second, and a page of which nothing has come changes its source at once.

--- a/sailhitch/tier/content_exchange.py
+++ b/sailhitch/tier/content_exchange.py
@@ -101,19 +101,15 @@
         """Whether all contents of a head are here."""
         return self.store.has(*digests(head))
 
-    def ask(self, now: int, sources: Callable[[], list[str]] | None = None) -> None:
+    def ask(self, now: int, sources: Callable[[], list[list[str]]] | None = None) -> None:
         """Send what is to be asked now; `sources` finds members that may have what is lacking."""
         if self.store.is_fetching:
             others = None if sources is None else sources()
             self._outbox.send_all(self.store.requests(now, self._rng, others))
 
-    def sources(self, voters: tuple[str, ...], confirmed: list[str], others: list[str]) -> set[str]:
-        """Members to fetch from: the voters, some that have confirmed the head, and any others."""
-        return {
-            *voters,
-            *self._rng.sample(confirmed, min(SOURCES, len(confirmed))),
-            *self._rng.sample(others, min(ANY_SOURCES, len(others))),
-        }
+    def draw(self, names: list[str], most: int) -> list[str]:
+        """Some of these members."""
+        return self._rng.sample(names, min(most, len(names)))
 
     # --- Messages
 
--- a/sailhitch/tier/content_store.py
+++ b/sailhitch/tier/content_store.py
@@ -192,15 +192,17 @@
         self._page_fetcher.retain_only(lacking)
 
     def requests(
-        self, now: int, rng: random.Random, others: Sequence[str] | None = None
+        self, now: int, rng: random.Random, others: Sequence[Sequence[str]] | None = None
     ) -> list[tuple[str, BlockRequest | PageRequest]]:
         """What to ask whom now.
 
-        `others` are members that may have what is lacking; None: those of the call before.
+        `others` are members that may have what is lacking, in ranks of those that most likely do
+        and those that less likely do; None: those of the call before.
         """
         if others is not None:
             self._page_fetcher.set_others(others)
-        blocks = self._block_fetcher.requests(now, others or (), rng)
+        anybody = [name for rank in others or () for name in rank]
+        blocks = self._block_fetcher.requests(now, anybody, rng)
         pages = self._page_fetcher.requests(now, rng) if self._pages.size < MOST_PAGES else []
         return [*blocks, *pages]
 
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -18,7 +18,7 @@
 from ..pages import Tree
 from .activation import Activation
 from .config import Founding, MemberStatus, TierConfig
-from .content_exchange import ContentExchange, ContentMessage
+from .content_exchange import ANY_SOURCES, SOURCES, ContentExchange, ContentMessage
 from .content_store import CONTENT
 from .effects import Act, Acting, Done, Effect, End
 from .enrolment import Enrolment, enrolled, left, placed, put_out
@@ -435,15 +435,14 @@
             self.voter.settle()
         self._settle()
 
-    def _sources(self) -> list[str]:
-        """Members that may have what is fetched, and are not declared dead."""
+    def _sources(self) -> list[list[str]]:
+        """Members that may have what is fetched: voters and those that apply it; then any."""
         turn = 0 if self.known is None else self.known.head.turn
-        others = self._gossip.others
-        drawn = self._exchange.sources(
-            self.config.voters, self._presence.confirmed(turn), list(others)
-        )
-        me, alive = self.config.name, self.prober.alive
-        return sorted(name for name in drawn if name != me and alive(name))
+        confirmed = self._exchange.draw(self._presence.confirmed(turn), SOURCES)
+        likely = sorted({*self.config.voters, *confirmed} - {self.config.name})
+        others = self._exchange.draw(list(self._gossip.others), ANY_SOURCES)
+        alive = self.prober.alive
+        return [[name for name in names if alive(name)] for names in (likely, others)]
 
     # --- Gossip
 
--- a/sailhitch/tier/page_fetcher.py
+++ b/sailhitch/tier/page_fetcher.py
@@ -21,7 +21,8 @@
 MOST_RANGES: Final = 16  # in a request
 PAGES_UNDER_WAY: Final = 64
 PATIENCE: Final = 250_000  # us for an answer; that of a path between regions with room for queues
-TRIES: Final = 2  # requests without an answer after which a source gives way
+TRIES: Final = 2  # requests without an answer after which a source of a part gives way
+SILENCE: Final = 1_000_000  # us for which a source that did not answer is asked after the others
 REST: Final = 400_000  # us after all sources were tried
 REFUSALS: Final = 4  # sources after which a quarter of that passes, as pages spread meanwhile
 SOURCES: Final = 16  # announced or proven ones that are remembered
@@ -101,7 +102,8 @@
         self._resting: dict[str, tuple[int, _Fetch]] = {}  # with the time until when
         self._under_way: dict[str, _Fetch] = {}
         self._preferred: dict[str, None] = {}  # sources, the latest that proved one last
-        self._others: Sequence[str] = ()
+        self._others: Sequence[Sequence[str]] = ()
+        self._silent_until: dict[str, int] = {}
         self.spoilt = 0  # answers that were not of the page that was asked for
 
     def __len__(self) -> int:
@@ -114,9 +116,12 @@
         if len(self._preferred) > SOURCES:
             del self._preferred[next(iter(self._preferred))]
 
-    def set_others(self, names: Sequence[str]) -> None:
-        """Members that may have what is lacking, beside those that announced it."""
-        self._others = names
+    def set_others(self, ranks: Sequence[Sequence[str]]) -> None:
+        """Members that may have what is lacking, beside those that announced it.
+
+        Those of an earlier rank are asked before those of a later one.
+        """
+        self._others = ranks
 
     def add(self, digests: Iterable[str]) -> None:
         """Fetch these."""
@@ -143,7 +148,8 @@
         ranges: dict[str, list[PageRange]] = {}
         for digest, fetch in list(self._under_way.items()):
             is_late = fetch.is_late(now)
-            if is_late and fetch.unanswered + 1 >= TRIES:
+            if is_late and (not fetch.blocks or fetch.unanswered + 1 >= TRIES):
+                self._silent_until[fetch.source] = now + SILENCE
                 self._give_way(digest, fetch)
             elif self._ask(digest, fetch, now, ranges) and is_late:
                 fetch.unanswered += 1
@@ -159,7 +165,7 @@
     def _begin(self, now: int, rng: random.Random, ranges: dict[str, list[PageRange]]) -> None:
         while self._idle and len(self._under_way) < PAGES_UNDER_WAY:
             digest, fetch = next(iter(self._idle.items()))
-            source = self._choose(fetch, rng)
+            source = self._choose(fetch, now, rng)
             if source is None:
                 del self._idle[digest]
                 fetch.tried.clear()
@@ -171,12 +177,17 @@
             del self._idle[digest]
             self._under_way[digest] = fetch
 
-    def _choose(self, fetch: _Fetch, rng: random.Random) -> str | None:
-        """A source that was not tried: one that announced or proved it, before any other."""
-        for names in (self._preferred, self._others):
-            untried = [name for name in names if name not in fetch.tried]
-            if untried:
-                return rng.choice(untried)
+    def _choose(self, fetch: _Fetch, now: int, rng: random.Random) -> str | None:
+        """A source that was not tried, by how likely it has the page; the silent ones last."""
+        ranks = (self._preferred, *self._others)
+        untried = [[name for name in names if name not in fetch.tried] for names in ranks]
+        awake = [
+            [name for name in names if self._silent_until.get(name, now) <= now]
+            for names in untried
+        ]
+        for names in (*awake, *untried):
+            if names:
+                return rng.choice(names)
         return None
 
     def _ask(
@@ -196,6 +207,7 @@
 
     def take(self, sender: str, reply: PageReply, now: int) -> list[FetchedPage]:
         """An answer has come; the pages that it makes whole."""
+        self._silent_until.pop(sender, None)
         for name in reply.refused:
             fetch = self._under_way.get(name.hex())
             if fetch is not None and fetch.source == sender and not fetch.blocks:
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -108,7 +108,7 @@
             if most_kept is not None and sum(map(len, self.kept)) >= most_kept:
                 break
             self.now += STEP
-            for to, request in self.sink.requests(self.now, self.rng, names):
+            for to, request in self.sink.requests(self.now, self.rng, [names]):
                 assert isinstance(request, PageRequest)
                 self.asked += [(self.now, to, wanted) for wanted in request.ranges]
                 if self.rng.random() >= self.loss:
@@ -364,7 +364,7 @@
     tree = build(some_entries(3))
     store, sink = holding(tree), ContentStore({})
     sink.want(tree_digest(tree.root), "a")
-    [(_, request)] = sink.requests(1, random.Random(1), ["a"])
+    [(_, request)] = sink.requests(1, random.Random(1), [["a"]])
     assert isinstance(request, PageRequest)
     [reply] = store.answer_pages(request, 1)
     assert sink.take_pages("b", reply, 1).kept == {}
--- a/tests/test_tier_model.py
+++ b/tests/test_tier_model.py
@@ -84,6 +84,8 @@
 
 def _confirms_before_it_acts(patch: Patch) -> None:
     patch.setattr("sailhitch.model.tier.SWITCH", SLOW)
+    # Contents that it lets go of too early would be found out first.
+    patch.setattr(ContentExchange, "applied", lambda self, turn: None)
     real = TierProcess.happen
 
     def happen(self: TierProcess, effect: Send | Act | Done | Tell) -> None:
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -254,7 +254,7 @@
     now = 0
     for _ in range(400):
         now += 100_000
-        for _, request in sink.requests(now, rng, ["a"]):
+        for _, request in sink.requests(now, rng, [["a"]]):
             assert isinstance(request, BlockRequest)
             block = source.answer_block(request, now)
             assert block is not None
@@ -293,7 +293,7 @@
     now, sent = 0, 0
     while not sink.has(digest):
         now += 1000
-        for _, request in sink.requests(now, random.Random(1), ["a"]):
+        for _, request in sink.requests(now, random.Random(1), [["a"]]):
             assert isinstance(request, BlockRequest)
             block = source.answer_block(request, now)
             assert block is not None
