--- a/sailhitch/tier/__init__.py
+++ b/sailhitch/tier/__init__.py
@@ -15,6 +15,7 @@
     first_reading     what follows the reading of the register that a start begins with
     activation        when a pending version is made active
     lease             who has heard of a majority of voters lately, by round trips alone
+    confirmations     who has confirmed a head, and whom it still waits for
     lapse_reports     whose lease has lapsed, as the voters report it
 
 Membership:
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -18,13 +18,13 @@
 from ..pages import Tree
 from .activation import Activation
 from .config import Founding, MemberStatus, TierConfig
+from .confirmations import Confirmations
 from .content_exchange import ANY_SOURCES, SOURCES, ContentExchange, ContentMessage
 from .content_store import CONTENT
 from .effects import Act, Acting, Done, Effect, End
 from .enrolment import Enrolment, enrolled, left, placed, put_out
 from .first_reading import NextStep, after_reading
 from .gossip import Gossip
-from .lapse_reports import LapseReport, LapseReports, encode_lapses
 from .lease import Grants, Lease
 from .line import Change, activate, enrol, found, offer, pose, withdraw
 from .membership import MembershipTable
@@ -110,7 +110,6 @@
             self.proposer.rank(self.voter.acceptor.vote.promised)
         self.heard_register = False
         self.broken = self.left = False
-        self.confirmed = 0
         self.trouble = ""
         self.word = b""  # what its rows carry for whoever runs it
         self.acting: Acting | None = None  # what was last asked to be acted by
@@ -119,8 +118,7 @@
         self._roster_digest = ""
         self._settled = 0
         self._jobs = 0
-        self._lapses = LapseReports(majority(len(config.voters)))
-        self._own_lapses: LapseReport | None = None  # as of the last beat
+        self._confirmations = Confirmations(self.membership, len(config.voters))
         self._activation, self._enrolment = Activation(rng), Enrolment()
         self._read_again = self._head_is_new = False
         self._poll_at = self._read_at = self._report_at = 0
@@ -129,6 +127,11 @@
         # decided after this life has read that it is inside, no change would wait for it.
         self.proposer.add(Job(None, self._read, LEFT in kept))
 
+    @property
+    def confirmed(self) -> int:
+        """The turn by which this process acts, or a later one."""
+        return self._confirmations.own
+
     @property
     def roster(self) -> Roster:
         """Whom a change waits for, as of the latest head whose contents are here."""
@@ -158,9 +161,7 @@
         if self._head_is_new:
             self._head_is_new = False
             self._gossip.hurry(now)
-        self._own_lapses = self._find_lapses(now)
-        if self._own_lapses is not None:
-            self._lapses.record(self.config.name, self._own_lapses)
+        self._make_lapse_report(now)
         self._enrol(now)
         self._activate(now)
         self._keep_stamps()
@@ -179,7 +180,7 @@
         """Nothing in this process goes by anything older than this turn's rules any more."""
         if turn > self.confirmed:
             self._gossip.hurry(now)
-            self.confirmed, self.trouble = turn, ""
+            self._confirmations.own, self.trouble = turn, ""
             self.membership.beat(turn, "", self.word)
             self._poll_at = now
             self._poll(now)
@@ -453,9 +454,7 @@
     def _news(self, now: int) -> News:
         records = self.membership.pick(RECORDS, self.rng)
         stamps = {v: s for v, s in self.stamps.items() if v in self.config.voters}
-        lapses = self._own_lapses
-        if lapses is not None and (self.known is None or lapses[0] != self.known.head.turn):
-            lapses = None
+        lapses = self._confirmations.report(None if self.known is None else self.known.head)
         return News(self.known, records, stamps, lapses, self.prober.news())
 
     def _hear_news(self, sender: str, news: News, now: int) -> None:
@@ -464,11 +463,11 @@
             if stamp > self.stamps.get(voter, 0) or voter == self.config.name:
                 self._stamp(voter, stamp)
         if news.lapsed is not None and sender in self.config.voters:
-            self._lapses.record(sender, news.lapsed)
+            self._confirmations.record(sender, news.lapsed)
         if news.decided is not None:
             self.proposer.rank(news.decided.ballot)
             self._learn(news.decided, sender)
-        record = self.membership.rows.get(sender)
+        record = self.membership.records.get(sender)
         if (
             record is not None
             and self.known is not None
@@ -604,46 +603,24 @@
             for voter in self.config.voters:
                 self._outbox.send(voter, Poll(number, self.confirmed))
 
-    def _find_lapses(self, now: int) -> LapseReport | None:
-        """Members for which no lease of this voter holds, and which get none by an older head.
-
-        It stays true for as long as the head does: none of them is granted a lease before it has
-        confirmed, and then nobody waits for it anyway.
-        """
+    def _make_lapse_report(self, now: int) -> None:
         voter, known = self.voter, self.known
+        self._confirmations.drop_report()
         if voter is None or voter.grants is None or known is None:
-            return None
-        if not self.heard_register or not voter.votes or not self.settled():
-            return None
-        names, grants, out = self._index.names, voter.grants, self._index.out
-        lapsed = (
-            position for position, name in enumerate(names)
-            if (name in out or not self._has_confirmed(name)) and grants.lapsed(name, now)
-        )  # fmt: skip
-        return known.head.turn, encode_lapses(len(names), lapsed)
-
-    def _has_confirmed(self, name: str) -> bool:
-        assert self.known is not None
-        row = self.membership.rows.get(name)
-        own = self.confirmed if name == self.config.name else 0
-        return max(own, row.confirmed if row is not None else 0) >= self.known.head.floor
+            return
+        if self.heard_register and voter.votes and self.settled():
+            self._confirmations.make_report(self._index, known.head, voter.grants, now)
 
     def _is_lapsed(self, name: str) -> bool:
-        """Whether a majority of voters say that no lease of this member holds."""
         assert self.known is not None
-        return self._lapses.is_lapsed(self._index.positions[name], self.known.head.turn)
+        return self._confirmations.is_lapsed(name, self._index, self.known.head)
 
     def waiting_for(self) -> list[str]:
         """Members that a pending version waits for."""
         known = self.known
         if known is None or known.head.pending is None or not self.settled():
             return []
-        inside = self._index.inside
-        return [
-            name
-            for name in self._index.names
-            if not (name in inside and self._has_confirmed(name)) and not self._is_lapsed(name)
-        ]
+        return self._confirmations.waiting_for(self._index, known.head)
 
     def words(self, now: int) -> dict[str, bytes]:
         """The metadata of those that are there, this member too, by name."""
--- a/sailhitch/tier/membership.py
+++ b/sailhitch/tier/membership.py
@@ -26,7 +26,7 @@
 
     def __init__(self, name: str, life: int, boot: int) -> None:
         self.name = name
-        self.rows: dict[str, MemberRecord] = {name: MemberRecord(name, life, boot, 0, 0, "")}
+        self.records: dict[str, MemberRecord] = {name: MemberRecord(name, life, boot, 0, 0, "")}
         self.seen: dict[str, int] = {}  # when each one's row last moved on
         self.refuted = 0  # lives taken in a row against another's
         self._refuted_at = 0
@@ -35,7 +35,7 @@
 
     @property
     def mine(self) -> MemberRecord:
-        return self.rows[self.name]
+        return self.records[self.name]
 
     def twin(self, now: int) -> bool:
         """Whether another process goes by this one's name."""
@@ -44,13 +44,13 @@
     def beat(self, confirmed: int, trouble: str, word: bytes = b"") -> None:
         """One more sign of life."""
         old = self.mine
-        self.rows[self.name] = MemberRecord(
+        self.records[self.name] = MemberRecord(
             self.name, old.life, old.boot, old.beats + 1, confirmed, trouble[:TROUBLE], word
         )
 
     def merge(self, rows: Iterable[MemberRecord], now: int) -> bool:
         """Take in others' rows; whether this one's own life had to be raised."""
-        raised, known, me = False, self.rows, self.name
+        raised, known, me = False, self.records, self.name
         for row in rows:
             name = row.name
             if name == me:
@@ -78,7 +78,7 @@
 
     def life_of(self, name: str) -> int:
         """The latest known life of a member; 0: none."""
-        row = self.rows.get(name)
+        row = self.records.get(name)
         return 0 if row is None else row.life
 
     def live_above(self, life: int) -> bool:
@@ -86,7 +86,7 @@
         mine = self.mine
         if life < mine.life:
             return False
-        self.rows[self.name] = msgspec.structs.replace(mine, life=life + 1)
+        self.records[self.name] = msgspec.structs.replace(mine, life=life + 1)
         return True
 
     def has_news(self) -> bool:
@@ -105,13 +105,13 @@
             if self._fresh[name] >= TIMES:
                 del self._fresh[name]
         turn = self._turn
-        for _ in range(min(most, len(self.rows))):
+        for _ in range(min(most, len(self.records))):
             if len(chosen) >= most:
                 break
             if not turn:
                 # Anew in another order, so that no two members go on saying the same rows.
-                turn.extend(name for name in self.rows if name != self.name)
+                turn.extend(name for name in self.records if name != self.name)
                 rng.shuffle(turn)
             if turn:
                 chosen[turn.pop()] = None
-        return [self.rows[name] for name in chosen]
+        return [self.records[name] for name in chosen]
--- a/sailhitch/tier/messages.py
+++ b/sailhitch/tier/messages.py
@@ -132,7 +132,7 @@
     """Gossip; each is of use alone, in any order."""
 
     decided: Decided | None
-    rows: list[MemberRecord]
+    records: list[MemberRecord]
     stamps: dict[str, int]
     lapsed: tuple[int, bytes] | None  # a voter's: of a turn, bits by the roster's names in order
     doubts: list[Suspicion] = []
--- a/sailhitch/tier/presence.py
+++ b/sailhitch/tier/presence.py
@@ -40,10 +40,10 @@
     def hear_news(self, sender: str, news: News, now: int) -> None:
         """Take in records and suspicions that came by gossip."""
         table, prober = self._membership, self._prober
-        if table.merge(news.rows, now):
+        if table.merge(news.records, now):
             self.keep_incarnation()
             self._outbox.tell("name heard in another life", {"life": table.mine.life})
-        prober.seen(news.rows)
+        prober.seen(news.records)
         self._refute(prober.doubted(news.doubts, table.life_of, now))
         suspected = prober.doubt_of(sender, table.life_of)
         if suspected:
@@ -62,7 +62,7 @@
         Danger: who dies with a zone has said of it, last, that it is well. Its metadata does not
         count from when it is suspected.
         """
-        records, health = self._membership.rows, self._prober.health
+        records, health = self._membership.records, self._prober.health
         found = {
             name: records[name].word for name, seen in self._membership.seen.items()
             if now - seen <= METADATA_LIFE and records[name].word
@@ -72,12 +72,12 @@
 
     def confirmed(self, turn: int) -> list[str]:
         """Members whose records say that they apply that turn or a later one."""
-        records = self._membership.rows
+        records = self._membership.records
         return [name for name, record in records.items() if record.confirmed >= turn]
 
     def lagging(self, names: tuple[str, ...], turn: int) -> list[str]:
         """Those of `names` that are not declared dead and have not confirmed that turn."""
-        records, dead = self._membership.rows, set(self._prober.dead())
+        records, dead = self._membership.records, set(self._prober.dead())
         return [
             name for name in names
             if name not in dead and name != self._name
--- a/sailhitch/tier/status_report.py
+++ b/sailhitch/tier/status_report.py
@@ -27,8 +27,8 @@
     roster, table, config = member.roster, member.membership, member.config
     inside, voters = set(roster.inside), set(config.voters)
     members = []
-    for name in sorted({*roster.inside, *roster.out, *table.rows}):
-        record, seen = table.rows.get(name), table.seen.get(name)
+    for name in sorted({*roster.inside, *roster.out, *table.records}):
+        record, seen = table.records.get(name), table.seen.get(name)
         age = 0 if name == config.name else None if seen is None else now - seen
         members.append({
             "name": name, "inside": name in inside, "voter": name in voters,
--- a/tests/test_tier_cases.py
+++ b/tests/test_tier_cases.py
@@ -175,10 +175,10 @@
     # One that was only restarted raises its life once, and that is that.
     back, others = MembershipTable("g1", 1, 33), MembershipTable("g2", 1, 44)
     others.merge([MemberRecord("g1", 5, 11, 900, 7, "")], now)
-    back.merge([others.rows["g1"]], now)
+    back.merge([others.records["g1"]], now)
     assert back.mine.life == 6
     others.merge([back.mine], now)
-    assert others.rows["g1"].boot == 33
+    assert others.records["g1"].boot == 33
     assert not back.twin(now)
 
 
