--- a/sailhitch/tier/content_store.py
+++ b/sailhitch/tier/content_store.py
@@ -176,7 +176,7 @@
         if self._pages.is_complete(root):
             return
         if root not in self._wanted_roots:
-            self._page_fetcher.add_source(source)
+            self._page_fetcher.prefer(source)
             self._wanted_roots.add(root)
             self._page_fetcher.add(self._pages.lacking(root))
 
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -120,6 +120,7 @@
         self._jobs = 0
         self._confirmations = Confirmations(self.membership, len(config.voters))
         self._activation, self._enrolment = Activation(rng), Enrolment()
+        self._unanswered: tuple[str, Accept] | None = None  # whose contents are on their way
         self._read_again = self._head_is_new = False
         self._poll_at = self._read_at = self._report_at = 0
         self._presence.keep_incarnation()
@@ -348,7 +349,7 @@
             self._hear_news(sender, message, now)
         elif isinstance(message, ContentMessage):
             if self._exchange.hear(sender, message, now):
-                self._content_is_here()
+                self._content_is_here(now)
         elif isinstance(message, Relayed):
             self._hear_relayed(sender, message, now)
         elif isinstance(message, (Ping, Ack, Nack)):
@@ -390,6 +391,7 @@
             self.proposer.rank(message.ballot)
             answer = voter.accept(message)
             if answer is None and voter.votes:
+                self._unanswered = sender, message
                 self._exchange.want_to_vote(message.head, sender)
                 self._exchange.ask(now)
         elif isinstance(message, VoteRecoveryRequest):
@@ -430,10 +432,13 @@
             self._stamps_kept = dict(self.stamps)
             self._outbox.keep({STAMPS: msgspec.msgpack.encode(self.stamps)})
 
-    def _content_is_here(self) -> None:
+    def _content_is_here(self, now: int) -> None:
         """Go by what waited for a content."""
         if self.voter is not None:
             self.voter.settle()
+            if self._unanswered is not None:
+                (sender, accept), self._unanswered = self._unanswered, None
+                self._hear_as_voter(self.voter, sender, accept, now)
         self._settle()
 
     def _sources(self) -> list[list[str]]:
--- a/sailhitch/tier/page_fetcher.py
+++ b/sailhitch/tier/page_fetcher.py
@@ -20,9 +20,13 @@
 MOST_BLOCKS: Final = 16  # of a page, asked for at a time
 MOST_RANGES: Final = 16  # in a request
 PAGES_UNDER_WAY: Final = 64
-PATIENCE: Final = 250_000  # us for an answer; that of a path between regions with room for queues
+# us for an answer: so many round trips of its source; the most where none is known.
+ROUND_TRIPS: Final = 3
+LEAST_PATIENCE, MOST_PATIENCE = 90_000, 250_000
 TRIES: Final = 2  # requests without an answer after which a source of a part gives way
-SILENCE: Final = 1_000_000  # us for which a source that did not answer is asked after the others
+# us for which a source that did not answer is asked after the others: first, and at most. It
+# doubles with each time in a row, as one may be lost and many are the end of the source.
+FIRST_SILENCE, MOST_SILENCE = 200_000, 6_400_000
 REST: Final = 400_000  # us after all sources were tried
 REFUSALS: Final = 4  # sources after which a quarter of that passes, as pages spread meanwhile
 SOURCES: Final = 16  # announced or proven ones that are remembered
@@ -43,31 +47,32 @@
 
     def __init__(self) -> None:
         self.tried: set[str] = set()
-        self.begin("")
+        self.late: set[str] = set()  # of those tried, whose answer may still come
+        self.begin("", MOST_PATIENCE)
 
-    def begin(self, source: str) -> None:
-        """Begin anew, from this source."""
-        self.source = source
+    def begin(self, source: str, patience: int) -> None:
+        """Begin anew, from this source, whose answers take so long at most."""
+        self.source, self.patience = source, patience
         self.total: int | None = None
         self.blocks: dict[int, bytes] = {}
         self.asked: dict[int, int] = {}  # when, by offset of what has not come
         self.unanswered = 0  # requests in a row
 
     def is_late(self, now: int) -> bool:
-        return any(now - at >= PATIENCE for at in self.asked.values())
+        return any(now - at >= self.patience for at in self.asked.values())
 
     def next_ranges(self, now: int) -> Iterator[tuple[int, int]]:
         """Offset and count of blocks to ask for, in runs: what was not asked, or is late."""
         if self.total is None:
-            if now - self.asked.get(0, -PATIENCE) >= PATIENCE:
+            if now - self.asked.get(0, -self.patience) >= self.patience:
                 yield 0, FIRST_BLOCKS
             return
-        room = MOST_BLOCKS - sum(now - at < PATIENCE for at in self.asked.values())
+        patience = self.patience
+        room = MOST_BLOCKS - sum(now - at < patience for at in self.asked.values())
         start, count = 0, 0
         for offset in range(0, self.total, BLOCK_SIZE):
-            needed = offset not in self.blocks and now - self.asked.get(offset, -PATIENCE) >= (
-                PATIENCE
-            )
+            since = now - self.asked.get(offset, -patience)
+            needed = offset not in self.blocks and since >= patience
             if needed and count < room:
                 start, count = (start, count + 1) if count else (offset, 1)
             elif count:
@@ -103,12 +108,17 @@
         self._under_way: dict[str, _Fetch] = {}
         self._preferred: dict[str, None] = {}  # sources, the latest that proved one last
         self._others: Sequence[Sequence[str]] = ()
-        self._silent_until: dict[str, int] = {}
+        self._silent: dict[str, tuple[int, int]] = {}  # until when, and for how long
+        self._round_trips: dict[str, int] = {}  # us, by source: smoothed as in RFC 6298
         self.spoilt = 0  # answers that were not of the page that was asked for
 
     def __len__(self) -> int:
         return len(self._idle) + len(self._resting) + len(self._under_way)
 
+    def prefer(self, name: str) -> None:
+        """A member has announced a tree that is new; who had older ones may not have it."""
+        self._preferred = {name: None}
+
     def add_source(self, name: str) -> None:
         """A member has announced a tree, or has sent a page of one."""
         self._preferred.pop(name, None)
@@ -149,8 +159,7 @@
         for digest, fetch in list(self._under_way.items()):
             is_late = fetch.is_late(now)
             if is_late and (not fetch.blocks or fetch.unanswered + 1 >= TRIES):
-                self._silent_until[fetch.source] = now + SILENCE
-                self._give_way(digest, fetch)
+                self._was_silent(digest, fetch, now)
             elif self._ask(digest, fetch, now, ranges) and is_late:
                 fetch.unanswered += 1
         for digest in [one for one, (until, _) in self._resting.items() if now >= until]:
@@ -169,25 +178,34 @@
             if source is None:
                 del self._idle[digest]
                 fetch.tried.clear()
+                fetch.late.clear()
                 self._resting[digest] = now + REST, fetch
                 continue
-            fetch.begin(source)
+            fetch.begin(source, self._patience(source))
             if not self._ask(digest, fetch, now, ranges):
                 return
             del self._idle[digest]
             self._under_way[digest] = fetch
 
+    def _patience(self, source: str) -> int:
+        round_trip = self._round_trips.get(source, MOST_PATIENCE)
+        return min(MOST_PATIENCE, max(LEAST_PATIENCE, ROUND_TRIPS * round_trip))
+
     def _choose(self, fetch: _Fetch, now: int, rng: random.Random) -> str | None:
         """A source that was not tried, by how likely it has the page; the silent ones last."""
         ranks = (self._preferred, *self._others)
         untried = [[name for name in names if name not in fetch.tried] for names in ranks]
         awake = [
-            [name for name in names if self._silent_until.get(name, now) <= now]
+            [name for name in names if name not in self._silent or self._silent[name][0] <= now]
             for names in untried
         ]
         for names in (*awake, *untried):
             if names:
-                return rng.choice(names)
+                source = rng.choice(names)
+                if source in self._silent:  # one page shows whether it is back
+                    length = min(MOST_SILENCE, 2 * self._silent[source][1])
+                    self._silent[source] = now + length, length
+                return source
         return None
 
     def _ask(
@@ -207,7 +225,7 @@
 
     def take(self, sender: str, reply: PageReply, now: int) -> list[FetchedPage]:
         """An answer has come; the pages that it makes whole."""
-        self._silent_until.pop(sender, None)
+        self._silent.pop(sender, None)
         for name in reply.refused:
             fetch = self._under_way.get(name.hex())
             if fetch is not None and fetch.source == sender and not fetch.blocks:
@@ -215,27 +233,41 @@
                 self._refuse(name.hex(), fetch, now)
         pages = []
         for block in reply.blocks:
-            page = self._take_block(sender, block)
+            page = self._take_block(sender, block, now)
             if page is not None:
                 pages.append(page)
         return pages
 
-    def _take_block(self, sender: str, block: PageBlock) -> FetchedPage | None:
+    def _take_block(self, sender: str, block: PageBlock, now: int) -> FetchedPage | None:
         digest = block.digest.hex()
         fetch = self._under_way.get(digest)
-        if fetch is None or fetch.source != sender:
+        if fetch is None:
             return None
+        if fetch.source != sender:
+            if sender not in fetch.late or fetch.blocks:
+                return None
+            # It was late, and is the first to answer all the same.
+            fetch.late.discard(sender)
+            fetch.late.add(fetch.source)
+            fetch.begin(sender, self._patience(sender))
         if not fetch.fits(block):
             self._spoil(digest, fetch)
             return None
         if fetch.total is None:
             self._learn_total(fetch, block.total)
-        if fetch.asked.pop(block.offset, None) is not None:
+        asked_at = fetch.asked.pop(block.offset, None)
+        if asked_at is not None:
             self._budget.give_back(max(0, BLOCK_SIZE - len(block.data) - BLOCK_HEADER))
+            if not fetch.unanswered:
+                self._measure(sender, now - asked_at)
         fetch.blocks[block.offset] = block.data
         fetch.unanswered = 0
         return self._finish(digest, fetch) if fetch.is_whole() else None
 
+    def _measure(self, source: str, round_trip: int) -> None:
+        before = self._round_trips.get(source, round_trip)
+        self._round_trips[source] = before + (round_trip - before) // 8
+
     def _learn_total(self, fetch: _Fetch, total: int) -> None:
         """The length is known: what was asked for beyond it will not come."""
         fetch.total = total
@@ -259,6 +291,7 @@
 
     def _spoil(self, digest: str, fetch: _Fetch) -> None:
         self.spoilt += 1
+        fetch.late.discard(fetch.source)
         self._preferred.pop(fetch.source, None)
         self._give_way(digest, fetch)
 
@@ -269,6 +302,15 @@
             del self._idle[digest]
             self._resting[digest] = now + REST // 4, fetch
 
+    def _was_silent(self, digest: str, fetch: _Fetch, now: int) -> None:
+        """A source did not answer in time; it may still, or at the next time."""
+        source = fetch.source
+        self._silent.setdefault(source, (now + FIRST_SILENCE, FIRST_SILENCE))
+        self._give_way(digest, fetch)
+        fetch.late.add(source)
+        if source in self._preferred:
+            fetch.tried.discard(source)  # it most likely has the page, whoever else has not
+
     def _give_way(self, digest: str, fetch: _Fetch) -> None:
         """Have a page fetched from another source."""
         del self._under_way[digest]
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -4,6 +4,7 @@
 
 import random
 import zlib
+from collections import Counter
 from collections.abc import Callable, Mapping
 from hashlib import sha256
 from typing import Any
@@ -50,7 +51,7 @@
     Prepare,
     Version,
 )
-from sailhitch.tier.page_fetcher import BLOCK_SIZE, MOST_RANGES
+from sailhitch.tier.page_fetcher import BLOCK_SIZE, MOST_PATIENCE, MOST_RANGES
 from sailhitch.tier.page_store import PageStore
 from sailhitch.tier.voter import Voter
 from sailhitch.tier.wire import LARGEST, Keys, Wire
@@ -372,6 +373,29 @@
     assert sink.take_pages("a", reply, 1).is_complete
 
 
+def test_an_answer_that_is_late_is_taken_where_no_other_has_come() -> None:
+    tree = build(some_entries(3))
+    store, sink, digest = holding(tree), ContentStore({}), tree_digest(tree.root)
+    rng = random.Random(1)
+    sink.want(digest, "a")
+    [(first, request)] = sink.requests(1, rng, [["b"]])
+    [(second, _)] = sink.requests(1 + MOST_PATIENCE, rng)
+    assert (first, second) == ("a", "b")
+    assert isinstance(request, PageRequest)
+    [reply] = store.answer_pages(request, 1)
+    assert sink.take_pages("a", reply, 2 + MOST_PATIENCE).is_complete
+
+
+def test_a_source_that_stays_silent_is_asked_ever_less() -> None:
+    tree = build(some_entries(2000), 500)
+    play = Play({"a": silent, "b": honest(holding(tree))})
+    digest = tree_digest(tree.root)
+    play.want(digest, "a")
+    assert play.run(digest)
+    asked = [at for at, to, _ in play.asked if to == "a"]
+    assert len({*asked}) < 10
+
+
 def _with_prefix(digits: str, count: int) -> list[str]:
     """Names, chosen by trying, whose places in the tree begin alike."""
     names: list[str] = []
@@ -727,6 +751,23 @@
     assert [isinstance(effect, Keep) for effect in out] == [True]
 
 
+def test_a_voter_answers_once_the_pages_are_here_without_being_asked_again() -> None:
+    world = _stood()
+    asked: Counter[tuple[str, Ballot]] = Counter()
+    send = world.network.send
+
+    def counted(sender: str, to: str, message: Message) -> None:
+        if isinstance(message, Accept):
+            asked[to, message.ballot] += 1
+        send(sender, to, message)
+
+    world.network.send = counted  # type: ignore[method-assign]
+    world.processes["g4"].propose(1, 0)
+    head = _rested(world)
+    assert (head.active.serial, head.active.by) == (2, "g4")
+    assert {*asked.values()} == {1}
+
+
 def test_a_member_does_not_propose_a_tree_of_which_it_lacks_pages() -> None:
     world = _stood()
     member = _member(world, "g1")
