--- a/sailhitch/tier/paths.py
+++ b/sailhitch/tier/relay.py
@@ -12,7 +12,7 @@
 UNANSWERED: Final = 3  # questions in a row after which another way is taken as well
 
 
-class Paths:
+class RelayPolicy:
     """How questions to voters have gone."""
 
     def __init__(self) -> None:
@@ -23,6 +23,10 @@
         self._open[voter] = self._open.get(voter, 0) + 1
         return self._open[voter] > UNANSWERED
 
+    def is_silent(self, voter: str) -> bool:
+        """Whether it has not answered lately, so that it is of no help in reaching another."""
+        return self._open.get(voter, 0) >= UNANSWERED
+
     def answered(self, voter: str) -> None:
         """It has answered straight."""
         self._open.pop(voter, None)
