Hold a state as a page tree, and read it by what differs

sailhitch/daemon/state_tree.py makes a page tree of a state and reads it back, whole or by the difference from a state at hand, whose objects it shares. A tree is made anew from the one before by the objects that the two states do not share. Nodes of a pool are one group of the tree, bans likewise; other objects are spread. An entry that is of no state is an error that names its key.

--- a/sailhitch/daemon/state.py
+++ b/sailhitch/daemon/state.py
@@ -70,9 +70,29 @@
     return {**state, "bans": bans}
 
 
+def differing(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
+    """The names whose values differ between two mappings, sorted.
+
+    Values that both share (the same object) are not compared.
+    """
+    if old is new:
+        return []
+    nothing = object()
+    found = [
+        name
+        for name, value in new.items()
+        if (before := old.get(name, nothing)) is not value and before != value
+    ]
+    found += old.keys() - new.keys()
+    return sorted(found)
+
+
+_ENCODER: Final = json.JSONEncoder(sort_keys=True, separators=(",", ":"), allow_nan=False)
+
+
 def canonical(value: Any) -> bytes:
     """One text for one value: sorted keys, no blanks, no NaN."""
-    return json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False).encode()
+    return _ENCODER.encode(value).encode()
 
 
 def digest(value: Any) -> str:
--- /dev/null
+++ b/sailhitch/daemon/state_tree.py
@@ -0,0 +1,161 @@
+"""A state as the entries of a page tree, and back (`sailhitch.pages`).
+
+Each object of a state is one entry: its canonical JSON under a key of its kind and name. Nodes of
+one pool are one group, so that they lie next to each other in the tree and a change of one service
+touches few pages; so are its bans. Other objects are groups of their own, spread over the tree.
+
+The same state gives the same root. A state that was made from another costs what differs: objects
+that both share (the same object in memory) are neither compared nor encoded, and pages that both
+trees share are not read. A kind with any change is scanned by identity, and copied where it is
+read (`docs/design/state-by-difference.md` has the cost, and why plain dicts are used).
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NoReturn
+
+from ..pages import Key, PageSource, Tree, build, difference, read_entries, update
+from .state import KINDS, canonical
+
+Tables = Mapping[str, Mapping[str, Any]]  # values by kind and name, as a state has them
+Kinds = Mapping[str, type]  # the kinds of a tree, and what JSON type the values of each are
+
+STATE_KINDS: Final[Kinds] = dict.fromkeys(KINDS, dict)
+BY_POOL: Final = frozenset(("nodes", "bans", "born"))  # kinds whose names are `pool/id`
+
+
+class StateTreeError(ValueError):
+    """A tree with an entry that is of no state; the text names its key."""
+
+
+def key_of(kind: str, name: str) -> Key:
+    """The key of an object. Raises StateTreeError for a node's name that is not `pool/id`."""
+    if kind not in BY_POOL:
+        return Key(f"{kind}/{name}", name)
+    pool, slash, node = name.partition("/")
+    if not (pool and slash and node):
+        raise StateTreeError(f"{kind} {name!r}: not called `pool/id`")
+    return Key(f"{kind}/{pool}", node)
+
+
+def to_tree(state: Tables, kinds: Kinds = STATE_KINDS) -> Tree:
+    """The whole tree of a state, with all of its pages."""
+    return build(
+        {
+            key_of(kind, name): canonical(value)
+            for kind in kinds
+            for name, value in state[kind].items()
+        }
+    )
+
+
+def update_tree(
+    source: PageSource, base_root: str, base: Tables, state: Tables, kinds: Kinds = STATE_KINDS
+) -> Tree:
+    """The tree of a state that was made from `base`, with the pages that `base_root` lacks.
+
+    `base` must be the state of `base_root`. Raises KeyError or PageError from the source.
+    """
+    changes: dict[Key, bytes | None] = {}
+    for kind in kinds:
+        for name, value in _not_shared(base[kind], state[kind]):
+            changes[key_of(kind, name)] = value
+    return update(source, base_root, changes)
+
+
+def _not_shared(
+    before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[tuple[str, bytes | None]]:
+    """Names whose canonical JSON differs, with the new one; None for those that have gone."""
+    if before is after:
+        return
+    for name, value in after.items():
+        old = before.get(name)
+        if old is value:
+            continue
+        # Compared by their text: 1 and 1.0 are equal in Python, and have different roots.
+        encoded = canonical(value)
+        if old is None or canonical(old) != encoded:
+            yield name, encoded
+    for name in before.keys() - after.keys():
+        yield name, None
+
+
+def state_from(source: PageSource, root: str, kinds: Kinds = STATE_KINDS) -> Tables:
+    """The whole state of a root.
+
+    Raises StateTreeError for an entry that is of no state, KeyError or PageError from the source.
+    """
+    state: dict[str, dict[str, Any]] = {kind: {} for kind in kinds}
+    for key, value in read_entries(source, root):
+        kind, name = _identify(key, kinds)
+        state[kind][name] = _decode(key, value, kinds[kind])
+    return state
+
+
+def changed_state(
+    base: Tables, base_root: str, source: PageSource, root: str, kinds: Kinds = STATE_KINDS
+) -> Tables:
+    """The state of a root, from the one of another: what is the same is shared with `base`.
+
+    Raises as `state_from`; `source` needs those pages of both that are not in the other.
+    """
+    changed: dict[str, dict[str, Any]] = {}
+    for key, _, after in difference(source, base_root, root):
+        kind, name = _identify(key, kinds)
+        objects = changed.get(kind)
+        if objects is None:
+            objects = changed[kind] = dict(base[kind])
+        if after is None:
+            objects.pop(name, None)
+        else:
+            objects[name] = _decode(key, after, kinds[kind])
+    return {**base, **changed}
+
+
+def changed_names(source: PageSource, old_root: str, new_root: str) -> dict[str, set[str]]:
+    """The names of the objects that differ between two roots, by kind. Raises as `state_from`."""
+    found: dict[str, set[str]] = {kind: set() for kind in KINDS}
+    for key, _, _ in difference(source, old_root, new_root):
+        kind, name = _identify(key, STATE_KINDS)
+        found[kind].add(name)
+    return found
+
+
+def _identify(key: Key, kinds: Kinds) -> tuple[str, str]:
+    """Kind and name of an entry; raises StateTreeError."""
+    kind, _, rest = key.group.partition("/")
+    if kind not in kinds:
+        raise StateTreeError(f"{_said(key)}: {kind[:40]!r} is no kind of a state")
+    name = f"{rest}/{key.name}" if kind in BY_POOL else key.name
+    try:
+        right = key_of(kind, name) == key
+    except StateTreeError:
+        right = False
+    if not right:
+        raise StateTreeError(f"{_said(key)}: not the key of any object of {kind!r}")
+    return kind, name
+
+
+def _decode(key: Key, value: bytes, wanted: type) -> Any:
+    try:
+        found = _DECODER.decode(value.decode())
+    except (ValueError, RecursionError):
+        raise StateTreeError(f"{_said(key)}: not JSON") from None
+    if type(found) is not wanted:
+        said = "an object" if wanted is dict else "a whole number"
+        raise StateTreeError(f"{_said(key)}: not {said}, as its kind has them")
+    return found
+
+
+def _refuse(constant: str) -> NoReturn:
+    raise ValueError(f"{constant} is not JSON")
+
+
+_DECODER: Final = json.JSONDecoder(parse_constant=_refuse)
+
+
+def _said(key: Key) -> str:
+    return f"entry {key.group[:120]!r} {key.name[:120]!r}"
--- /dev/null
+++ b/tests/page_sources.py
@@ -0,0 +1,20 @@
+"""A source of pages for tests: a dictionary that remembers which pages were read."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+
+class Pages:
+    """Pages by digest, and the digests of those that were asked for."""
+
+    def __init__(self, pages: Mapping[str, bytes]) -> None:
+        self.pages = dict(pages)
+        self.read: list[str] = []
+
+    def page(self, digest: str) -> bytes:
+        self.read.append(digest)
+        return self.pages[digest]
+
+    def add(self, pages: Mapping[str, bytes]) -> None:
+        self.pages.update(pages)
