Look at what differs alone for contradictions and the meet of two states

Both compared every object of both states, and asked of each node whether any class goes by zones.

contradictions takes the names of the objects that differ, where the caller has them (the difference of two page trees), or finds them itself: objects that both states share are not compared. An object that is the same in both contradicts nothing, whatever else changes; so a class that comes to go by zones needs no look at all nodes. The meet shares what does not differ.

tests/test_tier_rules.py: over random states, by the pages that differ, and with shared objects or without, the result is that of the comparison of all objects.

--- a/sailhitch/daemon/rules.py
+++ b/sailhitch/daemon/rules.py
@@ -19,39 +19,53 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from typing import Any, Final
 
-from .state import Object, State
+from .state import KINDS, Object, State, differing
 
 HELD: Final[Object] = {"by": "tier", "when": 0, "why": "a change is pending"}
 _EFFECTS: Final = ("unsafe", "keyed", None, "safe")  # what may be repeated: from least to most
 
 
-def contradictions(old: State, new: State) -> list[str]:
-    """What of two states contradicts, a line each; empty where they merely differ."""
-    return [*_nodes(old, new), *_classes(old, new), *_routes(old, new), *_tenants(old, new)]
+def contradictions(
+    old: State, new: State, changed: Mapping[str, Collection[str]] | None = None
+) -> list[str]:
+    """What of two states contradicts, a line each; empty where they merely differ.
+
+    `changed` has the names of all objects that differ, by kind, and may have others; None: they are
+    found by comparing. An object that is the same in both contradicts nothing, whatever else
+    changes: so only those are looked at.
+    """
+    if changed is None:
+        changed = differences(old, new)
+    return [
+        *_nodes(old, new, changed), *_classes(old, new, changed), *_routes(old, new, changed),
+        *_tenants(old, new, changed),
+    ]  # fmt: skip
 
 
-def _both(old: Mapping[str, Object], new: Mapping[str, Object]) -> list[str]:
-    return sorted(old.keys() | new.keys())
+def differences(old: State, new: State) -> dict[str, list[str]]:
+    """The names of the objects that differ between two states, by kind."""
+    return {kind: differing(old[kind], new[kind]) for kind in KINDS}
 
 
-def _nodes(old: State, new: State) -> Iterator[str]:
-    for key in _both(old["nodes"], new["nodes"]):
-        if not _same_node(old, new, key):
+def _nodes(old: State, new: State, changed: Mapping[str, Collection[str]]) -> Iterator[str]:
+    by_zone = _by_zone(old, new)
+    for key in sorted(changed["nodes"]):
+        if not _same_node(old, new, key, by_zone):
             yield f"nodes {key}: sent to at one place or not"
-    for key in _both(old["bans"], new["bans"]):
+    for key in sorted(changed["bans"]):
         if (key in old["bans"]) != (key in new["bans"]):
             yield f"bans {key}: banned or sent to"
 
 
-def _same_node(old: State, new: State, key: str) -> bool:
+def _same_node(old: State, new: State, key: str, by_zone: bool) -> bool:
     a, b = old["nodes"].get(key), new["nodes"].get(key)
     if a is None or b is None:
         return a is b
     same = a["address"] == b["address"] and a["cell"] == b["cell"]
-    return bool(same and (a["zone"] == b["zone"] or not _by_zone(old, new)))
+    return bool(same and (a["zone"] == b["zone"] or not by_zone))
 
 
 def _by_zone(*states: State) -> bool:
@@ -64,8 +78,8 @@
     return str(cls["deadline"] if window is None else window)
 
 
-def _classes(old: State, new: State) -> Iterator[str]:
-    for name in _both(old["classes"], new["classes"]):
+def _classes(old: State, new: State, changed: Mapping[str, Collection[str]]) -> Iterator[str]:
+    for name in sorted(changed["classes"]):
         a, b = old["classes"].get(name), new["classes"].get(name)
         if a is None or b is None:
             continue  # no route that holds in both leads to it: a request of it is one that differs
@@ -81,14 +95,14 @@
     return cls["effect"] in (None, "keyed")
 
 
-def _routes(old: State, new: State) -> Iterator[str]:
+def _routes(old: State, new: State, changed: Mapping[str, Collection[str]]) -> Iterator[str]:
     """Any route that differs, unless all requests may be repeated at will.
 
     One that is new or gone changes what another matches, whatever its own class is.
     """
-    if all(_is_safe(state) for state in (old, new)):
+    if not changed["routes"] or all(_is_safe(state) for state in (old, new)):
         return
-    for name in _both(old["routes"], new["routes"]):
+    for name in sorted(changed["routes"]):
         if old["routes"].get(name) != new["routes"].get(name):
             yield f"routes {name}: where requests go that may not be repeated at will"
 
@@ -98,8 +112,8 @@
     return all(state["classes"][name]["effect"] == "safe" for name in used)
 
 
-def _tenants(old: State, new: State) -> Iterator[str]:
-    for name in _both(old["tenants"], new["tenants"]):
+def _tenants(old: State, new: State, changed: Mapping[str, Collection[str]]) -> Iterator[str]:
+    for name in sorted(changed["tenants"]):
         a, b = old["tenants"].get(name), new["tenants"].get(name)
         if a != b:
             yield f"tenants {name}: the limit"
@@ -109,21 +123,32 @@
 
 
 def meet(old: State, new: State) -> State:
-    """What both states allow, routes aside: those are `old`'s, and met for each request."""
+    """What both states allow, routes aside: those are `old`'s, and met for each request.
+
+    What does not differ is shared with `old`.
+    """
+    changed = differences(old, new)
     bans: dict[str, Object] = {**new["bans"], **old["bans"]}
-    for key in old["nodes"]:
-        if not _same_node(old, new, key):
+    by_zone = _by_zone(old, new)
+    for key in changed["nodes"]:
+        if key in old["nodes"] and not _same_node(old, new, key, by_zone):
             bans.setdefault(key, HELD)
     return {
         **old,
         "bans": bans,
-        "classes": {
-            name: _meet_class(cls, new["classes"].get(name)) for name, cls in old["classes"].items()
-        },
-        "tenants": _meet_tenants(old, new),
+        "classes": _meet_classes(old, new, changed["classes"]),
+        "tenants": _meet_tenants(old, new, changed["tenants"]),
     }
 
 
+def _meet_classes(old: State, new: State, changed: Collection[str]) -> Mapping[str, Object]:
+    made = dict(old["classes"])
+    for name in changed:
+        if name in made:
+            made[name] = _meet_class(made[name], new["classes"].get(name))
+    return made
+
+
 def _meet_class(old: Object, new: Object | None) -> Object:
     if new is None:
         return old
@@ -147,9 +172,9 @@
     raise ValueError(f"not a duration of a state: {said!r}")
 
 
-def _meet_tenants(old: State, new: State) -> dict[str, Object]:
-    made = {}
-    for name in _both(old["tenants"], new["tenants"]):
+def _meet_tenants(old: State, new: State, changed: Collection[str]) -> Mapping[str, Object]:
+    made = dict(old["tenants"])
+    for name in changed:
         found = [t for t in (old["tenants"].get(name), new["tenants"].get(name)) if t is not None]
         made[name] = min(found, key=lambda tenant: float(tenant["share"]))
     return made
--- a/tests/test_tier_rules.py
+++ b/tests/test_tier_rules.py
@@ -9,11 +9,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sailhitch.daemon.rules import contradictions, meet
+from sailhitch.daemon.rules import contradictions, differences, meet
 from sailhitch.daemon.schema import parse_text, parse_value
-from sailhitch.daemon.state import State, from_file, to_file
+from sailhitch.daemon.state import KINDS, State, from_file, to_file
+from sailhitch.daemon.state_tree import changed_names, changed_state, to_tree
 from sailhitch.daemon.tables import EFFECTS, effect_of
 from tests.operator_files import FILE, values
+from tests.page_sources import Pages
 
 BASE = from_file(parse_text(FILE))
 RANK = {effect: i for i, effect in enumerate(reversed(EFFECTS))}  # what may be repeated
@@ -127,6 +129,39 @@
     assert meet(old, old) == old
 
 
+def _all_names(old: State, new: State) -> dict[str, set[str]]:
+    """Every object of both states, so that nothing is left out of the comparison."""
+    return {kind: {*old[kind], *new[kind]} for kind in KINDS}
+
+
+@settings(max_examples=200)
+@given(states(), states())
+def test_contradictions_by_difference_are_those_of_the_full_comparison(
+    old: State, new: State
+) -> None:
+    """By what is compared, by the pages that differ, and where states share objects or do not."""
+    whole = contradictions(old, new, _all_names(old, new))
+    assert contradictions(old, new) == whole
+    before, after = to_tree(old), to_tree(new)
+    source = Pages({**before.pages, **after.pages})
+    changed = changed_names(source, before.root, after.root)
+    assert {kind: sorted(names) for kind, names in changed.items()} == differences(old, new)
+    assert contradictions(old, new, changed) == whole
+    sharing = changed_state(old, before.root, source, after.root)
+    assert contradictions(old, sharing, changed) == whole
+    assert meet(old, sharing) == meet(old, new)
+
+
+@settings(max_examples=100)
+@given(states())
+def test_a_class_that_goes_by_zones_makes_no_unchanged_node_contradict(state: State) -> None:
+    zoned = {name: {**cls, "dedup": "zone"} for name, cls in state["classes"].items()}
+    other = {**state, "classes": zoned}
+    found = contradictions(state, other, _all_names(state, other))
+    assert not [line for line in found if line.startswith("nodes ")]
+    assert found == contradictions(state, other)
+
+
 def _zone(state: State, key: str) -> str:
     return str(state["nodes"][key]["zone"])
 
