Keep applied states by pages, and name a plan's base by its root

A state on disk is a manifest (format 2) that names the roots of its tree and of its nodes' ages; pages are in one SQLite file, each once with a count of its uses. Pages are synced before the manifest's rename, and let go of after it or at the next start. Files of format 1 are read and never rewritten. A page that is damaged or stands under another's digest is found and told with the next step; it lets go of no page of others. history reads manifests alone, and plan --to reads the pages that differ.

A plan (format 2) names its base by the tree's root, which the gateway tells with its state, and its result by the objects that it changes. Plans of format 1 are still read, and are made for a gateway that is not yet restarted after an upgrade.

Tests: the steps at which an apply is killed have three of the pages besides the ones before, and the file that a newer version writes is now format 3, as is the plan that is refused.

--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -26,7 +26,7 @@
 from .live import ApplyError, Live
 from .plan import MovedError, PlanError
 from .source import Source, StillPendingError
-from .store import Applied, StoreError
+from .store import Applied, Record, StoreError
 
 if TYPE_CHECKING:
     from .tiered import Tiered
@@ -173,6 +173,8 @@
         except (StoreError, ValueError) as error:
             return _error(FAILED, str(error))
         told = {"ok": True, "gateway": self.source.owner, **_told(one), "state": one.state}
+        if serial is None:
+            told["identity"] = await asyncio.to_thread(self.source.identity, one.state)
         # In a tier listeners are no part of what is planned.
         return told if self.tier is None else {**told, "tier": self.tier.part.name}
 
@@ -216,7 +218,7 @@
     return {"ok": False, "code": code, "error": text}
 
 
-def _told(one: Applied) -> dict[str, Any]:
+def _told(one: Applied | Record) -> dict[str, Any]:
     return {"serial": one.serial, "when": one.when, "by": one.by, "summary": one.summary}
 
 
--- a/sailhitch/daemon/cli.py
+++ b/sailhitch/daemon/cli.py
@@ -19,7 +19,7 @@
 
 from .. import __version__
 from .admin import MOVED, AdminError, ask
-from .plan import Plan, PlanError, describe, load_plan, make_plan, summary
+from .plan import Plan, PlanError, describe, load_plan, make_plan, make_whole_plan, summary
 from .rules import contradictions
 from .schema import FileError, OperatorFile, load_file, read_duration
 from .state import State, digest, from_file, with_bans
@@ -220,7 +220,9 @@
             raise CommandError(
                 f"{options.file}: is for gateway {owner!r}, and {live['gateway']!r} answers"
             )
-    plan = make_plan(live["gateway"], live["serial"], live["state"], wanted)
+    of = live["gateway"], live["serial"], live["state"], wanted
+    # A gateway that is not yet restarted after an upgrade tells no identity.
+    plan = make_plan(*of, live["identity"]) if "identity" in live else make_whole_plan(*of)
     if options.output is not None:
         _write(Path(options.output), plan)
     if options.json:
--- a/sailhitch/daemon/plan.py
+++ b/sailhitch/daemon/plan.py
@@ -2,6 +2,10 @@
 
 `apply` does what a plan says and nothing else. It is refused where the live state is not the one
 that the plan was made against, as what it says would mean something else there.
+
+A plan costs what it changes. The state that it is for is named by the root of its page tree, which
+the gateway has at hand; what it leads to, by a digest of the objects that it changes. Plans of
+format 1 name both by digests of the whole states, and are still read.
 """
 
 from __future__ import annotations
@@ -11,9 +15,12 @@
 from dataclasses import dataclass
 from typing import Any, Final, Literal
 
-from .state import KINDS, Object, State, digest
+from .state import KINDS, Object, State, differing, digest
+from .state_tree import to_tree
 
-FORMAT: Final = 1
+FORMAT: Final = 2
+WHOLE_DIGESTS: Final = 1  # the format whose digests are of whole states
+ROOT_PREFIX: Final = "tree:"
 Action = Literal["add", "remove", "alter"]
 
 
@@ -55,9 +62,10 @@
 
     gateway: str
     serial: int
-    base: str  # digest of the state that it was made against
-    result: str  # digest of the state that it leads to
+    base: str  # identity of the state that it was made against
+    result: str  # digest of the changed objects as it leaves them
     changes: tuple[Change, ...]
+    format: int = FORMAT
 
     def dump(self) -> str:
         """As a text of its own, with a digest of itself."""
@@ -66,17 +74,23 @@
 
     def body(self) -> dict[str, Any]:
         return {
-            "format": FORMAT, "gateway": self.gateway, "serial": self.serial, "base": self.base,
+            "format": self.format, "gateway": self.gateway, "serial": self.serial,
+            "base": self.base,
             "result": self.result, "changes": [change.as_json() for change in self.changes],
         }  # fmt: skip
 
 
+def identity(state: State) -> str:
+    """What a plan names a state by: the root of its page tree. Costs the whole state."""
+    return ROOT_PREFIX + to_tree(state).root
+
+
 def diff(old: State, new: State) -> tuple[Change, ...]:
     """What to add, remove and alter, by kind and name."""
     changes = []
     for kind in KINDS:
         before, after = old[kind], new[kind]
-        for name in sorted(before.keys() | after.keys()):
+        for name in differing(before, after):
             change = _change(kind, name, before.get(name), after.get(name))
             if change is not None:
                 changes.append(change)
@@ -98,9 +112,24 @@
     return Change(kind, name, "alter", fields) if fields else None
 
 
-def make_plan(gateway: str, serial: int, old: State, new: State) -> Plan:
-    """The plan from the live state to another."""
-    return Plan(gateway, serial, digest(old), digest(new), diff(old, new))
+def make_plan(gateway: str, serial: int, old: State, new: State, base: str | None = None) -> Plan:
+    """The plan from the live state to another.
+
+    `base` is the live state's identity, where the gateway has told it; else it is worked out.
+    """
+    changes = diff(old, new)
+    named = identity(old) if base is None else base
+    return Plan(gateway, serial, named, _result(new, changes), changes)
+
+
+def make_whole_plan(gateway: str, serial: int, old: State, new: State) -> Plan:
+    """A plan for a gateway of the version before, which reads no other: by whole states."""
+    return Plan(gateway, serial, digest(old), digest(new), diff(old, new), WHOLE_DIGESTS)
+
+
+def _result(state: State, changes: Sequence[Change]) -> str:
+    """Digest of the changed objects as a state has them; those that have gone are null."""
+    return digest([[one.kind, one.name, state[one.kind].get(one.name)] for one in changes])
 
 
 def load_plan(text: str | bytes) -> Plan:
@@ -111,7 +140,7 @@
         raise PlanError("not a plan, or cut short: make it anew with `sailhitch plan`") from None
     if not isinstance(value, dict) or "format" not in value:
         raise PlanError("not a plan: make one with `sailhitch plan FILE -o PLAN`")
-    if value["format"] != FORMAT:
+    if value["format"] not in (WHOLE_DIGESTS, FORMAT):
         raise PlanError(
             f"format {str(value['format'])[:20]} is not {FORMAT}, the one that this program "
             "writes: make the plan anew with this version"
@@ -131,7 +160,7 @@
         changes = tuple(_read_change(one) for one in value["changes"])
         plan = Plan(
             str(value["gateway"]), int(value["serial"]), str(value["base"]), str(value["result"]),
-            changes,
+            changes, int(value["format"]),
         )  # fmt: skip
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise PlanError(f"not a plan: {error!r:.100}") from None
@@ -147,10 +176,14 @@
 
 
 def apply_changes(state: State, changes: Sequence[Change]) -> State:
-    """The state that changes lead to; raises PlanError where one does not fit."""
-    made = {kind: dict(objects) for kind, objects in state.items()}
+    """The state that changes lead to; raises PlanError where one does not fit.
+
+    It shares with `state` what is not changed.
+    """
+    touched = {change.kind for change in changes}
+    copies = {kind: dict(state[kind]) for kind in touched}
     for change in changes:
-        objects = made[change.kind]
+        objects = copies[change.kind]
         here = f"{change.kind} {change.name}"
         old = objects.get(change.name)
         if (old is None) != (change.action == "add"):
@@ -164,17 +197,29 @@
                 raise PlanError(f"{here}.{field}: is {values.get(field)!r}, not {before!r}")
             values[field] = after
         objects[change.name] = values
-    return made
+    return {**state, **copies}
 
 
-def check_base(plan: Plan, gateway: str, serial: int, state: State) -> State:
-    """The state that a plan leads to from the live one; raises PlanError or MovedError."""
+def check_base(
+    plan: Plan, gateway: str, serial: int, state: State, base: str | None = None
+) -> State:
+    """The state that a plan leads to from the live one; raises PlanError or MovedError.
+
+    `base` is the live state's identity, where it is at hand; else it is worked out.
+    """
     if plan.gateway != gateway:
         raise PlanError(f"it was made for gateway {plan.gateway!r}, and this is {gateway!r}")
-    if plan.serial != serial or plan.base != digest(state):
+    if plan.serial != serial:
+        raise MovedError(plan.serial, serial)
+    whole = plan.format == WHOLE_DIGESTS
+    if whole:
+        base = digest(state)
+    elif base is None:
+        base = identity(state)
+    if plan.base != base:
         raise MovedError(plan.serial, serial)
     made = apply_changes(state, plan.changes)
-    if digest(made) != plan.result:
+    if plan.result != (digest(made) if whole else _result(made, plan.changes)):
         raise PlanError("its changes do not lead where it says: make it anew")
     return made
 
--- a/sailhitch/daemon/source.py
+++ b/sailhitch/daemon/source.py
@@ -10,10 +10,10 @@
 from typing import Any, Protocol
 
 from .live import Decided, Live
-from .plan import Plan, check_base, load_plan
+from .plan import ROOT_PREFIX, Plan, check_base, identity, load_plan
 from .schema import OperatorFile
 from .state import State, banned, from_file, with_bans
-from .store import Applied, StoreError
+from .store import Applied, Record, StoreError
 
 
 class StillPendingError(Exception):
@@ -35,10 +35,13 @@
     def base(self) -> Applied:
         """The decided state that the next plan is made against."""
 
+    def identity(self, state: State) -> str:
+        """What a plan names the base's state by; in a thread, as it may cost the whole state."""
+
     async def start(self, made: OperatorFile) -> Applied:
         """Bring the switch to the state that holds; raises StoreError or ApplyError."""
 
-    def history(self) -> list[Applied]:
+    def history(self) -> list[Record]:
         """What held, oldest first, the one that holds last."""
 
     def at(self, serial: int) -> Applied:
@@ -54,12 +57,27 @@
         """Take a node (`pool/id`) out by hand, or (None) put it back; raises as `apply_plan`."""
 
 
+class Identities:
+    """Identities of states whose root nobody has at hand; the last one is remembered."""
+
+    def __init__(self) -> None:
+        self._last: tuple[State, str] | None = None
+
+    def of(self, state: State) -> str:
+        """A state's identity; costs the whole state where it is not the one of last time."""
+        last = self._last
+        if last is None or last[0] is not state:
+            last = self._last = (state, identity(state))
+        return last[1]
+
+
 class Own:
     """The source of a daemon that decides alone."""
 
     def __init__(self, live: Live) -> None:
         self.live = live
         self._deciding = asyncio.Lock()
+        self._identities = Identities()
 
     @property
     def owner(self) -> str:
@@ -68,6 +86,11 @@
     def base(self) -> Applied:
         return self.live.applied
 
+    def identity(self, state: State) -> str:
+        store = self.live.store
+        root = None if store is None else store.root_of(state)
+        return self._identities.of(state) if root is None else ROOT_PREFIX + root
+
     async def start(self, made: OperatorFile) -> Applied:
         """Take up the state that held last, or the file's at the very first start."""
         live = self.live
@@ -80,9 +103,11 @@
             await live.restore(last)
         return last
 
-    def history(self) -> list[Applied]:
+    def history(self) -> list[Record]:
         live = self.live
-        return live.past if live.store is None else live.store.history()
+        if live.store is None:
+            return [one.record() for one in live.past]
+        return live.store.history()
 
     def at(self, serial: int) -> Applied:
         return find(self.live, serial)
@@ -95,7 +120,9 @@
     def _read_plan(self, text: str) -> tuple[Plan, State]:
         plan = load_plan(text)
         live = self.live.applied
-        return plan, check_base(plan, self.owner, live.serial, live.state)
+        return plan, check_base(
+            plan, self.owner, live.serial, live.state, self.identity(live.state)
+        )
 
     async def apply_file(self, made: OperatorFile, by: str) -> Applied:
         async with self._deciding:
--- a/sailhitch/daemon/store.py
+++ b/sailhitch/daemon/store.py
@@ -1,8 +1,15 @@
 """The applied states on disk: whole or not there, and the last one holds after a restart.
 
-Each state is a file of its own, written under another name, synced, and renamed; the rename is the
-moment from which it holds. A file that is there under its own name is whole, and one that is not
-(a disk that lied, a hand that edited) is found by its digest and never taken for another.
+A state is a small file of its own, the manifest, that names two page trees by their roots: the
+state's, and since when its nodes are new. Their pages are in one file for all (`page_file`), so
+fifty kept states cost what changed between them. Pages are on disk before the manifest; it is
+written under another name, synced and renamed, and the rename is the moment from which it holds.
+Pages that no manifest needs are let go of after that, or at the next start.
+
+A manifest that is there under its own name is whole, and its pages are there. What is not so (a
+disk that lied, a hand that edited) is found by its digest and never taken for another.
+
+Format 1, of the versions before, has the whole state in the file. It is read and never rewritten.
 """
 
 from __future__ import annotations
@@ -17,10 +24,22 @@
 from pathlib import Path
 from typing import Any, Final
 
+from ..pages import PageError, Tree
+from .page_file import PageFile, PageFileError, Root
 from .state import State, digest
+from .state_tree import (
+    Kinds,
+    StateTreeError,
+    changed_state,
+    state_from,
+    to_tree,
+    update_tree,
+)
 
-FORMAT: Final = 1
+FORMAT: Final = 2
+WHOLE_STATE: Final = 1  # the format of the versions before, with the state in the file
 KEPT: Final = 50  # states that `plan --to` can go back to
+BORN_KINDS: Final[Kinds] = {"born": int}
 _FILE = re.compile(r"state-(\d{8,12})\.json")
 Step = Callable[[str], None]
 
@@ -33,6 +52,16 @@
     """The state directory can't be used; the text says why and what to do."""
 
 
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What `history` shows of a state that holds or held."""
+
+    serial: int
+    when: int  # microseconds of the time of day
+    by: str
+    summary: str
+
+
 @dataclass(frozen=True, slots=True)
 class Applied:
     """A state that holds or held."""
@@ -44,37 +73,73 @@
     summary: str = ""
     born: Mapping[str, int] = field(default_factory=dict)  # since when a node is new; 0: long ago
 
-    def as_json(self, gateway: str) -> dict[str, Any]:
-        return {
-            "format": FORMAT, "gateway": gateway, "serial": self.serial, "when": self.when,
-            "by": self.by, "summary": self.summary, "born": dict(self.born), "state": self.state,
-        }  # fmt: skip
+    def record(self) -> Record:
+        """It without its state."""
+        return Record(self.serial, self.when, self.by, self.summary)
+
+
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A state in memory whose pages are kept: the next one is written by its difference."""
+
+    state: State
+    born: Mapping[str, int]
+    root: str
+    born_root: str
+
+    def roots(self, serial: int) -> set[Root]:
+        return {Root(serial, self.root), Root(serial, self.born_root)}
+
+
+@dataclass(frozen=True, slots=True)
+class _Prepared:
+    """A state that is on disk and does not hold yet."""
+
+    held: _Held
+    added: list[Root]  # kept for it alone
 
 
 class Store:
     """A directory of applied states, held by one process."""
 
     def __init__(self, path: Path, gateway: str) -> None:
+        """Open or create it; raises StoreError."""
         self.path, self.gateway = path, gateway
+        self._held: _Held | None = None
+        self._prepared: _Prepared | None = None
         try:
             path.mkdir(mode=0o700, parents=True, exist_ok=True)
-            self._lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            lock = os.open(path / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError as error:
             raise StoreError(f"state_dir: {path}: {error.strerror}") from None
         try:
-            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.pages = PageFile(path)
         except OSError:
-            os.close(self._lock)
+            os.close(lock)
             raise StoreError(f"state_dir: {path}: another gateway holds it") from None
+        except PageFileError as error:
+            os.close(lock)
+            raise StoreError(f"state_dir: {error}") from None
+        self._lock: int | None = lock
 
     def close(self) -> None:
-        os.close(self._lock)
+        """Let another process have the directory."""
+        if self._lock is not None:
+            self.pages.close()
+            os.close(self._lock)
+            self._lock = None
 
     def serials(self) -> list[int]:
         """Of all states that are here, oldest first."""
         found = (_FILE.fullmatch(name) for name in os.listdir(self.path))
         return sorted(int(one[1]) for one in found if one)
 
+    def root_of(self, state: State) -> str | None:
+        """The root of the state's tree, where this is the one written or read last."""
+        held = self._held
+        return held.root if held is not None and held.state is state else None
+
     def last(self) -> Applied | None:
         """The state that holds, or None before the first; raises StoreError.
 
@@ -84,48 +149,128 @@
         for name in os.listdir(self.path):
             if name.startswith(".state-"):
                 (self.path / name).unlink()  # of an apply that came to nothing
+        self._let_go_of_unneeded()
         serials = self.serials()
-        return self.read(serials[-1]) if serials else None
+        if not serials:
+            return None
+        applied, held = self._load(serials[-1])
+        self._held = held
+        return applied
 
     def read(self, serial: int) -> Applied:
         """A state by its serial; raises StoreError."""
+        return self._load(serial)[0]
+
+    def _load(self, serial: int) -> tuple[Applied, _Held | None]:
+        """A state, and how it is held where its pages are kept; raises StoreError."""
+        path, value = self._file(serial), self._manifest(serial)
+        if value["format"] == WHOLE_STATE:
+            value["state"].setdefault("bans", {})  # written before there were any
+            state, born, held = value["state"], value["born"], None
+        else:
+            root, born_root = value["root"], value["born_root"]
+            try:
+                state, born = self._read_trees(root, born_root)
+            except KeyError as error:
+                said = f"{path}: damaged, its page {error} is not in {self.pages.path}"
+                raise StoreError(f"{said}; {self._next_step(serial)}") from None
+            except (PageError, StateTreeError) as error:
+                said = f"{path}: damaged, in {self.pages.path}: {error}"
+                raise StoreError(f"{said}; {self._next_step(serial)}") from None
+            except PageFileError as error:
+                raise StoreError(str(error)) from None
+            held = _Held(state, born, root, born_root)
+        return Applied(serial, value["when"], value["by"], state, value["summary"], born), held
+
+    def _read_trees(self, root: str, born_root: str) -> tuple[State, Mapping[str, int]]:
+        """A state and `born`, by their difference from what is held."""
+        pages, held = self.pages, self._held
+        if held is None:
+            return state_from(pages, root), state_from(pages, born_root, BORN_KINDS)["born"]
+        state = changed_state(held.state, held.root, pages, root)
+        before = {"born": held.born}
+        born = changed_state(before, held.born_root, pages, born_root, BORN_KINDS)
+        return state, born["born"]
+
+    def _manifest(self, serial: int) -> dict[str, Any]:
+        """What a state's file says; raises StoreError."""
         path = self._file(serial)
-        before = [s for s in self.serials() if s < serial]
-        step = f"remove it to go on from serial {before[-1]}" if before else "remove it"
         try:
             value = json.loads(path.read_bytes())
         except OSError as error:
             raise StoreError(f"{path}: {error.strerror}") from None
         except (ValueError, RecursionError):
-            raise StoreError(f"{path}: damaged, not JSON; {step}") from None
+            raise StoreError(f"{path}: damaged, not JSON; {self._next_step(serial)}") from None
         if not isinstance(value, dict) or not isinstance(value.get("format"), int):
-            raise StoreError(f"{path}: damaged, not a state; {step}")
+            raise StoreError(f"{path}: damaged, not a state; {self._next_step(serial)}")
         if value["format"] > FORMAT:
-            raise StoreError(f"{path}: written by a newer version; start that one, or {step}")
+            step = f"start that one, or {self._next_step(serial)}"
+            raise StoreError(f"{path}: written by a newer version; {step}")
         said = value.pop("digest", None)
         if said != digest(value) or value["serial"] != serial:
-            raise StoreError(f"{path}: damaged, its digest is wrong; {step}")
+            raise StoreError(f"{path}: damaged, its digest is wrong; {self._next_step(serial)}")
         if value["gateway"] != self.gateway:
             raise StoreError(f"{path}: of gateway {value['gateway']!r}, not {self.gateway!r}")
-        value["state"].setdefault("bans", {})  # written before there were any
-        return Applied(
-            serial, value["when"], value["by"], value["state"], value["summary"], value["born"]
-        )
+        return value
 
-    def history(self) -> list[Applied]:
-        """All states that can be read, oldest first."""
+    def _next_step(self, serial: int) -> str:
+        before = [s for s in self.serials() if s < serial]
+        return f"remove it to go on from serial {before[-1]}" if before else "remove it"
+
+    def history(self) -> list[Record]:
+        """Of all states whose files can be read, oldest first."""
         found = []
         for serial in self.serials():
             with contextlib.suppress(StoreError):
-                found.append(self.read(serial))
+                value = self._manifest(serial)
+                found.append(Record(serial, value["when"], value["by"], value["summary"]))
         return found
 
     def _file(self, serial: int) -> Path:
         return self.path / f"state-{serial:08d}.json"
 
+    # --- Writing
+
     def prepare(self, applied: Applied, step: Step) -> Path:
-        """Write a state under another name and sync it; raises StoreError, with nothing left."""
-        value = applied.as_json(self.gateway)
+        """Keep a state's pages, write its manifest under another name, and sync them.
+
+        Raises StoreError, with nothing left.
+        """
+        try:
+            trees = self._trees(applied)
+            added = self.pages.keep(applied.serial, trees, step)
+        except (PageFileError, PageError) as error:
+            raise StoreError(str(error)) from None
+        except KeyError as error:
+            raise StoreError(f"{self.pages.path}: damaged: page {error} is not there") from None
+        except ValueError as error:
+            raise StoreError(f"the state can't be kept: {error}") from None
+        try:
+            path = self._write_manifest(applied, trees, step)
+        except StoreError:
+            self._discard(added)
+            raise
+        held = _Held(applied.state, applied.born, trees[0].root, trees[1].root)
+        self._prepared = _Prepared(held, added)
+        return path
+
+    def _trees(self, applied: Applied) -> tuple[Tree, Tree]:
+        """The trees of a state and of `born`, by their difference from what is held."""
+        born, held = {"born": applied.born}, self._held
+        if held is None:
+            return to_tree(applied.state), to_tree(born, BORN_KINDS)
+        before = {"born": held.born}
+        return (
+            update_tree(self.pages, held.root, held.state, applied.state),
+            update_tree(self.pages, held.born_root, before, born, BORN_KINDS),
+        )
+
+    def _write_manifest(self, applied: Applied, trees: tuple[Tree, Tree], step: Step) -> Path:
+        value = {
+            "format": FORMAT, "gateway": self.gateway, "serial": applied.serial,
+            "when": applied.when, "by": applied.by, "summary": applied.summary,
+            "root": trees[0].root, "born_root": trees[1].root,
+        }  # fmt: skip
         data = json.dumps({**value, "digest": digest(value)}, separators=(",", ":")).encode()
         path = self.path / f".state-{applied.serial:08d}.json.tmp"
         try:
@@ -146,12 +291,16 @@
 
     def commit(self, path: Path, serial: int, step: Step) -> None:
         """From here on that state holds; raises StoreError, and then the old one does."""
+        prepared, self._prepared = self._prepared, None
+        assert prepared is not None
         try:
             os.replace(path, self._file(serial))
         except OSError as error:
             with contextlib.suppress(OSError):
                 path.unlink()
+            self._discard(prepared.added)
             raise StoreError(f"{path}: {error.strerror}") from None
+        self._held = held = prepared.held
         step("renamed")
         # Danger: from here on nothing may look like a failure, or the process would go on under
         # the old state and start under the new one.
@@ -160,8 +309,41 @@
         with contextlib.suppress(OSError):
             for old in self.serials()[:-KEPT]:
                 self._file(old).unlink()
+        step("files let go of")
+        with contextlib.suppress(PageFileError, OSError):
+            here = set(self.serials())
+            self.pages.let_go(
+                root
+                for root in self.pages.roots()
+                if root.serial not in here
+                or (root.serial == serial and root not in held.roots(serial))
+            )
         step("committed")
 
+    def _discard(self, roots: list[Root]) -> None:
+        """Let go of pages of a state that came to nothing; else the next start does."""
+        with contextlib.suppress(PageFileError):
+            self.pages.let_go(roots)
+
+    def _let_go_of_unneeded(self) -> None:
+        """Let go of pages that no manifest needs: of applies that were cut short."""
+        here = set(self.serials())
+        needed: dict[int, set[str]] = {}
+        for serial in here:
+            # One that can't be read may need any of its pages, once it is mended.
+            with contextlib.suppress(StoreError):
+                value = self._manifest(serial)
+                needed[serial] = {value.get("root", ""), value.get("born_root", "")}
+        try:
+            self.pages.let_go(
+                root
+                for root in self.pages.roots()
+                if root.serial not in here
+                or (root.serial in needed and root.digest not in needed[root.serial])
+            )
+        except PageFileError as error:
+            raise StoreError(str(error)) from None
+
     def _sync_folder(self) -> None:
         """Make a name outlast the machine; for every process it is there already."""
         folder = os.open(self.path, os.O_RDONLY)
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -31,9 +31,9 @@
 from .plan import MovedError, PlanError, check_base, load_plan
 from .rules import contradictions, meet
 from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart, ZonesPart
-from .source import StillPendingError, find
+from .source import Identities, StillPendingError, find
 from .state import State, banned, canonical, from_file
-from .store import Applied, Store
+from .store import Applied, Record, Store
 from .zoned import Zoned
 
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
@@ -70,6 +70,7 @@
         self._rules = 0  # counts switches after which older requests must not be sent as they were
         self._base = Applied(0, 0, "nobody", live.applied.state)
         self._standing: MemberStatus | None = None
+        self._identities = Identities()
         self.stopped = False
         self.zoned = Zoned(self, live, zones, live.gateway)
 
@@ -80,6 +81,9 @@
     def base(self) -> Applied:
         return self._base
 
+    def identity(self, state: State) -> str:
+        return self._identities.of(state)
+
     # --- Starting and leaving
 
     async def start(self, made: OperatorFile) -> Applied:
@@ -218,7 +222,7 @@
 
     # --- What operators ask for
 
-    def history(self) -> list[Applied]:
+    def history(self) -> list[Record]:
         store = self.live.store
         return [] if store is None else store.history()
 
@@ -236,7 +240,8 @@
         plan, base = load_plan(text), self._base
         if any(change.kind == "listeners" for change in plan.changes):
             raise PlanError("listeners are each gateway's own: change its file, and restart it")
-        return plan, check_base(plan, self.owner, base.serial, base.state)
+        identity = self.identity(base.state)
+        return plan, check_base(plan, self.owner, base.serial, base.state, identity)
 
     async def apply_file(self, made: OperatorFile, by: str) -> Applied:
         raise ApplyError("in a tier a file is not applied by SIGHUP: `sailhitch plan`, and `apply`")
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -461,7 +461,11 @@
                     await it.go(wanted)
                 assert _descriptors() == before
                 monkeypatch.setattr(os, "fsync", real)
-                assert sorted(os.listdir(tmp_path / "state")) == ["lock", "state-00000001.json"]
+                assert sorted(os.listdir(tmp_path / "state")) == [
+                    "lock", "pages.sqlite3", "state-00000001.json",
+                ]  # fmt: skip
+                assert it.live.store is not None
+                assert {root.serial for root in it.live.store.pages.roots()} == {1}
                 assert set(it.live.pools["p"].listed) == {"a"}
                 await it.go(wanted)
                 assert it.live.applied.serial == 2
@@ -523,7 +527,9 @@
     path = _stored(tmp_path)
     last = path / "state-00000002.json"
     whole = last.read_bytes()
-    for data in (whole[: len(whole) // 2], b"", whole.replace(b'"q"', b'"r"'), b"[]"):
+    other = whole.replace(b'"root":"', b'"root":"0')
+    assert other != whole
+    for data in (whole[: len(whole) // 2], b"", other, b"[]"):
         last.write_bytes(data)
         store = Store(path, "g1")
         with pytest.raises(StoreError, match=r"damaged.*remove it to go on from serial 1"):
@@ -541,7 +547,7 @@
     path = _stored(tmp_path)
     last = path / "state-00000002.json"
     value = json.loads(last.read_bytes())
-    last.write_text(json.dumps({**value, "format": 2}))
+    last.write_text(json.dumps({**value, "format": 3}))
     store = Store(path, "g1")
     with pytest.raises(StoreError, match="newer version"):
         store.last()
@@ -584,9 +590,10 @@
 
 
 STEPS = [
-    "checked", "bound", "half written", "written", "synced", "renamed", "committed", "switched",
+    "checked", "bound", "pages half kept", "pages kept", "half written", "written", "synced",
+    "renamed", "files let go of", "committed", "switched",
 ]  # fmt: skip
-HOLDS = {step: 1 if i < 5 else 2 for i, step in enumerate(STEPS)}
+HOLDS = {step: 1 if i < STEPS.index("renamed") else 2 for i, step in enumerate(STEPS)}
 
 
 @pytest.mark.parametrize("step", STEPS)
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -16,8 +17,10 @@
     check_base,
     describe,
     diff,
+    identity,
     load_plan,
     make_plan,
+    make_whole_plan,
     summary,
 )
 from sailhitch.daemon.schema import parse_text, parse_value
@@ -84,7 +87,7 @@
     [
         ("[]", "not a plan"),
         ("{}", "not a plan"),
-        ('{"format": 2, "changes": []}', "format 2 is not 1"),
+        ('{"format": 3, "changes": []}', "format 3 is not 2"),
         ('{"format": 1, "x": NaN}', "numbers that no plan holds"),
         ("[" * 100_000, "not a plan"),
     ],
@@ -134,3 +137,36 @@
     lying = Plan(made.gateway, made.serial, made.base, digest(A), made.changes)
     with pytest.raises(PlanError, match="do not lead where it says"):
         check_base(lying, "g1", 7, A)
+    of_whole = make_whole_plan("g1", 7, A, B)
+    lying = replace(of_whole, result=digest(A))
+    with pytest.raises(PlanError, match="do not lead where it says"):
+        check_base(lying, "g1", 7, A)
+
+
+def test_a_plan_of_the_version_before_is_held_to_the_whole_states() -> None:
+    text = make_whole_plan("g1", 7, A, B).dump()
+    assert json.loads(text)["format"] == 1
+    made = load_plan(text)
+    assert (made.base, made.result) == (digest(A), digest(B))
+    assert check_base(made, "g1", 7, A) == B
+    with pytest.raises(MovedError):
+        check_base(made, "g1", 7, B)
+    with pytest.raises(MovedError):
+        check_base(made, "g1", 8, A)
+
+
+def test_a_plan_by_the_identity_that_the_gateway_told_is_the_one_that_is_worked_out() -> None:
+    told = make_plan("g1", 7, A, B, identity(A))
+    assert told == make_plan("g1", 7, A, B)
+    assert check_base(told, "g1", 7, A, identity(A)) == B
+    with pytest.raises(MovedError):
+        check_base(told, "g1", 7, A, identity(B))
+
+
+def test_what_a_plan_does_not_change_is_shared_with_the_live_state() -> None:
+    made = check_base(make_plan("g1", 7, A, B), "g1", 7, A)
+    assert made["nodes"] is A["nodes"]
+    assert made["routes"]["payouts"] is not A["routes"]["payouts"]
+    assert all(
+        made["routes"][name] is A["routes"][name] for name in A["routes"].keys() - {"payouts"}
+    )
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,396 @@
+"""Applied states on disk as pages: what they cost, what damages them, and what is let go of."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sailhitch.daemon.page_file import FILE, PageFile, PageFileError, Root
+from sailhitch.daemon.state import EMPTY, State, digest
+from sailhitch.daemon.store import KEPT, Applied, Store, StoreError, unwatched
+from sailhitch.pages import child_digests, compress
+
+NODES = 5000
+MOST_TIMES = 2.0  # of one state, for fifty that each differ in a weight
+
+
+def _state(count: int = 300) -> State:
+    nodes = {
+        f"p{i // 50}/n{i}": {
+            "address": f"10.{i // 62_500}.{i // 250 % 250}.{i % 250}:80", "cell": "c",
+            "weight": 1.0, "zone": f"z{i % 8}",
+        }
+        for i in range(count)
+    }  # fmt: skip
+    pools = {f"p{i}": {"connect_timeout": "250ms"} for i in range(-(-count // 50))}
+    return {**EMPTY, "nodes": nodes, "pools": pools}
+
+
+def _weighted(state: State, name: str, weight: float) -> State:
+    node = {**state["nodes"][name], "weight": weight}
+    return {**state, "nodes": {**state["nodes"], name: node}}
+
+
+def _applied(serial: int, state: State) -> Applied:
+    born = {name: 7 + i for i, name in enumerate(state["nodes"])}
+    return Applied(serial, 1_000 + serial, "t", state, f"change {serial}", born)
+
+
+def _keep(store: Store, applied: Applied, step: Callable[[str], None] = unwatched) -> None:
+    store.commit(store.prepare(applied, step), applied.serial, step)
+
+
+def _states(count: int) -> Iterator[Applied]:
+    """States each of which has the weight of one node changed."""
+    state = _state()
+    for serial in range(1, count + 1):
+        yield _applied(serial, state)
+        state = _weighted(state, f"p{serial % 6}/n{serial % 6 * 50}", 1.0 + serial)
+
+
+@pytest.fixture
+def store(tmp_path: Path) -> Iterator[Store]:
+    one = Store(tmp_path / "state", "g1")
+    yield one
+    one.close()
+
+
+def _again(store: Store) -> Store:
+    """The same directory, opened anew."""
+    store.close()
+    return Store(store.path, "g1")
+
+
+def _reachable(store: Store) -> set[str]:
+    """The digests of all pages that the kept roots lead to."""
+    found: set[str] = set()
+    queue = [root.digest for root in store.pages.roots()]
+    while queue:
+        one = queue.pop()
+        if one not in found:
+            found.add(one)
+            queue += child_digests(store.pages.page(one))
+    return found
+
+
+def _pages_here(store: Store) -> set[str]:
+    return {row[0].hex() for row in store.pages._db.execute("SELECT digest FROM pages")}
+
+
+def _damage(store: Store, statement: str, *values: Any) -> None:
+    """Change the closed store's pages behind its back."""
+    db = sqlite3.connect(store.path / FILE)
+    with db:
+        assert db.execute(statement, values).rowcount > 0
+    db.close()
+
+
+# --- What is kept
+
+
+def test_states_are_read_back_as_they_were_also_by_another_process(store: Store) -> None:
+    kept = list(_states(8))
+    for one in kept:
+        _keep(store, one)
+    for one in kept:
+        assert store.read(one.serial) == one
+    again = _again(store)
+    for one in kept:
+        assert again.read(one.serial) == one
+    assert again.last() == kept[-1]
+    for one in kept:
+        assert again.read(one.serial) == one
+    assert again.history() == [one.record() for one in kept]
+    again.close()
+
+
+def test_a_state_that_was_held_by_nobody_here_is_kept_whole(store: Store) -> None:
+    """After a restart without reading, or a change that shares no object with the last."""
+    kept = list(_states(3))
+    _keep(store, kept[0])
+    again = _again(store)
+    _keep(again, kept[1])
+    copy = json.loads(json.dumps(kept[2].state))
+    _keep(again, Applied(3, 1, "t", copy, "", dict(kept[2].born)))
+    assert again.read(2) == kept[1]
+    assert again.read(3).state == kept[2].state
+    assert _pages_here(again) == _reachable(again)
+    again.close()
+
+
+def test_fifty_states_cost_what_changed_between_them(store: Store) -> None:
+    state = _state(NODES)
+    _keep(store, _applied(1, state))
+    one = _size(store)
+    for serial in range(2, KEPT + 1):
+        name = f"p{serial}/n{serial * 50}"
+        state = _weighted(state, name, float(serial))
+        _keep(store, _applied(serial, state))
+    assert len(store.serials()) == KEPT
+    assert _size(store) < MOST_TIMES * one
+    assert store.read(2).state["nodes"]["p2/n100"]["weight"] == 2.0
+    assert store.read(2).state["nodes"]["p50/n2500"]["weight"] == 1.0
+
+
+def _size(store: Store) -> int:
+    return sum(path.stat().st_size for path in store.path.iterdir())
+
+
+def test_pages_that_no_kept_state_needs_are_let_go_of(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sailhitch.daemon.store.KEPT", 3)
+    kept = list(_states(9))
+    for one in kept:
+        _keep(store, one)
+        assert _pages_here(store) == _reachable(store)
+    assert store.serials() == [7, 8, 9]
+    assert {root.serial for root in store.pages.roots()} == {7, 8, 9}
+    for one in kept[-3:]:
+        assert store.read(one.serial) == one
+
+
+def test_a_state_that_comes_back_keeps_its_pages_as_its_first_time_is_let_go_of(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sailhitch.daemon.store.KEPT", 2)
+    first, other = list(_states(2))
+    for serial in range(1, 8):
+        one = first if serial % 2 else other
+        _keep(store, Applied(serial, 1, "t", one.state, "", one.born))
+        assert _pages_here(store) == _reachable(store)
+    assert store.read(7).state == first.state
+    assert store.read(6).state == other.state
+
+
+def test_one_serial_written_again_keeps_its_last_state_only(store: Store) -> None:
+    """A tier's daemon writes what is active at each of its starts, under the same serial."""
+    first, other = list(_states(2))
+    _keep(store, first)
+    _keep(store, first)
+    assert store.read(1) == first
+    _keep(store, Applied(1, 5, "t", other.state, "", other.born))
+    assert store.read(1).state == other.state
+    assert _pages_here(store) == _reachable(store)
+    assert len(store.pages.roots()) == 2
+
+
+# --- The version before
+
+
+def _write_whole(path: Path, applied: Applied) -> Path:
+    """A state file as the version before wrote it."""
+    value = {
+        "format": 1, "gateway": "g1", "serial": applied.serial, "when": applied.when,
+        "by": applied.by, "summary": applied.summary, "born": dict(applied.born),
+        "state": applied.state,
+    }  # fmt: skip
+    file = path / f"state-{applied.serial:08d}.json"
+    file.write_text(json.dumps({**value, "digest": digest(value)}, separators=(",", ":")))
+    return file
+
+
+def test_files_of_the_version_before_are_read_and_never_rewritten(store: Store) -> None:
+    kept = list(_states(4))
+    files = [_write_whole(store.path, one) for one in kept[:2]]
+    before = [file.read_bytes() for file in files]
+    assert store.last() == kept[1]
+    for one in kept[2:]:
+        _keep(store, one)
+    again = _again(store)
+    assert again.last() == kept[3]
+    assert [again.read(one.serial) for one in kept] == kept
+    assert again.history() == [one.record() for one in kept]
+    assert [file.read_bytes() for file in files] == before
+    files[0].write_bytes(before[0].replace(b"change 1", b"change 9"))
+    with pytest.raises(StoreError, match="damaged, its digest is wrong; remove it"):
+        again.read(1)
+    again.close()
+
+
+# --- Damage
+
+
+@pytest.mark.parametrize(
+    ("statement", "said"),
+    [
+        ("UPDATE pages SET packed = substr(packed, 1, length(packed) / 2)", "ends too early"),
+        ("UPDATE pages SET packed = x'00'", "packed page"),
+        ("DELETE FROM pages", "its page .* is not in"),
+    ],
+)
+def test_a_damaged_page_is_found_and_the_next_step_is_told(
+    store: Store, statement: str, said: str
+) -> None:
+    for one in _states(2):
+        _keep(store, one)
+    root = json.loads((store.path / "state-00000002.json").read_bytes())["root"]
+    for where in ("hex(digest) = ?", "hex(digest) != ?"):
+        fresh = _again(store)
+        fresh.close()
+        whole = (store.path / FILE).read_bytes()
+        _damage(store, f"{statement} WHERE {where}", root.upper())
+        damaged = Store(store.path, "g1")
+        with pytest.raises(StoreError, match=rf"{said}.*remove it to go on from serial 1"):
+            damaged.last()
+        damaged.close()
+        (store.path / FILE).write_bytes(whole)
+
+
+def test_a_page_is_never_taken_for_another(store: Store) -> None:
+    kept = list(_states(2))
+    for one in kept:
+        _keep(store, one)
+    roots = [
+        json.loads((store.path / f"state-0000000{n}.json").read_bytes())["root"] for n in (1, 2)
+    ]
+    other = store.pages.page(roots[0])
+    store.close()
+    _damage(
+        store, "UPDATE pages SET packed = ? WHERE hex(digest) = ?", compress(other),
+        roots[1].upper(),
+    )  # fmt: skip
+    damaged = Store(store.path, "g1")
+    with pytest.raises(StoreError, match=r"damaged, in .*remove it to go on from serial 1"):
+        damaged.last()
+    # As it is told: the one before is whole, and what is kept next is whole again.
+    (store.path / "state-00000002.json").unlink()
+    assert damaged.last() == kept[0]
+    _keep(damaged, kept[1])
+    assert damaged.read(2) == kept[1]
+    again = _again(damaged)
+    assert again.last() == kept[1]
+    again.close()
+
+
+def test_a_state_kept_whole_mends_pages_that_were_damaged(store: Store) -> None:
+    kept = list(_states(2))
+    _keep(store, kept[0])
+    store.close()
+    _damage(store, "UPDATE pages SET packed = x'00'")
+    again = Store(store.path, "g1")
+    _keep(again, kept[1])  # it has read nothing, and so writes all of it
+    assert again.read(2) == kept[1]
+    again.close()
+
+
+def test_a_page_file_that_is_none_is_told(tmp_path: Path) -> None:
+    path = tmp_path / "state"
+    path.mkdir()
+    (path / FILE).write_bytes(b"no database at all" * 100)
+    with pytest.raises(StoreError, match=r"pages.sqlite3: damaged \(.*move it and the state files"):
+        Store(path, "g1")
+    (path / FILE).unlink()
+    store = Store(path, "g1")  # the lock was let go of
+    store.close()
+
+
+def test_a_file_that_takes_no_more_pages_leaves_what_was(store: Store) -> None:
+    kept = list(_states(2))
+    _keep(store, kept[0])
+    before = _pages_here(store)
+    store.close()
+    full = Store(store.path, "g1")
+    pages = full.pages._db.execute("PRAGMA page_count").fetchone()[0]
+    full.pages._db.execute(f"PRAGMA max_page_count = {pages}")
+    large = _applied(2, _state(3000))
+    with pytest.raises(StoreError, match=r"pages\.sqlite3: database or disk is full"):
+        full.prepare(large, unwatched)
+    assert _pages_here(full) == before
+    assert full.serials() == [1]
+    assert full.last() == kept[0]
+    full.pages._db.execute("PRAGMA max_page_count = 1000000")
+    _keep(full, large)
+    assert full.read(2) == large
+    full.close()
+
+
+def test_a_rename_that_fails_leaves_what_was(store: Store, monkeypatch: pytest.MonkeyPatch) -> None:
+    kept = list(_states(2))
+    _keep(store, kept[0])
+    before = _pages_here(store)
+    path = store.prepare(kept[1], unwatched)
+
+    def broken(source: Path, target: Path) -> None:
+        raise OSError(5, "Input/output error")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "replace", broken)
+        with pytest.raises(StoreError, match="Input/output error"):
+            store.commit(path, 2, unwatched)
+    assert _pages_here(store) == before
+    assert store.read(1) == kept[0]
+    _keep(store, kept[1])
+    assert store.read(2) == kept[1]
+
+
+def test_a_page_file_adds_no_tree_whose_pages_are_not_all_there(tmp_path: Path) -> None:
+    from sailhitch.daemon.state_tree import to_tree
+
+    file = PageFile(tmp_path)
+    tree = to_tree(_state())
+    part = {one: raw for one, raw in tree.pages.items() if one != min(tree.pages)}
+    cut = type(tree)(tree.root, part)
+    with pytest.raises(PageFileError, match=f"page {min(tree.pages)} is not there"):
+        file.keep(1, [cut], unwatched)
+    assert file.roots() == set()
+    with pytest.raises(KeyError):
+        file.page(tree.root)
+    assert file.keep(1, [tree], unwatched) == [Root(1, tree.root)]
+    assert file.keep(1, [tree], unwatched) == []
+    file.close()
+
+
+# --- Killed
+
+KILLED = """
+import os, signal, sys
+from pathlib import Path
+import sailhitch.daemon.store as module
+from tests.test_store import _keep, _states
+module.KEPT = 2
+store = module.Store(Path(sys.argv[1]), "g1")
+kept = list(_states(4))
+def step(name):
+    if name == sys.argv[2]:
+        os.kill(os.getpid(), signal.SIGKILL)
+for one in kept[:3]:
+    _keep(store, one)
+_keep(store, kept[3], step)
+"""
+STEPS = [
+    "pages half kept", "pages kept", "half written", "written", "synced", "renamed",
+    "files let go of", "committed",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_killed_at_any_step_the_old_or_the_new_state_is_whole_and_nothing_is_left(
+    step: str, tmp_path: Path
+) -> None:
+    path, kept = tmp_path / "state", list(_states(4))
+    ended = subprocess.run(
+        [sys.executable, "-c", KILLED, str(path), step], cwd=Path(__file__).parent.parent,
+        timeout=60, check=False,
+    )  # fmt: skip
+    assert ended.returncode == -signal.SIGKILL
+    store = Store(path, "g1")
+    new = STEPS.index(step) >= STEPS.index("renamed")
+    assert store.last() == kept[3 if new else 2]
+    here = store.serials()
+    assert here == ([2, 3, 4] if step == "renamed" else [3, 4] if new else [2, 3])
+    assert {root.serial for root in store.pages.roots()} == set(here)
+    assert _pages_here(store) == _reachable(store)
+    for serial in here:
+        assert store.read(serial) == kept[serial - 1]
+    assert not [name for name in os.listdir(path) if name.startswith(".")]
+    store.close()
