--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -15,9 +15,11 @@
 from sailhitch.daemon.schema import FileError, parse_value
 from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
-from sailhitch.tier.content_store import BLOCK_SIZE, ContentStore
+from sailhitch.model.tier import World
+from sailhitch.tier.content_store import BLOCK_SIZE, CONTENT, NOTHING, ContentStore
 from sailhitch.tier.disk import Disk, DiskError
 from sailhitch.tier.effects import End
+from sailhitch.tier.lapse_reports import LapseReports, encode_lapses
 from sailhitch.tier.lease import Grants, Lease
 from sailhitch.tier.line import Step, read
 from sailhitch.tier.messages import (
@@ -47,6 +49,7 @@
     VoteRecoveryRequest,
 )
 from sailhitch.tier.register import Acceptor, Mode, Round
+from sailhitch.tier.roster import Roster, RosterIndex
 from sailhitch.tier.wire import WINDOW, KeyFileError, Keys, Wire, load_keys
 from tests.daemons import file_value
 
@@ -246,21 +249,22 @@
 @given(st.binary(max_size=40 * BLOCK_SIZE), st.integers(0, 1 << 30))
 def test_a_content_is_fetched_whole_through_loss_and_doubling(content: bytes, seed: int) -> None:
     source, sink, rng = ContentStore({}), ContentStore({}), random.Random(seed)
-    digest, packed = source.add(content)
+    digest, kept = source.add(content)
     sink.want(digest, "a")
     now = 0
     for _ in range(400):
         now += 100_000
-        for _, get in sink.asks(now, ["a"], 0):
-            piece = source.answer(get)
-            assert piece is not None
+        for _, request in sink.requests(now, rng, ["a"]):
+            assert isinstance(request, BlockRequest)
+            block = source.answer_block(request, now)
+            assert block is not None
             if rng.random() < 0.4:
                 continue
             for _ in range(1 + (rng.random() < 0.2)):
-                sink.take(piece)
+                sink.take_block(block)
         if sink.has(digest):
             break
-    assert sink.packed == {digest: packed}
+    assert sink.packed == {digest: kept[CONTENT + digest]}
     assert sink.read(digest) == content
 
 
@@ -268,31 +272,34 @@
     source, sink = ContentStore({}), ContentStore({})
     digest, _ = source.add(b"x" * 10)
     other = ContentStore({})
-    wrong, packed = other.add(b"another")
+    wrong, kept = other.add(b"another")
+    packed = kept[CONTENT + wrong]
     sink.want(digest, "a")
-    assert sink.take(Block(digest, 0, len(packed), packed)) is None
+    assert sink.take_block(Block(digest, 0, len(packed), packed)) == NOTHING
     assert sink.spoilt == 1
     assert not sink.has(digest)
-    assert sink.take(Block(digest, 0, 1 << 40, b"")) is None
-    assert sink.take(Block(wrong, 0, len(packed), packed)) is None  # never asked for
-    assert source.answer(BlockRequest(digest, 7)) is None
-    assert source.answer(BlockRequest(digest, 1 << 40)) is None
+    assert sink.take_block(Block(digest, 0, 1 << 40, b"")) == NOTHING
+    never_asked_for = Block(wrong, 0, len(packed), packed)
+    assert sink.take_block(never_asked_for) == NOTHING
+    assert source.answer_block(BlockRequest(digest, 7), 0) is None
+    assert source.answer_block(BlockRequest(digest, 1 << 40), 0) is None
 
 
 def test_a_state_of_ten_thousand_nodes_is_a_content() -> None:
     nodes = {f"p/n{i}": {"address": f"10.0.{i // 250}.{i % 250}:80"} for i in range(10_000)}
     source, sink = ContentStore({}), ContentStore({})
-    digest, packed = source.add(repr(nodes).encode())
+    digest, kept = source.add(repr(nodes).encode())
     sink.want(digest, "a")
     now, sent = 0, 0
     while not sink.has(digest):
         now += 1000
-        for _, get in sink.asks(now, ["a"], 0):
-            piece = source.answer(get)
-            assert piece is not None
+        for _, request in sink.requests(now, random.Random(1), ["a"]):
+            assert isinstance(request, BlockRequest)
+            block = source.answer_block(request, now)
+            assert block is not None
             sent += 1
-            sink.take(piece)
-    assert sent == -(-len(packed) // BLOCK_SIZE)
+            sink.take_block(block)
+    assert sent == -(-len(kept[CONTENT + digest]) // BLOCK_SIZE)
 
 
 # --- Leases
@@ -481,3 +488,59 @@
     _play(after, voters, "cde")
     assert after.step is not None
     assert after.step.head.turn == turn
+
+
+# --- The roster
+
+
+@given(
+    st.sets(st.integers(0, 40)), st.sets(st.integers(0, 40)),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(1, 2), st.sets(st.integers(0, 40)))),
+)  # fmt: skip
+def test_a_lease_has_lapsed_where_a_majority_of_voters_reports_so_of_that_turn(
+    inside: set[int], out: set[int], reports: list[tuple[int, int, set[int]]]
+) -> None:
+    roster = Roster(tuple(f"g{i}" for i in inside), tuple(f"g{i}" for i in out - inside))
+    index = RosterIndex(roster)
+    lapses, latest = LapseReports(2), dict[int, tuple[int, set[str]]]()
+    for voter, turn, numbers in reports:
+        names = {f"g{i}" for i in numbers} & {*index.names}
+        bits = encode_lapses(len(index.names), (index.positions[name] for name in names))
+        lapses.record(f"v{voter}", (turn, bits))
+        latest[voter] = turn, names
+    assert list(index.names) == sorted({*roster.inside, *roster.out})
+    for name in index.names:
+        for turn in (1, 2):
+            said = sum(at == turn and name in names for at, names in latest.values())
+            assert lapses.is_lapsed(index.positions[name], turn) == (said >= 2)
+
+
+def test_a_report_of_a_shorter_roster_says_nothing_of_those_beyond_it() -> None:
+    lapses = LapseReports(1)
+    lapses.record("v", (1, b"\xff"))
+    assert lapses.is_lapsed(7, 1)
+    assert not lapses.is_lapsed(8, 1)
+
+
+def test_the_names_of_a_roster_are_put_in_order_once_whoever_is_waited_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World(1, 5, 3, 3 * S)
+    world.start()
+    world.kernel.run(4 * S)
+    world.processes["g4"].pause()
+    world.processes["g5"].pause()
+    made = []
+    real = RosterIndex.__init__
+
+    def counted(self: RosterIndex, roster: Roster) -> None:
+        made.append(roster)
+        real(self, roster)
+
+    monkeypatch.setattr(RosterIndex, "__init__", counted)
+    world.processes["g1"].propose(1, 0)
+    world.kernel.run(world.kernel.now + 2 * S)
+    member = world.processes["g1"].member
+    assert member is not None
+    assert member.waiting_for() == ["g4", "g5"]
+    assert made == []
