Read a tier's versions by what differs, and propose trees

A version whose content is a page tree is read by its difference from one that was read before, and shares its objects; founding and proposals are trees, which bring the new pages alone. A version of the release before, a whole content, is read as before, and its next change goes on as a tree. Where the pages of the base were let go of while a tree was made from it, another version holds: the change is refused as one whose base has moved.

tests/test_version_states.py: the difference, the whole read where pages are gone, a tree of no state, and a real daemon on a disk of whole contents, whose next change is a tree on its disk.

--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Mapping
 from pathlib import Path
@@ -19,6 +18,7 @@
 from ..core.exchange import Attempt
 from ..core.log import Log
 from ..core.terms import Answer
+from ..pages import Tree
 from ..settings import SAFE
 from ..tier.effects import Acting, Done, End
 from ..tier.member import Founding, Member, MemberStatus, TierConfig
@@ -31,9 +31,11 @@
 from .plan import MovedError, PlanError, check_base, load_plan
 from .rules import contradictions, meet
 from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart, ZonesPart
-from .source import Identities, StillPendingError, find
-from .state import State, banned, canonical, from_file
+from .source import StillPendingError, find
+from .state import State, banned, from_file
+from .state_tree import to_tree
 from .store import Applied, Record, Store
+from .version_states import VersionStates
 from .zoned import Zoned
 
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
@@ -48,6 +50,11 @@
         raise MovedError(base.serial, head.active.serial, pending)
 
 
+def _serial_known(member: Member) -> int:
+    """The serial of the version that a member knows to hold."""
+    return 0 if member.known is None else member.known.head.active.serial
+
+
 class Tiered:
     """The source of a daemon whose file has a `[tier]`."""
 
@@ -70,7 +77,7 @@
         self._rules = 0  # counts switches after which older requests must not be sent as they were
         self._base = Applied(0, 0, "nobody", live.applied.state)
         self._standing: MemberStatus | None = None
-        self._identities = Identities()
+        self._states = VersionStates()
         self.stopped = False
         self.zoned = Zoned(self, live, zones, live.gateway)
 
@@ -82,7 +89,7 @@
         return self._base
 
     def identity(self, state: State) -> str:
-        return self._identities.of(state)
+        return self._states.identity(state)
 
     # --- Starting and leaving
 
@@ -97,7 +104,7 @@
             first = state if before is None else before.state
             serial = 1 if before is None else before.serial
             who = "first start" if before is None else before.by
-            founding = Founding(canonical({**first, "listeners": {}}), serial, who)
+            founding = Founding(to_tree({**first, "listeners": {}}), serial, who)
             born = dict.fromkeys(first["nodes"], 0) if before is None else before.born
             shown = {**first, "listeners": self.listeners}
             applied = await live.change(Decided(shown, who, 0, born, kept=False))
@@ -181,11 +188,12 @@
     async def _switch(self, acting: Acting) -> None:
         member = self.link.member
         assert member is not None
-        active = await asyncio.to_thread(self._read, member, acting.active)
+        contents, states = member.contents, self._states
+        active = await asyncio.to_thread(states.read, contents, acting.active.digest)
         version, also, shown = acting.active, None, active
         stamp = f"Tier-Version: {version.serial}"
         if acting.pending is not None:
-            also = await asyncio.to_thread(self._read, member, acting.pending)
+            also = await asyncio.to_thread(states.read, contents, acting.pending.digest)
             shown = await asyncio.to_thread(meet, active, also)
             stamp += f", {acting.pending.serial}"
         more = any(self._differs(kind, shown, also) for kind in ("routes", "classes", "tenants"))
@@ -201,6 +209,7 @@
                 rules, unused, renewed,
             )
         )  # fmt: skip
+        states.keep_only({v.digest for v in (acting.active, acting.pending) if v is not None})
         self._rules = rules
         self.zoned.goes_by(acting.posture, posture)
         for pool in self.live.core.pools:
@@ -216,10 +225,6 @@
             also is not None and also[kind] != shown[kind]
         )
 
-    def _read(self, member: Member, version: Version) -> State:
-        state: dict[str, Any] = json.loads(member.contents.read(version.digest))
-        return {**state, "listeners": {}}
-
     # --- What operators ask for
 
     def history(self) -> list[Record]:
@@ -259,11 +264,14 @@
             _check_same(base, (await self.decided(Member.read)).head)
             return base
         waits = bool(await asyncio.to_thread(contradictions, base.state, state))
-        content = await asyncio.to_thread(canonical, state)
+        tree = await asyncio.to_thread(self._tree, base.state, state)
         when = int(time.time() * 1e6)
 
         def ask(member: Member) -> int:
-            return member.propose(content, base.serial, waits, by, when)
+            try:
+                return member.propose(tree, base.serial, waits, by, when)
+            except ValueError:  # the base's pages were let go of: another version holds by now
+                raise MovedError(base.serial, _serial_known(member)) from None
 
         done = await self.decided(ask)
         head = done.head
@@ -273,6 +281,15 @@
         assert version is not None
         return await self._wait_for(version)
 
+    def _tree(self, base: State, state: State) -> Tree:
+        """What is proposed. Raises ApplyError for an object that no page takes."""
+        member = self.link.member
+        assert member is not None
+        try:
+            return self._states.tree(member.contents, base, state)
+        except ValueError as error:
+            raise ApplyError(f"the state can't be proposed: {error}") from None
+
     async def decided(self, ask: Any) -> Done:
         """Have the core do a job, and wait until it is decided; raises ApplyError."""
         try:
--- a/tests/page_sources.py
+++ b/tests/page_sources.py
@@ -10,10 +10,10 @@
 
     def __init__(self, pages: Mapping[str, bytes]) -> None:
         self.pages = dict(pages)
-        self.read: list[str] = []
+        self.asked: list[str] = []
 
     def page(self, digest: str) -> bytes:
-        self.read.append(digest)
+        self.asked.append(digest)
         return self.pages[digest]
 
     def add(self, pages: Mapping[str, bytes]) -> None:
--- /dev/null
+++ b/tests/test_version_states.py
@@ -0,0 +1,195 @@
+"""States of the tier's versions: by what differs, and whole ones of the release before."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from sailhitch.daemon.link import Link
+from sailhitch.daemon.plan import identity
+from sailhitch.daemon.schema import parse_text, parse_value
+from sailhitch.daemon.state import State, canonical, from_file
+from sailhitch.daemon.state_tree import StateTreeError, to_tree
+from sailhitch.daemon.version_states import VersionStates
+from sailhitch.lab.ports import free_port
+from sailhitch.pages import Key, Tree, build
+from sailhitch.tier.content_store import ContentStore, digest_of, root_of, tree_digest
+from sailhitch.tier.disk import Disk
+from sailhitch.tier.effects import Acting
+from sailhitch.tier.member import KNOWN, Founding, TierConfig
+from sailhitch.tier.messages import Decided
+from sailhitch.tier.wire import Keys
+from tests.daemons import file_value, outside, pool
+from tests.operator_files import FILE
+from tests.page_sources import Pages
+from tests.sockets import until
+
+BASE: State = {**from_file(parse_text(FILE)), "listeners": {}}
+
+
+class Contents(Pages):
+    """Pages, and whole contents beside them."""
+
+    def __init__(self, pages: Mapping[str, bytes], whole: Mapping[str, bytes] = {}) -> None:
+        super().__init__(pages)
+        self.whole = dict(whole)
+
+    def read(self, digest: str) -> bytes:
+        return self.whole[digest]
+
+
+def _weighted(state: State, weight: float) -> State:
+    name = min(state["nodes"])
+    node = {**state["nodes"][name], "weight": weight}
+    return {**state, "nodes": {**state["nodes"], name: node}}
+
+
+def _add(contents: Contents, tree: Tree) -> str:
+    contents.add(tree.pages)
+    return tree_digest(tree.root)
+
+
+def test_a_version_is_read_by_its_difference_from_one_that_is_known() -> None:
+    contents, states = Contents({}), VersionStates()
+    base = states.read(contents, _add(contents, to_tree(BASE)))
+    assert base == BASE
+    tree = states.tree(contents, base, _weighted(base, 5.0))
+    assert len(tree.pages) < len(contents.pages) or len(contents.pages) == 1
+    digest = _add(contents, tree)
+    read = states.read(contents, digest)
+    assert read == _weighted(BASE, 5.0)
+    assert read["routes"] is base["routes"]
+    assert states.read(contents, digest) is read
+    assert tree.root == to_tree(read).root
+
+
+def test_a_version_is_read_whole_where_the_pages_of_all_known_ones_are_gone() -> None:
+    contents, states = Contents({}), VersionStates()
+    first = to_tree(BASE)
+    states.read(contents, _add(contents, first))
+    other = to_tree(_weighted(BASE, 5.0))
+    contents.pages = dict(other.pages)
+    assert states.read(contents, tree_digest(other.root)) == _weighted(BASE, 5.0)
+    with pytest.raises(KeyError):
+        VersionStates().read(contents, tree_digest(first.root))
+
+
+def test_a_proposal_whose_bases_pages_are_gone_is_a_whole_tree() -> None:
+    contents, states = Contents({}), VersionStates()
+    base = states.read(contents, _add(contents, to_tree(BASE)))
+    contents.pages.clear()
+    wanted = _weighted(base, 5.0)
+    assert states.tree(contents, base, wanted) == to_tree(wanted)
+
+
+def test_what_is_not_kept_is_read_anew() -> None:
+    contents, states = Contents({}), VersionStates()
+    digest = _add(contents, to_tree(BASE))
+    one = states.read(contents, digest)
+    states.keep_only({digest})
+    assert states.read(contents, digest) is one
+    states.keep_only(set())
+    assert states.read(contents, digest) is not one
+    assert states.read(contents, digest) == one
+
+
+def test_a_whole_state_of_the_release_before_is_read_and_followed_by_a_tree() -> None:
+    content = canonical(BASE)
+    contents, states = Contents({}, {digest_of(content): content}), VersionStates()
+    base = states.read(contents, digest_of(content))
+    assert base == BASE
+    assert states.identity(base) == identity(BASE)
+    tree = states.tree(contents, base, _weighted(base, 5.0))
+    assert tree == to_tree(_weighted(BASE, 5.0))
+    assert states.read(contents, _add(contents, tree)) == _weighted(BASE, 5.0)
+
+
+def test_a_tree_that_is_no_state_is_told_with_its_key() -> None:
+    tree = build({Key("robots/r", "r"): b"{}"})
+    with pytest.raises(StateTreeError, match="'robots' is no kind"):
+        VersionStates().read(Contents(tree.pages), tree_digest(tree.root))
+
+
+# --- A disk of the release before
+
+
+async def _found_by_whole_content(folder: Path, state: State, port: int) -> None:
+    """A member's disk as the release before left it: its version is one whole content."""
+    acting: list[Acting] = []
+    config = TierConfig("g1", ("g1",), ("g1",))
+    here = {"g1": ("127.0.0.1", port)}
+    link = Link(config, here, KEYS, folder, acting.append, lambda text: None)
+    await link.start(Founding(canonical(state), 1, "first start"))
+    await until(lambda: bool(acting))
+    link.acted(acting[-1].turn)
+    await until(lambda: link.standing().name == "IN")
+    link.close()
+    await until(lambda: link._writing is None)
+
+
+KEYS = Keys(1, {1: b"k" * 32})
+
+
+def _active(folder: Path) -> tuple[str, dict[str, bytes]]:
+    """The digest of the active version that a member's disk knows, and what the disk has."""
+    disk = Disk(folder)
+    kept = disk.load()
+    disk.close()
+    return msgspec.msgpack.decode(kept[KNOWN], type=Decided).head.active.digest, kept
+
+
+def test_a_disk_of_the_release_before_starts_and_goes_on_as_a_tree(tmp_path: Path) -> None:
+    async def work() -> None:
+        port, udp = free_port(), free_port(socket.SOCK_DGRAM)
+        (tmp_path / "keys").write_text(f"1 {(b'k' * 32).hex()}\n")
+        value = file_value([pool("p", {"a": "127.0.0.1:9"})], port)
+        value["tier"] = {
+            "name": "t", "key_file": str(tmp_path / "keys"), "voters": ["g1"],
+            "members": [{"name": "g1", "address": f"127.0.0.1:{udp}"}],
+        }  # fmt: skip
+        old = file_value([pool("p", {"a": "127.0.0.1:9", "b": "127.0.0.1:10"})], port)
+        state: State = {**_state_of(old), "listeners": {}}
+        folder = tmp_path / "state" / "tier"
+        await _found_by_whole_content(folder, state, udp)
+        digest, _ = _active(folder)
+        assert root_of(digest) is None
+        async with outside(tmp_path, value) as it:
+            await it.start()
+            await _holds(it, 1)
+            live = await it.ask({"op": "state"})
+            assert set(live["state"]["nodes"]) == {"p/a", "p/b"}  # the tier's, not the file's
+            answer = await it.ask({"op": "ban", "node": "p/b", "out": True, "why": "test"})
+            assert answer["ok"], answer
+            assert answer["serial"] == 2
+            live = await it.ask({"op": "state"})
+            assert live["identity"].startswith("tree:")
+            await it.stop()
+        digest, kept = _active(folder)
+        assert digest == live["identity"]
+        contents = ContentStore.from_disk(kept, 0)
+        read = VersionStates().read(contents, digest)
+        assert json.loads(json.dumps(read)) == live["state"]
+        assert set(read["bans"]) == {"p/b"}
+
+    asyncio.run(work())
+
+
+async def _holds(it: Any, serial: int) -> None:
+    async def there() -> bool:
+        status = await it.ask({"op": "tier", "act": "status"})
+        return bool(status.get("standing") == "in" and status.get("active") == serial)
+
+    async with asyncio.timeout(15):
+        while not await there():
+            await asyncio.sleep(0.02)
+
+
+def _state_of(value: dict[str, Any]) -> State:
+    return from_file(parse_value(json.loads(json.dumps(value))))
