Start from the state applied last, and measure what a change of the state costs

Need: after a restart the tier's version was read whole, and shared nothing with the state on disk, so that the next state kept was compared whole. What differs between two mappings was found by looking each name up.

The tier's first version is read by its difference from the state applied last, whose pages are on disk.

--- a/sailhitch/daemon/state.py
+++ b/sailhitch/daemon/state.py
@@ -8,7 +8,9 @@
 
 import hashlib
 import json
-from collections.abc import Mapping
+import operator
+from collections.abc import Iterator, Mapping
+from itertools import compress, islice
 from typing import Any, Final
 
 from .schema import FileError, OperatorFile, parse_value
@@ -70,6 +72,18 @@
     return {**state, "bans": bans}
 
 
+def unshared(old: Mapping[str, Any], new: Mapping[str, Any]) -> Iterator[str]:
+    """The names for which two mappings do not have the same object, or one has none."""
+    if all(map(operator.eq, old, new)):
+        # One was copied from the other, perhaps with names added: no look-up of each is needed.
+        yield from compress(new, map(operator.is_not, old.values(), new.values()))
+        yield from islice(new, len(old), None)
+        yield from islice(old, len(new), None)
+        return
+    yield from (name for name, value in new.items() if old.get(name, _NOTHING) is not value)
+    yield from old.keys() - new.keys()
+
+
 def differing(old: Mapping[str, Any], new: Mapping[str, Any]) -> list[str]:
     """The names whose values differ between two mappings, sorted.
 
@@ -77,16 +91,12 @@
     """
     if old is new:
         return []
-    nothing = object()
-    found = [
-        name
-        for name, value in new.items()
-        if (before := old.get(name, nothing)) is not value and before != value
-    ]
-    found += old.keys() - new.keys()
-    return sorted(found)
+    return sorted(
+        name for name in unshared(old, new) if old.get(name, _NOTHING) != new.get(name, _NOTHING)
+    )
 
 
+_NOTHING: Final = object()
 _ENCODER: Final = json.JSONEncoder(sort_keys=True, separators=(",", ":"), allow_nan=False)
 
 
--- a/sailhitch/daemon/state_tree.py
+++ b/sailhitch/daemon/state_tree.py
@@ -17,7 +17,7 @@
 from typing import Any, Final, NoReturn
 
 from ..pages import Key, PageSource, Tree, build, difference, read_entries, update
-from .state import KINDS, canonical
+from .state import KINDS, canonical, unshared
 
 Tables = Mapping[str, Mapping[str, Any]]  # values by kind and name, as a state has them
 Kinds = Mapping[str, type]  # the kinds of a tree, and what JSON type the values of each are
@@ -71,16 +71,14 @@
     """Names whose canonical JSON differs, with the new one; None for those that have gone."""
     if before is after:
         return
-    for name, value in after.items():
-        old = before.get(name)
-        if old is value:
+    for name in unshared(before, after):
+        if name not in after:
+            yield name, None
             continue
         # Compared by their text: 1 and 1.0 are equal in Python, and have different roots.
-        encoded = canonical(value)
-        if old is None or canonical(old) != encoded:
+        encoded = canonical(after[name])
+        if name not in before or canonical(before[name]) != encoded:
             yield name, encoded
-    for name in before.keys() - after.keys():
-        yield name, None
 
 
 def state_from(source: PageSource, root: str, kinds: Kinds = STATE_KINDS) -> Tables:
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -110,6 +110,7 @@
             applied = await live.change(Decided(shown, who, 0, born, kept=False))
         else:
             shown = {**last.state, "listeners": self.listeners}
+            self._start_from(last)
             out = self.zoned.unused_at_start(shown)
             applied = await live.change(
                 Decided(shown, last.by, 0, last.born, kept=False, unused=out)
@@ -121,6 +122,13 @@
         await self.link.start(None if self.link.knows else founding)
         return applied
 
+    def _start_from(self, last: Applied) -> None:
+        """Have the tier's version read by what differs from the state that was applied last."""
+        store = self.live.store
+        root = None if store is None else store.root_of(last.state)
+        if store is not None and root is not None:
+            self._states.start_from(root, last.state, store.pages)
+
     async def leave(self) -> None:
         """Go from the tier, so that changes do not wait for a process that is not there."""
         self.stopped = True
--- a/sailhitch/daemon/version_states.py
+++ b/sailhitch/daemon/version_states.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from typing import Protocol
 
-from ..pages import Tree
+from ..pages import PageSource, Tree
 from ..tier.content_store import root_of, tree_digest
 from .source import Identities
 from .state import State
@@ -33,6 +33,15 @@
     def __init__(self) -> None:
         self._known: dict[str, State] = {}
         self._identities = Identities()
+        self._applied_pages: PageSource | None = None
+
+    def start_from(self, root: str, state: State, pages: PageSource) -> None:
+        """Read the first version by its difference from the state applied last.
+
+        `pages` has the pages of `root`, which is that state's.
+        """
+        self._known = {tree_digest(root): state}
+        self._applied_pages = pages
 
     def read(self, contents: Contents, digest: str) -> State:
         """A version's state, without listeners.
@@ -51,18 +60,20 @@
         if root is None:
             whole: State = json.loads(contents.read(digest))
             return whole
+        source = _Either(contents, self._applied_pages)
         for near, base in reversed(self._known.items()):
             near_root = root_of(near)
             if near_root is None:
                 continue
             try:
-                return changed_state(base, near_root, contents, root)
+                return changed_state(base, near_root, source, root)
             except KeyError:
                 continue  # its pages were let go of
         return state_from(contents, root)
 
     def keep_only(self, digests: Collection[str]) -> None:
-        """Forget other states than those of these digests."""
+        """Forget other states than those of these digests, and the one that was started from."""
+        self._applied_pages = None
         self._known = {one: state for one, state in self._known.items() if one in digests}
 
     def tree(self, contents: Contents, base: State, state: State) -> Tree:
@@ -85,3 +96,18 @@
             if known is state:
                 return root_of(digest)
         return None
+
+
+class _Either:
+    """Pages of one source, or of another where that has not got them."""
+
+    def __init__(self, first: PageSource, second: PageSource | None) -> None:
+        self._first, self._second = first, second
+
+    def page(self, digest: str) -> bytes:
+        try:
+            return self._first.page(digest)
+        except KeyError:
+            if self._second is None:
+                raise
+            return self._second.page(digest)
--- a/tests/test_state_tree.py
+++ b/tests/test_state_tree.py
@@ -11,7 +11,15 @@
 from hypothesis import strategies as st
 
 from sailhitch.daemon.schema import parse_text
-from sailhitch.daemon.state import EMPTY, KINDS, State, digest, from_file
+from sailhitch.daemon.state import (
+    EMPTY,
+    KINDS,
+    State,
+    differing,
+    digest,
+    from_file,
+    unshared,
+)
 from sailhitch.daemon.state_tree import (
     StateTreeError,
     changed_names,
@@ -118,6 +126,29 @@
     assert len(update_tree(source, tree.root, state, moved).pages) <= 24
 
 
+@settings(max_examples=300)
+@given(
+    st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 2)),
+    st.dictionaries(st.sampled_from("abcdef"), st.integers(0, 2)),
+    st.booleans(),
+)
+def test_what_differs_is_found_whatever_the_order_and_what_is_shared(
+    old: dict[str, int], more: dict[str, int], copied: bool
+) -> None:
+    """Copies with names altered and added, copies with names taken out, and any two mappings."""
+    a: dict[str, Any] = {name: {"v": value} for name, value in old.items()}
+    b: dict[str, Any] = {**a} if copied else {}
+    b |= {name: {"v": value} for name, value in more.items()}
+    nothing = object()
+    for one, other in ((a, b), (b, a)):
+        names = {*one, *other}
+        wanted = {n for n in names if one.get(n, nothing) is not other.get(n, nothing)}
+        found = list(unshared(one, other))
+        assert sorted(found) == sorted(wanted)
+        differ = sorted(n for n in names if one.get(n) != other.get(n))
+        assert differing(one, other) == differ
+
+
 def test_one_and_one_point_nothing_are_two_states() -> None:
     state = {**EMPTY, "tenants": {"t": {"share": 1.0}}}
     other = {**EMPTY, "tenants": {"t": {"share": 1}}}
--- a/tests/test_version_states.py
+++ b/tests/test_version_states.py
@@ -89,6 +89,24 @@
     assert states.tree(contents, base, wanted) == to_tree(wanted)
 
 
+def test_the_first_version_is_read_by_its_difference_from_what_was_applied() -> None:
+    """Whose tree has listeners, and pages that the tier's contents have not got."""
+    applied = from_file(parse_text(FILE))
+    assert applied["listeners"]
+    disk = to_tree(applied)
+    contents, states = Contents({}), VersionStates()
+    digest = _add(contents, to_tree(_weighted(BASE, 5.0)))
+    states.start_from(disk.root, applied, Pages(disk.pages))
+    read = states.read(contents, digest)
+    assert read == _weighted(BASE, 5.0)
+    assert read["routes"] is applied["routes"]
+    # What follows needs those pages no more.
+    states.keep_only({digest})
+    assert (
+        states.tree(contents, read, _weighted(read, 6.0)).root == to_tree(_weighted(BASE, 6.0)).root
+    )
+
+
 def test_what_is_not_kept_is_read_anew() -> None:
     contents, states = Contents({}), VersionStates()
     digest = _add(contents, to_tree(BASE))
