Let a tier have 2,000 members

The bound was there as waiting_for sorted the whole roster for each member of it; names are sorted once for a roster now (tier/roster.py).

tests/test_many_members.py: files of 1,700 and 2,000 members are read, one of 2,001 is refused with the field, and a name that is there twice among 1,700 is named. How a tier of this size runs is not shown by this.

--- a/sailhitch/daemon/schema.py
+++ b/sailhitch/daemon/schema.py
@@ -35,7 +35,9 @@
 UNITS: Final = {"us": 1, "ms": 1000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
 LONGEST: Final = 24 * UNITS["h"]
 VERSION: Final = 1
-MOST_MEMBERS: Final = 300  # of a tier
+# Of a tier: 1,700 are asked for in two years. It was 300 while `Member.waiting_for` sorted the
+# whole roster for each member; now names are sorted once for a roster (`tier/roster.py`).
+MOST_MEMBERS: Final = 2_000
 SHORTEST_LEASE: Final = 1_000_000  # several questions to the voters fit in, and a slow disk
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 
--- /dev/null
+++ b/tests/test_many_members.py
@@ -0,0 +1,41 @@
+"""A tier of as many members as a file may name."""
+
+from __future__ import annotations
+
+import copy
+from typing import Any
+
+import pytest
+
+from sailhitch.daemon.schema import MOST_MEMBERS, FileError, parse_value
+from tests.daemons import file_value, pool
+
+FULL_SIZE = 1_700
+
+
+def _value(count: int) -> dict[str, Any]:
+    members = [
+        {"name": f"g{i}", "address": f"10.0.{i // 250}.{i % 250}:7000"} for i in range(count)
+    ]
+    tier = {"name": "t", "key_file": "keys", "voters": ["g0", "g1", "g2"], "members": members}
+    value = file_value([pool("p", {})], 8080, {"name": "g0", "state_dir": "state"})
+    return copy.deepcopy({**value, "tier": tier})
+
+
+@pytest.mark.parametrize("count", [FULL_SIZE, MOST_MEMBERS])
+def test_a_file_may_name_as_many_members_as_the_full_size_has(count: int) -> None:
+    made = parse_value(_value(count))
+    assert made.tier is not None
+    assert len(made.tier.members) == count
+
+
+def test_one_member_more_is_refused_with_the_field_and_the_bound() -> None:
+    with pytest.raises(FileError, match=rf"tier\.members: .*{MOST_MEMBERS}"):
+        parse_value(_value(MOST_MEMBERS + 1))
+
+
+def test_a_repeated_member_among_many_is_named() -> None:
+    value = _value(FULL_SIZE)
+    value["tier"]["members"][1_699]["name"] = "g7"
+    with pytest.raises(FileError, match=r"tier\.members\[1699\]\.name: 'g7' is that of .*\[7\]"):
+        parse_value(value)
