--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -17,7 +17,7 @@
 from sailhitch.daemon.page_file import FILE, PageFile, PageFileError, Root
 from sailhitch.daemon.state import EMPTY, State, digest
 from sailhitch.daemon.store import KEPT, Applied, Store, StoreError, unwatched
-from sailhitch.pages import child_digests, compress
+from sailhitch.pages import MAX_PAGE_BYTES, child_digests, compress
 
 NODES = 5000
 MOST_TIMES = 2.0  # of one state, for fifty that each differ in a weight
@@ -314,6 +314,19 @@
     full.close()
 
 
+def test_an_object_that_no_page_takes_is_refused_and_leaves_what_was(store: Store) -> None:
+    kept = list(_states(2))
+    _keep(store, kept[0])
+    before = _pages_here(store)
+    large = {**kept[1].state, "tenants": {"t": {"share": "x" * MAX_PAGE_BYTES}}}
+    with pytest.raises(StoreError, match="the state can't be kept: "):
+        store.prepare(Applied(2, 1, "t", large), unwatched)
+    assert _pages_here(store) == before
+    assert store.serials() == [1]
+    _keep(store, kept[1])
+    assert store.read(2) == kept[1]
+
+
 def test_a_rename_that_fails_leaves_what_was(store: Store, monkeypatch: pytest.MonkeyPatch) -> None:
     kept = list(_states(2))
     _keep(store, kept[0])
