Test a proposal whose base is let go of while its tree is made

By a daemon whose tier has no other member: the register is changed by others until the base's pages are gone, so that the content store refuses the tree. The change is told that its base has moved, and nothing of it holds.

--- a/tests/test_version_states.py
+++ b/tests/test_version_states.py
@@ -3,30 +3,36 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
-from collections.abc import Mapping
+from collections.abc import AsyncIterator, Mapping
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 
+from sailhitch.core.core import Core
+from sailhitch.core.log import Log
 from sailhitch.daemon.link import Link
-from sailhitch.daemon.plan import identity
+from sailhitch.daemon.live import Live, bounds
+from sailhitch.daemon.plan import MovedError, identity
 from sailhitch.daemon.schema import parse_text, parse_value
 from sailhitch.daemon.state import State, canonical, from_file
 from sailhitch.daemon.state_tree import StateTreeError, to_tree
+from sailhitch.daemon.store import Store
+from sailhitch.daemon.tiered import Tiered
 from sailhitch.daemon.version_states import VersionStates
 from sailhitch.lab.ports import free_port
 from sailhitch.pages import Key, Tree, build
 from sailhitch.tier.content_store import ContentStore, digest_of, root_of, tree_digest
 from sailhitch.tier.disk import Disk
 from sailhitch.tier.effects import Acting
-from sailhitch.tier.member import KNOWN, Founding, TierConfig
+from sailhitch.tier.member import KNOWN, Founding, Member, TierConfig
 from sailhitch.tier.messages import Decided
 from sailhitch.tier.wire import Keys
-from tests.daemons import file_value, outside, pool
+from tests.daemons import file_value, made, outside, pool
 from tests.operator_files import FILE
 from tests.page_sources import Pages
 from tests.sockets import until
@@ -211,3 +217,92 @@
 
 def _state_of(value: dict[str, Any]) -> State:
     return from_file(parse_value(json.loads(json.dumps(value))))
+
+
+# --- A proposal whose base goes while its tree is made
+
+CHANGES = 12  # each has two heads, and a member keeps the last 24 contents that it heard of
+NODES = 200  # so many that a state is more than one page
+
+
+def _all_weighted(state: State, weight: float) -> State:
+    nodes = {name: {**node, "weight": weight} for name, node in state["nodes"].items()}
+    return {**state, "nodes": nodes}
+
+
+def _ban() -> dict[str, Any]:
+    return {"by": "t", "when": 1, "why": ""}
+
+
+def test_a_proposal_whose_base_is_let_go_of_meanwhile_is_told_that_it_has_moved(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    refused: list[ValueError] = []
+    propose = Member.propose
+
+    def watched(member: Member, content: bytes | Tree, *more: Any) -> int:
+        try:
+            return propose(member, content, *more)
+        except ValueError as error:
+            refused.append(error)
+            raise
+
+    async def change_often(tier: Tiered) -> None:
+        await tier._propose(_all_weighted(tier.base().state, 3.0), "other")
+        for i in range(CHANGES):
+            await tier.ban(f"p/n{i}", _ban(), "other")
+
+    async def work() -> None:
+        async with _tier_of_one(tmp_path) as tier:
+            loop, real = asyncio.get_running_loop(), tier._tree
+            base = await tier._propose(_all_weighted(tier.base().state, 2.0), "first")
+
+            def tree(before: State, state: State) -> Tree:
+                """The tree, and then so many other changes that its base's pages are gone."""
+                made_tree = real(before, state)
+                monkeypatch.setattr(tier, "_tree", real)
+                asyncio.run_coroutine_threadsafe(change_often(tier), loop).result(30)
+                return made_tree
+
+            monkeypatch.setattr(tier, "_tree", tree)
+            monkeypatch.setattr(Member, "propose", watched)
+            with pytest.raises(MovedError, match=f"against serial {base.serial}, and .* is 15"):
+                await tier.ban("p/n99", _ban(), "late")
+            assert len(refused) == 1
+            assert "p/n99" not in tier.base().state["bans"]
+            # What is asked for anew is carried out.
+            await tier.ban("p/n99", _ban(), "again")
+            assert "p/n99" in tier.base().state["bans"]
+
+    asyncio.run(work())
+
+
+@contextlib.asynccontextmanager
+async def _tier_of_one(tmp_path: Path) -> AsyncIterator[Tiered]:
+    """A daemon in this process whose tier has no other member, and that is in it."""
+    (tmp_path / "keys").write_text(f"1 {(b'k' * 32).hex()}\n")
+    nodes = {f"n{i}": f"127.0.0.1:{9000 + i}" for i in range(NODES)}
+    value = file_value([pool("p", nodes)], free_port())
+    value["gateway"]["state_dir"] = str(tmp_path / "state")
+    value["tier"] = {
+        "name": "t", "key_file": str(tmp_path / "keys"), "voters": ["g1"],
+        "members": [{"name": "g1", "address": f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"}],
+    }  # fmt: skip
+    whole = made(value)
+    assert whole.tier is not None
+    core = Core(bounds(whole.gateway, 1_000_000), asyncio.get_running_loop(), Log("g1"))
+    folder = tmp_path / "state" / "tier"
+    store = Store(folder, "g1")
+    live = Live(core, whole.gateway, store)
+    core.begin()
+    tier = Tiered(live, whole.tier, KEYS, folder, None, Log("g1"))
+    try:
+        await tier.start(whole)
+        await until(lambda: tier.link.standing().name == "IN" and tier.base().serial == 1)
+        yield tier
+    finally:
+        live.stop_listening()
+        core.finish()
+        tier.link.close()
+        await until(lambda: tier.link._writing is None)
+        store.close()
