--- a/sailhitch/daemon/page_file.py
+++ b/sailhitch/daemon/page_file.py
@@ -91,7 +91,7 @@
             with self._db:
                 for tree in trees:
                     self._add_pages(tree.pages)
-                step("pages half kept")
+                step("pages half written")
                 added = [
                     root
                     for root in (Root(serial, tree.root) for tree in trees)
@@ -99,10 +99,10 @@
                 ]
         except sqlite3.Error as error:
             raise self._failed(error) from None
-        step("pages kept")
+        step("pages committed")
         return added
 
-    def let_go(self, roots: Iterable[Root]) -> None:
+    def release(self, roots: Iterable[Root]) -> None:
         """Keep these trees no more, nor pages that no other has; raises PageFileError."""
         try:
             with self._db:
@@ -112,7 +112,7 @@
                         (serial, bytes.fromhex(digest)),
                     )
                     if done.rowcount:
-                        self._unuse(digest)
+                        self._release_page(digest)
         except sqlite3.Error as error:
             raise self._failed(error) from None
 
@@ -149,7 +149,7 @@
         if not done.rowcount:
             raise sqlite3.DatabaseError(f"damaged: page {digest} is not there")
 
-    def _unuse(self, digest: str) -> None:
+    def _release_page(self, digest: str) -> None:
         """Count one use less of a page, and delete what is not used any more."""
         unused = [digest]
         while unused:
--- a/sailhitch/daemon/store.py
+++ b/sailhitch/daemon/store.py
@@ -4,7 +4,7 @@
 state's, and since when its nodes are new. Their pages are in one file for all (`page_file`), so
 fifty kept states cost what changed between them. Pages are on disk before the manifest; it is
 written under another name, synced and renamed, and the rename is the moment from which it holds.
-Pages that no manifest needs are let go of after that, or at the next start.
+Pages that no manifest needs are released after that, or at the next start.
 
 A manifest that is there under its own name is whole, and its pages are there. What is not so (a
 disk that lied, a hand that edited) is found by its digest and never taken for another.
@@ -79,8 +79,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Held:
-    """A state in memory whose pages are kept: the next one is written by its difference."""
+class _StoredState:
+    """A state in memory whose pages are on disk: the next one is written by its difference."""
 
     state: State
     born: Mapping[str, int]
@@ -95,17 +95,17 @@
 class _Prepared:
     """A state that is on disk and does not hold yet."""
 
-    held: _Held
+    state: _StoredState
     added: list[Root]  # kept for it alone
 
 
 class Store:
-    """A directory of applied states, held by one process."""
+    """A directory of applied states, locked by one process."""
 
     def __init__(self, path: Path, gateway: str) -> None:
         """Open or create it; raises StoreError."""
         self.path, self.gateway = path, gateway
-        self._held: _Held | None = None
+        self._latest: _StoredState | None = None
         self._prepared: _Prepared | None = None
         try:
             path.mkdir(mode=0o700, parents=True, exist_ok=True)
@@ -137,8 +137,8 @@
 
     def root_of(self, state: State) -> str | None:
         """The root of the state's tree, where this is the one written or read last."""
-        held = self._held
-        return held.root if held is not None and held.state is state else None
+        latest = self._latest
+        return latest.root if latest is not None and latest.state is state else None
 
     def last(self) -> Applied | None:
         """The state that holds, or None before the first; raises StoreError.
@@ -149,24 +149,24 @@
         for name in os.listdir(self.path):
             if name.startswith(".state-"):
                 (self.path / name).unlink()  # of an apply that came to nothing
-        self._let_go_of_unneeded()
+        self._release_unneeded()
         serials = self.serials()
         if not serials:
             return None
-        applied, held = self._load(serials[-1])
-        self._held = held
+        applied, latest = self._load(serials[-1])
+        self._latest = latest
         return applied
 
     def read(self, serial: int) -> Applied:
         """A state by its serial; raises StoreError."""
         return self._load(serial)[0]
 
-    def _load(self, serial: int) -> tuple[Applied, _Held | None]:
-        """A state, and how it is held where its pages are kept; raises StoreError."""
+    def _load(self, serial: int) -> tuple[Applied, _StoredState | None]:
+        """A state, and as the next one is written against it (not format 1); raises StoreError."""
         path, value = self._file(serial), self._manifest(serial)
         if value["format"] == WHOLE_STATE:
             value["state"].setdefault("bans", {})  # written before there were any
-            state, born, held = value["state"], value["born"], None
+            state, born, latest = value["state"], value["born"], None
         else:
             root, born_root = value["root"], value["born_root"]
             try:
@@ -179,17 +179,17 @@
                 raise StoreError(f"{said}; {self._next_step(serial)}") from None
             except PageFileError as error:
                 raise StoreError(str(error)) from None
-            held = _Held(state, born, root, born_root)
-        return Applied(serial, value["when"], value["by"], state, value["summary"], born), held
+            latest = _StoredState(state, born, root, born_root)
+        return Applied(serial, value["when"], value["by"], state, value["summary"], born), latest
 
     def _read_trees(self, root: str, born_root: str) -> tuple[State, Mapping[str, int]]:
-        """A state and `born`, by their difference from what is held."""
-        pages, held = self.pages, self._held
-        if held is None:
+        """A state and `born`, by their difference from the latest state."""
+        pages, latest = self.pages, self._latest
+        if latest is None:
             return state_from(pages, root), state_from(pages, born_root, BORN_KINDS)["born"]
-        state = changed_state(held.state, held.root, pages, root)
-        before = {"born": held.born}
-        born = changed_state(before, held.born_root, pages, born_root, BORN_KINDS)
+        state = changed_state(latest.state, latest.root, pages, root)
+        before = {"born": latest.born}
+        born = changed_state(before, latest.born_root, pages, born_root, BORN_KINDS)
         return state, born["born"]
 
     def _manifest(self, serial: int) -> dict[str, Any]:
@@ -250,19 +250,19 @@
         except StoreError:
             self._discard(added)
             raise
-        held = _Held(applied.state, applied.born, trees[0].root, trees[1].root)
-        self._prepared = _Prepared(held, added)
+        latest = _StoredState(applied.state, applied.born, trees[0].root, trees[1].root)
+        self._prepared = _Prepared(latest, added)
         return path
 
     def _trees(self, applied: Applied) -> tuple[Tree, Tree]:
-        """The trees of a state and of `born`, by their difference from what is held."""
-        born, held = {"born": applied.born}, self._held
-        if held is None:
+        """The trees of a state and of `born`, by their difference from the latest state."""
+        born, latest = {"born": applied.born}, self._latest
+        if latest is None:
             return to_tree(applied.state), to_tree(born, BORN_KINDS)
-        before = {"born": held.born}
+        before = {"born": latest.born}
         return (
-            update_tree(self.pages, held.root, held.state, applied.state),
-            update_tree(self.pages, held.born_root, before, born, BORN_KINDS),
+            update_tree(self.pages, latest.root, latest.state, applied.state),
+            update_tree(self.pages, latest.born_root, before, born, BORN_KINDS),
         )
 
     def _write_manifest(self, applied: Applied, trees: tuple[Tree, Tree], step: Step) -> Path:
@@ -300,7 +300,7 @@
                 path.unlink()
             self._discard(prepared.added)
             raise StoreError(f"{path}: {error.strerror}") from None
-        self._held = held = prepared.held
+        self._latest = latest = prepared.state
         step("renamed")
         # Danger: from here on nothing may look like a failure, or the process would go on under
         # the old state and start under the new one.
@@ -309,23 +309,23 @@
         with contextlib.suppress(OSError):
             for old in self.serials()[:-KEPT]:
                 self._file(old).unlink()
-        step("files let go of")
+        step("manifests pruned")
         with contextlib.suppress(PageFileError, OSError):
             here = set(self.serials())
-            self.pages.let_go(
+            self.pages.release(
                 root
                 for root in self.pages.roots()
                 if root.serial not in here
-                or (root.serial == serial and root not in held.roots(serial))
+                or (root.serial == serial and root not in latest.roots(serial))
             )
         step("committed")
 
     def _discard(self, roots: list[Root]) -> None:
         """Let go of pages of a state that came to nothing; else the next start does."""
         with contextlib.suppress(PageFileError):
-            self.pages.let_go(roots)
+            self.pages.release(roots)
 
-    def _let_go_of_unneeded(self) -> None:
+    def _release_unneeded(self) -> None:
         """Let go of pages that no manifest needs: of applies that were cut short."""
         here = set(self.serials())
         needed: dict[int, set[str]] = {}
@@ -335,7 +335,7 @@
                 value = self._manifest(serial)
                 needed[serial] = {value.get("root", ""), value.get("born_root", "")}
         try:
-            self.pages.let_go(
+            self.pages.release(
                 root
                 for root in self.pages.roots()
                 if root.serial not in here
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -590,8 +590,8 @@
 
 
 STEPS = [
-    "checked", "bound", "pages half kept", "pages kept", "half written", "written", "synced",
-    "renamed", "files let go of", "committed", "switched",
+    "checked", "bound", "pages half written", "pages committed", "half written", "written",
+    "synced", "renamed", "manifests pruned", "committed", "switched",
 ]  # fmt: skip
 HOLDS = {step: 1 if i < STEPS.index("renamed") else 2 for i, step in enumerate(STEPS)}
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -381,8 +381,8 @@
 _keep(store, kept[3], step)
 """
 STEPS = [
-    "pages half kept", "pages kept", "half written", "written", "synced", "renamed",
-    "files let go of", "committed",
+    "pages half written", "pages committed", "half written", "written", "synced", "renamed",
+    "manifests pruned", "committed",
 ]  # fmt: skip
 
 
