Read one state file at a start, and go through no mapping that states share

Need: at a start all manifests were read for the pages that they need, and of files of format 1 each is a whole state: fifty of full size would have taken half a minute. Only those are read now that have pages. The switch compared tenants and routes entry by entry also where both states share them.

tests/test_store.py: beside three files of the version before, a start reads the last one alone.

--- a/sailhitch/daemon/rules.py
+++ b/sailhitch/daemon/rules.py
@@ -142,6 +142,8 @@
 
 
 def _meet_classes(old: State, new: State, changed: Collection[str]) -> Mapping[str, Object]:
+    if not changed:
+        return old["classes"]
     made = dict(old["classes"])
     for name in changed:
         if name in made:
@@ -173,6 +175,8 @@
 
 
 def _meet_tenants(old: State, new: State, changed: Collection[str]) -> Mapping[str, Object]:
+    if not changed:
+        return old["tenants"]
     made = dict(old["tenants"])
     for name in changed:
         found = [t for t in (old["tenants"].get(name), new["tenants"].get(name)) if t is not None]
--- a/sailhitch/daemon/store.py
+++ b/sailhitch/daemon/store.py
@@ -326,18 +326,20 @@
             self.pages.release(roots)
 
     def _release_unneeded(self) -> None:
-        """Let go of pages that no manifest needs: of applies that were cut short."""
+        """Release pages that no manifest needs: of applies that were cut short."""
         here = set(self.serials())
-        needed: dict[int, set[str]] = {}
-        for serial in here:
-            # One that can't be read may need any of its pages, once it is mended.
-            with contextlib.suppress(StoreError):
-                value = self._manifest(serial)
-                needed[serial] = {value.get("root", ""), value.get("born_root", "")}
         try:
+            roots = self.pages.roots()
+            needed: dict[int, set[str]] = {}
+            # Only of those that have pages: files of format 1 take long to read.
+            for serial in here & {root.serial for root in roots}:
+                # One that can't be read may need any of its pages, once it is mended.
+                with contextlib.suppress(StoreError):
+                    value = self._manifest(serial)
+                    needed[serial] = {value.get("root", ""), value.get("born_root", "")}
             self.pages.release(
                 root
-                for root in self.pages.roots()
+                for root in roots
                 if root.serial not in here
                 or (root.serial in needed and root.digest not in needed[root.serial])
             )
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -229,8 +229,10 @@
         self.log.say(f"tier: turn {acting.turn}: serial {version.serial}{told}")
 
     def _differs(self, kind: str, shown: State, also: State | None) -> bool:
-        return shown[kind] != self.live.applied.state[kind] or (
-            also is not None and also[kind] != shown[kind]
+        others = [self.live.applied.state] if also is None else [self.live.applied.state, also]
+        # By identity first: a mapping that two states share is not gone through.
+        return any(
+            other[kind] is not shown[kind] and other[kind] != shown[kind] for other in others
         )
 
     # --- What operators ask for
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -217,6 +217,31 @@
     again.close()
 
 
+def test_a_start_reads_one_file_of_the_version_before_whoever_is_beside_it(
+    store: Store, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each is a whole state: fifty of them at full size would take half a minute."""
+    kept = list(_states(5))
+    for one in kept[:3]:
+        _write_whole(store.path, one)
+    real, read = Store._manifest, list[int]()
+
+    def watched(one: Store, serial: int) -> dict[str, Any]:
+        read.append(serial)
+        return real(one, serial)
+
+    monkeypatch.setattr(Store, "_manifest", watched)
+    assert store.last() == kept[2]
+    assert read == [3]
+    for one in kept[3:]:
+        _keep(store, one)
+    again = _again(store)
+    read.clear()
+    assert again.last() == kept[4]
+    assert sorted(read) == [4, 5, 5]
+    again.close()
+
+
 # --- Damage
 
 
