--- a/benchmarks/apply.py
+++ b/benchmarks/apply.py
@@ -25,10 +25,11 @@
 from sailhitch.daemon.plan import make_plan
 from sailhitch.daemon.schema import load_file
 from sailhitch.daemon.state import from_file
+from sailhitch.lab.files import toml_text
 from sailhitch.lab.load import Load
 from sailhitch.lab.node import Memory, Node
 from sailhitch.lab.ports import free_port
-from tests.daemons import Outside, file_text, file_value, part
+from tests.daemons import Outside, file_value, part
 
 SECONDS = 8.0
 
@@ -54,7 +55,7 @@
     value["gateway"] |= {"state_dir": str(folder / "state"), "admin": str(folder / "g1.sock")}
     daemon = Outside(folder, value)
     other = folder / "other.toml"
-    other.write_text(file_text({**value, "pools": [{"name": "p", "nodes": listed(count, 2.0)}]}))
+    other.write_text(toml_text({**value, "pools": [{"name": "p", "nodes": listed(count, 2.0)}]}))
     started = time.perf_counter()
     await daemon.start()
     assert daemon.program is not None
@@ -65,7 +66,7 @@
         read = time.perf_counter()
         live = await daemon.ask({"op": "state"})
         asked = time.perf_counter()
-        plan = make_plan("g1", live["serial"], live["state"], wanted).dump()
+        plan = make_plan("g1", live["serial"], live["state"], wanted, live["identity"]).dump()
         planned = time.perf_counter()
         answer = await daemon.ask({"op": "apply", "plan": plan})
         done = time.perf_counter()
--- a/sailhitch/daemon/page_file.py
+++ b/sailhitch/daemon/page_file.py
@@ -120,16 +120,12 @@
         """Add pages, and count what those that are new refer to."""
         new = []
         for digest, raw in pages.items():
+            name, packed = bytes.fromhex(digest), compress(raw)
             # One that is here is written again: it may be damaged.
-            done = self._db.execute(
-                "UPDATE pages SET packed = ? WHERE digest = ?",
-                (compress(raw), bytes.fromhex(digest)),
-            )
+            done = self._db.execute("UPDATE pages SET packed = ? WHERE digest = ?", (packed, name))
             if not done.rowcount:
                 new.append(digest)
-                self._db.execute(
-                    "INSERT INTO pages VALUES (?, ?, 0)", (bytes.fromhex(digest), compress(raw))
-                )
+                self._db.execute("INSERT INTO pages VALUES (?, ?, 0)", (name, packed))
         for digest in new:
             for child in child_digests(pages[digest]):
                 self._use(child)
--- a/tests/daemons.py
+++ b/tests/daemons.py
@@ -172,7 +172,8 @@
     async def plan(self, value: Mapping[str, Any]) -> str:
         live = await self.ask({"op": "state"})
         wanted = from_file(made(value))
-        return make_plan("g1", live["serial"], live["state"], wanted).dump()
+        of = live["serial"], live["state"], wanted, live["identity"]
+        return make_plan("g1", *of).dump()
 
     async def wait(self) -> int:
         assert self.program is not None
