--- /dev/null
+++ b/benchmarks/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and plays at the size of two years ahead (`docs/CAPACITY.md`)."""
