--- /dev/null
+++ b/benchmarks/scale/slopes.py
@@ -0,0 +1,194 @@
+"""Every figure's slope: measured at three sizes at least, fitted, and extrapolated to full size.
+
+    python -m benchmarks.scale.slopes [NAME ...] [--sizes 0.05,0.1,0.2] [--json FILE] [--list]
+
+Each size of each measurement is played by a process of its own, one after the other. Processor
+times hold beside other work; wall times are of the machine as it was, whose load is set down.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import platform
+import subprocess
+import sys
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from . import gateway_slopes, state_slopes, tier_slopes
+from .fit import Fit, FitError, fit_cost
+from .measurement import Measurement
+
+MEASUREMENTS: Final[Mapping[str, Measurement]] = {
+    one.name: one
+    for one in (
+        *state_slopes.MEASUREMENTS, *gateway_slopes.MEASUREMENTS, *tier_slopes.MEASUREMENTS
+    )
+}  # fmt: skip
+PATIENCE: Final = 300.0  # s for one size of one measurement
+HEADING: Final = (
+    "| role | figure | sizes | measured | constant + slope | residual | at full size | mechanism "
+    "|\n| --- | --- | --- | --- | --- | --- | --- | --- |"
+)
+
+
+class MeasurementError(Exception):
+    """A measurement that could not be played; the text says which, and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """A measurement's values by figure, at its sizes."""
+
+    name: str
+    sizes: tuple[float, ...]
+    values: Mapping[str, tuple[float, ...]]
+
+    def fit(self, key: str) -> Fit:
+        """The fit of one figure. Raises FitError."""
+        return fit_cost(self.sizes, self.values[key])
+
+    def as_json(self) -> dict[str, Any]:
+        """All of it, with its fits, for a file."""
+        measurement = MEASUREMENTS[self.name]
+        figures = {}
+        for figure in measurement.figures:
+            fit = self.fit(figure.key)
+            figures[figure.key] = {
+                "unit": figure.unit, "values": self.values[figure.key], "fit": asdict(fit),
+                "linear": fit.is_linear, "full": fit.at(measurement.full),
+            }  # fmt: skip
+        return {
+            "name": self.name, "role": measurement.role, "axis": measurement.axis,
+            "sizes": self.sizes, "full": measurement.full, "figures": figures,
+        }  # fmt: skip
+
+
+def play(measurement: Measurement, sizes: Sequence[float]) -> Result:
+    """Play a measurement at these sizes. Raises MeasurementError."""
+    found = [play_size(measurement, size) for size in sizes]
+    values = {one.key: tuple(at[one.key] for at in found) for one in measurement.figures}
+    return Result(measurement.name, tuple(sizes), values)
+
+
+def play_size(measurement: Measurement, size: float) -> dict[str, float]:
+    """Play one size in a process of its own. Raises MeasurementError."""
+    command = [sys.executable, "-m", "benchmarks.scale.slopes", "--one", measurement.name]
+    where = f"{measurement.name} at {size:g} {measurement.axis}"
+    try:
+        done = subprocess.run(
+            [*command, "--sizes", repr(size)], capture_output=True, text=True, check=False,
+            timeout=PATIENCE,
+        )  # fmt: skip
+    except subprocess.TimeoutExpired:
+        raise MeasurementError(f"{where}: not done within {PATIENCE:g} s") from None
+    if done.returncode:
+        raise MeasurementError(f"{where}: {done.stderr.strip().splitlines()[-1:]}")
+    found: dict[str, float] = json.loads(done.stdout.splitlines()[-1])
+    return found
+
+
+def table(results: Iterable[Result]) -> str:
+    """A line for each figure, as the page has them."""
+    lines = [HEADING]
+    for result in results:
+        measurement = MEASUREMENTS[result.name]
+        sizes = ", ".join(f"{size:g}" for size in result.sizes)
+        for figure in measurement.figures:
+            fit = result.fit(figure.key)
+            measured = ", ".join(f"{value:.3g}" for value in result.values[figure.key])
+            lines.append(
+                f"| {measurement.role} | {result.name}.{figure.key}: {figure.meaning}, "
+                f"{figure.unit} | {measurement.axis} {sizes} | {measured} | {_formula(fit)} | "
+                f"{fit.residual:.1%}{'' if fit.is_linear else ', not linear'} | "
+                f"{fit.at(measurement.full):.3g} | {figure.mechanism} |"
+            )
+    return "\n".join(lines)
+
+
+def _formula(fit: Fit) -> str:
+    text = f"{fit.constant:.3g} + {fit.slope:.3g} n"
+    return f"{text} + {fit.quadratic:.3g} n²" if fit.quadratic else text
+
+
+def circumstances() -> dict[str, Any]:
+    """The machine and the commit that figures are of."""
+    commit = subprocess.run(
+        ["git", "rev-parse", "HEAD"], capture_output=True, text=True, check=False
+    ).stdout.strip()
+    return {
+        "commit": commit, "python": platform.python_version(), "machine": platform.machine(),
+        "processors": os.cpu_count(), "load": os.getloadavg(),
+    }  # fmt: skip
+
+
+def _sizes(text: str) -> tuple[float, ...]:
+    try:
+        return tuple(float(part) for part in text.split(","))
+    except ValueError:
+        raise argparse.ArgumentTypeError(f"{text!r}: not sizes such as 0.05,0.1,0.2") from None
+
+
+def _name(text: str) -> str:
+    if text not in MEASUREMENTS:
+        known = ", ".join(MEASUREMENTS)
+        raise argparse.ArgumentTypeError(f"{text!r}: no such measurement; there are {known}")
+    return text
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.scale.slopes", description=__doc__)
+    parser.add_argument("names", nargs="*", type=_name, metavar="NAME", help="default: all")
+    parser.add_argument("--sizes", type=_sizes, help="in place of the measurement's own")
+    parser.add_argument("--json", type=Path, metavar="FILE", help="write results as JSON lines")
+    parser.add_argument("--list", action="store_true", help="print the measurements' names")
+    parser.add_argument("--one", type=_name, help=argparse.SUPPRESS)
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Play measurements and print their table; 1 where one could not be played."""
+    parser = _parser()
+    options = parser.parse_args(arguments)
+    if options.list:
+        print("\n".join(f"{one.name}: {one.role}, by {one.axis}" for one in MEASUREMENTS.values()))
+        return 0
+    if options.one is not None:
+        if not options.sizes:
+            parser.error("--one: takes --sizes")
+        print(json.dumps(MEASUREMENTS[options.one].measure(options.sizes[0])))
+        return 0
+    results, failed = _play_all(options.names or list(MEASUREMENTS), options.sizes, options.json)
+    print(table(results))
+    for problem in failed:
+        print(f"slopes: {problem}", file=sys.stderr)
+    return 1 if failed else 0
+
+
+def _play_all(
+    names: Iterable[str], sizes: tuple[float, ...] | None, file: Path | None
+) -> tuple[list[Result], list[str]]:
+    """Play each, and write each as soon as it is played."""
+    results, failed = [], []
+    for name in names:
+        measurement = MEASUREMENTS[name]
+        before = circumstances()
+        try:
+            result = play(measurement, sizes or measurement.sizes)
+            written = json.dumps({**before, **result.as_json()})
+        except (FitError, MeasurementError) as error:
+            failed.append(f"{name}: {error}")
+            continue
+        results.append(result)
+        if file is not None:
+            with file.open("a", encoding="utf-8") as out:
+                out.write(written + "\n")
+    return results, failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_slopes.py
@@ -0,0 +1,108 @@
+"""The fits that the capacity page goes by, and one small play of a measurement."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from benchmarks.scale import slopes, tier_slopes
+from benchmarks.scale.fit import FitError, fit_cost
+
+SIZES = (25.0, 50.0, 100.0, 200.0)
+
+
+def test_a_line_is_found_and_extrapolated() -> None:
+    fit = fit_cost(SIZES, [3.0 + 0.5 * size for size in SIZES])
+    assert fit.constant == pytest.approx(3.0)
+    assert fit.slope == pytest.approx(0.5)
+    assert fit.quadratic == 0.0
+    assert fit.residual == pytest.approx(0.0, abs=1e-9)
+    assert fit.is_linear
+    assert fit.at(1700) == pytest.approx(853.0)
+
+
+def test_a_cost_that_does_not_grow_is_a_line() -> None:
+    fit = fit_cost(SIZES, [7.0] * 4)
+    assert fit.is_linear
+    assert fit.at(1700) == pytest.approx(7.0)
+
+
+def test_a_square_is_told_from_a_line() -> None:
+    fit = fit_cost(SIZES, [1.0 + 0.1 * size + 0.02 * size**2 for size in SIZES])
+    assert not fit.is_linear
+    assert fit.quadratic == pytest.approx(0.02)
+    assert fit.line_residual > 0.1
+    assert fit.at(1700) == pytest.approx(1 + 170 + 0.02 * 1700**2)
+
+
+def test_a_little_noise_leaves_a_line_a_line() -> None:
+    noise = (1.02, 0.98, 1.01, 1.0)
+    values = [(3.0 + 0.5 * size) * one for size, one in zip(SIZES, noise, strict=True)]
+    fit = fit_cost(SIZES, values)
+    assert fit.is_linear
+    assert 0.0 < fit.residual < 0.05
+
+
+def test_points_that_no_line_describes_are_said_to_be_none() -> None:
+    fit = fit_cost(SIZES, [10.0, 1.0, 12.0, 2.0])
+    assert fit.residual > 0.1
+    assert not fit.is_linear
+
+
+@pytest.mark.parametrize(
+    ("sizes", "values", "why"),
+    [
+        ((1.0, 2.0), (1.0, 2.0), "2 different sizes"),
+        ((1.0, 1.0, 2.0), (1.0, 1.0, 2.0), "2 different sizes"),
+        ((1.0, 2.0, 3.0), (1.0, 2.0), "3 sizes and 2 values"),
+        ((1.0, 2.0, 3.0), (1.0, math.nan, 2.0), "no finite number"),
+        ((1.0, 2.0, math.inf), (1.0, 2.0, 3.0), "no finite number"),
+    ],
+)
+def test_points_that_nothing_can_be_fitted_to_are_refused(
+    sizes: tuple[float, ...], values: tuple[float, ...], why: str
+) -> None:
+    with pytest.raises(FitError, match=why):
+        fit_cost(sizes, values)
+
+
+def test_each_measurement_has_the_sizes_that_a_fit_takes_and_is_extrapolated_upwards() -> None:
+    for one in slopes.MEASUREMENTS.values():
+        assert len(set(one.sizes)) >= 3, one.name
+        assert one.full >= max(one.sizes), one.name
+        assert len({figure.key for figure in one.figures}) == len(one.figures), one.name
+
+
+def test_a_measurement_is_played_in_processes_of_its_own_and_fitted() -> None:
+    result = slopes.play(slopes.MEASUREMENTS["table"], (10.0, 20.0, 40.0))
+    # Of the counts alone: each name takes as many bytes of the list as any other.
+    assert result.fit("roster_bytes").residual == pytest.approx(0.0, abs=1e-9)
+    assert result.fit("roster_bytes").slope == pytest.approx(len('"gw-0000",'))
+    assert "| gateway | table.roster_bytes: " in slopes.table([result])
+    assert result.as_json()["figures"]["roster_bytes"]["linear"]
+
+
+def test_a_measurement_that_fails_is_named_with_its_size() -> None:
+    with pytest.raises(slopes.MeasurementError, match="table at nan members"):
+        slopes.play_size(slopes.MEASUREMENTS["table"], math.nan)
+
+
+def test_a_play_counts_what_a_change_sends_until_all_is_at_rest_again() -> None:
+    found = tier_slopes.play(7, None)
+    assert 1 <= found["rest_datagrams_s"] <= 10
+    assert found["change_datagrams"] > found["rest_datagrams_s"]
+    assert found["change_bytes"] > found["rest_bytes_s"]
+    assert found["until_rest_s"] >= found["in_force_s"]
+
+
+def test_a_change_waits_for_all_that_have_not_confirmed_it() -> None:
+    found = tier_slopes.pending(12.0)
+    assert found["waiting_for_ms"] > 0
+
+
+@pytest.mark.parametrize("argument", ["nothing", "--sizes=a,b"])
+def test_a_bad_argument_is_named(argument: str, capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit):
+        slopes.main([argument])
+    assert argument.removeprefix("--sizes=") in capsys.readouterr().err
