--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -52,6 +52,13 @@
         """The fit of one figure. Raises FitError."""
         return fit_cost(self.sizes, self.values[key])
 
+    def at_full(self, key: str) -> float:
+        """The figure at full size: as measured, where that was among the sizes, or by its fit."""
+        full = MEASUREMENTS[self.name].full
+        if full in self.sizes:
+            return self.values[key][self.sizes.index(full)]
+        return self.fit(key).at(full)
+
     def as_json(self) -> dict[str, Any]:
         """All of it, with its fits, for a file."""
         measurement = MEASUREMENTS[self.name]
@@ -60,7 +67,7 @@
             fit = self.fit(figure.key)
             figures[figure.key] = {
                 "unit": figure.unit, "values": self.values[figure.key], "fit": asdict(fit),
-                "linear": fit.is_linear, "full": fit.at(measurement.full),
+                "linear": fit.is_linear, "full": self.at_full(figure.key),
             }  # fmt: skip
         return {
             "name": self.name, "role": measurement.role, "axis": measurement.axis,
@@ -98,6 +105,7 @@
     for result in results:
         measurement = MEASUREMENTS[result.name]
         sizes = ", ".join(f"{size:g}" for size in result.sizes)
+        mark = " (measured)" if measurement.full in result.sizes else ""
         for figure in measurement.figures:
             fit = result.fit(figure.key)
             measured = ", ".join(f"{value:.3g}" for value in result.values[figure.key])
@@ -105,7 +113,7 @@
                 f"| {measurement.role} | {result.name}.{figure.key}: {figure.meaning}, "
                 f"{figure.unit} | {measurement.axis} {sizes} | {measured} | {_formula(fit)} | "
                 f"{fit.residual:.1%}{'' if fit.is_linear else ', not linear'} | "
-                f"{fit.at(measurement.full):.3g} | {figure.mechanism} |"
+                f"{result.at_full(figure.key):.3g}{mark} | {figure.mechanism} |"
             )
     return "\n".join(lines)
 
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -81,6 +81,13 @@
     assert result.fit("roster_bytes").slope == pytest.approx(len('"gw-0000",'))
     assert "| gateway | table.roster_bytes: " in slopes.table([result])
     assert result.as_json()["figures"]["roster_bytes"]["linear"]
+    assert result.at_full("roster_bytes") == pytest.approx(33 + 10 * 1700)
+
+
+def test_what_was_measured_at_full_size_is_not_extrapolated() -> None:
+    values = {"table_bytes": (1.0, 2.0, 3.0), "roster_bytes": (1.0, 2.0, 9.0)}
+    result = slopes.Result("table", (1.0, 2.0, 1700.0), values)
+    assert result.at_full("roster_bytes") == 9.0
 
 
 def test_a_measurement_that_fails_is_named_with_its_size() -> None:
