--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -38,6 +38,13 @@
         """Whether the cost grows as a line, within the residual that is allowed."""
         return self.quadratic == 0.0 and self.residual <= MOST_RESIDUAL
 
+    @property
+    def shape(self) -> str:
+        """What to call it: a line, a parabola, or points that neither describes."""
+        if self.residual > MOST_RESIDUAL:
+            return "scattered"
+        return "not linear" if self.quadratic else "line"
+
     def at(self, size: float) -> float:
         """The cost at a size, whether it was measured or not."""
         return self.constant + self.slope * size + self.quadratic * size * size
--- a/benchmarks/scale/gateway_slopes.py
+++ b/benchmarks/scale/gateway_slopes.py
@@ -34,8 +34,8 @@
 from .measurement import MEMBERS, Figure, Measurement, allocated_bytes, resident_bytes
 from .state_slopes import GATEWAY_PART, one_weight_changed
 
-FRACTIONS: Final = (0.05, 0.1, 0.2, 0.4)
-COMMAND_FRACTIONS: Final = (0.05, 0.1, 0.2)
+FRACTIONS: Final = (0.05, 0.1, 0.2, 0.4, 1.0)
+COMMAND_FRACTIONS: Final = (0.05, 0.1, 0.2, 0.4)
 TENANTS: Final = (7_500, 15_000, 30_000, 75_000, 150_000)
 GATEWAYS: Final = (25, 50, 100, 200, 400, 800, 1700)
 POOLS: Final = 8  # that the memory of one is averaged over
--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -21,7 +21,7 @@
 
 from . import gateway_slopes, state_slopes, tier_slopes
 from .fit import Fit, FitError, fit_cost
-from .measurement import Measurement
+from .measurement import Figure, Measurement
 
 MEASUREMENTS: Final[Mapping[str, Measurement]] = {
     one.name: one
@@ -34,6 +34,7 @@
     "| role | figure | sizes | measured | constant + slope | residual | at full size | mechanism "
     "|\n| --- | --- | --- | --- | --- | --- | --- | --- |"
 )
+_NEXT_PREFIX: Final = {"": "k", "k": "M", "M": "G"}
 
 
 class MeasurementError(Exception):
@@ -99,28 +100,44 @@
     return found
 
 
+def readable(value: float, unit: str) -> str:
+    """A figure with three digits, and bytes in the unit that suits them."""
+    prefix = ""
+    if unit.startswith("B"):
+        while abs(value) >= 1000 and prefix != "G":
+            value, prefix = value / 1000, _NEXT_PREFIX[prefix]
+    shown = f"{value:.0f}" if 1000 <= abs(value) < 1e7 else f"{value:.3g}"
+    return shown if unit == "1" else f"{shown} {prefix}{unit}"
+
+
 def table(results: Iterable[Result]) -> str:
     """A line for each figure, as the page has them."""
     lines = [HEADING]
     for result in results:
-        measurement = MEASUREMENTS[result.name]
-        sizes = ", ".join(f"{size:g}" for size in result.sizes)
-        mark = " (measured)" if measurement.full in result.sizes else ""
-        for figure in measurement.figures:
-            fit = result.fit(figure.key)
-            measured = ", ".join(f"{value:.3g}" for value in result.values[figure.key])
-            lines.append(
-                f"| {measurement.role} | {result.name}.{figure.key}: {figure.meaning}, "
-                f"{figure.unit} | {measurement.axis} {sizes} | {measured} | {_formula(fit)} | "
-                f"{fit.residual:.1%}{'' if fit.is_linear else ', not linear'} | "
-                f"{result.at_full(figure.key):.3g}{mark} | {figure.mechanism} |"
-            )
+        for figure in MEASUREMENTS[result.name].figures:
+            lines.append("| " + " | ".join(_cells(result, figure)) + " |")
     return "\n".join(lines)
 
 
-def _formula(fit: Fit) -> str:
-    text = f"{fit.constant:.3g} + {fit.slope:.3g} n"
-    return f"{text} + {fit.quadratic:.3g} n²" if fit.quadratic else text
+def _cells(result: Result, figure: Figure) -> tuple[str, ...]:
+    measurement = MEASUREMENTS[result.name]
+    fit, values = result.fit(figure.key), result.values[figure.key]
+    where = "measured" if measurement.full in result.sizes else "by the fit"
+    return (
+        measurement.role,
+        f"`{result.name}.{figure.key}`: {figure.meaning}",
+        f"{measurement.axis} {', '.join(f'{size:g}' for size in result.sizes)}",
+        ", ".join(readable(value, figure.unit) for value in values),
+        _formula(fit, figure.unit),
+        f"{fit.residual:.1%}, {fit.shape}",
+        f"{readable(result.at_full(figure.key), figure.unit)} ({where})",
+        f"`{figure.mechanism}`",
+    )
+
+
+def _formula(fit: Fit, unit: str) -> str:
+    text = f"{readable(fit.constant, unit)} + {readable(fit.slope, unit)} n"
+    return f"{text} + {readable(fit.quadratic, unit)} n²" if fit.quadratic else text
 
 
 def circumstances() -> dict[str, Any]:
--- a/benchmarks/scale/tier_slopes.py
+++ b/benchmarks/scale/tier_slopes.py
@@ -32,7 +32,8 @@
 
 SIZES: Final = (25, 50, 100, 200, 400, 800, 1700)
 PENDING_SIZES: Final = (25, 50, 100, 200, 400, 800)
-PLAY_SIZES: Final = (25, 50, 100, 200)
+PLAY_SIZES: Final = (100, 200, 400)  # below, how long gossip stays busy hides what it has to say
+REST_SIZES: Final = (25, 50, 100)
 SECOND: Final = 1_000_000
 BEAT: Final = 100_000  # us between two ticks, as the daemon has it
 LEASE: Final = 3 * SECOND
@@ -355,9 +356,12 @@
     return play(int(members), LEASE)
 
 
-_PLAY_FIGURES: Final = (
+_REST_FIGURES: Final = (
     Figure("rest_bytes_s", "B/s", "sent by a member at rest", "tier/member.py (gossip)"),
     Figure("rest_datagrams_s", "1/s", "datagrams of a member at rest", "tier/member.py (gossip)"),
+)
+_PLAY_FIGURES: Final = (
+    *_REST_FIGURES,
     Figure("in_force_s", "s", "one change until in force everywhere", "tier/member.py"),
     Figure("until_rest_s", "s", "one change until at rest again", "tier/membership.py"),
     Figure("change_bytes", "B", "sent by a member from a change until rest", "tier/membership.py"),
@@ -409,6 +413,6 @@
         "play", "gateway", "members", PLAY_SIZES, MEMBERS, _PLAY_FIGURES, play_without_lease
     ),
     Measurement(
-        "play_lease", "gateway", "members", PLAY_SIZES[:3], MEMBERS, _PLAY_FIGURES, play_with_lease
+        "play_lease", "gateway", "members", REST_SIZES, MEMBERS, _REST_FIGURES, play_with_lease
     ),
 )  # fmt: skip
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -31,6 +31,7 @@
 def test_a_square_is_told_from_a_line() -> None:
     fit = fit_cost(SIZES, [1.0 + 0.1 * size + 0.02 * size**2 for size in SIZES])
     assert not fit.is_linear
+    assert fit.shape == "not linear"
     assert fit.quadratic == pytest.approx(0.02)
     assert fit.line_residual > 0.1
     assert fit.at(1700) == pytest.approx(1 + 170 + 0.02 * 1700**2)
@@ -48,6 +49,7 @@
     fit = fit_cost(SIZES, [10.0, 1.0, 12.0, 2.0])
     assert fit.residual > 0.1
     assert not fit.is_linear
+    assert fit.shape == "scattered"
 
 
 @pytest.mark.parametrize(
@@ -79,11 +81,22 @@
     # Of the counts alone: each name takes as many bytes of the list as any other.
     assert result.fit("roster_bytes").residual == pytest.approx(0.0, abs=1e-9)
     assert result.fit("roster_bytes").slope == pytest.approx(len('"gw-0000",'))
-    assert "| gateway | table.roster_bytes: " in slopes.table([result])
+    assert "| gateway | `table.roster_bytes`: " in slopes.table([result])
     assert result.as_json()["figures"]["roster_bytes"]["linear"]
     assert result.at_full("roster_bytes") == pytest.approx(33 + 10 * 1700)
 
 
+@pytest.mark.parametrize(
+    ("value", "unit", "shown"),
+    [
+        (452.0, "B", "452 B"), (8_140_000.0, "B", "8.14 MB"), (2.2e9, "B/s", "2.2 GB/s"),
+        (3400.0, "1", "3400"), (0.0706, "s", "0.0706 s"), (-1500.0, "B", "-1.5 kB"),
+    ],
+)  # fmt: skip
+def test_figures_are_shown_in_a_unit_that_suits_them(value: float, unit: str, shown: str) -> None:
+    assert slopes.readable(value, unit) == shown
+
+
 def test_what_was_measured_at_full_size_is_not_extrapolated() -> None:
     values = {"table_bytes": (1.0, 2.0, 3.0), "roster_bytes": (1.0, 2.0, 9.0)}
     result = slopes.Result("table", (1.0, 2.0, 1700.0), values)
