--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Mapping
 from pathlib import Path
@@ -19,6 +18,7 @@
 from ..core.exchange import Attempt
 from ..core.log import Log
 from ..core.terms import Answer
+from ..pages import Tree
 from ..settings import SAFE
 from ..tier.effects import Acting, Done, End
 from ..tier.member import Founding, Member, MemberStatus, TierConfig
@@ -32,8 +32,10 @@
 from .rules import contradictions, meet
 from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart, ZonesPart
 from .source import StillPendingError, find
-from .state import State, banned, canonical, from_file
-from .store import Applied, Store
+from .state import State, banned, from_file
+from .state_tree import to_tree
+from .store import Applied, Record, Store
+from .version_states import VersionStates
 from .zoned import Zoned
 
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
@@ -48,6 +50,11 @@
         raise MovedError(base.serial, head.active.serial, pending)
 
 
+def _serial_known(member: Member) -> int:
+    """The serial of the version that a member knows to hold."""
+    return 0 if member.known is None else member.known.head.active.serial
+
+
 class Tiered:
     """The source of a daemon whose file has a `[tier]`."""
 
@@ -70,6 +77,7 @@
         self._rules = 0  # counts switches after which older requests must not be sent as they were
         self._base = Applied(0, 0, "nobody", live.applied.state)
         self._standing: MemberStatus | None = None
+        self._states = VersionStates()
         self.stopped = False
         self.zoned = Zoned(self, live, zones, live.gateway)
 
@@ -80,6 +88,9 @@
     def base(self) -> Applied:
         return self._base
 
+    def identity(self, state: State) -> str:
+        return self._states.identity(state)
+
     # --- Starting and leaving
 
     async def start(self, made: OperatorFile) -> Applied:
@@ -93,12 +104,13 @@
             first = state if before is None else before.state
             serial = 1 if before is None else before.serial
             who = "first start" if before is None else before.by
-            founding = Founding(canonical({**first, "listeners": {}}), serial, who)
+            founding = Founding(to_tree({**first, "listeners": {}}), serial, who)
             born = dict.fromkeys(first["nodes"], 0) if before is None else before.born
             shown = {**first, "listeners": self.listeners}
             applied = await live.change(Decided(shown, who, 0, born, kept=False))
         else:
             shown = {**last.state, "listeners": self.listeners}
+            self._start_from(last)
             out = self.zoned.unused_at_start(shown)
             applied = await live.change(
                 Decided(shown, last.by, 0, last.born, kept=False, unused=out)
@@ -110,6 +122,13 @@
         await self.link.start(None if self.link.knows else founding)
         return applied
 
+    def _start_from(self, last: Applied) -> None:
+        """Have the tier's version read by what differs from the state that was applied last."""
+        store = self.live.store
+        root = None if store is None else store.root_of(last.state)
+        if store is not None and root is not None:
+            self._states.start_from(root, last.state, store.pages)
+
     async def leave(self) -> None:
         """Go from the tier, so that changes do not wait for a process that is not there."""
         self.stopped = True
@@ -177,11 +196,12 @@
     async def _switch(self, acting: Acting) -> None:
         member = self.link.member
         assert member is not None
-        active = await asyncio.to_thread(self._read, member, acting.active)
+        contents, states = member.contents, self._states
+        active = await asyncio.to_thread(states.read, contents, acting.active.digest)
         version, also, shown = acting.active, None, active
         stamp = f"Tier-Version: {version.serial}"
         if acting.pending is not None:
-            also = await asyncio.to_thread(self._read, member, acting.pending)
+            also = await asyncio.to_thread(states.read, contents, acting.pending.digest)
             shown = await asyncio.to_thread(meet, active, also)
             stamp += f", {acting.pending.serial}"
         more = any(self._differs(kind, shown, also) for kind in ("routes", "classes", "tenants"))
@@ -197,6 +217,7 @@
                 rules, unused, renewed,
             )
         )  # fmt: skip
+        states.keep_only({v.digest for v in (acting.active, acting.pending) if v is not None})
         self._rules = rules
         self.zoned.goes_by(acting.posture, posture)
         for pool in self.live.core.pools:
@@ -208,17 +229,15 @@
         self.log.say(f"tier: turn {acting.turn}: serial {version.serial}{told}")
 
     def _differs(self, kind: str, shown: State, also: State | None) -> bool:
-        return shown[kind] != self.live.applied.state[kind] or (
-            also is not None and also[kind] != shown[kind]
+        others = [self.live.applied.state] if also is None else [self.live.applied.state, also]
+        # By identity first: a mapping that two states share is not gone through.
+        return any(
+            other[kind] is not shown[kind] and other[kind] != shown[kind] for other in others
         )
 
-    def _read(self, member: Member, version: Version) -> State:
-        state: dict[str, Any] = json.loads(member.contents.read(version.digest))
-        return {**state, "listeners": {}}
-
     # --- What operators ask for
 
-    def history(self) -> list[Applied]:
+    def history(self) -> list[Record]:
         store = self.live.store
         return [] if store is None else store.history()
 
@@ -236,7 +255,8 @@
         plan, base = load_plan(text), self._base
         if any(change.kind == "listeners" for change in plan.changes):
             raise PlanError("listeners are each gateway's own: change its file, and restart it")
-        return plan, check_base(plan, self.owner, base.serial, base.state)
+        identity = self.identity(base.state)
+        return plan, check_base(plan, self.owner, base.serial, base.state, identity)
 
     async def apply_file(self, made: OperatorFile, by: str) -> Applied:
         raise ApplyError("in a tier a file is not applied by SIGHUP: `sailhitch plan`, and `apply`")
@@ -254,11 +274,14 @@
             _check_same(base, (await self.decided(Member.read)).head)
             return base
         waits = bool(await asyncio.to_thread(contradictions, base.state, state))
-        content = await asyncio.to_thread(canonical, state)
+        tree = await asyncio.to_thread(self._tree, base.state, state)
         when = int(time.time() * 1e6)
 
         def ask(member: Member) -> int:
-            return member.propose(content, base.serial, waits, by, when)
+            try:
+                return member.propose(tree, base.serial, waits, by, when)
+            except ValueError:  # the base's pages were let go of: another version holds by now
+                raise MovedError(base.serial, _serial_known(member)) from None
 
         done = await self.decided(ask)
         head = done.head
@@ -268,6 +291,15 @@
         assert version is not None
         return await self._wait_for(version)
 
+    def _tree(self, base: State, state: State) -> Tree:
+        """What is proposed. Raises ApplyError for an object that no page takes."""
+        member = self.link.member
+        assert member is not None
+        try:
+            return self._states.tree(member.contents, base, state)
+        except ValueError as error:
+            raise ApplyError(f"the state can't be proposed: {error}") from None
+
     async def decided(self, ask: Any) -> Done:
         """Have the core do a job, and wait until it is decided; raises ApplyError."""
         try:
--- a/sailhitch/tier/voter.py
+++ b/sailhitch/tier/voter.py
@@ -44,13 +44,13 @@
     """
 
     def __init__(
-        self, name: str, voters: Collection[str], kept: bytes | None, library: ContentStore,
+        self, name: str, voters: Collection[str], kept: bytes | None, contents: ContentStore,
         stamps: dict[str, int], grants: Grants | None, ballot: Callable[[], Ballot], nonce: int,
         out: list[Effect],
     ) -> None:  # fmt: skip
         vote = None if kept is None else msgspec.msgpack.decode(kept, type=Vote)
         self.acceptor = Acceptor(name, voters, vote)
-        self.name, self.contents, self.stamps = name, library, stamps
+        self.name, self.contents, self.stamps = name, contents, stamps
         self.grants, self.ballot, self.nonce, self.out = grants, ballot, nonce, out
         self.others = self.acceptor.others
         self._said = 0
@@ -160,10 +160,8 @@
             self._tell()
         return lost
 
-    def promised(
-        self, voter: str, promise: Promise, source: Callable[[Decided, str], None]
-    ) -> None:
-        """A promise for this voter's own mending; `source` has contents fetched from a voter."""
+    def promised(self, voter: str, promise: Promise, fetch: Callable[[Head, str], None]) -> None:
+        """A promise for this voter's own mending; `fetch` has contents fetched from a voter."""
         if self._mending is None or promise.ballot != self._mending or self._is_found:
             return
         if not promise.ok:
@@ -174,7 +172,7 @@
             return
         self._found, self._is_found = found, True
         if found is not None:
-            source(found, voter)
+            fetch(found.head, voter)
         self.settle()
 
     def settle(self) -> None:
