Measure slopes of states as page trees: a change fetched, read, compared and switched to

The daemon reads versions, plans and kept states by what differs, and the measurements drive that: fetches of pages (one weight, one service, all), a read by difference, plans against a named base.

--- a/benchmarks/scale/gateway_slopes.py
+++ b/benchmarks/scale/gateway_slopes.py
@@ -45,27 +45,19 @@
 STOPPED_WITHIN: Final = 20.0
 
 
-def _write_states(fraction: float, first: str, second: str) -> None:
+def _write_state(fraction: float, path: str) -> None:
     """In a process of its own, so that what it allocates is not counted."""
-    state = {**full_state.state(fraction), "listeners": {}}
-    Path(first).write_bytes(canonical(state))
-    Path(second).write_bytes(canonical(one_weight_changed(state)))
+    Path(path).write_bytes(canonical({**full_state.state(fraction), "listeners": {}}))
 
 
-class Texts:
-    """A state and one with another weight, as texts that are read when they are wanted."""
-
-    def __init__(self, fraction: float, folder: Path) -> None:
-        self._paths = str(folder / "first.json"), str(folder / "second.json")
-        process = get_context("spawn").Process(target=_write_states, args=(fraction, *self._paths))
-        process.start()
-        process.join()
-        assert process.exitcode == 0, "the states were not written"
-
-    def read(self, which: int) -> State:
-        """The first or the second (0 or 1), with objects of its own, as a member reads it."""
-        state: State = json.loads(Path(self._paths[which]).read_bytes())
-        return state
+def written_state(fraction: float, folder: Path) -> Path:
+    """Where a state of this fraction is, as a text."""
+    path = folder / "state.json"
+    process = get_context("spawn").Process(target=_write_state, args=(fraction, str(path)))
+    process.start()
+    process.join()
+    assert process.exitcode == 0, "the state was not written"
+    return path
 
 
 def switch(fraction: float) -> dict[str, float]:
@@ -74,14 +66,14 @@
 
 
 async def _switch(live: Live, folder: Path, fraction: float) -> dict[str, float]:
-    texts = Texts(fraction, folder)
+    path = written_state(fraction, folder)
     before = resident_bytes()
-    state = texts.read(0)
+    state: State = json.loads(path.read_bytes())
     begun = time.process_time()
     await live.change(Decided(state, "bench", 1, dict.fromkeys(state["nodes"], 0)))
     first_s = time.process_time() - begun
     held = resident_bytes() - before
-    changed = texts.read(1)
+    changed = one_weight_changed(state)  # shares its objects, as a version that is read does
     begun, on_loop = time.process_time(), time.thread_time()
     await live.change(Decided(changed, "bench", 2))
     return {
@@ -98,8 +90,8 @@
 
 
 async def _stall(live: Live, folder: Path, fraction: float) -> dict[str, float]:
-    texts = Texts(fraction, folder)
-    state, changed = texts.read(0), texts.read(1)
+    state: State = json.loads(written_state(fraction, folder).read_bytes())
+    changed = one_weight_changed(state)
     await live.change(Decided(state, "bench", 1, dict.fromkeys(state["nodes"], 0)))
     gaps: list[float] = []
     ticker = asyncio.create_task(_tick(gaps))
--- a/benchmarks/scale/state_slopes.py
+++ b/benchmarks/scale/state_slopes.py
@@ -8,18 +8,22 @@
 import time
 import tomllib
 import zlib
+from collections import deque
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
-from sailhitch.daemon.plan import diff, make_plan
+from sailhitch.daemon.plan import diff, identity, make_plan
 from sailhitch.daemon.rules import contradictions
 from sailhitch.daemon.schema import as_route, parse_value
 from sailhitch.daemon.state import State, canonical, digest, from_file, to_file
+from sailhitch.daemon.state_tree import to_tree, update_tree
 from sailhitch.daemon.store import Applied, Store, unwatched
+from sailhitch.daemon.version_states import VersionStates
 from sailhitch.lab.files import toml_text
-from sailhitch.tier.content_store import ContentStore
+from sailhitch.tier.content_store import ContentStore, tree_digest
 from sailhitch.tier.disk import Disk
-from sailhitch.tier.messages import BlockRequest
+from sailhitch.tier.messages import PageRequest
 from sailhitch.tier.wire import Keys, Wire
 
 from . import full_state
@@ -30,6 +34,8 @@
     "name": "g1", "state_dir": "state", "rate": full_state.RATE, "sockets": 16384,
     "memory_mb": 4096,
 }  # fmt: skip
+BEAT: Final = 100_000  # us between two ticks of a member
+FETCHED_WITHIN: Final = 300_000_000  # us
 KEYS: Final = Keys(1, {1: bytes(32)})
 
 
@@ -50,10 +56,10 @@
     return {**state, "nodes": nodes}
 
 
-def as_read(state: State) -> State:
-    """The state as a member reads it from a content: with objects of its own."""
-    read: State = json.loads(canonical(state))
-    return read
+def copied(state: State) -> State:
+    """The state with objects of its own, as it comes from the admin socket."""
+    copy: State = json.loads(canonical(state))
+    return copy
 
 
 def text(fraction: float) -> dict[str, float]:
@@ -86,10 +92,13 @@
 def compare(fraction: float) -> dict[str, float]:
     """One weight changed: what each comparison of the two states takes."""
     old = full_state.state(fraction)
-    new = as_read(one_weight_changed(old))
+    new = one_weight_changed(old)  # shares its objects, as a version that is read does
+    from_file_anew = copied(new)
+    named = identity(old)
     kinds = ("routes", "classes", "tenants")
     return {
-        "plan_s": processor_seconds(lambda: make_plan("g1", 1, old, new), 2),
+        "plan_s": processor_seconds(lambda: make_plan("g1", 1, old, from_file_anew, named), 2),
+        "identity_s": processor_seconds(lambda: identity(old), 1),
         "diff_s": processor_seconds(lambda: diff(old, new), 2),
         "contradictions_s": processor_seconds(lambda: contradictions(old, new), 2),
         "check_s": processor_seconds(lambda: to_file(new, GATEWAY_PART), 1),
@@ -125,47 +134,90 @@
 
 
 def fetch(fraction: float) -> dict[str, float]:
-    """A member gets a version in which one weight has changed, from another that has it."""
-    old = full_state.state(fraction)
-    source, target = ContentStore({}), ContentStore({})
-    content = canonical({**one_weight_changed(old), "listeners": {}})
+    """A member gets a version in which one weight has changed, from one that has it; and all."""
+    old = {**full_state.state(fraction), "listeners": {}}
+    new = one_weight_changed(old)
+    base = to_tree(old)
+    source, target, newcomer = ContentStore({}), ContentStore({}), ContentStore({})
+    before = VersionStates()
+    for store in (source, target):
+        store.add(base)
+    known = before.read(target, tree_digest(base.root))
     begun = time.process_time()
-    name, packed = source.add(content)
+    name, _ = source.add(update_tree(source, base.root, old, new))
     add_s = time.process_time() - begun
+    change = _fetch(source, target, name)
+    begun = time.process_time()
+    read = before.read(target, name)
+    read_s = time.process_time() - begun
+    assert read == new, "what was fetched is not the state that was changed"
+    assert known == old, "what was read first is not the state that was kept"
+    whole = _fetch(source, newcomer, name)
+    service, _ = source.add(update_tree(source, base.root, old, service_changed(old)))
+    return {
+        "service_fetch_bytes": _fetch(source, target, service).bytes,
+        "add_s": add_s, "read_s": read_s, "fetch_s": change.processor_s,
+        "fetch_bytes": change.bytes, "fetch_datagrams": change.datagrams,
+        "whole_fetch_s": whole.processor_s, "whole_fetch_bytes": whole.bytes,
+        "whole_fetch_time_s": whole.now / 1e6, **_disk_of_content(change.kept),
+    }  # fmt: skip
+
+
+@dataclass
+class _Fetched:
+    """What a fetch took, of both ends."""
+
+    kept: dict[str, bytes] = field(default_factory=dict)
+    processor_s: float = 0.0
+    bytes: int = 0
+    datagrams: int = 0
+    now: int = 0  # microseconds, of no network: of the members' byte budgets alone
+
+
+def _fetch(source: ContentStore, target: ContentStore, name: str) -> _Fetched:
+    """Fetch a content over sealed datagrams that take no time. Raises AssertionError."""
+    rng, found = random.Random(1), _Fetched()
     there, here = Wire(KEYS, "source", 1), Wire(KEYS, "target", 2)
-    sent = datagrams = now = 0
+
+    def carry(sender: Wire, receiver: Wire, message: Any) -> Any:
+        data = sender.seal(receiver.name, message)
+        envelope = receiver.open(data)
+        assert envelope is not None, receiver.refused
+        found.bytes += len(data)
+        found.datagrams += 1
+        return envelope.message
+
     target.want(name, "source")
     begun = time.process_time()
     while not target.has(name):
-        now += 1000
-        for _, request in target.asks(now, (), 0):
-            data = here.seal("source", request)
-            envelope = there.open(data)
-            assert envelope is not None
-            assert isinstance(envelope.message, BlockRequest)
-            block = source.answer(envelope.message)
-            assert block is not None
-            answer = there.seal("target", block)
-            opened = here.open(answer)
-            assert opened is not None
-            target.take(opened.message)  # type: ignore[arg-type]
-            datagrams += 2
-            sent += len(data) + len(answer)
-    fetched_s = time.process_time() - begun
-    read_s = processor_seconds(lambda: json.loads(target.read(name)))
-    return {
-        "add_s": add_s,
-        "read_s": read_s, "fetch_s": fetched_s, "fetch_bytes": sent, "fetch_datagrams": datagrams,
-        **_disk_of_content(name, packed),
-    }  # fmt: skip
+        assert found.now < FETCHED_WITHIN, f"{name}: not fetched"
+        found.now += BEAT
+        asked: deque[PageRequest] = deque(_asked(target, found.now, rng, ["source"]))
+        while asked:
+            for reply in source.answer_pages(carry(here, there, asked.popleft()), found.now):
+                arrival = target.take_pages("source", carry(there, here, reply), found.now)
+                found.kept.update(arrival.kept)
+                asked += _asked(target, found.now, rng, None)
+    found.processor_s = time.process_time() - begun
+    return found
+
+
+def _asked(
+    store: ContentStore, now: int, rng: random.Random, others: list[str] | None
+) -> list[PageRequest]:
+    """What a store asks the one source for now, at a beat or after an answer."""
+    return [
+        request for _, request in store.requests(now, rng, others)
+        if isinstance(request, PageRequest)
+    ]  # fmt: skip
 
 
-def _disk_of_content(name: str, packed: bytes) -> dict[str, float]:
+def _disk_of_content(kept: dict[str, bytes]) -> dict[str, float]:
     with tempfile.TemporaryDirectory(prefix="sailhitch-") as folder:
         disk = Disk(Path(folder))
         before = _disk_bytes(Path(folder))
         begun = time.process_time()
-        disk.write({f"content/{name}": packed})
+        disk.write(dict(kept))
         took = time.process_time() - begun
         grown = _disk_bytes(Path(folder)) - before
         disk.close()
@@ -223,6 +275,7 @@
         "compare", "gateway", "fraction", FRACTIONS, 1.0,
         (
             Figure("plan_s", "s", "plan of one weight", "daemon/plan.py"),
+            Figure("identity_s", "s", "a state named, where no tree is at hand", "daemon/plan.py"),
             Figure("diff_s", "s", "the changes alone (an apply's summary)", "daemon/plan.py"),
             Figure("contradictions_s", "s", "contradictions of one weight", "daemon/rules.py"),
             Figure("check_s", "s", "check of a decided state", "daemon/state.py (to_file)"),
@@ -243,11 +296,15 @@
     Measurement(
         "fetch", "gateway", "fraction", FRACTIONS, 1.0,
         (
-            Figure("add_s", "s", "content digested and packed", "tier/content_store.py"),
-            Figure("read_s", "s", "a fetched version read", "daemon/tiered.py"),
-            Figure("fetch_s", "s", "both ends of a fetch", "tier/content_store.py, wire.py"),
-            Figure("fetch_bytes", "B", "a fetch, both ways", "tier/content_store.py"),
-            Figure("fetch_datagrams", "1", "datagrams of a fetch", "tier/content_store.py"),
+            Figure("add_s", "s", "the new pages made and packed", "tier/content_store.py"),
+            Figure("read_s", "s", "a fetched version read", "daemon/version_states.py"),
+            Figure("fetch_s", "s", "both ends of a fetch", "tier/page_fetcher.py, wire.py"),
+            Figure("fetch_bytes", "B", "a fetch, both ways", "tier/page_fetcher.py"),
+            Figure("fetch_datagrams", "1", "datagrams of a fetch", "tier/page_fetcher.py"),
+            Figure("service_fetch_bytes", "B", "all of a service", "tier/page_fetcher.py"),
+            Figure("whole_fetch_s", "s", "both ends, all of it", "tier/page_fetcher.py"),
+            Figure("whole_fetch_bytes", "B", "all of it, both ways", "tier/page_fetcher.py"),
+            Figure("whole_fetch_time_s", "s", "by the byte budgets", "tier/token_bucket.py"),
             Figure("tier_disk_s", "s", "content to the tier's disk", "tier/disk.py"),
             Figure("tier_disk_bytes", "B", "disk of one content", "tier/disk.py"),
         ),
