--- a/benchmarks/scale/state_slopes.py
+++ b/benchmarks/scale/state_slopes.py
@@ -9,6 +9,7 @@
 import tomllib
 import zlib
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
@@ -34,6 +35,7 @@
     "name": "g1", "state_dir": "state", "rate": full_state.RATE, "sockets": 16384,
     "memory_mb": 4096,
 }  # fmt: skip
+SOURCES: Final = 8  # members that a newcomer fetches from
 BEAT: Final = 100_000  # us between two ticks of a member
 FETCHED_WITHIN: Final = 300_000_000  # us
 KEYS: Final = Keys(1, {1: bytes(32)})
@@ -138,24 +140,26 @@
     old = {**full_state.state(fraction), "listeners": {}}
     new = one_weight_changed(old)
     base = to_tree(old)
-    source, target, newcomer = ContentStore({}), ContentStore({}), ContentStore({})
+    target, newcomer = ContentStore({}), ContentStore({})
+    sources = [ContentStore({}) for _ in range(SOURCES)]
+    source = sources[0]
     before = VersionStates()
-    for store in (source, target):
+    for store in (*sources, target):
         store.add(base)
     known = before.read(target, tree_digest(base.root))
     begun = time.process_time()
     name, _ = source.add(update_tree(source, base.root, old, new))
     add_s = time.process_time() - begun
-    change = _fetch(source, target, name)
+    change = _fetch([source], target, name)
     begun = time.process_time()
     read = before.read(target, name)
     read_s = time.process_time() - begun
     assert read == new, "what was fetched is not the state that was changed"
     assert known == old, "what was read first is not the state that was kept"
-    whole = _fetch(source, newcomer, name)
+    whole = _fetch(sources, newcomer, tree_digest(base.root))
     service, _ = source.add(update_tree(source, base.root, old, service_changed(old)))
     return {
-        "service_fetch_bytes": _fetch(source, target, service).bytes,
+        "service_fetch_bytes": _fetch([source], target, service).bytes,
         "add_s": add_s, "read_s": read_s, "fetch_s": change.processor_s,
         "fetch_bytes": change.bytes, "fetch_datagrams": change.datagrams,
         "whole_fetch_s": whole.processor_s, "whole_fetch_bytes": whole.bytes,
@@ -174,10 +178,13 @@
     now: int = 0  # microseconds, of no network: of the members' byte budgets alone
 
 
-def _fetch(source: ContentStore, target: ContentStore, name: str) -> _Fetched:
+def _fetch(sources: Sequence[ContentStore], target: ContentStore, name: str) -> _Fetched:
     """Fetch a content over sealed datagrams that take no time. Raises AssertionError."""
     rng, found = random.Random(1), _Fetched()
-    there, here = Wire(KEYS, "source", 1), Wire(KEYS, "target", 2)
+    names = [f"source-{i}" for i in range(len(sources))]
+    stores = dict(zip(names, sources, strict=True))
+    wires = {one: Wire(KEYS, one, 1) for one in names}
+    here = Wire(KEYS, "target", 2)
 
     def carry(sender: Wire, receiver: Wire, message: Any) -> Any:
         data = sender.seal(receiver.name, message)
@@ -187,15 +194,17 @@
         found.datagrams += 1
         return envelope.message
 
-    target.want(name, "source")
+    target.want(name, names[0])
     begun = time.process_time()
     while not target.has(name):
         assert found.now < FETCHED_WITHIN, f"{name}: not fetched"
         found.now += BEAT
-        asked: deque[PageRequest] = deque(_asked(target, found.now, rng, ["source"]))
+        asked = deque(_asked(target, found.now, rng, [names]))
         while asked:
-            for reply in source.answer_pages(carry(here, there, asked.popleft()), found.now):
-                arrival = target.take_pages("source", carry(there, here, reply), found.now)
+            source, request = asked.popleft()
+            there = wires[source]
+            for reply in stores[source].answer_pages(carry(here, there, request), found.now):
+                arrival = target.take_pages(source, carry(there, here, reply), found.now)
                 found.kept.update(arrival.kept)
                 asked += _asked(target, found.now, rng, None)
     found.processor_s = time.process_time() - begun
@@ -203,13 +212,14 @@
 
 
 def _asked(
-    store: ContentStore, now: int, rng: random.Random, others: list[str] | None
-) -> list[PageRequest]:
-    """What a store asks the one source for now, at a beat or after an answer."""
+    store: ContentStore, now: int, rng: random.Random, others: list[list[str]] | None
+) -> list[tuple[str, PageRequest]]:
+    """What a store asks whom for now, at a beat or after an answer."""
     return [
-        request for _, request in store.requests(now, rng, others)
+        (source, request)
+        for source, request in store.requests(now, rng, others)
         if isinstance(request, PageRequest)
-    ]  # fmt: skip
+    ]
 
 
 def _disk_of_content(kept: dict[str, bytes]) -> dict[str, float]:
