--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from benchmarks.scale import slopes, tier_slopes
+from benchmarks.scale import slopes, state_slopes, tier_slopes
 from benchmarks.scale.fit import FitError, fit_cost
 
 SIZES = (25.0, 50.0, 100.0, 200.0)
@@ -116,6 +116,24 @@
     assert found["until_rest_s"] >= found["in_force_s"]
 
 
+SMALLEST = {"fraction": 0.003, "members": 14.0, "tenants": 50.0, "gateways": 14.0}
+
+
+@pytest.mark.parametrize("name", slopes.MEASUREMENTS)
+def test_each_measurement_has_all_of_its_figures_of_what_the_daemon_does(name: str) -> None:
+    measurement = slopes.MEASUREMENTS[name]
+    found = measurement.measure(SMALLEST[measurement.axis])
+    assert found.keys() >= {figure.key for figure in measurement.figures}
+    assert all(value >= 0 for value in found.values())
+
+
+def test_one_weight_brings_few_pages_and_a_newcomer_all_of_them() -> None:
+    found = state_slopes.fetch(0.02)
+    assert 0 < found["fetch_bytes"] < 16_000
+    assert found["service_fetch_bytes"] < 16_000
+    assert found["whole_fetch_bytes"] > 4 * found["fetch_bytes"]
+
+
 def test_a_change_waits_for_all_that_have_not_confirmed_it() -> None:
     found = tier_slopes.pending(12.0)
     assert found["waiting_for_ms"] > 0
