--- a/benchmarks/scale/__init__.py
+++ b/benchmarks/scale/__init__.py
@@ -1,1 +1,4 @@
-"""Measurements and plays at the size of two years ahead (`docs/CAPACITY.md`)."""
+"""Scale runs: real daemons beside hundreds of hollow gateways on one machine.
+
+`python -m benchmarks.scale NAME` plays one experiment; `docs/scale.md` says how to read it.
+"""
--- /dev/null
+++ b/benchmarks/scale/changes.py
@@ -0,0 +1,107 @@
+"""Changes of the state, as an operator makes them: prepared beforehand, so that a command's time is
+the tier's alone."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from sailhitch.daemon.plan import make_plan
+from sailhitch.daemon.state import State, banned
+
+from .fleet import Fleet
+from .processes import RealDaemon, RigError
+
+WEIGHT: Final = "weight"  # contradicts nothing: it holds as soon as it is decided
+BAN: Final = "ban"  # contradicts: all have to confirm it first
+DECIDED: Final = 60.0  # s for a daemon to answer a command
+BUSY: Final = "pending"
+
+
+@dataclass(frozen=True)
+class Prepared:
+    """A change, ready to be asked for: `ask` gives the serial that it has got."""
+
+    kind: str
+    after: State
+    ask: Callable[[], Awaitable[int]]
+
+
+def with_weight(state: State, number: int) -> State:
+    """Another weight of one node, the one of that number."""
+    name = sorted(state["nodes"])[number % len(state["nodes"])]
+    node = state["nodes"][name]
+    return {**state, "nodes": {**state["nodes"], name: {**node, "weight": node["weight"] + 0.5}}}
+
+
+def with_ban(state: State) -> State:
+    """The first node banned, or not any more."""
+    name = min(state["nodes"])
+    ban = {"by": "scale", "when": 0, "why": "scale"}
+    return banned(state, name, None if name in state["bans"] else ban)
+
+
+def altered(kind: str, state: State, number: int) -> State:
+    """The state after a change of this kind."""
+    return with_weight(state, number) if kind == WEIGHT else with_ban(state)
+
+
+def prepare(fleet: Fleet, kind: str, count: int = 1) -> list[Prepared]:
+    """Changes of one kind, each made from the one before."""
+    found = []
+    state, serial = fleet.state, fleet.serial
+    for number in range(count):
+        after = altered(kind, state, number)
+        found.append(Prepared(kind, after, _how(fleet, kind, state, after, serial)))
+        state, serial = after, serial + 1
+    return found
+
+
+def _how(
+    fleet: Fleet, kind: str, before: State, after: State, serial: int
+) -> Callable[[], Awaitable[int]]:
+    """Asked of a daemon where there is one, else of a hollow gateway."""
+    if not fleet.daemons:
+        return fleet.proposal(after, serial, waits=kind == BAN)
+    daemon = next(iter(fleet.daemons.values()))
+    bare, wanted = {**before, "listeners": {}}, {**after, "listeners": {}}
+    if kind == BAN:
+        node = min(before["nodes"])
+        request = {"op": "ban", "node": node, "out": node in after["bans"], "why": "scale"}
+    else:
+        request = {"op": "apply", "plan": make_plan("tier full", serial, bare, wanted).dump()}
+    return functools.partial(_ask, daemon, request)
+
+
+async def _ask(daemon: RealDaemon, request: Mapping[str, Any]) -> int:
+    answer = await daemon.ask(request, DECIDED)
+    if not answer.get("ok"):
+        raise RigError(f"{daemon.name}: {request['op']}: {answer.get('error')}")
+    return int(answer["serial"])
+
+
+async def carry_out(fleet: Fleet, change: Prepared) -> int:
+    """Ask for a change, and go by it; the serial that it has got."""
+    serial = await change.ask()
+    fleet.serial = serial
+    fleet.state = await asyncio.to_thread(_held, change, fleet)
+    return serial
+
+
+def _held(change: Prepared, fleet: Fleet) -> State:
+    """The state that holds now: a daemon's ban has a time and a name of its own."""
+    if change.kind == WEIGHT or not fleet.daemons:
+        return change.after
+    daemon = next(iter(fleet.daemons.values()))
+    return ask_state(daemon)
+
+
+def ask_state(daemon: RealDaemon) -> State:
+    """The state that a daemon goes by."""
+    from sailhitch.daemon.admin import ask
+
+    state: State = ask(daemon.admin, {"op": "state"}, DECIDED)["state"]
+    return state
--- /dev/null
+++ b/benchmarks/scale/report.py
@@ -0,0 +1,166 @@
+"""Results: lines of JSON with the machine and the commit, a table, and a chart."""
+
+from __future__ import annotations
+
+import json
+import os
+import platform
+import subprocess
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+from .figures import machine_memory_kb
+from .processes import ROOT, RigError
+
+
+def machine() -> dict[str, Any]:
+    """What a run was measured on."""
+    return {
+        "cores": os.cpu_count(), "memory_mb": machine_memory_kb() // 1024,
+        "python": platform.python_version(), "system": platform.system(),
+        "load": [round(one, 2) for one in os.getloadavg()],
+    }  # fmt: skip
+
+
+def commit() -> dict[str, Any]:
+    """The commit that is measured, and whether the tree differs from it."""
+    try:
+        head = _git("rev-parse", "HEAD").strip()
+        return {"commit": head, "dirty": bool(_git("status", "--porcelain", "-uno").strip())}
+    except (OSError, subprocess.CalledProcessError):
+        return {"commit": None, "dirty": None}
+
+
+def _git(*arguments: str) -> str:
+    done = subprocess.run(
+        ["git", *arguments], cwd=ROOT, capture_output=True, text=True, check=True, timeout=10
+    )
+    return done.stdout
+
+
+def read_lines(files: Sequence[str | Path]) -> list[dict[str, Any]]:
+    """Results of earlier runs; raises RigError."""
+    found = []
+    for file in files:
+        try:
+            lines = Path(file).read_text().splitlines()
+        except OSError as error:
+            raise RigError(f"{file}: {error.strerror}") from None
+        for number, line in enumerate(lines):
+            try:
+                found.append(json.loads(line))
+            except ValueError:
+                raise RigError(f"{file}: line {number + 1}: not JSON") from None
+    return found
+
+
+def windows(value: Any, path: str = "") -> Iterator[tuple[str, dict[str, Any]]]:
+    """Each part of a result that has figures of a window, with where it is."""
+    if isinstance(value, dict):
+        if "window" in value:
+            yield path, value
+        for name, part in value.items():
+            if name != "window":
+                yield from windows(part, f"{path}.{name}" if path else name)
+    elif isinstance(value, list):
+        for number, part in enumerate(value):
+            yield from windows(part, f"{path}[{number}]")
+
+
+HEADS = (
+    "part", "members", "commit", "seconds", "in force", "behind", "all in", "at rest",
+    "B/s sent", "dgrams/s", "gossip B/s", "content B/s", "questions/s", "daemon core", "MB",
+    "B/s in+out", "host core", "dropped",
+)  # fmt: skip
+
+
+def row(result: dict[str, Any], path: str, part: dict[str, Any]) -> list[str]:
+    """One line of the table."""
+    window = part["window"]
+    hollow, daemons = window["hollow"], window["daemons"].values()
+    sent, force = hollow["sent"], part.get("in_force", {})
+    both = [one["sent"]["all"]["bytes"] + one["heard"]["all"]["bytes"] for one in daemons]
+    name = f"{result['experiment']}{'.' if path else ''}{path}"
+    return [
+        name, str(result["members"]), (result["commit"] or "-")[:7] + "+" * bool(result["dirty"]),
+        said(window["seconds"]), f"{said(force.get('median'))}/{said(force.get('worst'))}",
+        said(part.get("behind")), said(part.get("all_in")), said(part.get("at_rest_after")),
+        said(sent["all"]["bytes"]), said(sent["all"]["datagrams"]),
+        said(sent.get("gossip", {}).get("bytes")), said(sent.get("content piece", {}).get("bytes")),
+        said(hollow["questions_at_a_voter_s"]),
+        said(max((one["core_share"] for one in daemons), default=None)),
+        said(max((one["rss_mb"] for one in daemons), default=None)), said(max(both, default=None)),
+        said(max(window["hosts"]["core_share"], default=None)),
+        said(window["dropped_by_the_system"]),
+    ]  # fmt: skip
+
+
+def said(value: float | None) -> str:
+    """A figure as the table has it."""
+    if value is None:
+        return "-"
+    return f"{value:.0f}" if abs(value) >= 100 or value == int(value) else f"{value:.3g}"
+
+
+def table(results: Sequence[dict[str, Any]]) -> str:
+    """All windows of some results, as text."""
+    rows = [list(HEADS)]
+    for result in results:
+        rows += [row(result, path, part) for path, part in windows(result["figures"])]
+    widths = [max(len(one[i]) for one in rows) for i in range(len(HEADS))]
+    lines = [
+        "  ".join(
+            text.ljust(width) if i == 0 else text.rjust(width)
+            for i, (text, width) in enumerate(zip(one, widths, strict=True))
+        ).rstrip()
+        for one in rows
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def chart(results: Sequence[dict[str, Any]], file: str | Path) -> None:
+    """Bytes, processor time and seconds until rest over the members; raises RigError."""
+    try:
+        # Not on any path that a run without a chart takes: the extra `scale` brings it.
+        import matplotlib
+
+        matplotlib.use("Agg")
+        import matplotlib.pyplot as plots
+    except ImportError:
+        raise RigError("--chart: needs matplotlib: pip install 'sailhitch[scale]'") from None
+    lines: dict[str, dict[str, list[tuple[int, float]]]] = {
+        "bytes a second sent, a hollow gateway": {},
+        "part of a core, the daemon that uses most": {},
+        "seconds until gossip is at rest": {},
+        "seconds until in force everywhere": {},
+    }
+    bytes_sent, core, rest, force = lines.values()
+    for result in results:
+        for path, part in windows(result["figures"]):
+            label = (
+                f"{result['experiment']} {path.partition('[')[0]} {(result['commit'] or '')[:7]}"
+            )
+            members, window = result["members"], part["window"]
+            bytes_sent.setdefault(label, []).append(
+                (members, window["hollow"]["sent"]["all"]["bytes"])
+            )
+            shares = [one["core_share"] for one in window["daemons"].values()]
+            if shares:
+                core.setdefault(label, []).append((members, max(shares)))
+            if part.get("at_rest_after") is not None:
+                rest.setdefault(label, []).append((members, part["at_rest_after"]))
+            if part.get("in_force", {}).get("worst") is not None:
+                force.setdefault(label, []).append((members, part["in_force"]["worst"]))
+    figure, axes = plots.subplots(2, 2, figsize=(14, 9))
+    for axis, (title, series) in zip(axes.flat, lines.items(), strict=True):
+        for label, points in sorted(series.items()):
+            points.sort()
+            axis.plot([x for x, _ in points], [y for _, y in points], marker="o", label=label)
+        axis.set_title(title)
+        axis.set_xlabel("members")
+        axis.set_ylim(bottom=0)
+        axis.legend(fontsize=6)
+    figure.tight_layout()
+    figure.savefig(file)
+    plots.close(figure)
