--- a/benchmarks/scale/experiments.py
+++ b/benchmarks/scale/experiments.py
@@ -106,22 +106,25 @@
     """One weight, and one ban, each so often as is asked for, and rest after each."""
     found: dict[str, Any] = {}
     for kind in (changes.WEIGHT, changes.BAN):
-        plays = []
-        for _ in range(options.repeats):
-            prepared = await asyncio.to_thread(changes.prepare, fleet, kind)
-
-            async def play(one: changes.Prepared = prepared[0]) -> dict[str, Any]:
-                begun = figures.now()
-                serial = await changes.carry_out(fleet, one)
-                told = {"answered": rounded(figures.now() - begun)}
-                return {**told, **await in_force(fleet, serial, begun, options.patience)}
-
-            plays.append(await event(fleet, options, play))
+        plays = [await one_change(fleet, options, kind) for _ in range(options.repeats)]
         worst = [play["in_force"]["worst"] for play in plays if play["behind"] == 0]
         found[kind] = {"everywhere": spread(worst), "plays": plays}
     return found
 
 
+async def one_change(fleet: Fleet, options: Options, kind: str) -> dict[str, Any]:
+    """One change of a kind."""
+    prepared = await asyncio.to_thread(changes.prepare, fleet, kind)
+
+    async def play() -> dict[str, Any]:
+        begun = figures.now()
+        serial = await changes.carry_out(fleet, prepared[0])
+        told = {"answered": rounded(figures.now() - begun)}
+        return {**told, **await in_force(fleet, serial, begun, options.patience)}
+
+    return await event(fleet, options, play)
+
+
 async def burst(fleet: Fleet, options: Options) -> dict[str, Any]:
     """Twenty changes, one after the other as fast as they are answered."""
     prepared = await asyncio.to_thread(changes.prepare, fleet, changes.WEIGHT, BURST)
@@ -183,10 +186,16 @@
 async def regions(fleet: Fleet, options: Options) -> dict[str, Any]:
     """Two regions don't reach each other for `seconds` (for an hour that is), and do again."""
 
+    prepared = await asyncio.to_thread(changes.prepare, fleet, changes.WEIGHT)
+
     async def parted() -> dict[str, Any]:
+        """One weight is changed meanwhile: the third region hears of it and passes it on."""
         await fleet.set_faults(options.loss, PARTED)
-        await asyncio.sleep(options.seconds)
-        return {"parted_for": options.seconds, "out": len(await fleet.who_is_out())}
+        begun = figures.now()
+        serial = await changes.carry_out(fleet, prepared[0])
+        told = await in_force(fleet, serial, begun, options.seconds)
+        await asyncio.sleep(max(0.0, begun + options.seconds - figures.now()))
+        return {"parted_for": options.seconds, "out": len(await fleet.who_is_out()), **told}
 
     async def joined() -> dict[str, Any]:
         begun = figures.now()
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -49,14 +49,29 @@
     return drops
 
 
+@dataclass(frozen=True)
+class Cost:
+    """What a daemon's process has used so far."""
+
+    pid: int
+    processor: float  # s
+    rss_kb: int
+    sent: tuple[int, int]  # datagrams and bytes, by `tier status`
+
+    def since(self, before: Cost) -> Cost:
+        """What it has used since; all of it where that was another process."""
+        if before.pid != self.pid:
+            return self
+        sent = self.sent[0] - before.sent[0], self.sent[1] - before.sent[1]
+        return Cost(self.pid, self.processor - before.processor, self.rss_kb, sent)
+
+
 @dataclass
 class Look:
     """All counts at one time."""
 
     at: float
-    daemon_cpu: dict[str, float]
-    daemon_rss: dict[str, int]
-    daemon_sent: dict[str, tuple[int, int]]  # datagrams and bytes, by `tier status`
+    daemons: dict[str, Cost]
     host_cpu: list[float]
     host_rss: int
     datagrams: Counter[Row] = field(default_factory=Counter)
@@ -107,27 +122,32 @@
     them and heard from them, without what daemons say to each other.
     """
     seconds = after.at - before.at
-    known = [name for name in names if name in before.daemon_cpu and name in after.daemon_cpu]
-    daemons = {
-        name: {
-            "core_share": round((after.daemon_cpu[name] - before.daemon_cpu[name]) / seconds, 4),
-            "rss_mb": round(after.daemon_rss[name] / 1024, 1),
-            "sent_bytes_s": _sent(before, after, name, 1),
-            "sent_datagrams_s": _sent(before, after, name, 0),
+    daemons = {}
+    for name in names:
+        if name not in before.daemons or name not in after.daemons:
+            continue
+        used = after.daemons[name].since(before.daemons[name])
+        daemons[name] = {
+            "core_share": round(used.processor / seconds, 4),
+            "rss_mb": round(used.rss_kb / 1024, 1),
+            "sent_datagrams_s": round(used.sent[0] / seconds, 1),
+            "sent_bytes_s": round(used.sent[1] / seconds, 1),
             "sent": rates(by_kind(before, after, "heard", (name,)), seconds, 1),
             "heard": rates(by_kind(before, after, "sent", (name,)), seconds, 1),
         }
-        for name in known
-    }
     questions = by_kind(before, after, "heard", None, "voter").get("lease question", (0, 0))[0]
     host = [a - b for a, b in zip(after.host_cpu, before.host_cpu, strict=True)]
     return {
         "seconds": round(seconds, 2),
+        "hollow_running": hollow,
         "daemons": daemons,
         "hollow": {
             "sent": rates(by_kind(before, after, "sent", None), seconds, hollow),
             "heard": rates(by_kind(before, after, "heard", None), seconds, hollow),
-            "lost": total(by_kind(before, after, "lost", None))[0],
+            "counts": {
+                way: {kind: list(pair) for kind, pair in by_kind(before, after, way, None).items()}
+                for way in ("sent", "heard", "lost")
+            },
             "questions_at_a_voter_s": round(questions / seconds / voters, 2) if voters else None,
             "disk_bytes_s": round((after.disk_bytes - before.disk_bytes) / seconds / hollow, 1),
         },
@@ -140,13 +160,6 @@
     }
 
 
-def _sent(before: Look, after: Look, name: str, which: int) -> float | None:
-    if name not in before.daemon_sent or name not in after.daemon_sent:
-        return None
-    told = after.daemon_sent[name][which] - before.daemon_sent[name][which]
-    return round(told / (after.at - before.at), 1) if told >= 0 else None
-
-
 def spread(values: list[float]) -> dict[str, float | int | None]:
     """Count, median and worst."""
     if not values:
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -27,6 +27,7 @@
 MOST_PROCESSES: Final = 12  # in all, the rig's own among them
 ZONES: Final = 8
 REGIONS: Final = 3
+DECIDED: Final = 60.0  # s for a change to be decided
 POLL: Final = 0.1  # s between two looks at something that is waited for
 # Bytes that the check of memory counts with, on the high side.
 ROW: Final = 700  # what a member keeps of another
@@ -200,6 +201,10 @@
         """Have all processes of hollow gateways carry out a command."""
         return list(await asyncio.gather(*(host.do(name, **more) for host in self.hosts)))
 
+    def host_of(self, name: str) -> HostProcess:
+        """The process that a hollow gateway is in."""
+        return self.hosts[self.hollow.index(name) % len(self.hosts)]
+
     async def kill(self, names: Sequence[str]) -> None:
         """Kill hollow gateways; nobody is told."""
         await self.all_hosts("kill", who=list(names))
@@ -253,8 +258,10 @@
     async def in_force(self, serial: int) -> tuple[list[float], list[str]]:
         """When those that run came to act by this serial, and who does not yet."""
         said = await self.all_hosts("force", serial=serial)
-        times = [at for one in said for at in one["at"]]
-        behind = [name for one in said for name in one["behind"]]
+        found = {name: at for one in said for name, at in one.items()}
+        times = list(found.values())
+        # Counted by who should run: one that has ended by itself has not come to act by it.
+        behind = [name for name in self.running() if name not in found]
         for name, daemon in self.daemons.items():
             at = daemon.in_force_at(serial)
             if at is not None:
@@ -288,9 +295,8 @@
 
     async def _propose(self, file: str, base: int, waits: bool) -> int:
         name = self.others()[-1]
-        host = self.hosts[self.hollow.index(name) % len(self.hosts)]
-        asked = {"who": [name], "file": file, "base": base, "waits": waits, "within": 60.0}
-        done = await host.do("propose", **asked)
+        asked = {"who": [name], "file": file, "base": base, "waits": waits, "within": DECIDED}
+        done = await self.host_of(name).do("propose", **asked)
         if done["end"] not in ("active", "pending"):
             raise RigError(f"a change made from serial {base} ended as {done['end']}")
         return int(done["serial"])
@@ -299,12 +305,10 @@
 
     async def look(self, last: bool) -> figures.Look:
         """All counts now. What asking costs a daemon is outside of two looks, the second `last`."""
-        sent = {} if last else await self._daemons_sent()
-        cpu = {n: figures.processor_seconds(d.pid) for n, d in self._alive()}
-        host_cpu = [figures.processor_seconds(host.pid) for host in self.hosts]
-        at = figures.now()
+        daemons = {} if last else await self._costs()
+        at, host_cpu = figures.now(), [figures.processor_seconds(h.pid) for h in self.hosts]
         if last:
-            sent = await self._daemons_sent()
+            daemons = await self._costs(last=True)
         told = await self.all_hosts("figures")
         datagrams: Counter[figures.Row] = Counter()
         sizes: Counter[figures.Row] = Counter()
@@ -313,22 +317,22 @@
                 datagrams[tuple(key)] += count
                 sizes[tuple(key)] += size
         return figures.Look(
-            at, cpu, {n: figures.memory_kb(d.pid) for n, d in self._alive()}, sent, host_cpu,
-            sum(figures.memory_kb(host.pid) for host in self.hosts), datagrams, sizes,
-            sum(one["disk_bytes"] for one in told),
+            at, daemons, host_cpu, sum(figures.memory_kb(host.pid) for host in self.hosts),
+            datagrams, sizes, sum(one["disk_bytes"] for one in told),
             {k: max(one[k] for one in told) for k in ("late_median", "late_p99", "late_worst")},
             figures.system_drops(self.port),
         )  # fmt: skip
 
-    def _alive(self) -> list[tuple[str, RealDaemon]]:
-        return [(name, one) for name, one in self.daemons.items() if one.runs()]
-
-    async def _daemons_sent(self) -> dict[str, tuple[int, int]]:
+    async def _costs(self, last: bool = False) -> dict[str, figures.Cost]:
+        """What daemons have used; what asking them costs falls outside of two looks."""
+        alive = [(name, one) for name, one in self.daemons.items() if one.runs()]
+        processor = {name: figures.processor_seconds(one.pid) for name, one in alive}
         found = {}
-        for name, daemon in self._alive():
+        for name, daemon in alive:
             status = await daemon.status()
-            if "bytes" in status:
-                found[name] = int(status["datagrams"]), int(status["bytes"])
+            used = processor[name] if last else figures.processor_seconds(daemon.pid)
+            sent = int(status.get("datagrams", 0)), int(status.get("bytes", 0))
+            found[name] = figures.Cost(daemon.pid, used, figures.memory_kb(daemon.pid), sent)
         return found
 
     def window(self, before: figures.Look, after: figures.Look) -> dict[str, Any]:
--- a/benchmarks/scale/host.py
+++ b/benchmarks/scale/host.py
@@ -84,11 +84,10 @@
             end, serial = await one.propose(content, request["base"], request["waits"])
         return {"end": end, "serial": serial}
 
-    async def force(self, request: dict[str, Any]) -> dict[str, Any]:
-        """When those that run came to act by a serial."""
+    async def force(self, request: dict[str, Any]) -> dict[str, float]:
+        """Those that run and act by a serial, and when they came to."""
         found = {one.name: one.in_force_at(request["serial"]) for one in self.running()}
-        return {"at": [at for at in found.values() if at is not None],
-                "behind": [name for name, at in found.items() if at is None]}  # fmt: skip
+        return {name: at for name, at in found.items() if at is not None}
 
     async def state(self, request: dict[str, Any]) -> dict[str, Any]:
         """How many run, how many may act, by what, and what they keep."""
--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import signal
 import sys
 from collections.abc import Mapping
@@ -15,6 +16,7 @@
 from .figures import now
 
 ROOT: Final = Path(__file__).resolve().parents[2]
+_SERIAL: Final = re.compile(r" tier: turn \d+: serial (\d+)")
 LINE: Final = 1 << 24  # bytes of an answer at most
 ANSWER: Final = 120.0  # s for a host to carry out a command
 LOOK: Final = 0.02  # s between two looks at a daemon's log
@@ -149,7 +151,5 @@
 
 def serial_said(line: str) -> int | None:
     """The serial that a line of a daemon's log says it goes by: `tier: turn 3: serial 2, ...`."""
-    _, found, rest = line.partition(" tier: turn ")
-    _, found, said = rest.partition(": serial ") if found else ("", "", "")
-    digits = said.partition(",")[0].strip()
-    return int(digits) if found and digits.isdecimal() else None
+    found = _SERIAL.search(line)
+    return None if found is None else int(found[1])
--- /dev/null
+++ b/tests/test_scale_rig.py
@@ -0,0 +1,279 @@
+"""The rig of scale runs, at a small size. What it counts is asserted on, never how long it took."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+from typing import Any, get_args
+
+import pytest
+
+from benchmarks.scale import figures, fleet, report
+from benchmarks.scale.__main__ import main, play
+from benchmarks.scale.experiments import EXPERIMENTS, Options, change, idle, one_change, settle
+from benchmarks.scale.fleet import Fleet, Size, check_memory
+from benchmarks.scale.hollow import KINDS
+from benchmarks.scale.processes import ROOT, RigError, serial_said
+from sailhitch.tier.forms import Message
+from tests.sockets import PATIENCE
+
+HOLLOW = 12
+SMALL = Size(members=HOLLOW + 1, daemons=1, voters=3, fraction=0.001)
+ONLY_HOLLOW = Size(members=HOLLOW, daemons=0, voters=3, fraction=0.001)
+QUICK = Options(seconds=1.0, patience=30.0, repeats=1)
+
+
+def say(text: str) -> None:
+    """Nobody reads it."""
+
+
+def processes_of(folder: Path) -> list[str]:
+    """Command lines of processes that were told of a file in this folder."""
+    found = []
+    for file in Path("/proc").glob("[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            line = file.read_bytes().replace(b"\0", b" ").decode(errors="replace")
+            if str(folder) in line:
+                found.append(line)
+    return found
+
+
+@contextlib.asynccontextmanager
+async def running(size: Size, folder: Path) -> AsyncIterator[Fleet]:
+    made = Fleet(size, folder, say)
+    try:
+        await made.start()
+        yield made
+    finally:
+        await made.stop()
+    assert processes_of(folder) == []
+
+
+def counts(part: dict[str, Any], way: str) -> dict[str, list[int]]:
+    found: dict[str, list[int]] = part["window"]["hollow"]["counts"][way]
+    return found
+
+
+def test_a_change_reaches_all_and_each_kind_is_counted(tmp_path: Path) -> None:
+    async def go() -> dict[str, Any]:
+        async with running(SMALL, tmp_path) as made:
+            await settle(made, QUICK)
+            return await change(made, QUICK)
+
+    found = asyncio.run(go())
+    for kind in ("weight", "ban"):
+        part = found[kind]["plays"][0]
+        assert part["behind"] == 0
+        assert part["in_force"]["count"] == HOLLOW + 1
+        assert part["window"]["hollow_running"] == HOLLOW
+        assert part["window"]["dropped_by_the_system"] == 0
+        sent, heard = counts(part, "sent"), counts(part, "heard")
+        for message in ("promise", "accepted", "gossip", "lease question", "lease grant"):
+            assert sent[message][0] > 0, message
+        # Each of them has fetched the state, in one datagram at least.
+        assert heard["content piece"][0] >= HOLLOW
+        assert heard["content piece"][1] > heard["content piece"][0] * 100
+        assert counts(part, "lost") == {}
+        daemon = part["window"]["daemons"]["d1"]
+        assert daemon["sent_bytes_s"] >= daemon["sent"]["all"]["bytes"] * 0.5 > 0
+        assert daemon["heard"]["gossip"]["datagrams"] > 0
+        assert daemon["rss_mb"] > 10
+
+
+def test_loss_and_the_dead_are_in_the_figures(tmp_path: Path) -> None:
+    async def go() -> tuple[dict[str, Any], dict[str, Any]]:
+        options = Options(seconds=2.0, patience=30.0, loss=0.2, dead=0.1)
+        async with running(ONLY_HOLLOW, tmp_path) as made:
+            whole = await idle(made, options)
+            await settle(made, options)
+            return whole, await idle(made, options)
+
+    whole, lossy = asyncio.run(go())
+    assert counts(whole, "lost") == {}
+    assert whole["window"]["hollow_running"] == HOLLOW
+    assert lossy["window"]["hollow_running"] == HOLLOW - 1
+    lost = figures.total({k: (n, b) for k, (n, b) in counts(lossy, "lost").items()})[0]
+    heard = figures.total({k: (n, b) for k, (n, b) in counts(lossy, "heard").items()})[0]
+    assert 0.1 < lost / (lost + heard) < 0.3
+
+
+def test_a_member_that_fails_behind_the_rigs_back_is_behind(tmp_path: Path) -> None:
+    async def go() -> tuple[dict[str, Any], str]:
+        options = Options(seconds=1.0, patience=5.0, repeats=1)
+        async with running(ONLY_HOLLOW, tmp_path) as made:
+            await settle(made, options)
+            name = made.others()[0]
+            await made.all_hosts("kill", who=[name])  # not by `kill`, which the rig would know of
+            found = await one_change(made, options, "weight")
+            return found, (await made.in_force(made.serial))[1][0]
+
+    part, behind = asyncio.run(go())
+    assert part["behind"] == 1
+    assert behind == "h0004"
+    assert part["in_force"]["count"] == HOLLOW - 1
+
+
+def test_a_newcomer_fetches_what_there_is(tmp_path: Path) -> None:
+    result = asyncio.run(play("newcomer", SMALL, QUICK, say))
+    for kind in ("hollow", "daemon"):
+        part = result["figures"][kind]
+        assert part["all_in"] is not None
+    # Nobody but the newcomer fetches: what was sent in pieces is what it has got.
+    alone = result["figures"]["hollow"]
+    assert counts(alone, "heard")["content piece"][0] > 0
+    assert result["figures"]["daemon"]["after"]["cpu_s"] > 0
+
+
+@pytest.mark.parametrize("name", ["burst", "restart", "rack", "regions", "start"])
+def test_each_event_ends_with_all_in(name: str, tmp_path: Path) -> None:
+    result = asyncio.run(play(name, ONLY_HOLLOW, QUICK, say))
+    parts = [part for _, part in report.windows(result["figures"])]
+    assert parts
+    for part in parts:
+        assert part.get("behind", 0) == 0
+        assert part.get("out", 0) == 0
+        assert part["window"]["hollow"]["counts"]["sent"]["gossip"][0] > 0
+    assert result["members"] == HOLLOW
+    assert result["processes"] == 2
+    assert {"cores", "memory_mb", "python"} <= result["machine"].keys()
+    assert result["commit"] is None or len(result["commit"]) == 40
+    assert name in report.table([result])
+
+
+def test_parted_regions_do_not_reach_each_other(tmp_path: Path) -> None:
+    async def go() -> tuple[int, int]:
+        async with running(ONLY_HOLLOW, tmp_path) as made:
+            before = await made.look(last=False)
+            await made.set_faults(0.0, (1, 2))
+            await asyncio.sleep(1.0)
+            parted = await made.look(last=True)
+            await made.set_faults(0.0)
+            await made.until("all are in", made.all_in, PATIENCE)
+            joined = await made.look(last=True)
+            await asyncio.sleep(0.5)
+            later = await made.look(last=True)
+            lost = figures.total(figures.by_kind(before, parted, "lost", None))[0]
+            return lost, figures.total(figures.by_kind(joined, later, "lost", None))[0]
+
+    lost, lost_later = asyncio.run(go())
+    assert lost > 0
+    assert lost_later == 0
+
+
+# --- It ends by itself, and leaves nothing
+
+
+@contextlib.contextmanager
+def as_command(folder: Path, *more: str) -> Iterator[subprocess.Popen[str]]:
+    """The command as a process of its own, once its tier is up."""
+    line = [sys.executable, "-m", "benchmarks.scale", "idle", "--members", "13", "--voters", "3"]
+    program = subprocess.Popen(
+        [*line, "--fraction", "0.001", "--seconds", "600", *more],
+        cwd=ROOT, env=os.environ | {"TMPDIR": str(folder)}, stderr=subprocess.PIPE, text=True,
+    )  # fmt: skip
+    try:
+        assert program.stderr is not None
+        assert any("begins" in said for said in program.stderr)
+        assert len(processes_of(folder)) == 2
+        yield program
+    finally:
+        program.kill()
+        program.wait()
+        assert program.stderr is not None
+        program.stderr.close()
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_interrupted_it_leaves_no_process(number: int, tmp_path: Path) -> None:
+    with as_command(tmp_path) as program:
+        program.send_signal(number)
+        assert program.wait(PATIENCE) == 130
+        assert processes_of(tmp_path) == []
+        assert list(tmp_path.iterdir()) == []
+
+
+def test_killed_it_leaves_no_process(tmp_path: Path) -> None:
+    with as_command(tmp_path) as program:
+        program.kill()
+        program.wait()
+
+        async def gone() -> None:
+            async with asyncio.timeout(PATIENCE):
+                while processes_of(tmp_path):
+                    await asyncio.sleep(0.05)
+
+        asyncio.run(gone())
+
+
+def test_an_error_leaves_no_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def fails(made: Fleet, options: Options) -> dict[str, Any]:
+        assert len(processes_of(made.folder)) == made.size.processes() - 1
+        folders.append(made.folder)
+        await made.host_of("h0001").do("no such command")
+        raise AssertionError("it was to be refused")
+
+    folders: list[Path] = []
+    monkeypatch.setitem(EXPERIMENTS, "idle", fails)
+    with pytest.raises(RigError, match="no such command"):
+        asyncio.run(play("idle", ONLY_HOLLOW, QUICK, say))
+    assert len(folders) == 1
+    assert not folders[0].exists()
+    assert processes_of(folders[0]) == []
+
+
+# --- What it refuses, and how it reads
+
+
+def test_more_than_half_of_the_memory_is_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert check_memory(SMALL, 1000) > HOLLOW * fleet.GATEWAY
+    monkeypatch.setattr(figures, "machine_memory_kb", lambda name="MemTotal": 200_000)
+    with pytest.raises(RigError, match="half of this machine's"):
+        check_memory(SMALL, 1000)
+
+
+@pytest.mark.parametrize(
+    ("size", "why"),
+    [
+        (Size(100, voters=4), "--voters: 4"),
+        (Size(100, daemons=2, voters=3, voters_are="real"), "more than the 2 real"),
+        (Size(4000, daemons=0), "17 processes"),
+        (Size(100_000, daemons=1), "a daemon takes"),
+    ],
+)
+def test_sizes_that_cannot_be_run_are_refused(size: Size, why: str) -> None:
+    with pytest.raises(RigError, match=why):
+        size.check()
+
+
+def test_every_message_of_the_tier_has_a_name_in_the_figures() -> None:
+    tags = {str(one.__struct_config__.tag) for one in get_args(Message)}
+    assert tags == KINDS.keys()
+
+
+@pytest.mark.parametrize(
+    ("line", "serial"),
+    [
+        ("10:00:00.000 d1 tier: turn 7: serial 12", 12),
+        ("10:00:00.000 d1 tier: turn 7: serial 12, met with pending 13", 12),
+        ("10:00:00.000 d1 tier: turn 7 can't be acted by: serial 12", None),
+        ("10:00:00.000 d1 serial 3 (nobody), 4 nodes; ready", None),
+    ],
+)
+def test_serials_are_read_from_a_daemons_log(line: str, serial: int | None) -> None:
+    assert serial_said(line) == serial
+
+
+def test_results_that_are_no_json_are_refused_by_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "results.jsonl"
+    file.write_text(json.dumps({"experiment": "idle", "figures": {}}) + "\n{\n")
+    assert main(["report", str(file)]) == 1
+    assert "results.jsonl: line 2: not JSON" in capsys.readouterr().err
