--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Mapping
 from pathlib import Path
@@ -19,9 +18,11 @@
 from ..core.exchange import Attempt
 from ..core.log import Log
 from ..core.terms import Answer
+from ..pages import Tree
 from ..settings import SAFE
-from ..tier.forms import Acting, Done, End, Head, Version
-from ..tier.member import Founding, Member, Standing, Terms
+from ..tier.effects import Acting, Done, End
+from ..tier.member import Founding, Member, MemberStatus, TierConfig
+from ..tier.messages import Head, Version
 from ..tier.wire import Keys
 from .intake import come_back
 from .link import Link, steady
@@ -31,8 +32,10 @@
 from .rules import contradictions, meet
 from .schema import MOST_MEMBERS, OperatorFile, TierMemberPart, TierPart, ZonesPart
 from .source import StillPendingError, find
-from .state import State, banned, canonical, from_file
-from .store import Applied, Store
+from .state import State, banned, from_file
+from .state_tree import to_tree
+from .store import Applied, Record, Store
+from .version_states import VersionStates
 from .zoned import Zoned
 
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
@@ -47,6 +50,11 @@
         raise MovedError(base.serial, head.active.serial, pending)
 
 
+def _serial_known(member: Member) -> int:
+    """The serial of the version that a member knows to hold."""
+    return 0 if member.known is None else member.known.head.active.serial
+
+
 class Tiered:
     """The source of a daemon whose file has a `[tier]`."""
 
@@ -58,7 +66,7 @@
         self.live, self.part, self.own, self.log = live, part, own, log
         name = live.gateway.name
         addresses = {m.name: address_of(m.address) for m in part.members}
-        terms = Terms(name, tuple(part.voters), tuple(addresses), part.lease)
+        terms = TierConfig(name, tuple(part.voters), tuple(addresses), part.lease)
         self.link = Link(terms, addresses, keys, folder, self._act, log.say)
         self.link.beaten = self._beaten
         self.listeners: Mapping[str, Any] = {}
@@ -68,7 +76,8 @@
         self._last: Acting | None = None
         self._rules = 0  # counts switches after which older requests must not be sent as they were
         self._base = Applied(0, 0, "nobody", live.applied.state)
-        self._standing: Standing | None = None
+        self._standing: MemberStatus | None = None
+        self._states = VersionStates()
         self.stopped = False
         self.zoned = Zoned(self, live, zones, live.gateway)
 
@@ -79,6 +88,9 @@
     def base(self) -> Applied:
         return self._base
 
+    def identity(self, state: State) -> str:
+        return self._states.identity(state)
+
     # --- Starting and leaving
 
     async def start(self, made: OperatorFile) -> Applied:
@@ -92,7 +104,7 @@
             first = state if before is None else before.state
             serial = 1 if before is None else before.serial
             who = "first start" if before is None else before.by
-            founding = Founding(canonical({**first, "listeners": {}}), serial, who)
+            founding = Founding(to_tree({**first, "listeners": {}}), serial, who)
             born = dict.fromkeys(first["nodes"], 0) if before is None else before.born
             shown = {**first, "listeners": self.listeners}
             applied = await live.change(Decided(shown, who, 0, born, kept=False))
@@ -122,7 +134,7 @@
 
     def _gate(self, effect: str) -> Answer | None:
         """Danger: asked when a request is read; what is asked at the write is `_may_write`."""
-        return None if effect == SAFE or self.link.standing() is Standing.IN else OUT
+        return None if effect == SAFE or self.link.standing() is MemberStatus.IN else OUT
 
     def _may_write(self, attempt: Attempt) -> bool:
         """Whether the rules that hold at this moment allow what was chosen under others."""
@@ -132,12 +144,12 @@
             return False
         if exchange.kind is None or exchange.kind.effect == SAFE:
             return True
-        return exchange.rules >= self._rules and self.link.standing() is Standing.IN
+        return exchange.rules >= self._rules and self.link.standing() is MemberStatus.IN
 
     def _beaten(self) -> None:
         core, standing = self.live.core, self.link.standing()
         self.zoned.beat()
-        core.ready = standing is Standing.IN and not core.drain_since and not self.stopped
+        core.ready = standing is MemberStatus.IN and not core.drain_since and not self.stopped
         if standing is not self._standing:
             self._standing = standing
             self.log.say(f"tier: {standing.name.lower()}: {standing.value}")
@@ -176,11 +188,12 @@
     async def _switch(self, acting: Acting) -> None:
         member = self.link.member
         assert member is not None
-        active = await asyncio.to_thread(self._read, member, acting.active)
+        contents, states = member.contents, self._states
+        active = await asyncio.to_thread(states.read, contents, acting.active.digest)
         version, also, shown = acting.active, None, active
         stamp = f"Tier-Version: {version.serial}"
         if acting.pending is not None:
-            also = await asyncio.to_thread(self._read, member, acting.pending)
+            also = await asyncio.to_thread(states.read, contents, acting.pending.digest)
             shown = await asyncio.to_thread(meet, active, also)
             stamp += f", {acting.pending.serial}"
         more = any(self._differs(kind, shown, also) for kind in ("routes", "classes", "tenants"))
@@ -196,6 +209,7 @@
                 rules, unused, renewed,
             )
         )  # fmt: skip
+        states.keep_only({v.digest for v in (acting.active, acting.pending) if v is not None})
         self._rules = rules
         self.zoned.goes_by(acting.posture, posture)
         for pool in self.live.core.pools:
@@ -211,13 +225,9 @@
             also is not None and also[kind] != shown[kind]
         )
 
-    def _read(self, member: Member, version: Version) -> State:
-        state: dict[str, Any] = json.loads(member.library.read(version.digest))
-        return {**state, "listeners": {}}
-
     # --- What operators ask for
 
-    def history(self) -> list[Applied]:
+    def history(self) -> list[Record]:
         store = self.live.store
         return [] if store is None else store.history()
 
@@ -235,7 +245,8 @@
         plan, base = load_plan(text), self._base
         if any(change.kind == "listeners" for change in plan.changes):
             raise PlanError("listeners are each gateway's own: change its file, and restart it")
-        return plan, check_base(plan, self.owner, base.serial, base.state)
+        identity = self.identity(base.state)
+        return plan, check_base(plan, self.owner, base.serial, base.state, identity)
 
     async def apply_file(self, made: OperatorFile, by: str) -> Applied:
         raise ApplyError("in a tier a file is not applied by SIGHUP: `sailhitch plan`, and `apply`")
@@ -246,18 +257,21 @@
     async def _propose(self, state: State, by: str) -> Applied:
         base = self._base
         state = {**state, "listeners": {}}
-        if self.link.standing() is not Standing.IN:
+        if self.link.standing() is not MemberStatus.IN:
             raise ApplyError(f"this gateway {self.link.standing().value}; ask another one")
         if state == base.state:
             # Danger: what this member goes by may be over, and "nothing to do" be untrue.
             _check_same(base, (await self.decided(Member.read)).head)
             return base
         waits = bool(await asyncio.to_thread(contradictions, base.state, state))
-        content = await asyncio.to_thread(canonical, state)
+        tree = await asyncio.to_thread(self._tree, base.state, state)
         when = int(time.time() * 1e6)
 
         def ask(member: Member) -> int:
-            return member.propose(content, base.serial, waits, by, when)
+            try:
+                return member.propose(tree, base.serial, waits, by, when)
+            except ValueError:  # the base's pages were let go of: another version holds by now
+                raise MovedError(base.serial, _serial_known(member)) from None
 
         done = await self.decided(ask)
         head = done.head
@@ -267,6 +281,15 @@
         assert version is not None
         return await self._wait_for(version)
 
+    def _tree(self, base: State, state: State) -> Tree:
+        """What is proposed. Raises ApplyError for an object that no page takes."""
+        member = self.link.member
+        assert member is not None
+        try:
+            return self._states.tree(member.contents, base, state)
+        except ValueError as error:
+            raise ApplyError(f"the state can't be proposed: {error}") from None
+
     async def decided(self, ask: Any) -> Done:
         """Have the core do a job, and wait until it is decided; raises ApplyError."""
         try:
@@ -335,7 +358,7 @@
         member = self.link.member
         if member is None or not member.settled():
             raise ApplyError("this gateway has not heard what holds yet; try again")
-        known = {*member.terms.peers, *member.roster.places}
+        known = {*member.config.peers, *member.roster.places}
         why = member.why_not_admitted(name)
         if why:
             raise ApplyError(f"{name!r}: {why}")
