--- a/benchmarks/scale/changes.py
+++ b/benchmarks/scale/changes.py
@@ -18,7 +18,6 @@
 WEIGHT: Final = "weight"  # contradicts nothing: it holds as soon as it is decided
 BAN: Final = "ban"  # contradicts: all have to confirm it first
 DECIDED: Final = 60.0  # s for a daemon to answer a command
-BUSY: Final = "pending"
 
 
 @dataclass(frozen=True)
@@ -49,30 +48,31 @@
     return with_weight(state, number) if kind == WEIGHT else with_ban(state)
 
 
-def prepare(fleet: Fleet, kind: str, count: int = 1) -> list[Prepared]:
+async def prepare(fleet: Fleet, kind: str, count: int = 1) -> list[Prepared]:
     """Changes of one kind, each made from the one before."""
     found = []
     state, serial = fleet.state, fleet.serial
     for number in range(count):
-        after = altered(kind, state, number)
-        found.append(Prepared(kind, after, _how(fleet, kind, state, after, serial)))
+        after = await asyncio.to_thread(altered, kind, state, number)
+        found.append(Prepared(kind, after, await _how(fleet, kind, state, after, serial)))
         state, serial = after, serial + 1
     return found
 
 
-def _how(
+async def _how(
     fleet: Fleet, kind: str, before: State, after: State, serial: int
 ) -> Callable[[], Awaitable[int]]:
     """Asked of a daemon where there is one, else of a hollow gateway."""
     if not fleet.daemons:
-        return fleet.proposal(after, serial, waits=kind == BAN)
+        return await fleet.proposal(after, serial, waits=kind == BAN)
     daemon = next(iter(fleet.daemons.values()))
     bare, wanted = {**before, "listeners": {}}, {**after, "listeners": {}}
     if kind == BAN:
         node = min(before["nodes"])
         request = {"op": "ban", "node": node, "out": node in after["bans"], "why": "scale"}
     else:
-        request = {"op": "apply", "plan": make_plan("tier full", serial, bare, wanted).dump()}
+        plan = await asyncio.to_thread(make_plan, "tier full", serial, bare, wanted)
+        request = {"op": "apply", "plan": plan.dump()}
     return functools.partial(_ask, daemon, request)
 
 
--- a/benchmarks/scale/experiments.py
+++ b/benchmarks/scale/experiments.py
@@ -114,7 +114,7 @@
 
 async def one_change(fleet: Fleet, options: Options, kind: str) -> dict[str, Any]:
     """One change of a kind."""
-    prepared = await asyncio.to_thread(changes.prepare, fleet, kind)
+    prepared = await changes.prepare(fleet, kind)
 
     async def play() -> dict[str, Any]:
         begun = figures.now()
@@ -127,7 +127,7 @@
 
 async def burst(fleet: Fleet, options: Options) -> dict[str, Any]:
     """Twenty changes, one after the other as fast as they are answered."""
-    prepared = await asyncio.to_thread(changes.prepare, fleet, changes.WEIGHT, BURST)
+    prepared = await changes.prepare(fleet, changes.WEIGHT, BURST)
 
     async def play() -> dict[str, Any]:
         begun = figures.now()
@@ -154,7 +154,7 @@
 async def rack(fleet: Fleet, options: Options) -> dict[str, Any]:
     """Twenty members are lost at once, and a change that contradicts is asked for right after."""
     names = fleet.others()[: min(RACK, len(fleet.others()) // 2)]
-    prepared = await asyncio.to_thread(changes.prepare, fleet, changes.BAN)
+    prepared = await changes.prepare(fleet, changes.BAN)
 
     async def play() -> dict[str, Any]:
         await fleet.kill(names)
@@ -186,7 +186,7 @@
 async def regions(fleet: Fleet, options: Options) -> dict[str, Any]:
     """Two regions don't reach each other for `seconds` (for an hour that is), and do again."""
 
-    prepared = await asyncio.to_thread(changes.prepare, fleet, changes.WEIGHT)
+    prepared = await changes.prepare(fleet, changes.WEIGHT)
 
     async def parted() -> dict[str, Any]:
         """One weight is changed meanwhile: the third region hears of it and passes it on."""
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -76,7 +76,7 @@
     host_rss: int
     datagrams: Counter[Row] = field(default_factory=Counter)
     bytes: Counter[Row] = field(default_factory=Counter)
-    disk_bytes: int = 0
+    kept: Counter[str] = field(default_factory=Counter)  # writes, bytes and pages to disks
     late: dict[str, float] = field(default_factory=dict)
     drops: int = 0
 
@@ -149,7 +149,7 @@
                 for way in ("sent", "heard", "lost")
             },
             "questions_at_a_voter_s": round(questions / seconds / voters, 2) if voters else None,
-            "disk_bytes_s": round((after.disk_bytes - before.disk_bytes) / seconds / hollow, 1),
+            "kept": {name: count - before.kept[name] for name, count in after.kept.items()},
         },
         "hosts": {
             "core_share": [round(used / seconds, 3) for used in host],
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -286,15 +286,16 @@
 
     # --- Changes
 
-    def proposal(self, after: State, base: int, waits: bool) -> Callable[[], Awaitable[int]]:
+    async def proposal(self, after: State, base: int, waits: bool) -> Callable[[], Awaitable[int]]:
         """What to call to have a hollow gateway offer a state; all work is done beforehand."""
         self._proposals += 1
-        file = self.folder / f"proposal-{self._proposals}.json"
-        file.write_bytes(canonical({**after, "listeners": {}}))
-        return functools.partial(self._propose, str(file), base, waits)
+        file, name = self.folder / f"proposal-{self._proposals}.json", self.others()[-1]
+        content = canonical({**after, "listeners": {}})
+        await asyncio.to_thread(file.write_bytes, content)
+        await self.host_of(name).do("prepare", file=str(file))
+        return functools.partial(self._propose, name, str(file), base, waits)
 
-    async def _propose(self, file: str, base: int, waits: bool) -> int:
-        name = self.others()[-1]
+    async def _propose(self, name: str, file: str, base: int, waits: bool) -> int:
         asked = {"who": [name], "file": file, "base": base, "waits": waits, "within": DECIDED}
         done = await self.host_of(name).do("propose", **asked)
         if done["end"] not in ("active", "pending"):
@@ -312,13 +313,15 @@
         told = await self.all_hosts("figures")
         datagrams: Counter[figures.Row] = Counter()
         sizes: Counter[figures.Row] = Counter()
+        kept: Counter[str] = Counter()
         for one in told:
+            kept.update(one["kept"])
             for *key, count, size in one["traffic"]:
                 datagrams[tuple(key)] += count
                 sizes[tuple(key)] += size
         return figures.Look(
             at, daemons, host_cpu, sum(figures.memory_kb(host.pid) for host in self.hosts),
-            datagrams, sizes, sum(one["disk_bytes"] for one in told),
+            datagrams, sizes, kept,
             {k: max(one[k] for one in told) for k in ("late_median", "late_p99", "late_worst")},
             figures.system_drops(self.port),
         )  # fmt: skip
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -7,16 +7,22 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import secrets
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any, Final
 
-from sailhitch.tier.forms import Act, Done, End, Keep, Message, Send
-from sailhitch.tier.member import Founding, Member, Standing, Terms
+from sailhitch.daemon.state_tree import to_tree
+from sailhitch.pages import Tree
+from sailhitch.tier.content_store import PAGE
+from sailhitch.tier.effects import Act, Done, End, Keep, Send
+from sailhitch.tier.member import Founding, Member, MemberStatus, TierConfig
+from sailhitch.tier.messages import Message
 from sailhitch.tier.wire import Keys, Wire
 
 BEAT: Final = 0.1  # s, as the daemon's link
@@ -26,11 +32,9 @@
     "l": "read", "L": "read answer", "p": "prepare", "P": "promise", "a": "accept",
     "A": "accepted", "h": "voter hello", "H": "voter here", "n": "gossip", "q": "lease question",
     "g": "lease grant", "c": "content request", "C": "content piece", "i": "ping", "I": "ack",
-    "N": "nack", "v": "relayed",
+    "N": "nack", "v": "relayed", "t": "page request", "T": "page reply",
 }  # fmt: skip
 GOSSIP: Final = "gossip"
-CONTENT: Final = "content piece"
-QUESTION: Final = "lease question"
 Address = tuple[str, int]
 
 
@@ -39,6 +43,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
 
 
+def read_content(file: Path) -> Tree:
+    """What a member proposes or founds a tier with, of the canonical text of a state."""
+    return to_tree(json.loads(file.read_bytes()))
+
+
 def kind_of(message: Message) -> str:
     """What a message is called in the figures."""
     tag = str(message.__struct_config__.tag)
@@ -67,6 +76,18 @@
         return [[*key, count, self.bytes[key]] for key, count in self.datagrams.items()]
 
 
+@dataclass
+class Kept:
+    """What was written to disks, in all."""
+
+    writes: int = 0
+    bytes: int = 0
+    pages: int = 0  # of trees
+
+    def __add__(self, other: Kept) -> Kept:
+        return Kept(self.writes + other.writes, self.bytes + other.bytes, self.pages + other.pages)
+
+
 @dataclass
 class Faults:
     """What the rig does to datagrams between a hollow gateway and whoever it speaks with."""
@@ -96,7 +117,7 @@
     real: frozenset[str]  # members that are daemons
     keys: Keys
     lease: int | None  # us
-    founding: bytes  # the canonical text of the state that the tier begins with
+    founding: Tree | None  # the state that the tier begins with; only voters need it
     traffic: Traffic = field(default_factory=Traffic)
     faults: Faults = field(default_factory=Faults)
     lateness: list[float] = field(default_factory=list)  # s by which beats came late
@@ -112,7 +133,7 @@
         self.name, self.plan = name, plan
         self.role = "voter" if name in plan.voters else "member"
         self.disk: dict[str, bytes] = {}
-        self.disk_bytes = 0  # written in all
+        self.kept = Kept()
         self.member: Member | None = None
         self.serials: list[tuple[float, int]] = []  # when it came to act by which active serial
         self._wire: Wire | None = None
@@ -129,11 +150,12 @@
         loop = asyncio.get_running_loop()
         self._wire = Wire(plan.keys, self.name, boot)
         await loop.create_datagram_endpoint(lambda: self, local_addr=plan.addresses[self.name])
-        terms = Terms(self.name, plan.voters, plan.peers, plan.lease)
-        is_new = not self.disk
-        founding = Founding(plan.founding, 1, "scale") if is_new else None
+        config = TierConfig(self.name, plan.voters, plan.peers, plan.lease)
+        founding = None
+        if plan.founding is not None and not self.disk:
+            founding = Founding(plan.founding, 1, "scale")
         rng = random.Random(secrets.randbits(64))
-        self.member = Member(terms, boot, dict(self.disk), rng, steady(), founding)
+        self.member = Member(config, boot, dict(self.disk), rng, steady(), founding)
         self.serials = []
         self._due = loop.time() + rng.random() * BEAT  # beats of many are spread
         self._beat = loop.call_at(self._due, self._tick)
@@ -164,7 +186,7 @@
 
     def is_in(self) -> bool:
         """Whether it may act."""
-        return self.member is not None and self.member.standing(steady()) is Standing.IN
+        return self.member is not None and self.member.standing(steady()) is MemberStatus.IN
 
     def active(self) -> int:
         """The serial that it acts by; 0: none."""
@@ -174,11 +196,11 @@
         """When it came to act by this serial or a later one, on the machine's steady clock."""
         return next((at for at, one in self.serials if one >= serial), None)
 
-    def contents_held(self) -> int:
-        """Bytes of the contents that it keeps."""
-        return sum(len(value) for name, value in self.disk.items() if name.startswith("content/"))
+    def disk_held(self) -> int:
+        """Bytes that are on its disk."""
+        return sum(len(value) for value in self.disk.values())
 
-    async def propose(self, content: bytes, base: int, waits: bool) -> tuple[str, int]:
+    async def propose(self, content: Tree, base: int, waits: bool) -> tuple[str, int]:
         """Offer a state: how that ended, and the serial that it was given."""
 
         def ask(member: Member) -> int:
@@ -274,9 +296,11 @@
                 future.set_result(effect)
 
     def _keep(self, items: Mapping[str, bytes | None]) -> None:
+        self.kept.writes += 1
         for name, value in items.items():
             if value is None:
                 self.disk.pop(name, None)
-            else:
-                self.disk[name] = value
-                self.disk_bytes += len(value)
+                continue
+            self.disk[name] = value
+            self.kept.bytes += len(value)
+            self.kept.pages += name.startswith(PAGE)
--- a/benchmarks/scale/host.py
+++ b/benchmarks/scale/host.py
@@ -13,14 +13,16 @@
 import statistics
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any, Final
 
 import uvloop
 
+from sailhitch.pages import Tree
 from sailhitch.tier.wire import load_keys
 
-from .hollow import GOSSIP, HollowGateway, TierPlan
+from .hollow import GOSSIP, HollowGateway, Kept, TierPlan, read_content
 
 LINE: Final = 1 << 24  # bytes of a command at most
 AT_ONCE: Final = 50  # gateways started in one turn of the loop
@@ -32,10 +34,12 @@
     def __init__(self, plan: TierPlan, names: list[str]) -> None:
         self.plan = plan
         self.gateways = {name: HollowGateway(name, plan) for name in names}
+        self.prepared: dict[str, Tree] = {}  # states to be proposed, by file
         self.commands: dict[str, Callable[[dict[str, Any]], Awaitable[Any]]] = {
             "start": self.start, "kill": self.kill, "restart": self.restart,
-            "faults": self.faults, "propose": self.propose, "force": self.force,
-            "state": self.state, "gossip": self.gossip, "figures": self.figures,
+            "faults": self.faults, "prepare": self.prepare, "propose": self.propose,
+            "force": self.force, "state": self.state, "gossip": self.gossip,
+            "figures": self.figures,
         }  # fmt: skip
 
     def mine(self, request: dict[str, Any]) -> list[HollowGateway]:
@@ -76,10 +80,14 @@
         self.plan.faults.loss = request["loss"]
         self.plan.faults.sides = request["sides"]
 
+    async def prepare(self, request: dict[str, Any]) -> None:
+        """Read a state that is to be proposed, so that this is no part of how long that takes."""
+        self.prepared[request["file"]] = read_content(Path(request["file"]))
+
     async def propose(self, request: dict[str, Any]) -> dict[str, Any]:
-        """Have a member offer the state in a file."""
-        content = await asyncio.to_thread(Path(request["file"]).read_bytes)
+        """Have a member offer the state of a file."""
         one = self.gateways[request["who"][0]]
+        content = self.prepared.pop(request["file"])
         async with asyncio.timeout(request["within"]):
             end, serial = await one.propose(content, request["base"], request["waits"])
         return {"end": end, "serial": serial}
@@ -96,7 +104,7 @@
             "running": len(running),
             "out": [one.name for one in running if not one.is_in()],
             "serial": max((one.active() for one in running), default=0),
-            "held": [one.contents_held() for one in running],
+            "held": [one.disk_held() for one in running],
         }
 
     async def gossip(self, request: dict[str, Any]) -> int:
@@ -110,12 +118,17 @@
         self.plan.lateness.clear()
         return {
             "traffic": self.plan.traffic.rows(),
-            "disk_bytes": sum(one.disk_bytes for one in self.gateways.values()),
+            "kept": self.kept(),
             "late_median": statistics.median(late) if late else 0.0,
             "late_worst": late[-1] if late else 0.0,
             "late_p99": late[len(late) * 99 // 100] if late else 0.0,
         }
 
+    def kept(self) -> dict[str, int]:
+        """What all have written to their disks so far."""
+        whole = sum((one.kept for one in self.gateways.values()), Kept())
+        return asdict(whole)
+
     async def answer(self, line: bytes) -> dict[str, Any]:
         """Carry out one command."""
         request = json.loads(line)
@@ -128,13 +141,14 @@
 def read_plan(path: Path) -> tuple[TierPlan, list[str]]:
     """A plan that the rig has written."""
     value = json.loads(path.read_text())
+    has_voter = not set(value["voters"]).isdisjoint(value["mine"])
     plan = TierPlan(
         {name: (host, port) for name, host, port in value["members"]},
         tuple(value["voters"]),
         frozenset(value["real"]),
         load_keys(value["key_file"]),
         value["lease"],
-        Path(value["founding"]).read_bytes(),
+        read_content(Path(value["founding"])) if has_voter else None,
     )
     return plan, value["mine"]
 
--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -87,7 +87,7 @@
         said(window["seconds"]), f"{said(force.get('median'))}/{said(force.get('worst'))}",
         said(part.get("behind")), said(part.get("all_in")), said(part.get("at_rest_after")),
         said(sent["all"]["bytes"]), said(sent["all"]["datagrams"]),
-        said(sent.get("gossip", {}).get("bytes")), said(sent.get("content piece", {}).get("bytes")),
+        said(sent.get("gossip", {}).get("bytes")), said(fetched(sent)),
         said(hollow["questions_at_a_voter_s"]),
         said(max((one["core_share"] for one in daemons), default=None)),
         said(max((one["rss_mb"] for one in daemons), default=None)), said(max(both, default=None)),
@@ -96,6 +96,12 @@
     ]  # fmt: skip
 
 
+def fetched(sent: dict[str, dict[str, float]]) -> float | None:
+    """Bytes a second of contents: whole ones in pieces, and pages of trees."""
+    found = [sent[kind]["bytes"] for kind in ("content piece", "page reply") if kind in sent]
+    return sum(found) if found else None
+
+
 def said(value: float | None) -> str:
     """A figure as the table has it."""
     if value is None:
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -21,7 +21,7 @@
 from benchmarks.scale.fleet import Fleet, Size, check_memory
 from benchmarks.scale.hollow import KINDS
 from benchmarks.scale.processes import ROOT, RigError, serial_said
-from sailhitch.tier.forms import Message
+from sailhitch.tier.messages import Message
 from tests.sockets import PATIENCE
 
 HOLLOW = 12
@@ -78,8 +78,8 @@
         for message in ("promise", "accepted", "gossip", "lease question", "lease grant"):
             assert sent[message][0] > 0, message
         # Each of them has fetched the state, in one datagram at least.
-        assert heard["content piece"][0] >= HOLLOW
-        assert heard["content piece"][1] > heard["content piece"][0] * 100
+        assert heard["page reply"][0] >= HOLLOW
+        assert heard["page reply"][1] > heard["page reply"][0] * 100
         assert counts(part, "lost") == {}
         daemon = part["window"]["daemons"]["d1"]
         assert daemon["sent_bytes_s"] >= daemon["sent"]["all"]["bytes"] * 0.5 > 0
@@ -127,7 +127,8 @@
         assert part["all_in"] is not None
     # Nobody but the newcomer fetches: what was sent in pieces is what it has got.
     alone = result["figures"]["hollow"]
-    assert counts(alone, "heard")["content piece"][0] > 0
+    assert counts(alone, "heard")["page reply"][0] > 0
+    assert alone["window"]["hollow"]["kept"]["pages"] > 1
     assert result["figures"]["daemon"]["after"]["cpu_s"] > 0
 
 
