--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -45,7 +45,7 @@
     return {
         "experiment": name, "members": size.members, "daemons": size.daemons,
         "voters": size.voters, "voters_are": size.voters_are, "fraction": size.fraction,
-        "lease_s": size.lease, "loss": options.loss, "dead": options.dead,
+        "lease_s": size.lease, "cold": size.cold, "loss": options.loss, "dead": options.dead,
         "seconds": options.seconds, "state_bytes": len(fleet.content),
         "processes": size.processes(), "started_after": round(started, 2),
         "took": round(now() - begun, 1), "at": int(time.time()), **report.commit(),
@@ -75,6 +75,7 @@
     parser.add_argument("--voters-are", choices=("hollow", "real"), default="hollow")
     parser.add_argument("--fraction", type=float, default=0.01, help="of the full state")
     parser.add_argument("--lease", type=float, default=3.0, help="seconds; 0: no lease")
+    parser.add_argument("--cold", action="store_true", help="hollow gateways begin with no state")
     parser.add_argument("--loss", type=float, default=0.0, help="part of all datagrams")
     parser.add_argument("--dead", type=float, default=0.0, help="part of the members")
     parser.add_argument("--seconds", type=float, default=10.0, help="of rest, or of regions parted")
--- a/benchmarks/scale/host.py
+++ b/benchmarks/scale/host.py
@@ -22,7 +22,7 @@
 from sailhitch.pages import Tree
 from sailhitch.tier.wire import load_keys
 
-from .hollow import GOSSIP, HollowGateway, Kept, TierPlan, read_content
+from .hollow import GOSSIP, HollowGateway, Kept, TierPlan, disk_of, read_content
 
 LINE: Final = 1 << 24  # bytes of a command at most
 AT_ONCE: Final = 50  # gateways started in one turn of the loop
@@ -141,14 +141,15 @@
 def read_plan(path: Path) -> tuple[TierPlan, list[str]]:
     """A plan that the rig has written."""
     value = json.loads(path.read_text())
-    has_voter = not set(value["voters"]).isdisjoint(value["mine"])
+    founding = read_content(Path(value["founding"]))
     plan = TierPlan(
         {name: (host, port) for name, host, port in value["members"]},
         tuple(value["voters"]),
         frozenset(value["real"]),
         load_keys(value["key_file"]),
         value["lease"],
-        read_content(Path(value["founding"])) if has_voter else None,
+        founding,
+        disk_of(founding) if value["seeded"] else {},
     )
     return plan, value["mine"]
 
