--- a/benchmarks/scale/changes.py
+++ b/benchmarks/scale/changes.py
@@ -51,7 +51,7 @@
 async def prepare(fleet: Fleet, kind: str, count: int = 1) -> list[Prepared]:
     """Changes of one kind, each made from the one before."""
     found = []
-    state, serial = fleet.state, fleet.serial
+    state, serial = await _held(fleet), fleet.serial
     for number in range(count):
         after = await asyncio.to_thread(altered, kind, state, number)
         found.append(Prepared(kind, after, await _how(fleet, kind, state, after, serial)))
@@ -59,6 +59,16 @@
     return found
 
 
+async def _held(fleet: Fleet) -> State:
+    """The state that holds: a daemon's, as it gives a ban a time and a name of its own."""
+    if not fleet.daemons:
+        return fleet.state
+    daemon = next(iter(fleet.daemons.values()))
+    answer = await daemon.ask({"op": "state"}, DECIDED)
+    state: State = answer["state"]
+    return state
+
+
 async def _how(
     fleet: Fleet, kind: str, before: State, after: State, serial: int
 ) -> Callable[[], Awaitable[int]]:
@@ -86,22 +96,5 @@
 async def carry_out(fleet: Fleet, change: Prepared) -> int:
     """Ask for a change, and go by it; the serial that it has got."""
     serial = await change.ask()
-    fleet.serial = serial
-    fleet.state = await asyncio.to_thread(_held, change, fleet)
+    fleet.state, fleet.serial = change.after, serial
     return serial
-
-
-def _held(change: Prepared, fleet: Fleet) -> State:
-    """The state that holds now: a daemon's ban has a time and a name of its own."""
-    if change.kind == WEIGHT or not fleet.daemons:
-        return change.after
-    daemon = next(iter(fleet.daemons.values()))
-    return ask_state(daemon)
-
-
-def ask_state(daemon: RealDaemon) -> State:
-    """The state that a daemon goes by."""
-    from sailhitch.daemon.admin import ask
-
-    state: State = ask(daemon.admin, {"op": "state"}, DECIDED)["state"]
-    return state
