--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -69,9 +69,9 @@
     rss_kb: int
     sent: tuple[int, int]  # datagrams and bytes, by `tier status`
 
-    def since(self, before: Cost) -> Cost:
-        """What it has used since; all of it where that was another process."""
-        if before.pid != self.pid:
+    def since(self, before: Cost | None) -> Cost:
+        """What it has used since; all of it where it did not run or was another process."""
+        if before is None or before.pid != self.pid:
             return self
         sent = self.sent[0] - before.sent[0], self.sent[1] - before.sent[1]
         return Cost(self.pid, self.processor - before.processor, self.rss_kb, sent)
@@ -136,9 +136,9 @@
     seconds = after.at - before.at
     daemons = {}
     for name in names:
-        if name not in before.daemons or name not in after.daemons:
+        if name not in after.daemons:
             continue
-        used = after.daemons[name].since(before.daemons[name])
+        used = after.daemons[name].since(before.daemons.get(name))
         daemons[name] = {
             "core_share": round(used.processor / seconds, 4),
             "rss_mb": round(used.rss_kb / 1024, 1),
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -16,12 +16,13 @@
 
 import pytest
 
-from benchmarks.scale import figures, fleet, report
+from benchmarks.scale import figures, fleet, full_state, report
 from benchmarks.scale.__main__ import main, play
 from benchmarks.scale.experiments import EXPERIMENTS, Options, change, idle, one_change, settle
 from benchmarks.scale.fleet import Fleet, Size, check_memory
 from benchmarks.scale.hollow import KINDS
 from benchmarks.scale.processes import ROOT, RigError, serial_said
+from sailhitch.daemon.state_tree import to_tree
 from sailhitch.tier.messages import Message
 from tests.sockets import PATIENCE
 
@@ -122,15 +123,20 @@
 
 
 def test_a_newcomer_fetches_what_there_is(tmp_path: Path) -> None:
-    result = asyncio.run(play("newcomer", SMALL, QUICK, say))
+    size = Size(members=HOLLOW + 1, daemons=1, voters=3, fraction=0.01)
+    result = asyncio.run(play("newcomer", size, QUICK, say))
     for kind in ("hollow", "daemon"):
         part = result["figures"][kind]
         assert part["all_in"] is not None
     # Nobody but the newcomer fetches: what was sent in pieces is what it has got.
     alone = result["figures"]["hollow"]
     assert counts(alone, "heard")["page reply"][0] > 0
-    assert alone["window"]["hollow"]["kept"]["pages"] > 1
+    pages = to_tree({**full_state.state(size.fraction), "listeners": {}}).pages
+    assert alone["window"]["hollow"]["kept"]["pages"] == len(pages) > 1
     assert result["figures"]["daemon"]["after"]["cpu_s"] > 0
+    daemon = result["figures"]["daemon"]["window"]["daemons"]["d1"]
+    assert daemon["heard"]["page reply"]["datagrams"] > 0
+    assert daemon["core_share"] > 0
 
 
 @pytest.mark.parametrize("name", ["burst", "restart", "rack", "regions", "start"])
@@ -272,6 +278,17 @@
     assert serial_said(line) == serial
 
 
+def test_a_chart_without_its_library_says_what_to_install(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    file = tmp_path / "results.jsonl"
+    file.write_text("")
+    monkeypatch.setitem(sys.modules, "matplotlib", None)
+    assert main(["report", str(file), "--chart", str(tmp_path / "chart.png")]) == 1
+    assert "sailhitch[scale]" in capsys.readouterr().err
+    assert not (tmp_path / "chart.png").exists()
+
+
 def test_datagrams_that_the_system_drops_are_counted_by_address(tmp_path: Path) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as here:
         here.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
