--- a/benchmarks/scale/changes.py
+++ b/benchmarks/scale/changes.py
@@ -13,7 +13,7 @@
 from sailhitch.daemon.state import State, banned
 
 from .fleet import Fleet
-from .processes import RealDaemon, RigError
+from .processes import RealDaemon, RefusedError
 
 WEIGHT: Final = "weight"  # contradicts nothing: it holds as soon as it is decided
 BAN: Final = "ban"  # contradicts: all have to confirm it first
@@ -89,7 +89,7 @@
 async def _ask(daemon: RealDaemon, request: Mapping[str, Any]) -> int:
     answer = await daemon.ask(request, DECIDED)
     if not answer.get("ok"):
-        raise RigError(f"{daemon.name}: {request['op']}: {answer.get('error')}")
+        raise RefusedError(f"{daemon.name}: {request['op']}: {answer.get('error')}")
     return int(answer["serial"])
 
 
--- a/benchmarks/scale/experiments.py
+++ b/benchmarks/scale/experiments.py
@@ -12,7 +12,7 @@
 from . import changes, figures
 from .figures import spread
 from .fleet import Fleet
-from .processes import RealDaemon, RigError
+from .processes import RealDaemon, RefusedError, RigError
 
 # Gossip that a member sends in a second when nothing is new: two datagrams, and what it answers
 # to those that are behind; a busy one sends twenty.
@@ -118,8 +118,15 @@
 
     async def play() -> dict[str, Any]:
         begun = figures.now()
-        serial = await changes.carry_out(fleet, prepared[0])
-        told = {"answered": rounded(figures.now() - begun)}
+        try:
+            serial = await changes.carry_out(fleet, prepared[0])
+        except RefusedError as error:
+            # A figure too: the run goes on, and the change is in force or not by its serial.
+            serial, said = fleet.serial + 1, str(error)
+            fleet.state, fleet.serial = prepared[0].after, serial
+        else:
+            said = ""
+        told = {"answered": rounded(figures.now() - begun), "refused": said}
         return {**told, **await in_force(fleet, serial, begun, options.patience)}
 
     return await event(fleet, options, play)
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -22,7 +22,7 @@
 from sailhitch.lab.ports import free_port
 
 from . import figures, full_state
-from .processes import HostProcess, RealDaemon, RigError
+from .processes import HostProcess, RealDaemon, RefusedError, RigError
 
 IN_A_PROCESS: Final = 170  # hollow gateways at most
 SPREAD: Final = 30  # of them for which a process is taken, up to `SPREAD_OVER` processes
@@ -308,7 +308,7 @@
         asked = {"who": [name], "file": file, "base": base, "waits": waits, "within": DECIDED}
         done = await self.host_of(name).do("propose", **asked)
         if done["end"] not in ("active", "pending"):
-            raise RigError(f"a change made from serial {base} ended as {done['end']}")
+            raise RefusedError(f"a change made from serial {base} ended as {done['end']}")
         return int(done["serial"])
 
     # --- Figures
--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -32,6 +32,10 @@
     """The run can't go on; the text says why."""
 
 
+class RefusedError(RigError):
+    """A daemon or a member has not carried out a change, by its own word."""
+
+
 class HostProcess:
     """A process of hollow gateways, from the rig's side."""
 
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -72,6 +72,7 @@
     found = asyncio.run(go())
     for kind in ("weight", "ban"):
         part = found[kind]["plays"][0]
+        assert part["refused"] == ""
         assert part["behind"] == 0
         assert part["in_force"]["count"] == HOLLOW + 1
         assert part["window"]["hollow_running"] == HOLLOW
@@ -122,6 +123,18 @@
     assert part["in_force"]["count"] == HOLLOW - 1
 
 
+def test_a_change_that_a_daemon_refuses_is_a_figure(tmp_path: Path) -> None:
+    async def go() -> dict[str, Any]:
+        options = Options(seconds=1.0, patience=2.0, repeats=1)
+        async with running(SMALL, tmp_path) as made:
+            made.serial += 5  # the plan is made against what does not hold
+            return await one_change(made, options, "weight")
+
+    part = asyncio.run(go())
+    assert "made against serial 6" in part["refused"]
+    assert part["behind"] == HOLLOW + 1
+
+
 def test_a_newcomer_fetches_what_there_is(tmp_path: Path) -> None:
     size = Size(members=HOLLOW + 1, daemons=1, voters=3, fraction=0.01)
     result = asyncio.run(play("newcomer", size, QUICK, say))
