--- a/benchmarks/scale/report.py
+++ b/benchmarks/scale/report.py
@@ -69,9 +69,9 @@
 
 
 HEADS = (
-    "part", "members", "commit", "seconds", "in force", "behind", "all in", "at rest",
-    "B/s sent", "dgrams/s", "gossip B/s", "content B/s", "questions/s", "daemon core", "MB",
-    "B/s in+out", "host core", "dropped",
+    "part", "members", "state", "loss", "dead", "commit", "seconds", "in force", "behind",
+    "all in", "at rest", "B/s sent", "dgrams/s", "gossip B/s", "content B/s", "questions/s",
+    "daemon core", "MB", "B/s in+out", "host core", "dropped",
 )  # fmt: skip
 
 
@@ -83,7 +83,8 @@
     both = [one["sent"]["all"]["bytes"] + one["heard"]["all"]["bytes"] for one in daemons]
     name = f"{result['experiment']}{'.' if path else ''}{path}"
     return [
-        name, str(result["members"]), (result["commit"] or "-")[:7] + "+" * bool(result["dirty"]),
+        name, str(result["members"]), said(result["fraction"]), said(result["loss"]),
+        said(result["dead"]), (result["commit"] or "-")[:7] + "+" * bool(result["dirty"]),
         said(window["seconds"]), f"{said(force.get('median'))}/{said(force.get('worst'))}",
         said(part.get("behind")), said(part.get("all_in")), said(part.get("at_rest_after")),
         said(sent["all"]["bytes"]), said(sent["all"]["datagrams"]),
@@ -130,6 +131,15 @@
     return "\n".join(lines) + "\n"
 
 
+def _label(result: dict[str, Any], path: str) -> str:
+    """What a line of the chart is of: all that differs between runs but the members."""
+    faults = f", loss {result['loss']}, dead {result['dead']}" * bool(
+        result["loss"] or result["dead"]
+    )
+    part = f"{result['experiment']} {path.partition('[')[0]}".strip()
+    return f"{part}, {result['fraction']} of the state{faults}, {(result['commit'] or '')[:7]}"
+
+
 def chart(results: Sequence[dict[str, Any]], file: str | Path) -> None:
     """Bytes, processor time and seconds until rest over the members; raises RigError."""
     try:
