Part net/downstream.py by its jobs: life, responses, requests, dispatch, accepting

A client's connection is now four layers in modules of 135 to 263 lines: client_connection (state, opening and closing, flow control), response_writer, request_reader, and downstream (dispatch, deadlines, eviction). request_head and responses hold functions without state, and listener accepts connections. No rule is changed. The tests follow the renamed members and the module that holds the reading limits.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -15,7 +15,7 @@
 from .core.log import Log
 from .core.process import drain, finish, heed, hold_signals, settle_memory
 from .net.config import Config, ConfigError, adopt_socket, load_config, reload_config
-from .net.downstream import Listener
+from .net.listener import Listener
 from .net.platform import Platform
 
 if TYPE_CHECKING:
--- a/sailhitch/daemon/live.py
+++ b/sailhitch/daemon/live.py
@@ -15,7 +15,7 @@
 from ..core.core import Core
 from ..core.pool import Pool
 from ..core.terms import Bounds, Reach, Roster, idle_life
-from ..net.downstream import Listener
+from ..net.listener import Listener
 from ..net.upstream import Hosts
 from ..settings import Settings
 from .intake import Also, RoutedIntake, View
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -16,7 +16,7 @@
 from ..core.process import AFTERWARDS, STEP
 from ..core.seams import Connection
 from ..core.terms import Bounds
-from ..net.downstream import Listener
+from ..net.listener import Listener
 from ..net.platform import Platform
 from . import legacy as told
 from .files import Places
--- /dev/null
+++ b/sailhitch/net/client_connection.py
@@ -0,0 +1,263 @@
+"""A client's connection: its state, its life from accept to close, and its flow control."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import select
+import socket
+from collections import deque
+from typing import TYPE_CHECKING, Final, cast
+
+import httptools
+
+from ..core.exchange import Exchange
+from ..core.pace import Pace
+from ..core.seams import Giver
+from ..core.terms import Field
+from ..front import Place, Reason
+from .look import shows
+
+if TYPE_CHECKING:
+    from .listener import Listener
+
+# What a connection does. Plain integers: they are compared several times in each request.
+IDLE: Final = 0  # between two requests, or waiting for a response
+HEAD: Final = 1  # reads a request's head
+BODY: Final = 2  # reads a request's body
+CLOSING: Final = 3  # sends no new response
+
+
+class ClientConnection(asyncio.Protocol):
+    """The state and the life of a client's connection; its subclasses read and write on it."""
+
+    __slots__ = (
+        "chunked",
+        "content_length",
+        "core",
+        "discarding_body",
+        "exchange",
+        "fields",
+        "head_received",
+        "incoming",
+        "listener",
+        "method",
+        "parser",
+        "phase",
+        "pipelined",
+        "place",
+        "read_watchdog",
+        "received",
+        "received_since_sweep",
+        "response_chunked",
+        "response_source",
+        "send_watchdog",
+        "sock",
+        "transport",
+        "unsent",
+        "upgrade",
+        "url",
+    )  # fmt: skip
+
+    def __init__(self, listener: Listener, sock: socket.socket, place: Place) -> None:
+        self.listener, self.core, self.sock, self.place = listener, listener.core, sock, place
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self.phase = IDLE
+        self.exchange: Exchange | None = None  # dispatched and not answered
+        self.pipelined: deque[Exchange] = deque()  # read whole ahead of their turn
+        self.incoming: Exchange | None = None  # being read
+        self.discarding_body = False  # answered early: the rest of the body is read and dropped
+        self.received_since_sweep = False
+        self.send_watchdog: Pace | None = None  # of the client that sends a streamed body
+        self.response_source: Giver | None = None  # the host's side of a streamed response
+        self.response_chunked = False  # that response is sent in chunks
+        self.read_watchdog: Pace | None = None  # of the client that reads it
+        self.unsent = 0  # bytes of responses that the client has not taken, as budgeted
+        self._reset_request()
+
+    def _reset_request(self) -> None:
+        """Clear what was read of a request's head and body."""
+        self.url, self.head_received, self.received = b"", 0, 0
+        self.fields: list[Field] = []
+        self.content_length: int | None = None
+        self.chunked = self.upgrade = False
+
+    # --- What subclasses do
+
+    def let_go(self, reason: Reason) -> bool:
+        """Close to free a descriptor; return False if a request is here, unread."""
+        raise NotImplementedError
+
+    def sweep(self, now: int) -> None:
+        """Close the connection if it makes no progress; called several times a second."""
+        raise NotImplementedError
+
+    # --- Opening and closing
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        # With no buffer allowed, `resume_writing` tells when the last byte has gone out.
+        self.transport.set_write_buffer_limits(high=0)
+        self.core.arriving.discard(self)
+        self.core.clients[self] = None
+        self.place.holder = self
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.parser = None  # breaks a reference cycle
+        self.place.holder = None
+        self.core.clients.pop(self, None)
+        self.core.door.closed(self.place, self.core.clock())
+        self._account_unsent(0)
+        self._drop_requests()
+
+    def eof_received(self) -> None:
+        # A half-closed connection counts as closed; the transport closes itself after this.
+        self._drop_requests()
+
+    def left(self) -> bool:
+        """Return whether the client has closed its connection, even if the loop has not read so.
+
+        The event loop doesn't read the end while a body is held, nor while it is busy, and bytes
+        sent before the end hide it from a peek at the next byte.
+        """
+        if self.transport is None or self.sock.fileno() < 0:
+            return True
+        return shows(self.sock.fileno(), select.POLLRDHUP)
+
+    def _abort_departed(self) -> None:
+        """Close after the client has gone, so that what it sent before is not read and sent on."""
+        self._drop_requests()
+        self.abort()
+
+    def abort(self) -> None:
+        """Close at once, whatever is open."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def close_idle(self, reason: Reason = Reason.IDLE) -> bool:
+        """Close between two requests; return False if bytes of the next one are here, unread.
+
+        Closing then would lose a request that the kernel took in while this process was busy.
+        """
+        transport = self.transport
+        if transport is None or self._has_unread_bytes():
+            return False
+        self._start_closing(reason)
+        transport.close()
+        return True
+
+    def detach(self) -> int | None:
+        """Hand the connection over between two requests: return a duplicate of its descriptor.
+
+        The caller closes it. Bytes that the loop has not read stay with the descriptor. Returns
+        None while a response is owed or written.
+        """
+        transport = self.transport
+        if transport is None or not self.is_idle():
+            return None
+        if transport.is_closing() or transport.get_write_buffer_size():
+            return None
+        try:
+            descriptor = os.dup(self.sock.fileno())
+        except OSError:
+            return None
+        self._start_closing(Reason.MOVED)
+        transport.abort()  # of this process's descriptor only: the connection stands
+        return descriptor
+
+    def _start_closing(self, reason: Reason) -> None:
+        """Send no new response after this."""
+        self.phase = CLOSING
+        self.core.door.closing(self.place, self.core.clock(), reason)
+
+    # --- State
+
+    def is_idle(self) -> bool:
+        """Return whether no request is being read, waits or is open."""
+        return self.phase == IDLE and self.exchange is None and not self.pipelined
+
+    def has_body(self) -> bool:
+        """Return whether the request being read has a body; valid once its head is complete."""
+        return self.chunked or bool(self.content_length)
+
+    def is_closed(self) -> bool:
+        """Return whether this side has closed it and written all: its descriptor is freed next."""
+        transport = self.transport
+        return transport is None or (
+            transport.is_closing() and not transport.get_write_buffer_size()
+        )
+
+    def owes(self) -> bool:
+        """Return whether the client may still get a response, or bytes already written."""
+        if self.transport is None:
+            return False
+        if self.phase == CLOSING:
+            return self.transport.get_write_buffer_size() > 0
+        return not self.is_idle()
+
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the kernel has bytes that the loop has not read."""
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False  # none, or the connection is broken
+
+    # --- Requests and accounting
+
+    def _drop_requests(self) -> None:
+        """Cancel the open request, and drop those that are queued or being read."""
+        exchange, self.exchange = self.exchange, None
+        source, self.response_source, self.read_watchdog = self.response_source, None, None
+        if exchange is not None:
+            exchange.client = None
+            self.core.client_gone(exchange)
+        if source is not None:
+            source.unwanted()
+        self._drop_undispatched()
+
+    def _drop_undispatched(self) -> None:
+        """Drop requests that have not been dispatched: queued ones and the one being read."""
+        if self.incoming is not None:
+            self.core.release_body(self.incoming)
+            self.incoming = self.send_watchdog = None
+        for waiting in self.pipelined:
+            self.core.release_body(waiting)
+        self.pipelined.clear()
+
+    def _account_unsent(self, size: int) -> None:
+        """Record how many bytes of responses are buffered for the client."""
+        self.core.budget.flows += size - self.unsent
+        self.unsent = size
+
+    def _account_written(self, size: int, now: int, written: int = 0) -> None:
+        """Record that `size` bytes of a streamed response are buffered, `written` of them new."""
+        watchdog = self.read_watchdog
+        if watchdog is not None:
+            watchdog.move(self.unsent + written - size, now)
+            if size:
+                watchdog.go(now)
+            else:
+                watchdog.stop(now)  # it has read all there is
+        self._account_unsent(size)
+
+    # --- Flow control of a streamed request body
+
+    def hold(self) -> None:
+        """Pause reading the body; a `Source`."""
+        if self.transport is not None and not self.discarding_body:
+            self.transport.pause_reading()
+            if self.send_watchdog is not None:
+                self.send_watchdog.stop(self.core.clock())
+
+    def go_on(self) -> None:
+        """Resume reading the body; a `Source`."""
+        if self.transport is not None and not self.transport.is_closing():
+            if self.incoming is not None and not self.discarding_body and self.left():
+                # Deferred: the policy module may be the caller, and is not re-entrant.
+                self.core.loop.call_soon(self._abort_departed)
+                return
+            self.transport.resume_reading()
+            if self.send_watchdog is not None:
+                self.send_watchdog.go(self.core.clock())
--- /dev/null
+++ b/sailhitch/net/listener.py
@@ -0,0 +1,175 @@
+"""Accept clients' connections, as many as there are descriptors for."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import socket
+from typing import Final
+
+from ..core.budget import HELD_MOST
+from ..core.core import Core
+from ..core.terms import Address
+from ..front import Place, Reason, Verdict
+from .downstream import Downstream
+from .intake import Intake
+from .responses import closing_response
+
+ACCEPT_BATCH: Final = 64  # connections accepted in one turn of the loop
+ACCEPT_PAUSE: Final = 0.05  # s without accepting after an error
+SEND_BUFFER: Final = 256 * 1024  # bytes of a response that the kernel may hold
+RECEIVE_BUFFER: Final = 128 * 1024  # bytes of a body that the kernel may hold
+# Errors of a system that has no more descriptors or buffers to give.
+OUT_OF_RESOURCES: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+
+class Listener:
+    """Accepts each connection into a free descriptor only, and refuses it where there is none.
+
+    The event loop's own server accepts whatever waits before anybody can decide. A crowd that
+    connects at once can so have honest clients refused; those inside go on being served.
+    """
+
+    def __init__(
+        self, core: Core, intake: Intake, address: Address, backlog: int,
+        held: socket.socket | None = None,
+    ) -> None:  # fmt: skip
+        """Listen at an address, or on the socket `held` that listens there and others hold too.
+
+        Raises OSError if the address can't be bound.
+        """
+        self.core, self.intake, self.backlog = core, intake, backlog
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.retired = False
+        self.sock = held or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        # Accepted connections inherit this. By default the kernel buffers megabytes of a response
+        # for a client that reads none of it, which no budget accounts for.
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        if held is not None:
+            self.sock.setblocking(False)
+            return
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+            self.sock.listen(backlog)
+        except OSError:
+            self.sock.close()
+            raise
+
+    # --- Accepting
+
+    def start(self) -> None:
+        """Begin to accept."""
+        self.core.loop.add_reader(self.sock, self._accept)
+
+    def _accept(self, most: int = ACCEPT_BATCH, last: bool = False) -> None:
+        """Accept up to `most` waiting connections; `last` does not wait for descriptors."""
+        core = self.core
+        for _ in range(most):
+            way = core.way_in()
+            if way == Verdict.WAIT and not last:
+                return  # descriptors being closed are free in the next turn of the loop
+            try:
+                sock, peer = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                # The connection still waits: without a pause the loop would spin here.
+                core.logger.often("accept", f"accept failed: {error.strerror}")
+                if error.errno in OUT_OF_RESOURCES:
+                    core.exhausted()
+                self._pause_accepting()
+                return
+            if way == Verdict.ADMIT and core.door.admits(core.clock(), peer[0]):
+                self._admit(sock, core.door.opened(core.clock(), peer[0]))
+            else:
+                self._reject_connection(sock)
+
+    def adopt(self, descriptor: int) -> None:
+        """Take over an idle connection that another process of this gateway hands on."""
+        sock = socket.socket(fileno=descriptor)
+        try:
+            address = sock.getpeername()[0]
+        except OSError:
+            sock.close()  # its client has gone meanwhile
+            return
+        self._admit(sock, self.core.door.adopted(self.core.clock(), address))
+
+    def _admit(self, sock: socket.socket, place: Place) -> None:
+        """Serve an admitted connection."""
+        client = Downstream(self, sock, place)
+        self.core.arriving.add(client)
+        # The event loop itself holds only a weak reference to a task.
+        task = self.core.loop.create_task(self._connect(client))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, client: Downstream) -> None:
+        """Attach the connection to the event loop."""
+        core, sock = self.core, client.sock
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await core.loop.connect_accepted_socket(lambda: client, sock)
+        except OSError:
+            sock.close()  # it has gone already
+            core.door.closed(client.place, core.clock())
+        finally:
+            core.arriving.discard(client)  # connected or gone by now
+
+    def _reject_connection(self, sock: socket.socket) -> None:
+        """Answer 503 at once, without a place.
+
+        What has come is read first: a close with bytes unread would reset the connection and lose
+        the response. A request that comes later crosses the close, and its client repeats it.
+        """
+        self.core.counters.crowded += 1
+        self.core.door.turned_away()
+        self.core.logger.often("crowd", "no place for a client's connection; turned away")
+        with contextlib.suppress(OSError):
+            sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                sock.recv(HELD_MOST)
+            sock.send(closing_response(503, self.core.retry_after()))
+        sock.close()
+
+    def _pause_accepting(self) -> None:
+        """Accept nothing for ACCEPT_PAUSE."""
+        self.core.loop.remove_reader(self.sock)
+        self.core.loop.call_later(ACCEPT_PAUSE, self._resume_accepting)
+
+    def _resume_accepting(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.core.loop.add_reader(self.sock, self._accept)
+
+    # --- Stopping
+
+    def retire(self) -> None:
+        """Stop for good: open requests are finished, and their connections end with them."""
+        self.close()
+        self.retired = True
+        for client in list(self.core.clients):
+            if isinstance(client, Downstream) and client.listener is self and client.is_idle():
+                client.close_idle(Reason.ANSWERED)
+
+    def leave_to_others(self) -> None:
+        """Stop accepting; waiting connections are left to others who hold this socket."""
+        self.core.loop.remove_reader(self.sock)
+        self.sock.close()
+
+    def discard(self) -> None:
+        """Close the socket without accepting anybody."""
+        self.sock.close()
+
+    def close(self) -> None:
+        """Stop listening; who has connected by now is admitted or refused.
+
+        Connections still in the kernel's queue after that are reset without a response.
+        """
+        if self.sock.fileno() < 0:
+            return  # closed before: settings that come at the process's end do so again
+        self._accept(self.backlog, last=True)
+        self.core.loop.remove_reader(self.sock)
+        self.sock.close()
--- a/sailhitch/net/platform.py
+++ b/sailhitch/net/platform.py
@@ -13,8 +13,8 @@
 from ..interface import RESTORED
 from .config import Config
 from .discovery import Discovery
-from .downstream import Listener
 from .intake import PlatformIntake
+from .listener import Listener
 from .upstream import Hosts
 
 
--- /dev/null
+++ b/sailhitch/net/request_reader.py
@@ -0,0 +1,248 @@
+"""Read requests from a client's connection.
+
+Every malformed request ends here, with nothing sent to a host.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import httptools
+
+from ..core.budget import HELD_MOST, LONGEST
+from ..core.exchange import Exchange
+from ..core.pace import Pace
+from ..core.upload import Upload
+from .client_connection import BODY, CLOSING, HEAD, IDLE
+from .http import BLANK, MAX_HEAD
+from .intake import RejectError
+from .request_head import body_framing, forwarded_lines, select_fields, without_upgrade
+from .response_writer import ResponseWriter
+
+MAX_PIPELINED: Final = 4  # requests that a client may send ahead of its responses
+
+
+class RequestReader(ResponseWriter):
+    """A client's connection that reads requests; its parser's callbacks are the `on_` methods."""
+
+    __slots__ = ()
+
+    def _dispatch(self, exchange: Exchange) -> None:
+        """Start a request whose turn it is."""
+        raise NotImplementedError
+
+    # --- Bytes
+
+    def data_received(self, data: bytes) -> None:
+        self.received_since_sweep = True
+        if self.parser is None or (self.phase == CLOSING and not self.discarding_body):
+            return
+        if self.phase in (IDLE, HEAD):
+            self.head_received += len(data)
+        size = len(data)
+        try:
+            while data:
+                data = self._parse(data)
+        except RejectError as error:
+            self._reject(error.status, str(error))
+            return
+        except Exception as error:
+            # An exception that reached the event loop would leave the client without a response.
+            self.core.logger.often("reading", f"reading a request failed: {error!r:.100}")
+            self._reject(400, "unreadable")
+            return
+        self._advance(size)
+
+    def _advance(self, size: int) -> None:
+        """Act on what a read of `size` bytes brought, now that all of it is parsed."""
+        incoming = self.incoming
+        if incoming is not None and incoming.upload is not None:
+            self._forward_upload(incoming.upload, size)
+        elif incoming is not None and self.received > HELD_MOST:
+            self._dispatch_next()  # earlier requests go first
+            if self.incoming is incoming and incoming.upload is None:
+                self._begin_upload(incoming)
+        elif self.phase == HEAD and self.head_received > 2 * MAX_HEAD:
+            self._reject(431, "head too large")
+        elif self.exchange is None:
+            if self.phase != IDLE and not self.pipelined:
+                self.core.door.reading(self.place, self.core.clock(), self.phase == BODY)
+            # Only after parsing: malformed bytes right behind a request make it suspect too.
+            self._dispatch_next()
+
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes; return what is left to parse from the start of a message."""
+        assert self.parser is not None
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            if not self.upgrade:
+                raise RejectError(400, "unexpected upgrade") from None
+            # Upgrades are not supported; the request is served as if it asked for none.
+            offset = int(error.args[0])
+            return self._restart_without_upgrade() + data[offset:]
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, RejectError):
+                raise error.__context__ from None
+            raise
+        except httptools.HttpParserError as error:
+            if self.phase == CLOSING:
+                return b""
+            raise RejectError(400, str(error)) from None
+        return b""
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Begin anew with this head, its wish for another protocol left out."""
+        head = without_upgrade(self.method, self.url, self.fields)
+        self.parser = httptools.HttpRequestParser(self)
+        self._reset_request()
+        return head
+
+    # --- Head
+
+    def on_message_begin(self) -> None:
+        if self.phase == CLOSING:
+            return
+        self._reset_request()
+        self.phase = HEAD
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        if len(self.url) > MAX_HEAD:
+            raise RejectError(431, "target too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self.phase != HEAD:
+            return  # a trailer
+        self.received += len(name) + len(value)
+        if self.received > MAX_HEAD:
+            raise RejectError(431, "head too large")
+        self.fields.append((name.lower(), name, value.strip(BLANK)))
+
+    def on_headers_complete(self) -> None:
+        if self.phase == CLOSING or self.parser is None:
+            return
+        self.received = 0
+        self.method = self.parser.get_method()
+        found, named = select_fields(self.fields)
+        self.upgrade = self.parser.should_upgrade()
+        if self.upgrade and self.method != b"CONNECT":
+            return  # `_parse` begins anew
+        if b"host" not in found and self.parser.get_http_version() != "1.0":
+            raise RejectError(400, "no Host")
+        self.chunked, self.content_length = body_framing(found)
+        exchange = self.incoming = Exchange(self)
+        self.phase = BODY
+        if not self.listener.intake.read(self, found, exchange):
+            return
+        self._build_head(exchange, named)
+        if b"expect" in found:
+            self._answer_expectation(found[b"expect"])
+
+    def _build_head(self, exchange: Exchange, named: set[bytes]) -> None:
+        """Set the head that goes to hosts, complete but for the fields of each attempt."""
+        method = b"GET" if exchange.bare else self.method
+        lines = [method + b" " + self.url + b" HTTP/1.1"]
+        lines += forwarded_lines(self.fields, named, self.listener.intake.own)
+        if self.content_length is not None and method != b"GET":
+            lines.append(b"Content-Length: %d" % self.content_length)
+        lines.append(exchange.head)  # fields that the intake adds, or nothing
+        exchange.head = b"\r\n".join(lines)
+
+    def _answer_expectation(self, value: bytes) -> None:
+        """Answer `Expect: 100-continue` if it is this request's turn."""
+        if value.strip().lower() != b"100-continue":
+            raise RejectError(400, "unknown expectation")
+        if self.exchange is None and self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    # --- Body
+
+    def on_body(self, data: bytes) -> None:
+        exchange = self.incoming
+        if exchange is None:
+            return
+        size = len(data)
+        before = self.received
+        self.received = received = before + size
+        if received > LONGEST:
+            raise RejectError(413, "body too large")
+        if exchange.upload is not None:
+            exchange.upload.came(data)
+            return
+        if not self.core.budget.take(size):
+            raise RejectError(503, "no room for the body")
+        exchange.reserved += size
+        if not before:
+            exchange.body = data
+            return
+        if not isinstance(exchange.body, bytearray):
+            exchange.body = bytearray(exchange.body)
+        exchange.body += data
+
+    def on_message_complete(self) -> None:
+        if self.parser is None or self.upgrade:
+            return
+        if self.phase == CLOSING and not self.discarding_body:
+            return
+        exchange = self.incoming
+        if exchange is None:
+            return
+        self.incoming = self.send_watchdog = None
+        if self.discarding_body:
+            if self.transport is not None:
+                self.transport.close()
+            return
+        self.phase = IDLE
+        if exchange.upload is not None:
+            self._end_upload(exchange, exchange.upload)
+            return
+        exchange.keep = self.parser.should_keep_alive()
+        exchange.old_http = self.parser.get_http_version() == "1.0"
+        if self.chunked:
+            exchange.head += b"Content-Length: %d\r\n" % self.received
+        self.head_received = 0
+        self.pipelined.append(exchange)
+        if len(self.pipelined) > MAX_PIPELINED:
+            raise RejectError(400, "too many requests ahead of their answers")
+
+    # --- Streamed body
+
+    def _begin_upload(self, exchange: Exchange) -> None:
+        """Stream a body of which more than HELD_MOST has come, once it is its request's turn."""
+        transport = self.transport
+        if transport is None or self.parser is None:
+            return
+        if self.exchange is not None or self.pipelined:
+            transport.pause_reading()  # `_dispatch_next` goes on
+            return
+        if self.core.budget.flows > self.core.budget.most:
+            self._reject(503, "no room for a long body")
+            return
+        exchange.keep = self.parser.should_keep_alive()
+        exchange.old_http = self.parser.get_http_version() == "1.0"
+        if self.chunked:
+            exchange.head += b"Transfer-Encoding: chunked\r\n"
+        start, exchange.body = exchange.body, b""
+        self.core.budget.give_back(exchange.reserved)
+        exchange.reserved = 0
+        exchange.upload = Upload(self, start, self.chunked, self.core.budget)
+        self.send_watchdog = Pace(self.core.clock())
+        self.hold()
+        self._dispatch(exchange)
+
+    def _forward_upload(self, upload: Upload, size: int) -> None:
+        """Forward what a read of `size` bytes brought of a streamed body."""
+        if self.send_watchdog is not None:
+            self.send_watchdog.move(size, self.core.clock())
+        upload.flush()
+
+    def _end_upload(self, exchange: Exchange, upload: Upload) -> None:
+        """Finish a streamed body; what this read brought of it goes out with its end."""
+        if self.left():
+            return  # forwarding the last byte would run the request for nobody
+        upload.whole = True
+        self.head_received = 0
+        upload.flush()
+        self.go_on()
+        self.core.body_whole(exchange)
--- /dev/null
+++ b/sailhitch/net/response_writer.py
@@ -0,0 +1,230 @@
+"""Write responses to a client: whole ones, streamed ones and this gateway's own errors."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from ..core.budget import HELD_MOST
+from ..core.exchange import Exchange
+from ..core.pace import Pace
+from ..core.seams import Giver
+from ..core.terms import Answer
+from ..front import Reason
+from .client_connection import BODY, CLOSING, IDLE, ClientConnection
+from .http import chunk
+from .responses import (
+    STATUS_LINES,
+    WITHOUT_LENGTH,
+    closing_response,
+    forwarded_fields,
+    retry_after_field,
+    status_line,
+)
+
+WRITE_HIGH_WATER: Final = 64 * 1024  # unsent bytes from which on the host is not read
+# Limits on a client that reads a streamed response; times in microseconds.
+MIN_READ_RATE: Final = 8 * 1024  # bytes a second, on the whole...
+READ_GRACE: Final = 10_000_000  # ...after this time
+READ_STALL: Final = (10_000_000, 4_000_000)  # without a byte: at no strain, and at full strain
+
+
+class ResponseWriter(ClientConnection):
+    """A client's connection that writes responses; the core's `Client`."""
+
+    __slots__ = ()
+
+    def _dispatch_next(self) -> None:
+        """Dispatch the next request, if it is here already."""
+        raise NotImplementedError
+
+    # --- Whole responses
+
+    def serve(self, exchange: Exchange, answer: Answer) -> None:
+        """Send a host's whole response."""
+        status, fields, body = answer
+        self._write_response(exchange, status_line(status), forwarded_fields(fields), body)
+
+    def refuse(self, exchange: Exchange, retry_after: int) -> None:
+        """Answer 503; `retry_after` is in microseconds, 0 leaves the field out."""
+        self._write_response(exchange, STATUS_LINES[503], retry_after_field(retry_after), b"")
+
+    def fail(self, exchange: Exchange, late: bool) -> None:
+        """Answer 504 (`late`) or 502; neither says whether the request took effect."""
+        self._write_response(exchange, STATUS_LINES[504 if late else 502], b"", b"")
+
+    def _write_response(
+        self, exchange: Exchange, status: bytes, fields: bytes, body: bytes | bytearray
+    ) -> None:
+        """Send a whole response, then close or go on with the next request."""
+        transport = self.transport
+        self.exchange = None
+        if transport is None:
+            return
+        early = exchange is self.incoming  # before the whole of its body came
+        close = early or self._must_close(exchange)
+        if not close and self.phase == IDLE and not self.pipelined:
+            # Closing costs the client nothing here: the response says so, and no request crosses.
+            keeps = self.core.door.keeps(self.place, self.core.clock())
+            close = not (keeps or self._has_unread_bytes())
+        parts = b"HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
+            status, fields, self._connection_field(exchange, close), len(body),
+        )  # fmt: skip
+        if status[:3] in WITHOUT_LENGTH:
+            parts = parts.replace(b"Content-Length: 0\r\n\r\n", b"\r\n")
+        transport.write(parts if exchange.bare else parts + body)
+        self._account_unsent(transport.get_write_buffer_size())
+        if early:
+            self._discard_rest_of_body()
+        else:
+            self._finish_response(close)
+
+    def _must_close(self, exchange: Exchange) -> bool:
+        """Return whether the connection closes after this request, whatever else holds."""
+        return not exchange.keep or self.core.hanging_up or self.listener.retired
+
+    def _connection_field(self, exchange: Exchange, close: bool) -> bytes:
+        """Return the `Connection` field of a response, empty where it goes without saying."""
+        if close:
+            return b"Connection: close\r\n"
+        return b"Connection: keep-alive\r\n" if exchange.old_http else b""
+
+    def _finish_response(self, close: bool) -> None:
+        """Close after a response, or go on with the next request."""
+        transport = self.transport
+        assert transport is not None
+        if close:
+            self._start_closing(Reason.ANSWERED)
+            self._drop_undispatched()
+            transport.close()
+        elif self.pipelined or (self.incoming is not None and self.received > HELD_MOST):
+            # A response may be given from inside the policy module, which is not re-entrant.
+            self.core.loop.call_soon(self._dispatch_next)
+        else:
+            now = self.core.clock()
+            self.core.door.answered(self.place, now, self.unsent)
+            if self.phase != IDLE:
+                self.core.door.reading(self.place, now, self.phase == BODY)
+            elif self.core.passing is not None:
+                self.core.passing(self)
+
+    def _discard_rest_of_body(self) -> None:
+        """Read and drop the rest of a body that was answered early, then close.
+
+        Closing with bytes unread would reset the connection and lose the response.
+        """
+        self.discarding_body = True
+        self._start_closing(Reason.ANSWERED)
+        self.go_on()
+
+    # --- Streamed responses
+
+    def begin(self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver) -> None:
+        """Send the head of a host's response whose body follows by `more`.
+
+        `length` is that of the body; None if unknown.
+        """
+        transport = self.transport
+        self.exchange = exchange
+        if transport is None:
+            return
+        self.response_source = giver
+        status, fields, _ = answer
+        self.response_chunked = length is None and not exchange.old_http
+        if length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        elif self.response_chunked:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        else:
+            # Only the end of the connection marks the end of the response.
+            framing, exchange.keep = b"", False
+        exchange.keep = not self._must_close(exchange)
+        connection = self._connection_field(exchange, not exchange.keep)
+        transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
+        now = self.core.clock()
+        self.read_watchdog = Pace(now, MIN_READ_RATE, READ_GRACE, READ_STALL[0])
+        transport.write(
+            b"HTTP/1.1 %s\r\n%s%s%s\r\n"
+            % (status_line(status), forwarded_fields(fields), connection, framing)
+        )
+        self._account_written(transport.get_write_buffer_size(), now)
+
+    def more(self, data: bytes) -> None:
+        """Send more of the body; hold the host above `WRITE_HIGH_WATER` unsent bytes."""
+        transport, exchange = self.transport, self.exchange
+        if transport is None or exchange is None or exchange.bare:
+            return
+        piece = chunk(data, False) if self.response_chunked else data
+        transport.write(piece)
+        size = transport.get_write_buffer_size()
+        self._account_written(size, self.core.clock(), len(piece))
+        if size > WRITE_HIGH_WATER and self.response_source is not None:
+            self.response_source.hold()
+
+    def end(self) -> None:
+        """Finish a streamed response."""
+        transport, exchange = self.transport, self.exchange
+        self.exchange = self.response_source = self.read_watchdog = None
+        if transport is None or exchange is None:
+            return
+        if self.response_chunked and not exchange.bare:
+            transport.write(chunk(b"", True))
+        transport.set_write_buffer_limits(high=0)
+        self._account_unsent(transport.get_write_buffer_size())
+        self._finish_response(not exchange.keep)
+
+    def cut(self) -> None:
+        """Abort a streamed response: a reset shows in any framing that it is incomplete."""
+        self.response_source = self.read_watchdog = None
+        self.abort()
+
+    def resume_writing(self) -> None:
+        """Go on with the host once the client has taken all that was written."""
+        transport = self.transport
+        if self.response_source is not None and transport is not None:
+            self._account_written(transport.get_write_buffer_size(), self.core.clock())
+            self.response_source.go_on()
+        elif self.unsent:
+            self._account_unsent(0)
+            self.core.door.progress(self.place, self.core.clock(), 0)
+
+    def _check_reader(self, size: int, now: int) -> None:
+        """Abort the connection if its client doesn't read a streamed response."""
+        watchdog, door = self.read_watchdog, self.core.door
+        assert watchdog is not None
+        self._account_written(size, now)
+        watchdog.stall = READ_STALL[0] + int(door.strain * (READ_STALL[1] - READ_STALL[0]))
+        if size and watchdog.overdue(now) and self.transport is not None:
+            door.closing(self.place, now, Reason.UNREAD)
+            self.transport.abort()
+
+    # --- Errors
+
+    def _reject(self, status: int, why: str, reason: Reason = Reason.REJECTED) -> None:
+        """Answer a malformed or unwanted request with an error, and close.
+
+        An earlier request that is still open on this connection gets this as its response too, as
+        nothing after malformed bytes can be framed. A client that pipelines and errs in a later
+        request has to repeat the earlier one.
+        """
+        if self.phase == CLOSING:
+            return
+        if reason != Reason.ROOM:
+            self.core.counters.bad_requests += 1
+            self.core.door.offended(self.place)
+        self.core.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
+        if self.exchange is not None and status == 503:
+            status = 502  # the open request may have run; a 503 would say that it has not
+        after = self.core.retry_after() if status == 503 else 0
+        midway = self.response_source is not None  # no status can follow half a response
+        self._start_closing(reason)
+        self._drop_requests()
+        if midway:
+            self.abort()
+        if self.transport is None or midway:
+            return
+        if not self.transport.is_reading():
+            self.transport.resume_reading()
+        self.transport.write(closing_response(status, after))
+        # Closing with bytes unread would reset the connection and lose the response.
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,7 +17,8 @@
 from sailhitch.lab.ports import free_port
 from sailhitch.net.config import parse_config
 from sailhitch.net.discovery import Discovery
-from sailhitch.net.downstream import Downstream, Listener
+from sailhitch.net.downstream import Downstream
+from sailhitch.net.listener import Listener
 from sailhitch.net.platform import Platform
 from sailhitch.net.upstream import Hosts
 from tests.fake import settings_value
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -16,7 +16,7 @@
 from sailhitch.core.pace import GRACE, RATE, STALL, Pace
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
-from sailhitch.net import downstream, upstream
+from sailhitch.net import response_writer, upstream
 from tests.sockets import (
     PATIENCE,
     Client,
@@ -343,7 +343,7 @@
 def test_a_client_that_reads_nothing_is_cut_and_holds_up_nobody(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(downstream, "READ_STALL", (500_000, 500_000))
+    monkeypatch.setattr(response_writer, "READ_STALL", (500_000, 500_000))
 
     async def act(it: Gate, host: Server) -> None:
         silent, other = await it.client(), await it.client()
@@ -451,8 +451,8 @@
             await client.reader.readuntil(b"\r\n\r\n")
             assert await client.reader.readexactly(MB) == BODY[:MB]
         (held,) = it.clients()
-        assert held.reader is not None
-        assert held.reader.moved > 0.9 * MB
+        assert held.read_watchdog is not None
+        assert held.read_watchdog.moved > 0.9 * MB
         go.set()
         async with asyncio.timeout(PATIENCE):
             assert await client.reader.readexactly(len(BODY) - MB) == BODY[MB:]
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -21,7 +21,7 @@
 from sailhitch.lab.crowd import LOST, NO_SEAT, SERVED, Crowd, Front, Tally
 from sailhitch.lab.message import platform
 from sailhitch.lab.node import Node
-from sailhitch.net import downstream
+from sailhitch.net import downstream, response_writer
 from sailhitch.net.config import parse_config
 from tests.sockets import (
     PATIENCE,
@@ -202,7 +202,7 @@
 def test_answers_read_a_byte_a_second_hold_neither_memory_nor_places_for_long(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(downstream, "READ_GRACE", 1_000_000)
+    monkeypatch.setattr(response_writer, "READ_GRACE", 1_000_000)
 
     async def act(scene: Scene) -> None:
         scene.node.size = 1_500_000
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -137,7 +137,7 @@
             effect.send(request("effect", b"b"))
             half.send(request("half", b"body")[:-1])
             await until(lambda: len(host.seen) == 2 and len(it.clients()) == 3)
-            await until(lambda: any(c.making is not None for c in it.clients()))
+            await until(lambda: any(c.incoming is not None for c in it.clients()))
             for effects in ((UNSAFE, SAFE), (UNSAFE, UNSAFE), (SAFE, SAFE)):
                 _retune(it, *effects)
             # What was safe goes out again after a reset; what was not never does.
