--- a/benchmarks/front_door.py
+++ b/benchmarks/front_door.py
@@ -26,7 +26,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT))
 
-from sailhitch.front import Door, Sizes  # noqa: E402
+from sailhitch.front import ConnectionAdmission, Sizes  # noqa: E402
 from sailhitch.lab.crowd import Crowd, Front, Tally  # noqa: E402
 from sailhitch.lab.message import platform  # noqa: E402
 from sailhitch.lab.node import Node  # noqa: E402
@@ -110,29 +110,29 @@
 
 
 def event_cost(count: int = 200_000) -> float:
-    """Microseconds of the door for one request on a kept connection: taken, kept, answered."""
-    door = Door(Sizes(220, 85), 0)
-    places = [door.opened(0, "10.0.0.1") for _ in range(40)]
+    """Microseconds of admission control per request on a kept connection."""
+    admission = ConnectionAdmission(Sizes(220, 85), 0)
+    slots = [admission.opened(0, "10.0.0.1") for _ in range(40)]
     started = time.perf_counter()
     for i in range(count):
-        place = places[i % 40]
-        door.taken(place, i * 100, "1")
-        door.keeps(place, i * 100)
-        door.answered(place, i * 100)
+        slot = slots[i % 40]
+        admission.taken(slot, i * 100, "1")
+        admission.keeps(slot, i * 100)
+        admission.answered(slot, i * 100)
     return (time.perf_counter() - started) / count * 1e6
 
 
 def sense_cost(held: int, count: int = 300) -> float:
     """Microseconds of a look at all that is held, under pressure."""
-    door = Door(Sizes(held + 100, held), 0)
+    admission = ConnectionAdmission(Sizes(held + 100, held), 0)
     for i in range(held):
-        place = door.opened(i, f"10.0.{i % 7}.1")
-        door.taken(place, i, str(i % 7))
-        door.answered(place, i)
+        slot = admission.opened(i, f"10.0.{i % 7}.1")
+        admission.taken(slot, i, str(i % 7))
+        admission.answered(slot, i)
     started = time.perf_counter()
     for i in range(count):
-        door.sense(i * 25_000, 50, 0.1)
-        door.trim(i * 25_000)
+        admission.sense(i * 25_000, 50, 0.1)
+        admission.trim(i * 25_000)
     return (time.perf_counter() - started) / count * 1e6
 
 
--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -19,7 +19,7 @@
 from .net.platform import Platform
 
 if TYPE_CHECKING:
-    from .control.desk import Desk
+    from .control.server import OperatorServer
     from .handover.succession import Succession
 
 USAGE = """usage: python -m sailhitch [--help | --version]
@@ -75,7 +75,7 @@
     platform.begin()
     listener = platform.listen(config.listen, BACKLOG, held)
     succession = await _succeed(platform, listener) if held is not None else None
-    desk = await _open_desk(config, platform, succession)
+    operator_server = await _open_operator_server(config, platform, succession)
     watch = loop.create_task(discovery.run())
     loop.add_signal_handler(signal.SIGHUP, Reloader(platform, log).reload)
     heed(signal.SIGHUP)
@@ -104,8 +104,8 @@
         await drain(core, listener.close)
     watch.cancel()
     core.say_stats(core.clock())
-    if desk is not None:
-        desk.close()
+    if operator_server is not None:
+        operator_server.close()
     if succession is not None:
         succession.close()
     core.finish()
@@ -130,18 +130,19 @@
     return succession
 
 
-async def _open_desk(
+async def _open_operator_server(
     config: Config, platform: Platform, succession: Succession | None
-) -> Desk | None:
+) -> OperatorServer | None:
     if config.operator is None:
         return None
-    from .control.desk import Desk
-    from .control.staff import Staff
+    from .control.handlers import OperatorHandlers
+    from .control.server import OperatorServer
 
     pool = platform.pool
-    desk = Desk(Staff(pool, succession.said if succession else pool.by_hand), pool.core.logger)
-    await desk.listen(config.operator)
-    return desk
+    announce = succession.said if succession else pool.by_hand
+    server = OperatorServer(OperatorHandlers(pool, announce), pool.core.logger)
+    await server.listen(config.operator)
+    return server
 
 
 def main(arguments: list[str]) -> int:
--- a/sailhitch/control/__init__.py
+++ b/sailhitch/control/__init__.py
@@ -1,4 +1,5 @@
-"""The operators' door: calls by which staff ask after this process and take hosts out.
+"""The operators' endpoint: HTTP requests by which staff query this process and take hosts out.
 
-`calls` reads a call and decides on it, without I/O; `desk` has the sockets.
+`requests` parses and executes a request, without I/O; `handlers` has the actions on the gateway;
+`server` has the sockets.
 """
--- /dev/null
+++ b/sailhitch/control/handlers.py
@@ -0,0 +1,40 @@
+"""Carry out operators' requests on the platform's gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..core.pool import Pool
+
+
+class OperatorHandlers:
+    """The operators' actions on one pool.
+
+    `announce(host, out)` tells the pool, and every other process concerned, that a host is taken
+    out for maintenance or put back.
+    """
+
+    def __init__(self, pool: Pool, announce: Callable[[str, bool], None]) -> None:
+        self.pool, self.core, self.announce = pool, pool.core, announce
+
+    def serving(self) -> bool:
+        """Return whether this process can serve."""
+        return self.core.ready
+
+    def enter(self, target: str) -> bool:
+        """Take a host out; return False for an id that was never listed."""
+        return self._set_maintenance(target, True)
+
+    def leave(self, target: str) -> bool:
+        """Put a host back; return False for an id that was never listed."""
+        return self._set_maintenance(target, False)
+
+    def _set_maintenance(self, target: str, out: bool) -> bool:
+        maintenance = self.pool.maintenance
+        if not maintenance.knows(target):
+            return False
+        if out != maintenance.is_out(target):
+            self.announce(target, out)
+            word = "out for maintenance" if out else "back in use"
+            self.core.logger.say(f"operators: host {target:.80} {word}")
+        return True
--- a/sailhitch/core/__init__.py
+++ b/sailhitch/core/__init__.py
@@ -2,5 +2,5 @@
 
 Imports run one way: fronts (`net/downstream.py`), transports to hosts (`net/upstream.py`) and
 sources of members (`net/discovery.py`) import the core, and the core knows them by the protocols in
-`seams.py` alone. Whoever wires them together (`net/platform.py`) imports all of them.
+`interfaces.py` alone. Whoever wires them together (`net/platform.py`) imports all of them.
 """
--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -1,7 +1,7 @@
 """What all fronts and pools share: requests and their deadlines, timers, descriptors, figures.
 
 Owns the one final answer to each request: when it is due, that it goes out once, and what is let go
-of after it. It knows fronts and transports by the protocols in `seams.py`.
+of after it. It knows fronts and transports by the protocols in `interfaces.py`.
 """
 
 from __future__ import annotations
@@ -11,15 +11,15 @@
 from collections.abc import Callable
 from typing import Final
 
-from ..front import Door, Place, Reason, Verdict
+from ..front import ConnectionAdmission, ConnectionSlot, Reason, Verdict
 from ..interface import MOOT
 from .budget import Budget
 from .exchange import Exchange
+from .interfaces import Client, Connection, ResponseSource
 from .log import Log
 from .pool import Pool
-from .seams import Client, Connection, Giver
 from .terms import FAR, Answer, Bounds
-from .wheel import LATE, Wheel
+from .timer_wheel import LATE, TimerWheel
 
 MS: Final = 1000
 MARGIN: Final = 10 * MS  # an answer is given so long before the client stops waiting for it,
@@ -60,7 +60,7 @@
         self.budget = Budget(bounds.memory_mb)
         self.pools: list[Pool] = []
         self.clients: dict[Connection, None] = {}
-        self.door = Door(bounds.sizes(), self.clock())
+        self.admission = ConnectionAdmission(bounds.sizes(), self.clock())
         self.arriving: set[Connection] = set()  # accepted, and not yet among the clients
         self.names: dict[bytes, Exchange] = {}  # of requests that are open, here or at a host
         self.live: dict[int, Exchange] = {}
@@ -71,7 +71,7 @@
         self.hanging_up = False  # no connection is kept any more
         # Takes connections that fall idle, where another process of this gateway goes on with them.
         self.passing: Callable[[Connection], bool] | None = None
-        self.wheel: Wheel[Due] = Wheel(
+        self.timers: TimerWheel[Due] = TimerWheel(
             loop, self.clock, self._fire, self._fire_failed, self._stalled, _moot
         )
         self._next_id = 1
@@ -91,11 +91,11 @@
         now = self.clock()
         self._beat_at = now + BEAT
         self._sweep_at, self._stats_at = now + SWEEP, now + STATS
-        self.wheel.push(self._beat_at, None)
+        self.timers.push(self._beat_at, None)
 
     def finish(self) -> None:
         """End at once: timers and connections are let go."""
-        self.wheel.stop()
+        self.timers.stop()
         for client in list(self.clients):
             client.abort()
         for pool in self.pools:
@@ -105,7 +105,7 @@
         """Go by other bounds, with all that is open going on."""
         self.bounds = bounds
         self.budget.resize(bounds.memory_mb)
-        self.door.resize(bounds.sizes())
+        self.admission.resize(bounds.sizes())
 
     def _fire(self, what: Due, at: int, now: int) -> None:
         if what is None:
@@ -116,7 +116,7 @@
             self._due(what, now)
 
     def _fire_failed(self, what: Due, error: Exception) -> None:
-        """An entry of the wheel has raised. Where it was a request's, its client gets an answer."""
+        """Handle a timer that raised; if it was a request's, its client gets an answer."""
         self.fault("a timer", error)
         if isinstance(what, Exchange) and not what.closed:
             self.answer_failed(what)
@@ -145,9 +145,9 @@
 
     def _beat(self, now: int) -> None:
         """What is looked at regularly; each part by itself, so that none can end another."""
-        self.wheel.push(max(now + BEAT // 2, self._beat_at + BEAT), None)
+        self.timers.push(max(now + BEAT // 2, self._beat_at + BEAT), None)
         self._beat_at = now
-        self._guard("the door", self._watch_door, now)
+        self._guard("the door", self._watch_admission, now)
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP
             for pool in self.pools:
@@ -160,9 +160,9 @@
             self._stats_at = now + STATS
             self._guard("the line of figures", self.say_stats, now)
 
-    def _watch_door(self, now: int) -> None:
-        self.door.sense(now, self.upstream(), self.budget.share())
-        self.release(self.door.trim(now), Reason.SEAT)
+    def _watch_admission(self, now: int) -> None:
+        self.admission.sense(now, self.upstream(), self.budget.share())
+        self.release(self.admission.trim(now), Reason.SEAT)
 
     def schedule(self, exchange: Exchange) -> None:
         """Look at this exchange again when its next time-out is due."""
@@ -173,7 +173,7 @@
                 at = min(at, attempt.connect_by)
         if at < FAR and (not exchange.wake or at < exchange.wake):
             exchange.wake = at
-            self.wheel.push(at, exchange)
+            self.timers.push(at, exchange)
 
     def _due(self, exchange: Exchange, now: int) -> None:
         exchange.wake = 0
@@ -200,7 +200,7 @@
         assert pool is not None
         # Danger: a loop that was held up reads late what came long ago.
         now = self.clock()
-        arrived = now - self.wheel.lag
+        arrived = now - self.timers.lag
         deadline = self._deadline(exchange, arrived)
         exchange.deadline = FAR if exchange.filling() else deadline
         exchange.id = self._next_id
@@ -227,7 +227,7 @@
         if exchange.closed:
             return
         now = self.clock()
-        exchange.deadline = self._deadline(exchange, now - self.wheel.lag)
+        exchange.deadline = self._deadline(exchange, now - self.timers.lag)
         for attempt in exchange.out:
             attempt.sent = now
             patience = attempt.patience
@@ -289,13 +289,13 @@
             client.serve(exchange, answer)
 
     def answer_begun(
-        self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver
+        self, exchange: Exchange, answer: Answer, length: int | None, source: ResponseSource
     ) -> Client | None:
         """A host's answer is the final one and is passed on as it comes; to whom, if to anybody."""
         self.counters.served += 1
         client = self._conclude(exchange)
         if client is not None:
-            client.begin(exchange, answer, length, giver)
+            client.begin(exchange, answer, length, source)
         return client
 
     def answer_refused(self, exchange: Exchange, retry_after: int) -> None:
@@ -335,24 +335,24 @@
         It can do harm where one side is idle for long: its part stands empty. What is closed here
         is free on the loop's next turn; the reserve covers the few that are opened until then.
         """
-        door, hosts = self.door, self.upstream()
-        most = door.descriptors()
-        if door.held + hosts < most:
+        admission, hosts = self.admission, self.upstream()
+        most = admission.descriptors()
+        if admission.held + hosts < most:
             return True
-        if door.held > door.sizes.clients_least * most:
+        if admission.held > admission.sizes.clients_least * most:
             now = self.clock()
-            if self.release(door.victims(now), Reason.ROOM):
+            if self.release(admission.victims(now), Reason.ROOM):
                 return True
         return self._close_oldest_idle()
 
     def way_in(self) -> Verdict:
         """Whether there is room for one more client; whoever must go for it goes."""
-        door = self.door
-        if not door.crowded(self.upstream()):
+        admission = self.admission
+        if not admission.crowded(self.upstream()):
             return Verdict.ADMIT
-        if self.release(door.victims(self.clock()), Reason.ROOM):
+        if self.release(admission.victims(self.clock()), Reason.ROOM):
             return Verdict.WAIT
-        if door.held < door.sizes.clients_most and self._close_oldest_idle():
+        if admission.held < admission.sizes.clients_most and self._close_oldest_idle():
             return Verdict.WAIT
         # What is half-way in or out only needs the loop to get round to it.
         soon = bool(self.arriving) or any(c.is_closed() for c in self.clients)
@@ -361,24 +361,24 @@
     def exhausted(self) -> None:
         """The system refuses a descriptor that the settings promise."""
         now = self.clock()
-        self.door.exhausted(now, self.upstream())
-        if not self.release(self.door.victims(now), Reason.ROOM):
+        self.admission.exhausted(now, self.upstream())
+        if not self.release(self.admission.victims(now), Reason.ROOM):
             self._close_oldest_idle()
 
-    def release(self, places: list[Place], reason: Reason) -> int:
+    def release(self, slots: list[ConnectionSlot], reason: Reason) -> int:
         """Let these go, but for those on which bytes are found; how many went."""
         gone = 0
-        for place in places:
-            if place.holder is not None and place.holder.let_go(reason):
+        for slot in slots:
+            if slot.holder is not None and slot.holder.let_go(reason):
                 gone += 1
             else:
-                self.door.spared(place, self.clock())
+                self.admission.spared(slot, self.clock())
         return gone
 
     def retry_after(self) -> int:
-        """For who is turned away for want of a place: microseconds, 0 where there is no saying."""
+        """Return the Retry-After of a refused connection, in microseconds; 0 if unknown."""
         most = self.bounds.retry_most
-        after = self.door.retry_after(self.clock()) if most else 0
+        after = self.admission.retry_after(self.clock()) if most else 0
         return after if after <= most else 0
 
     # --- Drain, log
@@ -435,17 +435,17 @@
             f"open={len(self.live)} clients={len(self.clients)} upstream={self.upstream()} "
             f"opened={sum(p.transport.opened for p in self.pools)} "
             f"hosts={sum(len(p.listed) for p in self.pools)} "
-            f"lag_ms={self.wheel.worst // MS} panics={c.panics} "
+            f"lag_ms={self.timers.worst // MS} panics={c.panics} "
             f"faults={c.faults} overdue={c.overdue} outcomes: {outcomes}"
         )
-        self.logger.say(self.door.told())
+        self.logger.say(self.admission.told())
         for pool in self.pools:
             self.logger.say(f"{pool.name}: {pool.told()}")
-        self.wheel.worst = 0
+        self.timers.worst = 0
 
 
 def _moot(what: Due, at: int) -> bool:
-    """Whether an entry of the wheel is of an exchange that is over or looks at another time."""
+    """Return whether a timer's exchange is over or due at another time."""
     return isinstance(what, Exchange) and what.wake != at
 
 
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..settings import RequestClass
-from .seams import Carrier, Client, Pending
+from .interfaces import Client, Pending, RequestSink
 from .terms import Answer
 from .upload import Upload
 
@@ -70,7 +70,7 @@
         self.patience = 0  # how long it may take from the last byte of a body that still comes
         self.begun = False  # its answer is being passed on
         self.connect_by = 0  # while it waits for a connection
-        self.conn: Carrier | None = None
+        self.conn: RequestSink | None = None
         self.task: Pending | None = None
         self.over = False
 
--- /dev/null
+++ b/sailhitch/core/interfaces.py
@@ -0,0 +1,139 @@
+"""Protocols that the core requires of the parts around it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+from ..front import Reason
+from .terms import Answer, Entry
+
+if TYPE_CHECKING:
+    from .exchange import Attempt, Exchange
+
+
+class Client(Protocol):
+    """A front's side of one request, which gets exactly one final answer."""
+
+    def serve(self, exchange: Exchange, answer: Answer) -> None:
+        """Send a host's whole answer."""
+
+    def refuse(self, exchange: Exchange, retry_after: int) -> None:
+        """Refuse the request; `retry_after` in microseconds, 0 for no advice."""
+
+    def fail(self, exchange: Exchange, late: bool) -> None:
+        """Report a failure, or a time-out (`late`); the request may have taken effect."""
+
+    def begin(
+        self, exchange: Exchange, answer: Answer, length: int | None, source: ResponseSource
+    ) -> None:
+        """Send the head of a host's answer; its body follows by `more` until `end` or `cut`.
+
+        `length` is that of the body; None if unknown.
+        """
+
+    def more(self, data: bytes) -> None:
+        """Send more of the body."""
+
+    def end(self) -> None:
+        """Finish the answer."""
+
+    def cut(self) -> None:
+        """Break off the answer, so that the client can tell that it is incomplete."""
+
+    def left(self) -> bool:
+        """Return whether the client has closed its connection, even if that is unread."""
+
+
+class ResponseSource(Protocol):
+    """Where a streamed answer comes from: a connection to a host."""
+
+    def hold(self) -> None:
+        """Pause: the client reads more slowly than the host sends."""
+
+    def go_on(self) -> None:
+        """Resume: the client has read all that was sent."""
+
+    def unwanted(self) -> None:
+        """Cancel: the client has gone."""
+
+
+class Connection(Protocol):
+    """A front's connection, as admission control and the drain use it."""
+
+    def let_go(self, reason: Reason) -> bool:
+        """Close now; return False, and don't close, if bytes of a request are here unread."""
+
+    def close_idle(self, reason: Reason) -> bool:
+        """Close between two requests; return False if the next one is here, unread."""
+
+    def sweep(self, now: int) -> None:
+        """Close it if it makes no progress; called several times a second."""
+
+    def is_idle(self) -> bool:
+        """Return whether no answer is owed and nothing of a request has been read."""
+
+    def is_closed(self) -> bool:
+        """Return whether this side has closed it and written all: its descriptor is freed next."""
+
+    def owes(self) -> bool:
+        """Return whether the client may still get an answer, or bytes already written."""
+
+    def abort(self) -> None:
+        """Close at once, whatever is open."""
+
+    def detach(self) -> int | None:
+        """Hand the connection over between two requests: return a duplicate of its descriptor.
+
+        The caller closes it. Returns None while an answer is owed or part of a request is read.
+        """
+
+
+class RequestSink(Protocol):
+    """What carries an attempt to a host."""
+
+    def abandon(self) -> None:
+        """Drop the answer, which may still come."""
+
+    def holds_back(self) -> bool:
+        """Return whether part of the request is not sent: abandoned now, it never ran."""
+
+
+class Pending(Protocol):
+    """An attempt's wait for a connection."""
+
+    def cancel(self) -> object:
+        """Stop waiting."""
+
+
+class Transport(Protocol):
+    """Connections to the hosts of one pool.
+
+    It reports exactly one outcome of each attempt to the pool: by `Pool.ended`, or by `Pool.later`
+    if `start` is still running.
+    """
+
+    opened: int  # connections made so far, for the log
+
+    def start(self, attempt: Attempt, now: int) -> None:
+        """Send an attempt; to a host that is not listed, it fails as a failed connection."""
+
+    def list_host(self, entry: Entry) -> None:
+        """Add a host, or update a known one."""
+
+    def drop_host(self, name: str) -> None:
+        """Remove a host; attempts that are open on it run to their end."""
+
+    def size(self) -> int:
+        """Return how many descriptors are held, connections being made included."""
+
+    def oldest_idle(self) -> int | None:
+        """Return since when (us) the longest idle connection has been idle; None if none is."""
+
+    def close_oldest_idle(self) -> bool:
+        """Free a descriptor; return False if no connection is idle."""
+
+    def sweep(self, now: int) -> None:
+        """Close connections idle for too long; called once a second."""
+
+    def stop(self) -> None:
+        """Close everything at once."""
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -33,10 +33,10 @@
 from ..policy import WINDOW_MARGIN, Gateway
 from ..settings import KEYED, RequestClass, Settings
 from .exchange import Attempt, Exchange
-from .kinds import Kinds
+from .interfaces import Client, ResponseSource, Transport
 from .learned import learned, teach
 from .maintenance import Maintenance, Told
-from .seams import Client, Giver, Transport
+from .request_classes import RequestClasses
 from .terms import FAR, Answer, Entry, Reach, Roster
 
 if TYPE_CHECKING:
@@ -51,7 +51,7 @@
         transport: Callable[[Pool], Transport],
     ) -> None:  # fmt: skip
         self.core, self.name, self.settings, self.reach = core, name, settings, reach
-        self.kinds = Kinds(settings.classes)
+        self.request_classes = RequestClasses(settings.classes)
         self.listed: dict[str, Entry] = {}  # as the list has them
         self.maintenance = Maintenance()
         self.failing: set[str] = set()  # hosts whose last attempt failed; for the log only
@@ -102,7 +102,7 @@
         """A request of this pool has come: whole, or so much of it that it can begin to go on."""
         kind = exchange.kind
         assert kind is not None
-        number = self.kinds.number(kind)
+        number = self.request_classes.number(kind)
         if number is None:  # it took longer to come than any class that has gone is remembered
             self.core.answer_failed(exchange)
             return
@@ -146,7 +146,9 @@
         if settings != self.settings:
             self.settings = settings
             now = self.core.clock()
-            whole = replace(settings, classes=self.kinds.turn(now, settings.classes, also))
+            whole = replace(
+                settings, classes=self.request_classes.replace(now, settings.classes, also)
+            )
             self._tell(None, lambda: self.module.reconfigure(now, whole))
 
     # --- Port: what the module does
@@ -192,7 +194,7 @@
                 self.later(one, CANCELLED)
 
     def set_timer(self, token: int, at: int) -> None:
-        self.core.wheel.push(at, (self, token))
+        self.core.timers.push(at, (self, token))
 
     def watch(self, on: bool) -> None:
         self.watch_wanted(on)
@@ -232,7 +234,7 @@
 
     def begun(
         self, attempt: Attempt, answer: Answer, length: int | None, load: Report | None,
-        giver: Giver,
+        source: ResponseSource,
     ) -> Client | None:  # fmt: skip
         """An attempt's answer is long and has begun: it is the client's from here on.
 
@@ -243,7 +245,7 @@
             return None
         now = self.core.clock()
         attempt.begun, attempt.ends = True, FAR
-        client = self.core.answer_begun(exchange, answer, length, giver)
+        client = self.core.answer_begun(exchange, answer, length, source)
         latency = now - attempt.sent
         self._tell(
             exchange,
--- a/sailhitch/core/wheel.py
+++ b/sailhitch/core/timer_wheel.py
@@ -1,4 +1,4 @@
-"""Timers of the gateway: one heap, one timer of the loop, and nothing that can end them."""
+"""Timers on one heap and one timer of the event loop; an entry that raises stops no other."""
 
 from __future__ import annotations
 
@@ -8,20 +8,19 @@
 from typing import Final, Generic, TypeVar
 
 MS: Final = 1000
-LATE: Final = 40 * MS  # a loop later than that lets sockets speak before timers
+LATE: Final = 40 * MS  # us of delay after which sockets are read before timers fire
 
 T = TypeVar("T")
 
 
-class Wheel(Generic[T]):
-    """Hands `fire(what, at, now)` each entry when its time has come; times are microseconds.
+class TimerWheel(Generic[T]):
+    """Calls `fire(what, at, now)` for each entry when it is due; times are microseconds.
 
-    Guards against an entry that raises: it costs that entry, which `failed` is told of, and the
-    others go on. Without that one exception in any periodic part would end every deadline. Danger:
-    an entry that always raises and is pushed again by its own work is a line in the log each time.
+    An exception from `fire` is passed to `failed`, and the other entries go on. An entry that
+    always raises and pushes itself again is logged each time.
 
-    Nearly every entry is a time-out of something that ended long before. `moot(what, at)` says so,
-    and the loop is not woken for it.
+    Nearly every entry is a time-out of something that ended long before. `moot(what, at)` returns
+    whether it is, and the loop is not woken for such an entry.
     """
 
     def __init__(
@@ -35,23 +34,23 @@
     ) -> None:
         self.loop, self.clock, self.fire, self.failed = loop, clock, fire, failed
         self.moot = moot
-        self.stalled = stalled  # told the time and how late it is, before sockets are read
-        self.lag = 0  # how late the last turn was
-        self.worst = 0  # the most of it that has been seen; for whoever reads it to set back
+        self.stalled = stalled  # called with the time and the delay, before sockets are read
+        self.lag = 0  # delay of the last turn; 0 up to 2 ms
+        self.worst = 0  # largest delay seen; its reader resets it
         self._heap: list[tuple[int, int, T]] = []
         self._seq = 0
         self._armed = 0
         self._handle: asyncio.TimerHandle | None = None
 
     def push(self, at: int, what: T) -> None:
-        """Fire `what` at that time. Entries can't be taken back."""
+        """Fire `what` at that time; an entry can't be cancelled."""
         self._seq += 1
         heapq.heappush(self._heap, (at, self._seq, what))
         if not self._armed or at < self._armed:
             self._arm(at)
 
     def stop(self) -> None:
-        """Fire nothing more."""
+        """Fire nothing any more."""
         if self._handle is not None:
             self._handle.cancel()
 
@@ -59,7 +58,7 @@
         if self._handle is not None:
             self._handle.cancel()
         self._armed = at
-        # Danger: the loop's timers count in milliseconds, cut down; one too early fires twice.
+        # The loop's timers round down to milliseconds; a timer that is early would fire twice.
         delay = max(1, (at - self.clock() + 999) // 1000) / 1000
         self._handle = self.loop.call_later(delay, self._wake)
 
@@ -69,8 +68,8 @@
         self._handle = None
         self.lag = late if late > 2 * MS else 0
         if late > LATE:
-            # Danger: after a stall, timers come before what the sockets hold. Answers that have
-            # long arrived would count as timed out, and requests go to hosts told to drain.
+            # After a stall the loop runs timers before it reads sockets: responses that arrived
+            # long ago would count as timed out, and requests would go to draining hosts.
             self.worst = max(self.worst, late)
             self._handle = self.loop.call_later(0.001, self._turn)
             self.stalled(now, late)
@@ -88,7 +87,7 @@
                 except Exception as error:
                     self.failed(what, error)
         finally:
-            # Whatever happened above, also to `failed` itself, the next turn comes.
+            # The next turn comes even if `failed` itself raises.
             self._armed = 0
             while heap and self.moot(heap[0][2], heap[0][0]):
                 heapq.heappop(heap)
--- a/sailhitch/front/__init__.py
+++ b/sailhitch/front/__init__.py
@@ -1,20 +1,20 @@
-"""The front door: who may hold a client's connection, and for how long, when there are too few.
+"""Admission control of client connections: which are kept, and for how long, when few are free.
 
-Sans-IO. A front (HTTP/1.1 today) tells the `Door` what its connections do and carries out what it
-decides; `docs/design/front-door.md` has the reasons.
+Sans-IO. A front (HTTP/1.1 today) reports to `ConnectionAdmission` what its connections do, and
+carries out its decisions; `docs/design/front-door.md` has the reasons.
 """
 
-from .door import Door, Place, Reason, Sizes, State, Verdict
+from .connection_admission import ConnectionAdmission, ConnectionSlot, Reason, Sizes, State, Verdict
 from .groups import Group, Groups
-from .life import Kind, LifeTables
+from .survival import Kind, LifeTables
 
 __all__ = [
-    "Door",
+    "ConnectionAdmission",
+    "ConnectionSlot",
     "Group",
     "Groups",
     "Kind",
     "LifeTables",
-    "Place",
     "Reason",
     "Sizes",
     "State",
--- a/sailhitch/front/groups.py
+++ b/sailhitch/front/groups.py
@@ -1,4 +1,4 @@
-"""Who holds places together: sources and tenants, what they have brought, and their shares.
+"""Who holds slots together: sources and tenants, what they have brought, and their shares.
 
 Bounded memory: a group that holds nothing is forgotten when there are too many, longest unseen
 first. All times are microseconds.
@@ -10,7 +10,7 @@
 from typing import Final
 
 MOST_GROUPS: Final = 2048
-PRIOR: Final = 8.0  # places that a group of no record is taken to have used well
+PRIOR: Final = 8.0  # slots that a group of no record is taken to have used well
 OFFENDER: Final = 0.25  # a group of less standing than this is one that has misbehaved
 LEAST_SHARE: Final = 0.5  # of an even share, which is anybody's however little it brings
 
@@ -26,7 +26,7 @@
         self.unproven = 0  # of them, those that have not brought a whole request yet
         self.idle = 0  # of them, those that have and wait with none open
         self.brought = 0.0  # requests, of late
-        self.wasted = 0.0  # places that ended in misuse, of late
+        self.wasted = 0.0  # slots that ended in misuse, of late
         self.standing = 1.0
         self.quota = 1.0  # of what there is of a scarce thing, this part at least
 
@@ -64,7 +64,7 @@
             if not group.held:
                 del self.known[name]
                 return
-        # All hold places: as many as there are descriptors, which bounds this table too.
+        # All hold slots: as many as there are descriptors, which bounds this table too.
 
     def refresh(self, keep: float) -> None:
         """Judge all groups, share out by what each brings, and let old deeds count less."""
--- a/sailhitch/front/life.py
+++ b/sailhitch/front/survival.py
@@ -1,9 +1,9 @@
-"""How likely a waiting connection is to bring its next request, and how soon: life tables.
+"""Estimate whether and when waiting connections bring their next request: life tables.
 
 A table per kind of connection counts, by age in octaves of time, how many ended their wait with a
 request and how many were closed or still wait. The hazard of an octave is the actuarial estimate
 for censored lives: events over the time spent in it (Kaplan and Meier, J. Am. Stat. Assoc. 53,
-1958, section 2, with the time spent as in the piecewise exponential model). The worth of a place
+1958, section 2, with the time spent as in the piecewise exponential model). The worth of a slot
 is what its next request is worth now, discounted by how long it will take to come.
 
 All times are microseconds.
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
+from ..core.interfaces import Connection
 from ..core.process import AFTERWARDS, STEP
-from ..core.seams import Connection
 from ..core.terms import Bounds
 from ..net.listener import Listener
 from ..net.platform import Platform
@@ -224,7 +224,7 @@
 
     def _say_held(self) -> None:
         self._report = None
-        held = self.core.door.held + self.core.upstream()
+        held = self.core.admission.held + self.core.upstream()
         for link in self._links():
             beyond = sum(count for other, count in self.others.items() if other is not link)
             link.send(bytes((told.HOLDS,)) + (held + beyond).to_bytes(4, "big"))
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -12,11 +12,11 @@
 import httptools
 
 from ..core.exchange import Exchange
-from ..core.pace import Pace
-from ..core.seams import Giver
+from ..core.interfaces import ResponseSource
 from ..core.terms import Field
-from ..front import Place, Reason
-from .look import shows
+from ..core.throughput_watchdog import ThroughputWatchdog
+from ..front import ConnectionSlot, Reason
+from .socket_poll import has_event
 
 if TYPE_CHECKING:
     from .listener import Listener
@@ -45,13 +45,13 @@
         "parser",
         "phase",
         "pipelined",
-        "place",
         "read_watchdog",
         "received",
         "received_since_sweep",
         "response_chunked",
         "response_source",
         "send_watchdog",
+        "slot",
         "sock",
         "transport",
         "unsent",
@@ -59,8 +59,8 @@
         "url",
     )  # fmt: skip
 
-    def __init__(self, listener: Listener, sock: socket.socket, place: Place) -> None:
-        self.listener, self.core, self.sock, self.place = listener, listener.core, sock, place
+    def __init__(self, listener: Listener, sock: socket.socket, slot: ConnectionSlot) -> None:
+        self.listener, self.core, self.sock, self.slot = listener, listener.core, sock, slot
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.phase = IDLE
@@ -69,10 +69,11 @@
         self.incoming: Exchange | None = None  # being read
         self.discarding_body = False  # answered early: the rest of the body is read and dropped
         self.received_since_sweep = False
-        self.send_watchdog: Pace | None = None  # of the client that sends a streamed body
-        self.response_source: Giver | None = None  # the host's side of a streamed response
+        # Of the client that sends a streamed body, and of the one that reads a streamed response.
+        self.send_watchdog: ThroughputWatchdog | None = None
+        self.read_watchdog: ThroughputWatchdog | None = None
+        self.response_source: ResponseSource | None = None  # of a streamed response
         self.response_chunked = False  # that response is sent in chunks
-        self.read_watchdog: Pace | None = None  # of the client that reads it
         self.unsent = 0  # bytes of responses that the client has not taken, as budgeted
         self._reset_request()
 
@@ -101,14 +102,14 @@
         self.transport.set_write_buffer_limits(high=0)
         self.core.arriving.discard(self)
         self.core.clients[self] = None
-        self.place.holder = self
+        self.slot.holder = self
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self.parser = None  # breaks a reference cycle
-        self.place.holder = None
+        self.slot.holder = None
         self.core.clients.pop(self, None)
-        self.core.door.closed(self.place, self.core.clock())
+        self.core.admission.closed(self.slot, self.core.clock())
         self._account_unsent(0)
         self._drop_requests()
 
@@ -124,7 +125,7 @@
         """
         if self.transport is None or self.sock.fileno() < 0:
             return True
-        return shows(self.sock.fileno(), select.POLLRDHUP)
+        return has_event(self.sock.fileno(), select.POLLRDHUP)
 
     def _abort_departed(self) -> None:
         """Close after the client has gone, so that what it sent before is not read and sent on."""
@@ -170,7 +171,7 @@
     def _start_closing(self, reason: Reason) -> None:
         """Send no new response after this."""
         self.phase = CLOSING
-        self.core.door.closing(self.place, self.core.clock(), reason)
+        self.core.admission.closing(self.slot, self.core.clock(), reason)
 
     # --- State
 
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -14,7 +14,7 @@
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
-from .look import shows
+from .socket_poll import has_event
 
 PATH: Final = "/registry/instances"
 # What a watch misses counts as told so long after it fell silent (s). The call that is out then,
@@ -155,7 +155,7 @@
     def unread(self) -> bool:
         """Whether something has come that the loop has not read."""
         sock = None if self.transport is None else self.transport.get_extra_info("socket")
-        return sock is not None and sock.fileno() >= 0 and shows(sock.fileno(), select.POLLIN)
+        return sock is not None and sock.fileno() >= 0 and has_event(sock.fileno(), select.POLLIN)
 
     def usable(self) -> bool:
         return self.keep and self.transport is not None and not self.transport.is_closing()
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -29,7 +29,7 @@
         """Start a request whose turn it is; answer it here if no host is to get it."""
         pool = exchange.pool
         tenant = str(exchange.tenant) if pool is not None else None
-        self.core.door.taken(self.place, self.core.clock(), tenant)
+        self.core.admission.taken(self.slot, self.core.clock(), tenant)
         if pool is None:
             self.exchange = exchange
             if exchange.fallback is not None:
@@ -108,28 +108,28 @@
         Bytes left to write get as long as any response. A reset would take the response from a
         client that is still sending what was refused.
         """
-        patience = self.core.door.limit(State.WRITING) if size else LINGER_IDLE
-        age = now - self.place.since
+        patience = self.core.admission.limit(State.WRITING) if size else LINGER_IDLE
+        age = now - self.slot.since
         if age > (LINGER_MAX if self.received_since_sweep else patience):
             transport.abort()
         self.received_since_sweep = False
 
     def _check_deadline(self, transport: asyncio.Transport, size: int, now: int) -> None:
         """Record progress, and close the connection if its state has lasted for too long."""
-        door = self.core.door
+        admission = self.core.admission
         if self.phase == BODY:
-            door.came(self.place, now, self.received)
+            admission.came(self.slot, now, self.received)
         if self.unsent or size:
             self._account_unsent(size)
-            door.progress(self.place, now, size)
-        reason = door.overdue(self.place, now)
+            admission.progress(self.slot, now, size)
+        reason = admission.overdue(self.slot, now)
         if reason is None:
             return
         if reason == Reason.UNREAD:
-            door.closing(self.place, now, reason)
+            admission.closing(self.slot, now, reason)
             transport.abort()
         elif reason == Reason.SLOW:
-            if not (self.core.wheel.lag and self._has_unread_bytes()):
+            if not (self.core.timers.lag and self._has_unread_bytes()):
                 self._reject(408, "request too slow", reason)
         elif self.is_idle():
             self.close_idle(reason)
--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -11,7 +11,7 @@
 from ..core.budget import HELD_MOST
 from ..core.core import Core
 from ..core.terms import Address
-from ..front import Place, Reason, Verdict
+from ..front import ConnectionSlot, Reason, Verdict
 from .downstream import Downstream
 from .intake import Intake
 from .responses import closing_response
@@ -82,8 +82,8 @@
                     core.exhausted()
                 self._pause_accepting()
                 return
-            if way == Verdict.ADMIT and core.door.admits(core.clock(), peer[0]):
-                self._admit(sock, core.door.opened(core.clock(), peer[0]))
+            if way == Verdict.ADMIT and core.admission.admits(core.clock(), peer[0]):
+                self._admit(sock, core.admission.opened(core.clock(), peer[0]))
             else:
                 self._reject_connection(sock)
 
@@ -95,11 +95,11 @@
         except OSError:
             sock.close()  # its client has gone meanwhile
             return
-        self._admit(sock, self.core.door.adopted(self.core.clock(), address))
+        self._admit(sock, self.core.admission.adopted(self.core.clock(), address))
 
-    def _admit(self, sock: socket.socket, place: Place) -> None:
+    def _admit(self, sock: socket.socket, slot: ConnectionSlot) -> None:
         """Serve an admitted connection."""
-        client = Downstream(self, sock, place)
+        client = Downstream(self, sock, slot)
         self.core.arriving.add(client)
         # The event loop itself holds only a weak reference to a task.
         task = self.core.loop.create_task(self._connect(client))
@@ -115,18 +115,18 @@
             await core.loop.connect_accepted_socket(lambda: client, sock)
         except OSError:
             sock.close()  # it has gone already
-            core.door.closed(client.place, core.clock())
+            core.admission.closed(client.slot, core.clock())
         finally:
             core.arriving.discard(client)  # connected or gone by now
 
     def _reject_connection(self, sock: socket.socket) -> None:
-        """Answer 503 at once, without a place.
+        """Answer 503 and close, without a slot.
 
         What has come is read first: a close with bytes unread would reset the connection and lose
         the response. A request that comes later crosses the close, and its client repeats it.
         """
         self.core.counters.crowded += 1
-        self.core.door.turned_away()
+        self.core.admission.turned_away()
         self.core.logger.often("crowd", "no place for a client's connection; turned away")
         with contextlib.suppress(OSError):
             sock.setblocking(False)
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -11,7 +11,7 @@
 
 from ..core.budget import HELD_MOST, LONGEST
 from ..core.exchange import Exchange
-from ..core.pace import Pace
+from ..core.throughput_watchdog import ThroughputWatchdog
 from ..core.upload import Upload
 from .client_connection import BODY, CLOSING, HEAD, IDLE
 from .http import BLANK, MAX_HEAD
@@ -66,7 +66,7 @@
             self._reject(431, "head too large")
         elif self.exchange is None:
             if self.phase != IDLE and not self.pipelined:
-                self.core.door.reading(self.place, self.core.clock(), self.phase == BODY)
+                self.core.admission.reading(self.slot, self.core.clock(), self.phase == BODY)
             # Only after parsing: malformed bytes right behind a request make it suspect too.
             self._dispatch_next()
 
@@ -227,7 +227,7 @@
         self.core.budget.give_back(exchange.reserved)
         exchange.reserved = 0
         exchange.upload = Upload(self, start, self.chunked, self.core.budget)
-        self.send_watchdog = Pace(self.core.clock())
+        self.send_watchdog = ThroughputWatchdog(self.core.clock())
         self.hold()
         self._dispatch(exchange)
 
--- a/sailhitch/net/response_writer.py
+++ b/sailhitch/net/response_writer.py
@@ -6,9 +6,9 @@
 
 from ..core.budget import HELD_MOST
 from ..core.exchange import Exchange
-from ..core.pace import Pace
-from ..core.seams import Giver
+from ..core.interfaces import ResponseSource
 from ..core.terms import Answer
+from ..core.throughput_watchdog import ThroughputWatchdog
 from ..front import Reason
 from .client_connection import BODY, CLOSING, IDLE, ClientConnection
 from .http import chunk
@@ -64,7 +64,7 @@
         close = early or self._must_close(exchange)
         if not close and self.phase == IDLE and not self.pipelined:
             # Closing costs the client nothing here: the response says so, and no request crosses.
-            keeps = self.core.door.keeps(self.place, self.core.clock())
+            keeps = self.core.admission.keeps(self.slot, self.core.clock())
             close = not (keeps or self._has_unread_bytes())
         parts = b"HTTP/1.1 %s\r\n%s%sContent-Length: %d\r\n\r\n" % (
             status, fields, self._connection_field(exchange, close), len(body),
@@ -101,9 +101,9 @@
             self.core.loop.call_soon(self._dispatch_next)
         else:
             now = self.core.clock()
-            self.core.door.answered(self.place, now, self.unsent)
+            self.core.admission.answered(self.slot, now, self.unsent)
             if self.phase != IDLE:
-                self.core.door.reading(self.place, now, self.phase == BODY)
+                self.core.admission.reading(self.slot, now, self.phase == BODY)
             elif self.core.passing is not None:
                 self.core.passing(self)
 
@@ -118,7 +118,9 @@
 
     # --- Streamed responses
 
-    def begin(self, exchange: Exchange, answer: Answer, length: int | None, giver: Giver) -> None:
+    def begin(
+        self, exchange: Exchange, answer: Answer, length: int | None, source: ResponseSource
+    ) -> None:
         """Send the head of a host's response whose body follows by `more`.
 
         `length` is that of the body; None if unknown.
@@ -127,7 +129,7 @@
         self.exchange = exchange
         if transport is None:
             return
-        self.response_source = giver
+        self.response_source = source
         status, fields, _ = answer
         self.response_chunked = length is None and not exchange.old_http
         if length is not None:
@@ -141,7 +143,7 @@
         connection = self._connection_field(exchange, not exchange.keep)
         transport.set_write_buffer_limits(high=WRITE_HIGH_WATER)
         now = self.core.clock()
-        self.read_watchdog = Pace(now, MIN_READ_RATE, READ_GRACE, READ_STALL[0])
+        self.read_watchdog = ThroughputWatchdog(now, MIN_READ_RATE, READ_GRACE, READ_STALL[0])
         transport.write(
             b"HTTP/1.1 %s\r\n%s%s%s\r\n"
             % (status_line(status), forwarded_fields(fields), connection, framing)
@@ -185,16 +187,16 @@
             self.response_source.go_on()
         elif self.unsent:
             self._account_unsent(0)
-            self.core.door.progress(self.place, self.core.clock(), 0)
+            self.core.admission.progress(self.slot, self.core.clock(), 0)
 
     def _check_reader(self, size: int, now: int) -> None:
         """Abort the connection if its client doesn't read a streamed response."""
-        watchdog, door = self.read_watchdog, self.core.door
+        watchdog, admission = self.read_watchdog, self.core.admission
         assert watchdog is not None
         self._account_written(size, now)
-        watchdog.stall = READ_STALL[0] + int(door.strain * (READ_STALL[1] - READ_STALL[0]))
+        watchdog.stall = READ_STALL[0] + int(admission.strain * (READ_STALL[1] - READ_STALL[0]))
         if size and watchdog.overdue(now) and self.transport is not None:
-            door.closing(self.place, now, Reason.UNREAD)
+            admission.closing(self.slot, now, Reason.UNREAD)
             self.transport.abort()
 
     # --- Errors
@@ -210,7 +212,7 @@
             return
         if reason != Reason.ROOM:
             self.core.counters.bad_requests += 1
-            self.core.door.offended(self.place)
+            self.core.admission.offended(self.slot)
         self.core.logger.often(f"reject {status}", f"client refused with {status}: {why[:100]}")
         if self.exchange is not None and status == 503:
             status = 502  # the open request may have run; a 503 would say that it has not
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -13,10 +13,10 @@
 
 from ..core.budget import HELD_MOST, LONGEST
 from ..core.exchange import Attempt
-from ..core.pace import Pace
+from ..core.interfaces import Client
 from ..core.pool import Pool
-from ..core.seams import Client
 from ..core.terms import Address, Answer, Entry
+from ..core.throughput_watchdog import ThroughputWatchdog
 from ..core.upload import Upload
 from ..interface import (
     BUSY,
@@ -70,8 +70,8 @@
 
     __slots__ = (
         "attempt", "body", "budget", "declined", "dropping", "head_at", "held", "host", "hosts",
-        "idle_since", "load", "pace", "rest", "size", "sock", "taker", "transport", "unsent",
-        "upload",
+        "idle_since", "load", "rest", "size", "sock", "taker", "transport", "unsent",
+        "upload", "watchdog",
     )  # fmt: skip
 
     def __init__(self, hosts: Hosts, host: Host, sock: socket.socket) -> None:
@@ -95,7 +95,7 @@
         self.declined = self.dropping = False
         self.load: Report | None = None
         self.taker: Client | None = None  # whom the answer is passed on to as it comes
-        self.pace: Pace | None = None  # of the host in that
+        self.watchdog: ThroughputWatchdog | None = None  # of the host that is read from
         self.head_at = 0
 
     # --- The request
@@ -259,26 +259,28 @@
         if self.taker is None:
             self.dropping, self.body = True, b""
             return
-        self.pace = Pace(self.hosts.core.clock(), FLOW_RATE, FLOW_GRACE, FLOW_STALL)
+        self.watchdog = ThroughputWatchdog(
+            self.hosts.core.clock(), FLOW_RATE, FLOW_GRACE, FLOW_STALL
+        )
 
     def _pass_on(self, size: int) -> None:
         taker, body = self.taker, self.body
-        if self.pace is not None:
-            self.pace.move(size, self.hosts.core.clock())
+        if self.watchdog is not None:
+            self.watchdog.move(size, self.hosts.core.clock())
         if body and taker is not None:
             self.body = b""
             taker.more(bytes(body))
 
     def hold(self) -> None:
-        """The client does not keep up; a `Giver`."""
-        if self.transport is not None and self.pace is not None:
-            self.pace.stop(self.hosts.core.clock())
+        """The client does not keep up; a `ResponseSource`."""
+        if self.transport is not None and self.watchdog is not None:
+            self.watchdog.stop(self.hosts.core.clock())
             self.transport.pause_reading()
 
     def go_on(self) -> None:
         """The client has taken what there was."""
-        if self.transport is not None and self.pace is not None:
-            self.pace.go(self.hosts.core.clock())
+        if self.transport is not None and self.watchdog is not None:
+            self.watchdog.go(self.hosts.core.clock())
             self.transport.resume_reading()
 
     def unwanted(self) -> None:
@@ -288,7 +290,7 @@
 
     def stands_still(self, now: int) -> bool:
         """Whether the host has stopped in the middle of an answer."""
-        return self.pace is not None and self.pace.overdue(now)
+        return self.watchdog is not None and self.watchdog.overdue(now)
 
     def give_up(self) -> None:
         """The rest of an answer is not waited for any more."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,7 +13,7 @@
 import pytest
 
 from sailhitch.core.budget import Budget
-from sailhitch.front import door
+from sailhitch.front import connection_admission
 from tests.sockets import PATIENCE, Gate, Server, Writer, answer, fill, gate, plain, request, until
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: h\r\nReq-Id: x1\r\nReq-Kind: side_effect-all\r\n"
@@ -107,8 +107,11 @@
 def test_the_limits_on_silence_leave_room_within_three_seconds() -> None:
     from sailhitch.core.core import CLIENT_SWEEP
 
-    assert max(door.REQUEST[0], door.SILENT[0]) + 2 * CLIENT_SWEEP < 3_000_000
-    assert door.SILENT[0] >= 2_000_000
+    assert (
+        max(connection_admission.REQUEST[0], connection_admission.SILENT[0]) + 2 * CLIENT_SWEEP
+        < 3_000_000
+    )
+    assert connection_admission.SILENT[0] >= 2_000_000
 
 
 def test_a_client_that_trickles_does_not_win_time_with_each_byte() -> None:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from sailhitch.core.budget import HELD_MOST, LONGEST, Budget
-from sailhitch.core.pace import GRACE, RATE, STALL, Pace
+from sailhitch.core.throughput_watchdog import GRACE, RATE, STALL, ThroughputWatchdog
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
 from sailhitch.net import response_writer, upstream
@@ -106,7 +106,7 @@
 def test_who_keeps_the_rate_is_never_cut_and_who_trickles_always_is(
     steps: list[tuple[int, bool]], slow: int
 ) -> None:
-    honest, trickle, now, counted = Pace(0), Pace(0), 0, 0
+    honest, trickle, now, counted = ThroughputWatchdog(0), ThroughputWatchdog(0), 0, 0
     for gap, waits in steps:
         if waits:  # this side does not want its bytes for a while
             honest.stop(now)
@@ -350,7 +350,7 @@
         silent.writer.transport.pause_reading()  # type: ignore[attr-defined]
         silent.send(request("s", BODY * 4))
         n = 0
-        while it.core.door.figures.closed[Reason.UNREAD] == 0:
+        while it.core.admission.figures.closed[Reason.UNREAD] == 0:
             n += 1
             assert (await other.ask(request(f"o{n}", b"body")))[1] == b"body"
         silent.writer.transport.abort()
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -65,12 +65,12 @@
     def check(self, share: float = 0.97) -> None:
         """The honest are served, nobody is answered twice, and the budget holds."""
         core = self.it.core
-        assert self.honest.share >= share, (self.honest.ends, core.door.told())
+        assert self.honest.share >= share, (self.honest.ends, core.admission.told())
         assert self.honest.twice == 0
         assert all(count == 1 for count in self.node.effects.values())
         assert core.counters.panics == core.counters.faults == 0
-        assert core.door.held == len(core.clients) + len(core.arriving)
-        assert core.door.held + self.it.hosts.size() <= self.it.platform.config.sockets
+        assert core.admission.held == len(core.clients) + len(core.arriving)
+        assert core.admission.held + self.it.hosts.size() <= self.it.platform.config.sockets
 
 
 def play(act: Callable[[Scene], Awaitable[None]], sockets: int = 256, delay: float = 0.01) -> None:
@@ -101,7 +101,7 @@
         await scene.serve_honest()
         scene.check()
         assert hoard.ends[SERVED] > 0.9 * hoard.asked
-        assert scene.it.core.door.used <= sockets // 3
+        assert scene.it.core.admission.used <= sockets // 3
 
     play(act, sockets)
 
@@ -116,7 +116,7 @@
         beside(scene, scene.crowd.hoarders(scene.front, hoard, 100, 400))
         await asyncio.gather(*back)
         assert again.ends == {SERVED: 600}
-        assert scene.it.core.door.figures.closed[Reason.SEAT] > 100
+        assert scene.it.core.admission.figures.closed[Reason.SEAT] > 100
         # 20 connections would do; some are lost before it is seen who comes back.
         assert scene.front.dialled - hoard.asked < 120
 
@@ -176,9 +176,9 @@
             beside(scene, scene.crowd.come_back("127.0.0.66", first))
         await scene.serve_honest()
         scene.check(0.95)
-        mine = scene.it.core.door.sources.get("127.0.0.66")
+        mine = scene.it.core.admission.sources.get("127.0.0.66")
         await until(lambda: mine.standing < 0.5)
-        assert scene.it.core.door.sources.get("127.0.0.1").standing > 0.9
+        assert scene.it.core.admission.sources.get("127.0.0.1").standing > 0.9
 
     play(act)
 
@@ -193,7 +193,7 @@
         await scene.serve_honest()
         scene.check()
         await until(lambda: scene.crowd.closed["trickle"] == 100)
-        assert scene.it.core.door.figures.closed[Reason.SLOW] > 0
+        assert scene.it.core.admission.figures.closed[Reason.SLOW] > 0
         assert scene.node.effects[b"slow"] == 0
 
     play(act)
@@ -208,12 +208,12 @@
         scene.node.size = 1_500_000
         for i in range(12):
             beside(scene, scene.crowd.slow_reader(platform(f"s{i}", SAFE, 3000)))
-        door = scene.it.core.door
+        admission = scene.it.core.admission
         await until(lambda: scene.it.core.budget.flows > 1_000_000)
         scene.node.size = 32
         await scene.serve_honest()
         scene.check()
-        await until(lambda: door.figures.closed[Reason.UNREAD] >= 5)
+        await until(lambda: admission.figures.closed[Reason.UNREAD] >= 5)
         await until(lambda: scene.it.core.budget.flows == 0)
 
     play(act)
@@ -222,7 +222,7 @@
 def test_requests_sent_ahead_are_all_answered_under_pressure() -> None:
     async def act(scene: Scene) -> None:
         beside(scene, scene.crowd.hoarders(scene.front, Tally(), 200, 600))
-        await until(lambda: scene.it.core.door.strain > 0)
+        await until(lambda: scene.it.core.admission.strain > 0)
         for turn in range(20):
             client = await scene.it.client()
             client.send(b"".join(request(f"p{turn}-{i}") for i in range(4)))
@@ -247,7 +247,7 @@
                     break
             except BlockingIOError:
                 pass
-        assert scene.it.core.release([held.place], Reason.ROOM) == 0
+        assert scene.it.core.release([held.slot], Reason.ROOM) == 0
         assert (await client.answer())[0] == 200
 
     play(act)
@@ -260,7 +260,7 @@
         core, real, counts = scene.it.core, downstream.Downstream.connection_made, []
 
         def counted() -> tuple[int, int]:
-            return core.door.held, len(core.clients) + len(core.arriving)
+            return core.admission.held, len(core.clients) + len(core.arriving)
 
         def made(self: downstream.Downstream, transport: asyncio.BaseTransport) -> None:
             counts.append(counted())  # it has been accepted
@@ -288,7 +288,7 @@
         held = [asyncio.ensure_future(scene.front.ask(out)) for _ in range(40)]
         await until(lambda: len(scene.node.effects) >= 40)
         beside(scene, scene.crowd.silent(1000, 80))
-        await until(lambda: scene.it.core.door.held >= 110)
+        await until(lambda: scene.it.core.admission.held >= 110)
         value = config_value("127.0.0.1:9", ("a", scene.node.addr), limits={"sockets": 128})
         scene.it.platform.reconfigure(parse_config(value, {}))
         await asyncio.gather(*held)
@@ -297,7 +297,7 @@
         scene.node.delay = 0.01
         await scene.serve_honest()
         scene.check()
-        assert scene.it.core.door.held + scene.it.hosts.size() <= 128
+        assert scene.it.core.admission.held + scene.it.hosts.size() <= 128
 
     play(act)
 
@@ -307,13 +307,13 @@
 ) -> None:
     async def act(scene: Scene) -> None:
         beside(scene, scene.crowd.silent(1000, 60))
-        await until(lambda: scene.it.core.door.held >= 60)
+        await until(lambda: scene.it.core.admission.held >= 60)
         real, refused = socket.socket.accept, 0
 
         def accept(self: socket.socket) -> tuple[socket.socket, Any]:
             nonlocal refused
             ours = self.getsockname()[1] == int(scene.it.addr.rpartition(":")[2])
-            if ours and scene.it.core.door.held + scene.it.hosts.size() >= 50:
+            if ours and scene.it.core.admission.held + scene.it.hosts.size() >= 50:
                 refused += 1
                 raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
             return real(self)
@@ -377,13 +377,13 @@
             client = await it.client()
             core._stats_at = 0
             if part in ("door", "all"):
-                monkeypatch.setattr(core.door, "sense", broken)
+                monkeypatch.setattr(core.admission, "sense", broken)
             if part in ("hosts", "all"):
                 monkeypatch.setattr(it.hosts, "sweep", broken)
             if part in ("clients", "all"):
                 monkeypatch.setattr(type(next(iter(core.clients))), "sweep", broken)
             if part in ("figures", "all"):
-                monkeypatch.setattr(core.door, "told", broken)
+                monkeypatch.setattr(core.admission, "told", broken)
             await until(lambda: core.counters.faults > 0)
             for i in range(3):
                 assert (await client.ask(request(f"d{i}", wait_ms=300)))[0] in (502, 503, 504)
--- a/tests/test_front_door.py
+++ b/tests/test_front_door.py
@@ -1,4 +1,4 @@
-"""The door's decisions, in virtual time."""
+"""Decisions of connection admission, in virtual time."""
 
 from __future__ import annotations
 
@@ -10,8 +10,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sailhitch.front import Door, Place, Reason, Sizes, State
-from sailhitch.front.door import CEILING_BACK, IDLE_MOST, REQUEST, SILENT, STALL, WAITING
+from sailhitch.front import ConnectionAdmission, ConnectionSlot, Reason, Sizes, State
+from sailhitch.front.connection_admission import (
+    CEILING_BACK,
+    IDLE_MOST,
+    REQUEST,
+    SILENT,
+    STALL,
+    WAITING,
+)
 from sailhitch.front.groups import MOST_GROUPS, Groups, source_of
 
 MS, S = 1_000, 1_000_000
@@ -19,48 +26,56 @@
 
 
 class Connection:
-    """What holds a place here: it can always be let go."""
+    """What holds a slot here: it can always be let go."""
 
     def let_go(self, reason: Reason) -> bool:
         return True
 
 
-def door(sizes: Sizes = SIZES) -> Door:
-    return Door(sizes, 0)
+def admission(sizes: Sizes = SIZES) -> ConnectionAdmission:
+    return ConnectionAdmission(sizes, 0)
 
 
-def asked(it: Door, now: int, address: str = "10.0.0.1", tenant: str = "t") -> Place:
-    place = it.opened(now, address)
-    it.taken(place, now, tenant)
-    return place
+def asked(
+    it: ConnectionAdmission, now: int, address: str = "10.0.0.1", tenant: str = "t"
+) -> ConnectionSlot:
+    slot = it.opened(now, address)
+    it.taken(slot, now, tenant)
+    return slot
 
 
-def idle(it: Door, now: int, address: str = "10.0.0.1", tenant: str = "t") -> Place:
-    place = asked(it, now, address, tenant)
-    it.answered(place, now)
-    return place
+def idle(
+    it: ConnectionAdmission, now: int, address: str = "10.0.0.1", tenant: str = "t"
+) -> ConnectionSlot:
+    slot = asked(it, now, address, tenant)
+    it.answered(slot, now)
+    return slot
 
 
-def close(it: Door, place: Place, now: int, reason: Reason = Reason.SEAT) -> None:
-    it.closing(place, now, reason)
-    it.closed(place, now)
+def close(
+    it: ConnectionAdmission, slot: ConnectionSlot, now: int, reason: Reason = Reason.SEAT
+) -> None:
+    it.closing(slot, now, reason)
+    it.closed(slot, now)
 
 
-def run(it: Door, until: int, step: int = 25 * MS, others: int = 0) -> list[Place]:
-    """Let time pass; what the door wants to go goes. Returns that."""
+def run(
+    it: ConnectionAdmission, until: int, step: int = 25 * MS, others: int = 0
+) -> list[ConnectionSlot]:
+    """Let time pass; connections chosen to be closed are closed. Returns them."""
     gone = []
     now = it.now
     while now < until:
         now += step
         it.sense(now, others, 0.0)
-        for place in it.trim(now):
-            close(it, place, now)
-            gone.append(place)
-        for place in list(it.places):
-            reason = it.overdue(place, now)
+        for slot in it.trim(now):
+            close(it, slot, now)
+            gone.append(slot)
+        for slot in list(it.slots):
+            reason = it.overdue(slot, now)
             if reason is not None:
-                close(it, place, now, reason)
-                gone.append(place)
+                close(it, slot, now, reason)
+                gone.append(slot)
     return gone
 
 
@@ -68,15 +83,15 @@
 
 
 def test_with_no_pressure_an_idle_connection_is_kept_as_long_as_ever() -> None:
-    it = door()
-    place = idle(it, 0)
+    it = admission()
+    slot = idle(it, 0)
     assert run(it, IDLE_MOST - S, step=100 * MS) == []
-    assert run(it, IDLE_MOST + S, step=100 * MS) == [place]
+    assert run(it, IDLE_MOST + S, step=100 * MS) == [slot]
     assert it.figures.closed[Reason.IDLE] == 1
 
 
 def test_who_asks_once_and_holds_on_gives_up_its_seat_within_a_second() -> None:
-    it = door()
+    it = admission()
     for i in range(80):
         idle(it, i * MS)
     gone = run(it, 2 * S)
@@ -85,14 +100,14 @@
 
 
 def test_who_comes_back_keeps_its_seat_beside_hoarders() -> None:
-    it = door()
+    it = admission()
     regular = [idle(it, 0) for _ in range(20)]
     now, held = 0, []
     for turn in range(200):
         now += 50 * MS
-        for place in regular:
-            it.taken(place, now, "t")
-            it.answered(place, now + 10 * MS)
+        for slot in regular:
+            it.taken(slot, now, "t")
+            it.answered(slot, now + 10 * MS)
         held += [idle(it, now) for _ in range(5)]
         gone = run(it, now + 40 * MS, step=20 * MS)
         if turn > 20:
@@ -101,7 +116,7 @@
 
 
 def test_an_answer_says_close_where_its_connection_is_not_worth_its_seat() -> None:
-    it = door()
+    it = admission()
     for _ in range(30):  # those that never come back, as was seen
         idle(it, it.now)
     run(it, 5 * S)
@@ -110,33 +125,33 @@
     one = asked(it, it.now)
     assert not it.keeps(one, it.now)
     # With seats enough the same connection is kept.
-    for place in list(it.places):
-        if place is not one:
-            close(it, place, it.now)
+    for slot in list(it.slots):
+        if slot is not one:
+            close(it, slot, it.now)
     assert it.keeps(one, it.now)
 
 
 def test_two_kinds_at_once_are_told_apart_by_when_they_come_back() -> None:
-    it = door(Sizes(descriptors=220, seats=40))
+    it = admission(Sizes(descriptors=220, seats=40))
     rng = random.Random(5)
     gaps = [1 * S] * 15 + [10 * S] * 60
     due = [rng.randrange(gap) for gap in gaps]
-    places: list[Place | None] = [None] * len(gaps)
+    slots: list[ConnectionSlot | None] = [None] * len(gaps)
     came = dict.fromkeys(gaps, 0)
     lost = dict.fromkeys(gaps, 0)
     for now in range(0, 90 * S, 25 * MS):
         it.sense(now, 0, 0.0)
         gone = set(it.trim(now))
-        for place in gone:
-            close(it, place, now)
+        for slot in gone:
+            close(it, slot, now)
         for i, gap in enumerate(gaps):
-            held = places[i]
+            held = slots[i]
             if held in gone:
-                held = places[i] = None  # it makes a new connection when it asks again
+                held = slots[i] = None  # it makes a new connection when it asks again
                 lost[gap] += now > 45 * S
             if due[i] <= now:
                 if held is None:
-                    places[i] = idle(it, now)
+                    slots[i] = idle(it, now)
                 else:
                     it.taken(held, now, "t")
                     it.answered(held, now)
@@ -149,13 +164,13 @@
 
 def test_idle_clients_are_not_the_scarce_thing_when_hosts_are_slow() -> None:
     # All seats are held by requests out; those few that come back at once are worth keeping.
-    it = door()
+    it = admission()
     regular = [idle(it, 0) for _ in range(10)]
     for turn in range(400):
         now = (turn + 1) * 10 * MS
-        for place in regular:
-            it.taken(place, now, "t")
-            it.answered(place, now)
+        for slot in regular:
+            it.taken(slot, now, "t")
+            it.answered(slot, now)
         it.sense(now, 0, 0.0)
         assert not set(it.trim(now)) & set(regular) or turn < 50
     for _ in range(75):
@@ -163,14 +178,14 @@
     it.sense(it.now, 0, 0.0)
     assert it.strain == 1.0
     assert it.trim(it.now) == []
-    assert all(it.keeps(place, it.now) for place in regular)
+    assert all(it.keeps(slot, it.now) for slot in regular)
 
 
 # --- Descriptors
 
 
 def test_victims_are_the_silent_first_then_the_idle_and_the_newest_last() -> None:
-    it = door()
+    it = admission()
     silent = [it.opened(0, "10.0.0.9") for _ in range(10)]
     regular = idle(it, 0)
     for i in range(50):
@@ -186,15 +201,15 @@
 
 
 def test_a_request_taken_is_never_touched() -> None:
-    it = door()
-    places = [asked(it, 0) for _ in range(300)]
-    it.answered(places[0], 0, unsent=100_000)
+    it = admission()
+    slots = [asked(it, 0) for _ in range(300)]
+    it.answered(slots[0], 0, unsent=100_000)
     assert it.victims(60 * S, 1000) == []
-    assert run(it, IDLE_MOST * 4, step=S) == [places[0]]
+    assert run(it, IDLE_MOST * 4, step=S) == [slots[0]]
 
 
 def test_lower_limits_take_nothing_from_requests_and_come_true_soon() -> None:
-    it = door()
+    it = admission()
     busy = [asked(it, 0) for _ in range(20)]
     for _ in range(40):
         idle(it, 0)
@@ -205,7 +220,7 @@
 
 
 def test_a_limit_that_the_system_sets_is_believed_for_a_while() -> None:
-    it = door()
+    it = admission()
     for _ in range(50):
         idle(it, 0)
     assert not it.crowded(10)
@@ -217,17 +232,17 @@
 
 
 def test_a_crowd_from_one_source_leaves_the_rest_their_part() -> None:
-    it = door()
+    it = admission()
     for _ in range(600):  # it comes back as soon as it is closed
-        place = it.opened(it.now, "10.6.6.6")
-        close(it, place, it.now + MS, Reason.SILENT)
+        slot = it.opened(it.now, "10.6.6.6")
+        close(it, slot, it.now + MS, Reason.SILENT)
     crowd = []
     for _ in range(400):
         it.sense(it.now + 10 * MS, 0, 0.0)
         if it.admits(it.now, "10.6.6.6"):
             crowd.append(it.opened(it.now, "10.6.6.6"))
         assert it.admits(it.now, "10.0.0.1")
-        if len(it.places) > 160:
+        if len(it.slots) > 160:
             break
         asked(it, it.now, "10.0.0.1")
     assert not it.admits(it.now, "10.6.6.6")
@@ -235,12 +250,12 @@
 
 
 def test_many_honest_clients_behind_one_address_are_not_punished_for_one() -> None:
-    it = door()
+    it = admission()
     for i in range(600):
-        place = idle(it, it.now + MS, "10.0.0.1")
+        slot = idle(it, it.now + MS, "10.0.0.1")
         if i % 10 == 0:
-            it.offended(place)
-        close(it, place, it.now)
+            it.offended(slot)
+        close(it, slot, it.now)
     it.sense(it.now + S, 0, 0.0)
     front = it.sources.get("10.0.0.1")
     assert front.standing > 0.8
@@ -252,7 +267,7 @@
 
 
 def test_a_tenant_that_holds_more_than_it_brings_gives_up_seats_first() -> None:
-    it = door()
+    it = admission()
     for _ in range(200):
         close(it, idle(it, it.now + MS, tenant="busy"), it.now)
     greedy = {idle(it, it.now, tenant="greedy") for _ in range(40)}
@@ -264,10 +279,10 @@
 
 
 def test_a_connection_that_carries_one_tenant_after_another_is_idle_for_the_last() -> None:
-    it = door()
-    place = idle(it, 0, tenant="first")
-    it.taken(place, 1 * MS, "second")
-    it.answered(place, 2 * MS)
+    it = admission()
+    slot = idle(it, 0, tenant="first")
+    it.taken(slot, 1 * MS, "second")
+    it.answered(slot, 2 * MS)
     assert [(g.name, g.held, g.idle) for g in it.tenants.known.values()] == [
         ("first", 0, 0),
         ("second", 1, 1),
@@ -284,7 +299,7 @@
 def test_limits_lie_between_their_bounds_and_fall_with_pressure(
     state: State, bounds: tuple[int, int]
 ) -> None:
-    it = door()
+    it = admission()
     it.sense(MS, 0, 0.0)
     assert it.limit(state) == bounds[0]
     for _ in range(200):
@@ -294,13 +309,13 @@
 
 
 def test_a_limit_leaves_twice_the_time_that_good_ones_need() -> None:
-    it = door()
+    it = admission()
     for _ in range(100):
-        place = it.opened(it.now, "10.0.0.1")
-        it.reading(place, it.now, False)
-        it.taken(place, it.now + 900 * MS, "t")
-        it.answered(place, it.now)
-        close(it, place, it.now)
+        slot = it.opened(it.now, "10.0.0.1")
+        it.reading(slot, it.now, False)
+        it.taken(slot, it.now + 900 * MS, "t")
+        it.answered(slot, it.now)
+        close(it, slot, it.now)
         it.sense(it.now, 0, 0.0)
     for _ in range(200):
         asked(it, it.now)
@@ -310,49 +325,49 @@
 
 
 def test_a_trickle_wins_no_time_by_passing_from_state_to_state() -> None:
-    it = door()
-    place = it.opened(0, "10.0.0.1")
-    it.reading(place, 1 * S, False)
-    it.reading(place, 2 * S, True)
-    it.reading(place, 2 * S + 400 * MS, True)
-    assert it.overdue(place, REQUEST[0] - MS) is None
-    assert it.overdue(place, REQUEST[0] + MS) == Reason.SLOW
+    it = admission()
+    slot = it.opened(0, "10.0.0.1")
+    it.reading(slot, 1 * S, False)
+    it.reading(slot, 2 * S, True)
+    it.reading(slot, 2 * S + 400 * MS, True)
+    assert it.overdue(slot, REQUEST[0] - MS) is None
+    assert it.overdue(slot, REQUEST[0] + MS) == Reason.SLOW
 
 
 def test_an_answer_read_a_byte_a_second_has_an_end() -> None:
-    it = door()
-    place = asked(it, 0)
-    it.answered(place, 0, unsent=400_000)
+    it = admission()
+    slot = asked(it, 0)
+    it.answered(slot, 0, unsent=400_000)
     now = 0
-    while it.overdue(place, now) is None:
+    while it.overdue(slot, now) is None:
         now += S
-        it.progress(place, now, 400_000 - now // S)
+        it.progress(slot, now, 400_000 - now // S)
         assert now < 20 * S
     assert now >= STALL[0]
 
 
 def test_an_answer_that_is_read_steadily_is_left_alone() -> None:
-    it = door()
-    place = asked(it, 0)
-    it.answered(place, 0, unsent=1_000_000)
+    it = admission()
+    slot = asked(it, 0)
+    it.answered(slot, 0, unsent=1_000_000)
     for second in range(1, 10):
-        it.progress(place, second * S, 1_000_000 - second * 100_000)
-        assert it.overdue(place, second * S) is None
-    it.progress(place, 10 * S, 0)
-    assert place.state == State.IDLE
+        it.progress(slot, second * S, 1_000_000 - second * 100_000)
+        assert it.overdue(slot, second * S) is None
+    it.progress(slot, 10 * S, 0)
+    assert slot.state == State.IDLE
 
 
 def test_a_clock_that_jumps_ends_nothing_that_it_should_not() -> None:
-    it = door()
-    place = idle(it, 10 * S)
+    it = admission()
+    slot = idle(it, 10 * S)
     it.sense(5 * S, 0, 0.0)  # back
     assert it.now == 10 * S
-    assert it.overdue(place, 6 * S) is None
+    assert it.overdue(slot, 6 * S) is None
     assert run(it, 12 * S) == []
 
 
 def test_retry_after_is_said_where_it_is_true() -> None:
-    it = door()
+    it = admission()
     assert it.retry_after(0) == 0
     for _ in range(10):
         asked(it, 0)
@@ -390,34 +405,34 @@
 
 @dataclass
 class Rig:
-    """Carries out what the door says, and checks that it says only what it may."""
+    """Carries out the decisions, and checks that they name only what they may."""
 
-    it: Door
+    it: ConnectionAdmission
     now: int = 0
 
     def check(self) -> None:
         it = self.it
-        places = list(it.places)
+        slots = list(it.slots)
         for state in State:
-            assert it.count[state] == sum(p.state == state for p in places)
+            assert it.count[state] == sum(p.state == state for p in slots)
         for group in it.sources.known.values():
-            mine = [p for p in places if p.source is group]
+            mine = [p for p in slots if p.source is group]
             assert group.held == len(mine)
             assert group.unproven == sum(not p.asked for p in mine)
             assert group.idle == sum(p.state == State.IDLE for p in mine)
         for group in it.tenants.known.values():
-            mine = [p for p in places if p.tenant is group]
+            mine = [p for p in slots if p.tenant is group]
             assert group.held == len(mine)
             assert group.idle == sum(p.state == State.IDLE for p in mine)
 
-    def let_go(self, places: list[Place], spare: int) -> None:
-        for i, place in enumerate(places):
-            assert place.state in WAITING or place.state == State.CLOSING
+    def let_go(self, slots: list[ConnectionSlot], spare: int) -> None:
+        for i, slot in enumerate(slots):
+            assert slot.state in WAITING or slot.state == State.CLOSING
             if i == spare:
-                self.it.spared(place, self.now)
+                self.it.spared(slot, self.now)
             else:
-                self.it.closing(place, self.now, Reason.ROOM)
-                self.it.closed(place, self.now)
+                self.it.closing(slot, self.now, Reason.ROOM)
+                self.it.closed(slot, self.now)
 
     def make_way(self, others: int) -> bool:
         """As the listener does: room first, then one more."""
@@ -435,19 +450,21 @@
         assert rig.it.held + b <= rig.it.descriptors()
 
 
-def _on_one(act: Callable[[Door, Place, int, int], None]) -> Callable[[Rig, int, int], None]:
+def _on_one(
+    act: Callable[[ConnectionAdmission, ConnectionSlot, int, int], None],
+) -> Callable[[Rig, int, int], None]:
     def play(rig: Rig, a: int, b: int) -> None:
-        places = list(rig.it.places)
-        if places:
-            act(rig.it, places[a % len(places)], rig.now, b)
+        slots = list(rig.it.slots)
+        if slots:
+            act(rig.it, slots[a % len(slots)], rig.now, b)
 
     return play
 
 
-def _answer(it: Door, place: Place, now: int, b: int) -> None:
-    if place.state == State.BUSY:
-        it.keeps(place, now)
-        it.answered(place, now, unsent=max(0, b - 15) * 1000)
+def _answer(it: ConnectionAdmission, slot: ConnectionSlot, now: int, b: int) -> None:
+    if slot.state == State.BUSY:
+        it.keeps(slot, now)
+        it.answered(slot, now, unsent=max(0, b - 15) * 1000)
 
 
 def _trim(rig: Rig, a: int, b: int) -> None:
@@ -455,11 +472,11 @@
 
 
 def _sweep(rig: Rig, a: int, b: int) -> None:
-    for place in list(rig.it.places):
-        reason = rig.it.overdue(place, rig.now)
+    for slot in list(rig.it.slots):
+        reason = rig.it.overdue(slot, rig.now)
         if reason is not None:
-            assert place.state not in (State.BUSY, State.CLOSING)
-            rig.it.closing(place, rig.now, reason)
+            assert slot.state not in (State.BUSY, State.CLOSING)
+            rig.it.closing(slot, rig.now, reason)
 
 
 def _resize(rig: Rig, a: int, b: int) -> None:
@@ -502,7 +519,7 @@
 def test_in_any_order_of_events_the_budget_and_the_promises_hold(
     steps: list[tuple[int, int, int]],
 ) -> None:
-    rig = Rig(door(Sizes(descriptors=40, seats=12)))
+    rig = Rig(admission(Sizes(descriptors=40, seats=12)))
     for number, a, b in steps:
         EVENTS[number](rig, a, b)
         rig.check()
@@ -512,44 +529,44 @@
 @pytest.mark.parametrize("seats", [85, 128, 341])
 def test_honest_requests_find_a_seat_beside_any_number_of_hoarders(count: int, seats: int) -> None:
     """320 requests a second through a front that keeps to its seats, and hoarders beside them."""
-    it = door(Sizes(descriptors=3 * seats - 36, seats=seats))
+    it = admission(Sizes(descriptors=3 * seats - 36, seats=seats))
     rng = random.Random(count)
-    pool: list[Place] = []  # idle at the front
-    busy: list[tuple[int, Place, bool]] = []
+    pool: list[ConnectionSlot] = []  # idle at the front
+    busy: list[tuple[int, ConnectionSlot, bool]] = []
     served = turned_away = 0
     hoard = 0
     for tick in range(12_000):  # of a millisecond
         now = tick * MS
         if tick % 25 == 0:
             it.sense(now, 20, 0.0)
-            for place in it.trim(now):
-                close(it, place, now)
+            for slot in it.trim(now):
+                close(it, slot, now)
         for entry in [e for e in busy if e[0] <= now]:
             busy.remove(entry)
-            _, place, keeps = entry
-            if it.keeps(place, now):
-                it.answered(place, now)
+            _, slot, keeps = entry
+            if it.keeps(slot, now):
+                it.answered(slot, now)
                 if keeps:
-                    pool.append(place)
+                    pool.append(slot)
             else:
-                close(it, place, now, Reason.ANSWERED)
-        pool = [p for p in pool if p in it.places and p.state == State.IDLE]
-        held = len(it.places)
+                close(it, slot, now, Reason.ANSWERED)
+        pool = [p for p in pool if p in it.slots and p.state == State.IDLE]
+        held = len(it.slots)
         if rng.random() < 0.32:
             if pool:
-                place = pool.pop()
+                slot = pool.pop()
             elif held < seats:
-                place = it.opened(now, "10.0.0.1")
+                slot = it.opened(now, "10.0.0.1")
             else:
                 turned_away += 1
                 continue
-            it.taken(place, now, "t")
-            busy.append((now + 30 * MS, place, True))
+            it.taken(slot, now, "t")
+            busy.append((now + 30 * MS, slot, True))
             served += 1
         if hoard < count and held < seats and rng.random() < count / 10_000:
-            place = it.opened(now, "10.0.0.1")
-            it.taken(place, now, "t")
-            busy.append((now + 30 * MS, place, False))
+            slot = it.opened(now, "10.0.0.1")
+            it.taken(slot, now, "t")
+            busy.append((now + 30 * MS, slot, False))
             hoard += 1
     assert served > 3000
     assert turned_away / (served + turned_away) < 0.02, it.told()
--- a/tests/test_front_life.py
+++ b/tests/test_front_life.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from sailhitch.front.life import OCTAVES, WIDTHS, Kind, LifeTables, fade, gap_kind, octave
+from sailhitch.front.survival import OCTAVES, WIDTHS, Kind, LifeTables, fade, gap_kind, octave
 
 MS, S = 1_000, 1_000_000
 
--- a/tests/test_leaving_hosts.py
+++ b/tests/test_leaving_hosts.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from sailhitch.core.core import BEAT
-from sailhitch.core.wheel import LATE
+from sailhitch.core.timer_wheel import LATE
 from tests.crossings import PATIENT, held_connects
 from tests.sockets import Registry, Server, Writer, answer, entry, gate, request, until
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,4 +1,4 @@
-"""The operators' door: what a call says, and that nobody can hold it shut."""
+"""The operators' endpoint: parsing of requests, and that silent clients can't block it."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sailhitch.control.calls import MAX_CALL, Call
-from sailhitch.control.desk import SEATS, Desk
+from sailhitch.control.requests import MAX_REQUEST_BYTES, OperatorRequest
+from sailhitch.control.server import MAX_CONNECTIONS, OperatorServer
 from sailhitch.core.log import Log
 from sailhitch.lab.ports import free_port
 from tests.generations import call
@@ -52,14 +52,14 @@
         ("POST /maintenance/enter?target=%ff", 400),
         ("POST /maintenance", 404),
         ("POST //[", 400),
-        ("POST /" + "a" * MAX_CALL, 413),
+        ("POST /" + "a" * MAX_REQUEST_BYTES, 413),
         ("nonsense", 400),
     ],
 )
 def test_each_call_has_its_answer_however_it_is_cut(line: str, status: int) -> None:
     data = f"{line} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n".encode()
     for step in (1, 7, len(data)):
-        reader, reply = Call(Acts()), None
+        reader, reply = OperatorRequest(Acts()), None
         for at in range(0, len(data), step):
             reply = reply or reader.feed(data[at : at + step])
         assert reply is not None
@@ -70,18 +70,18 @@
 @given(st.binary(max_size=300), st.integers(0, 3))
 def test_whatever_comes_is_read_or_refused(noise: bytes, lines: int) -> None:
     start = b"POST /maintenance/enter?target=x HTTP/1.1\r\nContent-Length: 3\r\n"
-    reply = Call(Acts()).feed(start[: len(start) * lines // 3] + noise)
+    reply = OperatorRequest(Acts()).feed(start[: len(start) * lines // 3] + noise)
     assert reply is None or 200 <= reply.status < 600
 
 
 def test_callers_who_say_nothing_hold_nobody_up() -> None:
     async def play() -> None:
         acts = Acts()
-        desk = Desk(acts, Log("n0"))
+        server = OperatorServer(acts, Log("n0"))
         port = free_port()
-        await desk.listen(("127.0.0.1", port))
+        await server.listen(("127.0.0.1", port))
         addr = f"127.0.0.1:{port}"
-        silent = [await dial(addr) for _ in range(4 * SEATS)]
+        silent = [await dial(addr) for _ in range(4 * MAX_CONNECTIONS)]
         for one in silent[::2]:
             one.send(b"POST /maintenance/ent")
         for _ in range(30):
@@ -89,8 +89,8 @@
         assert await call(addr, "/status", "GET") == 200
         acts.serves = False
         assert await call(addr, "/status", "GET") == 503
-        assert len(desk.callers) <= SEATS
+        assert len(server.pending) <= MAX_CONNECTIONS
         assert b" 408 " in await silent[0].rest()
-        desk.close()
+        server.close()
 
     asyncio.run(play())
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -15,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sailhitch.core.kinds import MOST, Kinds
+from sailhitch.core.request_classes import MAX_RETAINED, RequestClasses
 from sailhitch.net.config import ConfigError, load_config, parse_config, reload_config
 from sailhitch.net.intake import OLD_FORMS
 from sailhitch.settings import KEYED, SAFE, UNSAFE, parse_settings
@@ -182,16 +182,16 @@
 def test_any_class_that_a_request_may_have_has_its_place(turns: list[set[int]], every: int) -> None:
     known = parse_settings(settings_value()).classes[0]
     classes = [replace(known, name=str(i)) for i in range(6)]
-    kinds, now = Kinds(classes), 0
+    known_classes, now = RequestClasses(classes), 0
     for turn in turns:
         now += every * S
-        before = kinds.current
-        listed = kinds.turn(now, tuple(replace(classes[i]) for i in sorted(turn)))
-        for kind in (*before, *kinds.current):
-            number = kinds.number(kind)
+        before = known_classes.current
+        listed = known_classes.replace(now, tuple(replace(classes[i]) for i in sorted(turn)))
+        for kind in (*before, *known_classes.current):
+            number = known_classes.number(kind)
             assert number is not None
             assert listed[number] is kind
-        assert len(listed) <= MOST + 6
+        assert len(listed) <= MAX_RETAINED + 6
 
 
 def test_what_the_module_knows_outlasts_new_settings() -> None:
--- a/tests/test_wheel.py
+++ b/tests/test_wheel.py
@@ -1,4 +1,4 @@
-"""The wheel of timers, on a loop whose time is told to it."""
+"""The timer wheel, on a loop with a virtual clock."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from sailhitch.core.wheel import Wheel
+from sailhitch.core.timer_wheel import TimerWheel
 
 
 class Handle:
@@ -40,7 +40,7 @@
         self.now = time
 
 
-def _wheel(loop: Loop, over: set[int], fired: list[int]) -> Wheel[int]:
+def _wheel(loop: Loop, over: set[int], fired: list[int]) -> TimerWheel[int]:
     def fire(what: int, at: int, now: int) -> None:
         if what not in over:
             fired.append(what)
@@ -49,7 +49,7 @@
         raise AssertionError(args)
 
     on = cast(asyncio.AbstractEventLoop, loop)
-    return Wheel(on, lambda: loop.now, fire, unwanted, unwanted, lambda what, at: what in over)
+    return TimerWheel(on, lambda: loop.now, fire, unwanted, unwanted, lambda what, at: what in over)
 
 
 def test_the_loop_is_not_woken_for_what_ended_long_before() -> None:
