--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import select
 import socket
+import struct
 from collections import deque
 from typing import TYPE_CHECKING, Final, cast
 
@@ -21,6 +23,8 @@
 if TYPE_CHECKING:
     from .listener import Listener
 
+RESET_AT_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
+
 # What a connection does. Plain integers: they are compared several times in each request.
 IDLE: Final = 0  # between two requests, or waiting for a response
 HEAD: Final = 1  # reads a request's head
@@ -133,9 +137,18 @@
         self.abort()
 
     def abort(self) -> None:
-        """Close at once, whatever is open."""
-        if self.transport is not None:
-            self.transport.abort()
+        """Close at once, whatever is open; with a reset if a response is half sent.
+
+        An orderly close would complete a response whose end only the connection's end marks.
+        """
+        transport = self.transport
+        if transport is None:
+            return
+        half_sent = self.read_watchdog is not None or transport.get_write_buffer_size()
+        if half_sent and not self.is_closed():
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        transport.abort()
 
     def close_idle(self, reason: Reason = Reason.IDLE) -> bool:
         """Close between two requests; return False if bytes of the next one are here, unread.
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -100,7 +100,7 @@
         elif self.read_watchdog is not None:
             self._check_reader(size, now)
         else:
-            self._check_deadline(transport, size, now)
+            self._check_deadline(size, now)
 
     def _sweep_closing(self, transport: asyncio.Transport, size: int, now: int) -> None:
         """Abort a connection that is being closed, once it has lingered for long enough.
@@ -114,7 +114,7 @@
             transport.abort()
         self.received_since_sweep = False
 
-    def _check_deadline(self, transport: asyncio.Transport, size: int, now: int) -> None:
+    def _check_deadline(self, size: int, now: int) -> None:
         """Record progress, and close the connection if its state has lasted for too long."""
         admission = self.core.admission
         if self.phase == BODY:
@@ -127,7 +127,7 @@
             return
         if reason == Reason.UNREAD:
             admission.closing(self.slot, now, reason)
-            transport.abort()
+            self.abort()
         elif reason == Reason.SLOW:
             if not (self.core.timers.lag and self._has_unread_bytes()):
                 self._reject(408, "request too slow", reason)
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -202,6 +202,8 @@
         if self.chunked:
             exchange.head += b"Content-Length: %d\r\n" % self.received
         self.head_received = 0
+        # A pipelined request's time runs from here, not from its turn.
+        exchange.came = self.core.arrival(self.core.clock())
         self.pipelined.append(exchange)
         if len(self.pipelined) > MAX_PIPELINED:
             raise RejectError(400, "too many requests ahead of their answers")
--- a/sailhitch/net/response_writer.py
+++ b/sailhitch/net/response_writer.py
@@ -176,8 +176,8 @@
 
     def cut(self) -> None:
         """Abort a streamed response: a reset shows in any framing that it is incomplete."""
-        self.response_source = self.read_watchdog = None
         self.abort()
+        self.response_source = self.read_watchdog = None
 
     def resume_writing(self) -> None:
         """Go on with the host once the client has taken all that was written."""
@@ -197,7 +197,7 @@
         watchdog.stall = READ_STALL[0] + int(admission.strain * (READ_STALL[1] - READ_STALL[0]))
         if size and watchdog.overdue(now) and self.transport is not None:
             admission.closing(self.slot, now, Reason.UNREAD)
-            self.transport.abort()
+            self.abort()
 
     # --- Errors
 
@@ -217,12 +217,13 @@
         if self.exchange is not None and status == 503:
             status = 502  # the open request may have run; a 503 would say that it has not
         after = self.core.retry_after() if status == 503 else 0
-        midway = self.response_source is not None  # no status can follow half a response
         self._start_closing(reason)
+        if self.response_source is not None:
+            self.abort()  # no status can follow half a response
+            self._drop_requests()
+            return
         self._drop_requests()
-        if midway:
-            self.abort()
-        if self.transport is None or midway:
+        if self.transport is None:
             return
         if not self.transport.is_reading():
             self.transport.resume_reading()
