--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -14,7 +14,7 @@
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
-from .look import SCARCE, shows
+from .socket_poll import OUT_OF_RESOURCES, has_event
 
 PATH: Final = "/registry/instances"
 # A change counts as told so long after discovery had it and could be reached (s), whatever calls
@@ -184,7 +184,7 @@
     def unread(self) -> bool:
         """Whether something has come that the loop has not read."""
         sock = None if self.transport is None else self.transport.get_extra_info("socket")
-        return sock is not None and sock.fileno() >= 0 and shows(sock.fileno(), select.POLLIN)
+        return sock is not None and sock.fileno() >= 0 and has_event(sock.fileno(), select.POLLIN)
 
     def usable(self) -> bool:
         return self.keep and self.transport is not None and not self.transport.is_closing()
@@ -420,7 +420,7 @@
             async with asyncio.timeout_at(limit):
                 _, call = await self.core.loop.create_connection(Call, *address)
         except OSError as error:
-            if error.errno in SCARCE:
+            if error.errno in OUT_OF_RESOURCES:
                 self.core.exhausted()  # the next call finds what is let go of here
             raise
         return call
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -14,10 +14,10 @@
 from hypothesis import strategies as st
 
 from sailhitch.core.budget import HELD_MOST, LONGEST, Budget
-from sailhitch.core.pace import GRACE, RATE, STALL, Pace
+from sailhitch.core.throughput_watchdog import GRACE, RATE, STALL, ThroughputWatchdog
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
-from sailhitch.net import downstream, upstream
+from sailhitch.net import response_writer, upstream
 from tests.crossings import reset_at_close
 from tests.sockets import (
     PATIENCE,
@@ -108,7 +108,7 @@
 def test_who_keeps_the_rate_is_never_cut_and_who_trickles_always_is(
     steps: list[tuple[int, bool]], slow: int
 ) -> None:
-    honest, trickle, now, counted = Pace(0), Pace(0), 0, 0
+    honest, trickle, now, counted = ThroughputWatchdog(0), ThroughputWatchdog(0), 0, 0
     for gap, waits in steps:
         if waits:  # this side does not want its bytes for a while
             honest.stop(now)
@@ -407,14 +407,14 @@
 def test_a_client_that_reads_nothing_is_cut_and_holds_up_nobody(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(downstream, "READ_STALL", (500_000, 500_000))
+    monkeypatch.setattr(response_writer, "READ_STALL", (500_000, 500_000))
 
     async def act(it: Gate, host: Server) -> None:
         silent, other = await it.client(), await it.client()
         silent.writer.transport.pause_reading()  # type: ignore[attr-defined]
         silent.send(request("s", BODY * 4))
         n = 0
-        while it.core.door.figures.closed[Reason.UNREAD] == 0:
+        while it.core.admission.figures.closed[Reason.UNREAD] == 0:
             n += 1
             assert (await other.ask(request(f"o{n}", b"body")))[1] == b"body"
         silent.writer.transport.abort()
@@ -515,8 +515,8 @@
             await client.reader.readuntil(b"\r\n\r\n")
             assert await client.reader.readexactly(MB) == BODY[:MB]
         (held,) = it.clients()
-        assert held.reader is not None
-        assert held.reader.moved > 0.9 * MB
+        assert held.read_watchdog is not None
+        assert held.read_watchdog.moved > 0.9 * MB
         go.set()
         async with asyncio.timeout(PATIENCE):
             assert await client.reader.readexactly(len(BODY) - MB) == BODY[MB:]
