Cut page trees by digits of base 4, with branches of four children and 32 KiB leaves

Change: a path is 128 digits of base 4, skipped digits are packed four to a byte, child bits take one byte whose upper half must be zero, and LEAF_SIZE is 32 KiB. This is another format; no disk has the earlier one.

Tests: the literals follow the form (digits of base 4; a branch's head of 3 bytes for 4, so 47, 91 and 92 bytes for 48, 92 and 93; at most 127 skipped digits for 63; group prefix 32 digits for 16; 14 shared digits and 12 levels below the group for 7 and 6, the same bits). The places in the test of what is not read are four, as a branch has no more. Added: child bits in the upper half, every fill of skipped digits, the bytes of a branch, packing of digits, the path against its hashes, and an edit through all 128 levels.

--- a/sailhitch/pages/interface.py
+++ b/sailhitch/pages/interface.py
@@ -8,7 +8,7 @@
 
 # Entries whose encoded size is at most this are one leaf. It is a part of the format: the same
 # entries have another root under another size.
-LEAF_SIZE = 16 * 1024
+LEAF_SIZE = 32 * 1024
 MAX_PAGE_BYTES = 256 * 1024
 MAX_NAME_BYTES = 1024
 
--- a/sailhitch/pages/page.py
+++ b/sailhitch/pages/page.py
@@ -1,13 +1,14 @@
-"""The encoding of one page: a leaf of entries, or a branch of up to 16 children.
+"""The encoding of one page: a leaf of entries, or a branch of up to four children.
 
 Integers are big-endian. Each page has exactly one encoding, and the decoder accepts no other.
 
 - Leaf: `L`, then for each entry, in the order of paths: the lengths of group, name and value
   (2, 2 and 4 bytes), the group, the name, the value.
-- Branch: `B`, the number of digits that it skips (1 byte), these digits (two to a byte, an odd
-  last one followed by a zero digit), a bit for each child (2 bytes, the lowest bit for digit 0),
-  then for each child, in the order of digits: digest (32 bytes), number of entries (4 bytes) and
-  encoded size of the entries (8 bytes) of its subtree.
+- Branch: `B`, the number of digits that it skips (1 byte), these digits (four to a byte, the first
+  in the highest bits, zeros in what is left of the last byte), a bit for each child (1 byte, the
+  lowest bit for digit 0, the upper four bits zero), then for each child, in the order of digits:
+  digest (32 bytes), number of entries (4 bytes) and encoded size of the entries (8 bytes) of its
+  subtree.
 """
 
 from __future__ import annotations
@@ -19,13 +20,18 @@
 from typing import NamedTuple
 
 from .interface import MAX_NAME_BYTES, MAX_PAGE_BYTES, Key, PageError
-from .paths import PATH_DIGITS, key_path
+from .paths import (
+    DIGITS,
+    DIGITS_PER_BYTE,
+    PATH_DIGITS,
+    key_path,
+    pack_digits,
+    unpack_digits,
+)
 
-DIGITS = "0123456789abcdef"
 _LEAF = b"L"
 _BRANCH = b"B"
 _LENGTHS = struct.Struct(">HHI")
-_CHILDREN = struct.Struct(">H")
 _CHILD = struct.Struct(">32sIQ")
 _SKIP_AT = 2  # after the kind and the number of skipped digits
 MAX_ENTRY_BYTES = MAX_PAGE_BYTES - len(_LEAF)
@@ -120,19 +126,15 @@
 def encode_branch(branch: Branch) -> bytes:
     """The raw page of a branch."""
     skip = branch.skip
-    parts = [_BRANCH, bytes((len(skip),)), _pack_digits(skip)]
     digits = sorted(branch.children)
-    parts.append(_CHILDREN.pack(sum(1 << DIGITS.index(digit) for digit in digits)))
+    present = sum(1 << DIGITS.index(digit) for digit in digits)
+    parts = [_BRANCH, bytes((len(skip),)), pack_digits(skip), bytes((present,))]
     for digit in digits:
         child = branch.children[digit]
         parts.append(_CHILD.pack(bytes.fromhex(child.digest), child.count, child.size))
     return b"".join(parts)
 
 
-def _pack_digits(digits: str) -> bytes:
-    return bytes.fromhex(digits if len(digits) % 2 == 0 else digits + "0")
-
-
 def decode(raw: bytes) -> Leaf | Branch:
     """The page that is encoded so; raises PageError if none is."""
     if len(raw) > MAX_PAGE_BYTES:
@@ -188,10 +190,12 @@
 
 def _decode_branch(raw: bytes) -> Branch:
     skip, at = _decode_skip(raw)
-    if at + _CHILDREN.size > len(raw):
+    if at == len(raw):
         raise PageError("branch: ends before its children")
-    (present,) = _CHILDREN.unpack_from(raw, at)
-    at += _CHILDREN.size
+    present = raw[at]
+    at += 1
+    if present >> len(DIGITS):
+        raise PageError(f"branch: child bits {present:#04x}, at most {len(DIGITS)} children")
     digits = [digit for bit, digit in enumerate(DIGITS) if present >> bit & 1]
     if len(digits) < 2:
         raise PageError(f"branch: {len(digits)} children, at least 2")
@@ -224,12 +228,12 @@
     length = raw[1]
     if length >= PATH_DIGITS:
         raise PageError(f"branch: skips {length} digits, at most {PATH_DIGITS - 1}")
-    end = _SKIP_AT + (length + 1) // 2
+    end = _SKIP_AT + -(-length // DIGITS_PER_BYTE)
     if end > len(raw):
         raise PageError("branch: ends within the skipped digits")
-    digits = raw[_SKIP_AT:end].hex()
-    if digits[length:] not in ("", "0"):
-        raise PageError("branch: the skipped digits are not followed by a zero digit")
+    digits = unpack_digits(raw[_SKIP_AT:end])
+    if digits[length:].strip("0"):
+        raise PageError("branch: the skipped digits are not followed by zero digits")
     return digits[:length], end
 
 
--- a/sailhitch/pages/paths.py
+++ b/sailhitch/pages/paths.py
@@ -1,4 +1,4 @@
-"""Where a key lies in the tree: its path, a string of 64 hexadecimal digits."""
+"""Where a key lies in the tree: its path, a string of 128 digits of base 4."""
 
 from __future__ import annotations
 
@@ -7,20 +7,37 @@
 
 from .interface import Key
 
-PATH_DIGITS = 64
-_GROUP_DIGITS = 16
-_NAME_DIGITS = PATH_DIGITS - _GROUP_DIGITS
+DIGITS = "0123"
+DIGITS_PER_BYTE = 4
+PATH_DIGITS = 128
+_GROUP_BYTES = 8
+_NAME_BYTES = PATH_DIGITS // DIGITS_PER_BYTE - _GROUP_BYTES
+_BYTE_DIGITS = tuple(
+    "".join(DIGITS[byte >> shift & 3] for shift in (6, 4, 2, 0)) for byte in range(256)
+)
 
 
 @lru_cache(maxsize=1024)
 def _group_digits(group: str) -> str:
-    return sha256(group.encode()).hexdigest()[:_GROUP_DIGITS]
+    return unpack_digits(sha256(group.encode()).digest()[:_GROUP_BYTES])
 
 
 def key_path(key: Key) -> str:
     """8 bytes of the group's hash, then 24 bytes of the hash of the group and the name."""
-    name_digits = sha256(f"{key.group}\0{key.name}".encode()).hexdigest()[:_NAME_DIGITS]
-    return _group_digits(key.group) + name_digits
+    name_hash = sha256(f"{key.group}\0{key.name}".encode()).digest()
+    return _group_digits(key.group) + unpack_digits(name_hash[:_NAME_BYTES])
+
+
+def pack_digits(digits: str) -> bytes:
+    """Four digits to a byte, the first in the highest bits; zeros fill the last byte."""
+    length = -(-len(digits) // DIGITS_PER_BYTE)
+    filled = digits.ljust(length * DIGITS_PER_BYTE, "0")
+    return int(filled or "0", len(DIGITS)).to_bytes(length, "big")
+
+
+def unpack_digits(packed: bytes) -> str:
+    """The digits of all bytes, four for each."""
+    return "".join([_BYTE_DIGITS[byte] for byte in packed])
 
 
 def common_prefix(first: str, second: str) -> str:
