Make each kind but nodes and bans one group of the state's tree

Change: the group of tenants, routes, pools, classes and listeners is their kind; nodes and bans stay grouped by pool. No disk has the earlier form.

--- a/sailhitch/daemon/state_tree.py
+++ b/sailhitch/daemon/state_tree.py
@@ -2,7 +2,7 @@
 
 Each object of a state is one entry: its canonical JSON under a key of its kind and name. Nodes of
 one pool are one group, so that they lie next to each other in the tree and a change of one service
-touches few pages; so are its bans. Other objects are groups of their own, spread over the tree.
+touches few pages; so are its bans. Each other kind is one group: like entries pack well.
 
 The same state gives the same root. A state that was made from another costs what differs: objects
 that both share (the same object in memory) are neither compared nor encoded, and pages that both
@@ -33,7 +33,7 @@
 def key_of(kind: str, name: str) -> Key:
     """The key of an object. Raises StateTreeError for a node's name that is not `pool/id`."""
     if kind not in BY_POOL:
-        return Key(f"{kind}/{name}", name)
+        return Key(kind, name)
     pool, slash, node = name.partition("/")
     if not (pool and slash and node):
         raise StateTreeError(f"{kind} {name!r}: not called `pool/id`")
