Size tests of shared pages by the larger leaves, and bound the disk by bytes a change

Need: three tests took the first leaf size for granted.

Change: states of 8,000 entries and 800 nodes, so that they are many pages again; fifty states are bounded by 5 KB a changed weight and by a tenth of fifty whole states.

--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -186,7 +186,7 @@
 
 
 def test_pages_that_are_here_are_not_fetched_again() -> None:
-    entries = some_entries(2000)
+    entries = some_entries(8000)
     old = build(entries)
     new = update(holding(old), old.root, {Key("group3", "name3"): b"changed"})
     play = Play({"a": honest(holding(old, new))}, sink=holding(old))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -20,7 +20,7 @@
 from sailhitch.pages import MAX_PAGE_BYTES, child_digests, compress
 
 NODES = 5000
-MOST_TIMES = 2.0  # of one state, for fifty that each differ in a weight
+MOST_BYTES_A_CHANGE = 5 * 1024  # on disk, for a state that differs from the one before in a weight
 
 
 def _state(count: int = 300) -> State:
@@ -136,7 +136,8 @@
         state = _weighted(state, name, float(serial))
         _keep(store, _applied(serial, state))
     assert len(store.serials()) == KEPT
-    assert _size(store) < MOST_TIMES * one
+    assert _size(store) - one < (KEPT - 1) * MOST_BYTES_A_CHANGE
+    assert _size(store) < KEPT * one / 10
     assert store.read(2).state["nodes"]["p2/n100"]["weight"] == 2.0
     assert store.read(2).state["nodes"]["p50/n2500"]["weight"] == 1.0
 
--- a/tests/test_version_states.py
+++ b/tests/test_version_states.py
@@ -222,7 +222,7 @@
 # --- A proposal whose base goes while its tree is made
 
 CHANGES = 12  # each has two heads, and a member keeps the last 24 contents that it heard of
-NODES = 200  # so many that a state is more than one page
+NODES = 800  # so many that a state is more than one page
 
 
 def _all_weighted(state: State, weight: float) -> State:
