Remember the numbers of all lives of the largest tier's members

Change: 4,096, two lives for each of the most members.

Measured: the test hears 2,000 senders and refuses all 2,000 replays; with 1,024 it fails.

--- a/sailhitch/tier/wire.py
+++ b/sailhitch/tier/wire.py
@@ -27,7 +27,9 @@
 HEADER: Final = 4
 LARGEST: Final = 8192  # bytes of a datagram that is looked at
 WINDOW: Final = 256  # numbers that may come out of order
-SENDERS: Final = 1024  # lives of members whose numbers are remembered
+# Lives of members whose numbers are remembered: two for each of the most members of a tier. A life
+# that is forgotten may have its datagrams replayed once.
+SENDERS: Final = 4096
 _LINE = re.compile(r"(\d{1,3})\s+([0-9a-fA-F]{32,128})")
 
 
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sailhitch.daemon.schema import FileError, parse_value
+from sailhitch.daemon.schema import MOST_MEMBERS, FileError, parse_value
 from sailhitch.lab.scenario import ScenarioError, load_scenario
 from sailhitch.model.explore import BrokenLineError, Explorer
 from sailhitch.model.tier import World
@@ -76,6 +76,15 @@
     assert two.refused == {"replay": 1}
 
 
+def test_replays_are_refused_in_the_largest_tier() -> None:
+    keys = Keys(1, {1: OLD})
+    receiver = Wire(keys, "receiver", 1)
+    sent = [Wire(keys, f"g{i}", i).seal("receiver", Ping(i, 0)) for i in range(MOST_MEMBERS)]
+    assert all(receiver.open(data) is not None for data in sent)
+    assert not any(receiver.open(data) for data in sent)
+    assert receiver.refused == {"replay": MOST_MEMBERS}
+
+
 @given(st.data())
 def test_no_changed_datagram_is_opened(data: Any) -> None:
     one, two = _pair()
