Tell no active version withdrawn where this gateway has not switched to it yet

To blame: `Tiered._wait_for`, whose time-out looked at what is pending alone.

Change: what is told goes by the head: pending and whom it waits for, withdrawn, or active and not gone by here yet.

Measured: the new test holds the switch back; it fails without the change with "was withdrawn", and passes with it.

--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -321,16 +321,31 @@
                 while self._base.serial < version.serial:
                     await self.heard_from.wait()
         except TimeoutError:
-            member = self.link.member
-            assert member is not None
-            pending = None if member.known is None else member.known.head.pending
-            if pending is None or pending.serial != version.serial:
-                raise ApplyError(f"serial {version.serial} was withdrawn") from None
-            raise StillPendingError(version.serial, member.waiting_for()) from None
+            raise self._why_not_active_here(version.serial) from None
         if self._base.serial != version.serial:
             raise ApplyError(f"serial {version.serial} is not what holds; see `sailhitch history`")
         return self._base
 
+    def _why_not_active_here(self, serial: int) -> ApplyError | StillPendingError:
+        """What an operator is told of a decided version that this process does not go by in time.
+
+        Danger: an operator who is told that an active version was withdrawn asks for it again.
+        """
+        member = self.link.member
+        assert member is not None
+        assert member.known is not None
+        head = member.known.head
+        if head.pending is not None and head.pending.serial == serial:
+            return StillPendingError(serial, member.waiting_for())
+        if head.active.serial < serial:
+            return ApplyError(f"serial {serial} was withdrawn")
+        told = "it" if head.active.serial == serial else f"serial {head.active.serial}"
+        return ApplyError(
+            f"serial {serial} is not pending any more: {told} is active, and this gateway does not "
+            "go by that yet; do not ask again before `sailhitch tier status` and `sailhitch "
+            "history` show what holds"
+        )
+
     async def withdraw(self) -> dict[str, Any]:
         """Give up what is pending."""
         member = self.link.member
--- a/tests/test_version_states.py
+++ b/tests/test_version_states.py
@@ -16,12 +16,13 @@
 from sailhitch.core.core import Core
 from sailhitch.core.log import Log
 from sailhitch.daemon.link import Link
-from sailhitch.daemon.live import Live, bounds
+from sailhitch.daemon.live import ApplyError, Live, bounds
+from sailhitch.daemon.live import Decided as LiveDecided
 from sailhitch.daemon.plan import MovedError, identity
 from sailhitch.daemon.schema import parse_text, parse_value
 from sailhitch.daemon.state import State, canonical, from_file
 from sailhitch.daemon.state_tree import StateTreeError, to_tree
-from sailhitch.daemon.store import Store
+from sailhitch.daemon.store import Applied, Store
 from sailhitch.daemon.tiered import Tiered
 from sailhitch.daemon.version_states import VersionStates
 from sailhitch.lab.ports import free_port
@@ -277,6 +278,33 @@
     asyncio.run(work())
 
 
+def test_an_active_version_that_is_not_gone_by_in_time_is_not_told_withdrawn(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        async with _tier_of_one(tmp_path) as tier:
+            may_go_on, change = asyncio.Event(), tier.live.change
+
+            async def held(decided: LiveDecided) -> Applied:
+                await may_go_on.wait()
+                return await change(decided)
+
+            serial = tier.base().serial + 1
+            monkeypatch.setattr(tier.live, "change", held)
+            monkeypatch.setattr(
+                tier, "part", tier.part.model_copy(update={"agree_within": 300_000})
+            )
+            with pytest.raises(ApplyError, match=f"serial {serial} .* it is active, and this gate"):
+                await tier._propose(_all_weighted(tier.base().state, 2.0), "first")
+            may_go_on.set()
+            async with asyncio.timeout(15):
+                while tier.base().serial < serial:
+                    await tier.heard_from.wait()
+            assert tier.base().state["nodes"]["p/n0"]["weight"] == 2.0
+
+    asyncio.run(work())
+
+
 @contextlib.asynccontextmanager
 async def _tier_of_one(tmp_path: Path) -> AsyncIterator[Tiered]:
     """A daemon in this process whose tier has no other member, and that is in it."""
