Refuse a scale run whose daemon ended at its start, and paths too long for its socket

Observed: under pytest-xdist three tests of the rig found one process for two. By reading and by the paths' lengths (98 bytes for the folder): the daemon could not bind its admin socket, as a Unix socket's path has 107 bytes at most, and ended; the rig took the rest for the whole tier.

Change: a path that is too long is an error that names TMPDIR; a daemon that has ended once all others are in is an error with the last line of its log; the rig's tests use a short folder.

--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -6,6 +6,7 @@
 import contextlib
 import functools
 import json
+import os
 import random
 import secrets
 import shutil
@@ -33,6 +34,7 @@
 STARTED: Final = 300.0  # s for all to be in; a daemon fetches the whole state at first
 DECIDED: Final = 90.0  # s for a change to be decided, and gone by where it was asked for
 AGREE_WITHIN: Final = "60s"  # a daemon that is slow to go by a change is measured, not given up
+MOST_SOCKET_PATH: Final = 107  # bytes of a Unix socket's path, unix(7)
 POLL: Final = 0.1  # s between two looks at something that is waited for
 # Bytes that the check of memory counts with, on the high side.
 ROW: Final = 700  # what a member keeps of another
@@ -93,6 +95,17 @@
     return whole
 
 
+def admin_socket(folder: Path) -> str:
+    """The path of a daemon's admin socket; raises RigError where the system's limit is passed."""
+    path = str(folder / "admin.sock")
+    if len(os.fsencode(path)) > MOST_SOCKET_PATH:
+        raise RigError(
+            f"TMPDIR: {path}: a Unix socket's path has {MOST_SOCKET_PATH} bytes at most; set a "
+            "shorter one"
+        )
+    return path
+
+
 class Fleet:
     """All gateways of a run."""
 
@@ -161,8 +174,16 @@
             self.daemons[name] = await asyncio.to_thread(self._daemon, number, name, keys)
         begun = figures.now()
         await self.start_all()
+        self._check_daemons_run()
         self.say(f"{self.size.members} members are in after {figures.now() - begun:.1f} s")
 
+    def _check_daemons_run(self) -> None:
+        """Raise RigError for a daemon that ended by itself, with the last line of its log."""
+        for name, daemon in self.daemons.items():
+            if not daemon.runs():
+                lines = daemon.log.read_text(errors="replace").splitlines() or ["it said nothing"]
+                raise RigError(f"{name} ended at its start: {lines[-1]}")
+
     async def start_all(self, within: float = STARTED) -> None:
         """Start all that do not run, and wait until they may act."""
         self.down.clear()
@@ -188,7 +209,7 @@
         value = full_state.operator_file(
             self.size.fraction, members, self.voters, name, str(folder / "state"), str(keys)
         )
-        value["gateway"]["admin"] = str(folder / "admin.sock")
+        value["gateway"]["admin"] = admin_socket(folder)
         value["gateway"]["zone"] = "west-1"
         value["tier"]["agree_within"] = AGREE_WITHIN
         value["listeners"] = [{"name": "web", "address": f"127.0.0.1:{port}"}]
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -10,6 +10,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
 from typing import Any, get_args
@@ -32,6 +33,13 @@
 QUICK = Options(seconds=1.0, patience=30.0, repeats=1)
 
 
+@pytest.fixture
+def short_path() -> Iterator[Path]:
+    """A folder whose path leaves room for the name of a Unix socket, as pytest's own may not."""
+    with tempfile.TemporaryDirectory(prefix="s") as folder:
+        yield Path(folder)
+
+
 def say(text: str) -> None:
     """Nobody reads it."""
 
@@ -63,9 +71,9 @@
     return found
 
 
-def test_a_change_reaches_all_and_each_kind_is_counted(tmp_path: Path) -> None:
+def test_a_change_reaches_all_and_each_kind_is_counted(short_path: Path) -> None:
     async def go() -> dict[str, Any]:
-        async with running(SMALL, tmp_path) as made:
+        async with running(SMALL, short_path) as made:
             await settle(made, QUICK)
             return await change(made, QUICK)
 
@@ -90,10 +98,10 @@
         assert daemon["rss_mb"] > 10
 
 
-def test_loss_and_the_dead_are_in_the_figures(tmp_path: Path) -> None:
+def test_loss_and_the_dead_are_in_the_figures(short_path: Path) -> None:
     async def go() -> tuple[dict[str, Any], dict[str, Any]]:
         options = Options(seconds=2.0, patience=30.0, loss=0.2, dead=0.1)
-        async with running(ONLY_HOLLOW, tmp_path) as made:
+        async with running(ONLY_HOLLOW, short_path) as made:
             whole = await idle(made, options)
             await settle(made, options)
             return whole, await idle(made, options)
@@ -107,10 +115,10 @@
     assert 0.1 < lost / (lost + heard) < 0.3
 
 
-def test_a_member_that_fails_behind_the_rigs_back_is_behind(tmp_path: Path) -> None:
+def test_a_member_that_fails_behind_the_rigs_back_is_behind(short_path: Path) -> None:
     async def go() -> tuple[dict[str, Any], str]:
         options = Options(seconds=1.0, patience=5.0, repeats=1)
-        async with running(ONLY_HOLLOW, tmp_path) as made:
+        async with running(ONLY_HOLLOW, short_path) as made:
             await settle(made, options)
             name = made.others()[0]
             await made.all_hosts("kill", who=[name])  # not by `kill`, which the rig would know of
@@ -123,10 +131,10 @@
     assert part["in_force"]["count"] == HOLLOW - 1
 
 
-def test_a_change_that_a_daemon_refuses_is_a_figure(tmp_path: Path) -> None:
+def test_a_change_that_a_daemon_refuses_is_a_figure(short_path: Path) -> None:
     async def go() -> dict[str, Any]:
         options = Options(seconds=1.0, patience=2.0, repeats=1)
-        async with running(SMALL, tmp_path) as made:
+        async with running(SMALL, short_path) as made:
             made.serial += 5  # the plan is made against what does not hold
             return await one_change(made, options, "weight")
 
@@ -135,7 +143,7 @@
     assert part["behind"] == HOLLOW + 1
 
 
-def test_a_newcomer_fetches_what_there_is(tmp_path: Path) -> None:
+def test_a_newcomer_fetches_what_there_is(short_path: Path) -> None:
     size = Size(members=HOLLOW + 1, daemons=1, voters=3, fraction=0.01)
     result = asyncio.run(play("newcomer", size, QUICK, say))
     for kind in ("hollow", "daemon"):
@@ -153,7 +161,7 @@
 
 
 @pytest.mark.parametrize("name", ["burst", "restart", "rack", "regions", "start"])
-def test_each_event_ends_with_all_in(name: str, tmp_path: Path) -> None:
+def test_each_event_ends_with_all_in(name: str, short_path: Path) -> None:
     result = asyncio.run(play(name, ONLY_HOLLOW, QUICK, say))
     parts = [part for _, part in report.windows(result["figures"])]
     assert parts
@@ -168,9 +176,9 @@
     assert name in report.table([result])
 
 
-def test_parted_regions_do_not_reach_each_other(tmp_path: Path) -> None:
+def test_parted_regions_do_not_reach_each_other(short_path: Path) -> None:
     async def go() -> tuple[int, int]:
-        async with running(ONLY_HOLLOW, tmp_path) as made:
+        async with running(ONLY_HOLLOW, short_path) as made:
             before = await made.look(last=False)
             await made.set_faults(0.0, (1, 2))
             await asyncio.sleep(1.0)
@@ -212,28 +220,54 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
-def test_interrupted_it_leaves_no_process(number: int, tmp_path: Path) -> None:
-    with as_command(tmp_path) as program:
+def test_interrupted_it_leaves_no_process(number: int, short_path: Path) -> None:
+    with as_command(short_path) as program:
         program.send_signal(number)
         assert program.wait(PATIENCE) == 130
-        assert processes_of(tmp_path) == []
-        assert list(tmp_path.iterdir()) == []
+        assert processes_of(short_path) == []
+        assert list(short_path.iterdir()) == []
 
 
-def test_killed_it_leaves_no_process(tmp_path: Path) -> None:
-    with as_command(tmp_path) as program:
+def test_killed_it_leaves_no_process(short_path: Path) -> None:
+    with as_command(short_path) as program:
         program.kill()
         program.wait()
 
         async def gone() -> None:
             async with asyncio.timeout(PATIENCE):
-                while processes_of(tmp_path):
+                while processes_of(short_path):
                     await asyncio.sleep(0.05)
 
         asyncio.run(gone())
 
 
-def test_an_error_leaves_no_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_path_that_is_too_long_for_a_socket_is_refused(tmp_path: Path) -> None:
+    long = tmp_path / ("x" * 100)
+    with pytest.raises(RigError, match=r"TMPDIR: .*107 bytes at most"):
+        fleet.admin_socket(long)
+
+
+def test_a_daemon_that_ends_at_its_start_ends_the_run(
+    short_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def wrong(*told: Any, **more: Any) -> dict[str, Any]:
+        value = right(*told, **more)
+        if "tier" in value:
+            value["tier"]["key_file"] = str(short_path / "none")
+        return value
+
+    right = full_state.operator_file
+    monkeypatch.setattr(full_state, "operator_file", wrong)
+
+    async def go() -> None:
+        async with running(SMALL, short_path):
+            raise AssertionError("it was not to start")
+
+    with pytest.raises(RigError, match=r"ended at its start: .*key_file"):
+        asyncio.run(go())
+
+
+def test_an_error_leaves_no_process(short_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def fails(made: Fleet, options: Options) -> dict[str, Any]:
         assert len(processes_of(made.folder)) == made.size.processes() - 1
         folders.append(made.folder)
@@ -292,17 +326,17 @@
 
 
 def test_a_chart_without_its_library_says_what_to_install(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+    short_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    file = tmp_path / "results.jsonl"
+    file = short_path / "results.jsonl"
     file.write_text("")
     monkeypatch.setitem(sys.modules, "matplotlib", None)
-    assert main(["report", str(file), "--chart", str(tmp_path / "chart.png")]) == 1
+    assert main(["report", str(file), "--chart", str(short_path / "chart.png")]) == 1
     assert "sailhitch[scale]" in capsys.readouterr().err
-    assert not (tmp_path / "chart.png").exists()
+    assert not (short_path / "chart.png").exists()
 
 
-def test_datagrams_that_the_system_drops_are_counted_by_address(tmp_path: Path) -> None:
+def test_datagrams_that_the_system_drops_are_counted_by_address(short_path: Path) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as here:
         here.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         here.bind(("127.77.0.1", 0))
@@ -319,9 +353,9 @@
 
 
 def test_results_that_are_no_json_are_refused_by_line(
-    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    short_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    file = tmp_path / "results.jsonl"
+    file = short_path / "results.jsonl"
     file.write_text(json.dumps({"experiment": "idle", "figures": {}}) + "\n{\n")
     assert main(["report", str(file)]) == 1
     assert "results.jsonl: line 2: not JSON" in capsys.readouterr().err
