--- a/benchmarks/scale/budgets.py
+++ b/benchmarks/scale/budgets.py
@@ -152,7 +152,7 @@
         ),
         Verdict(
             "gateway: disk of kept states", float("inf"), KEPT * figures["keep.store_bytes"], "B",
-            f"{KEPT} whole states",
+            f"{KEPT} kept states, each by what one more takes",
         ),
     ]  # fmt: skip
 
@@ -173,7 +173,7 @@
             "the tier's rounds, then fetch, read and switch, none beside another",
         ),
         Verdict(
-            "members of a tier", MOST_MEMBERS, MEMBERS, "gateways", "refused by the schema"
+            "members of a tier", MOST_MEMBERS, MEMBERS, "gateways", "the schema's bound"
         ),
         Verdict(
             "hosts that a gateway is connected to", MAX_OPEN,
@@ -199,7 +199,7 @@
         ),
         Verdict(
             "voter: beats while a change waits for members", ONE_CORE, pending, "of a core",
-            f"{BEATS} a second, each sorts all names for each name",
+            f"{BEATS} a second, each looks for whom it waits",
         ),
     ]  # fmt: skip
 
