End a scale run by SIGINT also where its shell has it ignored

A shell starts what runs in the background with SIGINT ignored, its children inherit that, and asyncio installs its own handler only over Python's.

Change: the run has a handler of its own for SIGINT, as it had for SIGTERM.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -54,10 +54,14 @@
 
 
 async def run(name: str, size: Size, options: Options, say: Callable[[str], None]) -> Any:
-    """`play`, ended in good order by SIGTERM too."""
+    """`play`, ended in good order by SIGINT and SIGTERM.
+
+    A shell starts what runs in the background with SIGINT ignored, and asyncio then leaves it so.
+    """
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     assert task is not None
-    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
     return await play(name, size, options, say)
 
 
--- a/tests/test_scale_rig.py
+++ b/tests/test_scale_rig.py
@@ -228,6 +228,18 @@
         assert list(short_path.iterdir()) == []
 
 
+def test_interrupted_it_ends_also_where_its_shell_has_it_ignore_interrupts(
+    short_path: Path,
+) -> None:
+    handler = signal.signal(signal.SIGINT, signal.SIG_IGN)
+    try:
+        with as_command(short_path) as program:
+            program.send_signal(signal.SIGINT)
+            assert program.wait(PATIENCE) == 130
+    finally:
+        signal.signal(signal.SIGINT, handler)
+
+
 def test_killed_it_leaves_no_process(short_path: Path) -> None:
     with as_command(short_path) as program:
         program.kill()
