Count a request's draw for a cold host in the moment of the draw alone

Cause: a held request kept its coin. The slices grow with the hosts' warmth, so coins beyond all slices fall into the last one later (`Slices.pick`), and coins of a resting host into its slice once the rest is over, at all gateways at once. The sum is no part of what arrives then.

Change: a request that is held has spent its coin; a further attempt draws anew, as before.

--- a/sailhitch/policy/cold.py
+++ b/sailhitch/policy/cold.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import math
+
 from ..settings import Rules
 from .server import Server
 
 KINDS = 8  # kinds of server that are told apart; those past the last share one
 KIND_PRIOR = 5.0  # sends by which every kind counts as fast as the others at first
 KIND_WINDOW = 1000.0  # sends after which the counts of kinds are halved
+COIN_SPENT = math.inf  # a coin that falls into no slice
 COLD_SPARE = 0.8  # of the rule's multiple is what a cold server gets at the most
 
 
@@ -19,6 +22,10 @@
     every gateway acts alike, a cold server gets its part of the load in any span, from the first
     request on: no memory is needed that a restart would lose. Danger: token buckets would do that
     for one gateway, but two hundred full buckets are a burst.
+
+    A coin counts in the moment it is drawn. Danger: the slices grow, so coins that had fallen
+    beyond all of them fall into the last one later, and coins of a server that rests into its
+    slice once the rest is over. Held requests of all gateways would come to one server together.
     """
 
     def __init__(self, rules: Rules) -> None:
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -23,6 +23,7 @@
 )
 from ..settings import KEYED, SAFE, Settings
 from .backlog import HEDGE_QUEUE, Backlog, Retries, overtaken
+from .cold import COIN_SPENT
 from .health import Health
 from .overload import RUSH, Overload
 from .request import Request
@@ -279,6 +280,7 @@
         if now >= request.hold_until or self.retired:
             self._finish(now, request, refuse=True)
             return
+        request.coin = COIN_SPENT
         self.backlog.hold(request)
         self._arm_drain(now)
 
