Add failing tests for accepts, sockets and connects that fail for a moment

Over loopback, with calls that fail by a script:

- 20 clients with a request in the kernel's queue at the end, the second accept failing once with ENFILE: 1 of 20 is answered.
- 24 clients at once, 5 of the sockets to hosts failing with ENFILE, never two in a row for one attempt that could not try again: some get 503.
- 8 clients, 3 connects failing with ENETUNREACH: told as `connect_failed`, so the host is shunned.

--- /dev/null
+++ b/tests/test_system_failures.py
@@ -0,0 +1,151 @@
+"""Calls of the system that fail for a moment cost no request, no connection and no host.
+
+A gateway over loopback; the calls fail by a script (`failing_calls`), errno by errno.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from sailhitch.core.process import drain
+from sailhitch.front.connection_admission import Reason
+from sailhitch.net import upstream
+from tests.failing_calls import FailingCall, ModuleWith
+from tests.sockets import Client, Gate, Server, gate, plain, request
+
+QUEUED = 20
+
+
+def fail_accept(it: Gate, script: list[int], patch: pytest.MonkeyPatch) -> FailingCall:
+    """Have accepts of this gateway's listener fail by a script, and no others."""
+    accept = socket.socket.accept
+    call = FailingCall(accept, script)
+
+    def chosen(sock: socket.socket) -> Any:
+        return call(sock) if sock is it.listener.sock else accept(sock)
+
+    patch.setattr(socket.socket, "accept", chosen)
+    return call
+
+
+def fail_socket(script: list[int], patch: pytest.MonkeyPatch) -> FailingCall:
+    """Have sockets for connections to hosts fail by a script."""
+    call = FailingCall(socket.socket, script)
+    patch.setattr(upstream, "socket", ModuleWith(socket, "socket", call))
+    return call
+
+
+def fail_connect(
+    it: Gate, host: Server, script: list[int], patch: pytest.MonkeyPatch
+) -> FailingCall:
+    """Have connects to this host fail by a script, and no others."""
+    connect = it.core.loop.sock_connect
+    call = FailingCall(connect, script)
+
+    async def chosen(sock: socket.socket, address: Any) -> None:
+        here = f"{address[0]}:{address[1]}" == host.addr
+        await (call if here else connect)(sock, address)
+
+    patch.setattr(it.core.loop, "sock_connect", chosen)
+    return call
+
+
+def closed_for_room(it: Gate) -> int:
+    """How many clients' connections were closed to make room."""
+    return it.core.admission.figures.closed[Reason.ROOM]
+
+
+def play(story: Callable[[Gate, Server], Any], **changes: Any) -> None:
+    async def run() -> None:
+        async with Server() as host, gate(("a", host.addr), **changes) as it:
+            await story(it, host)
+
+    asyncio.run(run())
+
+
+async def queued_clients(it: Gate) -> list[Client]:
+    """Clients in the kernel's queue, their requests sent, whom nobody has accepted yet."""
+    it.core.loop.remove_reader(it.listener.sock)
+    clients = []
+    for number in range(QUEUED):
+        sock = plain(it.addr)
+        sock.sendall(request(f"queued{number}"))
+        clients.append(Client(*await asyncio.open_connection(sock=sock)))
+    return clients
+
+
+async def status_of(client: Client) -> int | None:
+    """The status that a client is answered with; None where its connection ends without."""
+    try:
+        return (await client.answer())[0]
+    except (OSError, asyncio.IncompleteReadError):
+        return None
+
+
+@pytest.mark.parametrize("failures", [1])
+@pytest.mark.parametrize("number", [errno.ENFILE], ids=errno.errorcode.get)
+def test_who_waits_in_the_queue_at_the_end_is_answered_though_accepts_fail(
+    number: int, failures: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story(it: Gate, host: Server) -> None:
+        clients = await queued_clients(it)
+        call = fail_accept(it, [0] + [number] * failures, monkeypatch)
+        ending = asyncio.create_task(drain(it.core, it.listener.close))
+        assert [await status_of(client) for client in clients] == [200] * QUEUED
+        assert call.failures == failures
+        await ending
+        assert it.listener.sock.fileno() < 0
+
+    play(story)
+
+
+async def all_busy(it: Gate, count: int, kind: str) -> list[tuple[int, bytes]]:
+    """So many clients with a request each at one moment; none of their hosts has a connection."""
+    clients = [await it.client() for _ in range(count)]
+    body = b"pay" if kind == "post" else None
+    for i, client in enumerate(clients):
+        client.send(request(f"{kind}{i}", body))
+    return [await client.answer() for client in clients]
+
+
+@pytest.mark.parametrize("kind", ["get"])
+@pytest.mark.parametrize("number", [errno.ENFILE], ids=errno.errorcode.get)
+def test_sockets_that_fail_for_a_moment_cost_no_request_and_no_connection(
+    number: int, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story(it: Gate, host: Server) -> None:
+        most = it.core.admission.descriptors()
+        call = fail_socket([number, 0, 0, number, 0, number, number, 0, number], monkeypatch)
+        answers = await all_busy(it, 24, kind)
+        assert {status for status, _ in answers} == {200}
+        assert call.failures == 5
+        assert closed_for_room(it) == 0
+        assert it.core.admission.descriptors() == most
+        assert it.hosts.connecting == 0
+        assert it.pool.module.roster.servers["a"].shun_until == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("kind", ["get"])
+@pytest.mark.parametrize("number", [errno.ENETUNREACH], ids=errno.errorcode.get)
+def test_connects_that_fail_on_this_machine_are_not_held_against_hosts(
+    number: int, kind: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def story(it: Gate, host: Server) -> None:
+        call = fail_connect(it, host, [number, 0, number, number], monkeypatch)
+        answers = await all_busy(it, 8, kind)
+        assert {status for status, _ in answers} == {200}
+        assert call.failures == 3
+        assert it.pool.module.roster.servers["a"].shun_until == 0
+        assert set(it.core.counters.statuses) == {"ok"}
+        assert it.hosts.connecting == 0
+        assert closed_for_room(it) == 0
+
+    play(story)
