Empty a closing listener's queue whatever accept says, before the close

Cause: `Listener._accept` returned at the first failed accept, which is right while the socket stays open, as it stays readable. `close` called it once and closed the socket, which resets who still waits. accept(2): errors like ECONNABORTED are those of one connection, which is gone from the queue; ENFILE and ENOBUFS leave it there.

Change: an error of one connection is passed over; where the system fails, the close waits and tries again every 10 ms, for 1 s at most, and the process's end waits for it (`Core.emptying`). What errno means is in `net/system_errors.py`.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -62,6 +62,7 @@
         self.clients: dict[Connection, None] = {}
         self.admission = ConnectionAdmission(bounds.sizes(), self.clock())
         self.arriving: set[Connection] = set()  # accepted, and not yet among the clients
+        self.emptying: set[object] = set()  # listeners that close once their queues are empty
         self.names: dict[bytes, Exchange] = {}  # of requests that are open, here or at a host
         self.live: dict[int, Exchange] = {}
         self.counters = Counters()
@@ -421,7 +422,7 @@
         Returns whether anybody is still owed something, or has asked and was not read yet.
         """
         self.hanging_up = True
-        left = bool(self.arriving)
+        left = bool(self.arriving) or bool(self.emptying)
         for client in list(self.clients):
             idle = client.is_idle() and not client.is_closed()
             if not (idle and client.close_idle(Reason.ANSWERED)):
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -14,7 +14,8 @@
 from .backoff import Backoff
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
-from .socket_poll import OUT_OF_RESOURCES, has_event
+from .socket_poll import has_event
+from .system_errors import OUT_OF_RESOURCES
 
 PATH: Final = "/registry/instances"
 # A change counts as told so long after discovery had it and could be reached (s), whatever calls
--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+from enum import Enum, auto
 from typing import Final
 
 from ..core.budget import HELD_MOST
@@ -14,12 +15,21 @@
 from .downstream import Downstream
 from .intake import Intake
 from .responses import closing_response
-from .socket_poll import OUT_OF_RESOURCES
+from .system_errors import CONNECTION_LOST_IN_QUEUE, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
 
 ACCEPT_BATCH: Final = 64  # connections accepted in one turn of the loop
 ACCEPT_PAUSE: Final = 0.05  # s without accepting after an error
 SEND_BUFFER: Final = 256 * 1024  # bytes of a response that the kernel may hold
 RECEIVE_BUFFER: Final = 128 * 1024  # bytes of a body that the kernel may hold
+EMPTYING: Final = 1_000_000  # us for which a closing listener goes on emptying its queue
+
+
+class Accepted(Enum):
+    """Why a round of accepting ended."""
+
+    QUEUE_EMPTY = auto()
+    MORE_MAY_WAIT = auto()  # the round's number is reached, or descriptors are about to be free
+    SYSTEM_FAILED = auto()  # the connection still waits; it is accepted once the system can
 
 
 class Listener:
@@ -40,6 +50,7 @@
         self.core, self.intake, self.backlog = core, intake, backlog
         self.tasks: set[asyncio.Task[None]] = set()
         self.retired = False
+        self._shortage = Shortage()
         self.sock = held or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         # Accepted connections inherit this. By default the kernel buffers megabytes of a response
         # for a client that reads none of it, which no budget accounts for.
@@ -60,30 +71,42 @@
 
     def start(self) -> None:
         """Begin to accept."""
-        self.core.loop.add_reader(self.sock, self._accept)
+        self.core.loop.add_reader(self.sock, self._on_readable)
 
-    def _accept(self, most: int = ACCEPT_BATCH, last: bool = False) -> None:
+    def _on_readable(self) -> None:
+        """Accept who waits; pause where the system fails, as the loop would spin here."""
+        if self._accept(ACCEPT_BATCH) is Accepted.SYSTEM_FAILED:
+            self._pause_accepting()
+
+    def _accept(self, most: int, last: bool = False) -> Accepted:
         """Accept up to `most` waiting connections; `last` does not wait for descriptors."""
         core = self.core
         for _ in range(most):
             way = core.way_in()
             if way == Verdict.WAIT and not last:
-                return  # descriptors being closed are free in the next turn of the loop
+                return Accepted.MORE_MAY_WAIT  # descriptors being closed are free in the next turn
             try:
                 sock, peer = self.sock.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return Accepted.QUEUE_EMPTY
             except OSError as error:
-                # The connection still waits: without a pause the loop would spin here.
-                core.logger.often("accept", f"accept failed: {error.strerror}")
-                if error.errno in OUT_OF_RESOURCES:
-                    core.exhausted()
-                self._pause_accepting()
-                return
+                if error.errno in CONNECTION_LOST_IN_QUEUE:
+                    continue
+                self._accept_failed(error)
+                return Accepted.SYSTEM_FAILED
+            self._shortage.ended()
             if way == Verdict.ADMIT and core.admission.admits(core.clock(), peer[0]):
                 self._admit(sock, core.admission.opened(core.clock(), peer[0]))
             else:
                 self._reject_connection(sock)
+        return Accepted.MORE_MAY_WAIT
+
+    def _accept_failed(self, error: OSError) -> None:
+        """Log a failure of the system, and free descriptors where it lasts."""
+        self.core.logger.often("accept", f"accept failed: {error.strerror}")
+        number = error.errno or 0
+        if number in OUT_OF_RESOURCES and self._shortage.failed(self.core.clock(), number):
+            self.core.exhausted()
 
     def adopt(self, descriptor: int) -> None:
         """Take over an idle connection that another process of this gateway hands on."""
@@ -139,8 +162,8 @@
         self.core.loop.call_later(ACCEPT_PAUSE, self._resume_accepting)
 
     def _resume_accepting(self) -> None:
-        if self.sock.fileno() >= 0:
-            self.core.loop.add_reader(self.sock, self._accept)
+        if self.sock.fileno() >= 0 and self not in self.core.emptying:
+            self.core.loop.add_reader(self.sock, self._on_readable)
 
     # --- Stopping
 
@@ -164,10 +187,20 @@
     def close(self) -> None:
         """Stop listening; who has connected by now is admitted or refused.
 
-        Connections still in the kernel's queue after that are reset without a response.
+        Connections still in the kernel's queue at the socket's close are reset without a response.
+        So where the system fails to accept them, the close waits, for EMPTYING at most.
         """
-        if self.sock.fileno() < 0:
+        if self.sock.fileno() < 0 or self in self.core.emptying:
             return  # closed before: settings that come at the process's end do so again
-        self._accept(self.backlog, last=True)
         self.core.loop.remove_reader(self.sock)
+        self._empty_queue(self.core.clock() + EMPTYING)
+
+    def _empty_queue(self, give_up: int) -> None:
+        """Accept all who wait, then close the socket; again after a failure, until `give_up`."""
+        failed = self._accept(self.backlog, last=True) is Accepted.SYSTEM_FAILED
+        if failed and self.core.clock() < give_up:
+            self.core.emptying.add(self)
+            self.core.loop.call_later(RETRY_PAUSE, self._empty_queue, give_up)
+            return
+        self.core.emptying.discard(self)
         self.sock.close()
