Try again where this machine fails to connect, and hold that against no host

Observed: five momentary ENFILE of `socket` with 24 clients: some requests get 503, clients' connections are closed for room (6 in a test of accepts), the limit on descriptors falls to what is held, for 10 s. Three connects failing with ENETUNREACH, EADDRNOTAVAIL or ENOBUFS: `connect_failed`, a shun each. Two such failures of the watch's connect are two failed calls, and ENFILE there lowers the limit as well.

Cause: `Core.exhausted` took one failure of any of EMFILE, ENFILE, ENOBUFS and ENOMEM for the limit of this process (callers: accept, `Hosts._connect`, `Discovery._connect`), and `Hosts._connect` every OSError of connect for the host's. connect(2): EADDRNOTAVAIL, ENETUNREACH, ENETDOWN and ENOBUFS come from this machine.

Change: such a connect is tried again every 10 ms, for 100 ms at most and never past the attempt's time; the time to connect counts anew with each try. After that no descriptor or buffer gives the request up, as before, and no port or route sends it elsewhere (`NO_ROUTE`): the host rests for 250 ms and no failure is counted, until there was no way to it for 1 s. The watch tries again within the time its call has. A shortage shared with other processes lowers the limit once it has lasted 250 ms; EMFILE does at once.

Excluded: `WITHHELD` for no port or route. The module then chose the same host up to the last attempt and refused (a test of two hosts).

Measured (tests): no request, connection or host lost in 16 cases that failed before; with no socket at all a request is refused within 1 s of its 3 s.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -23,6 +23,7 @@
     GONE,
     MOOT,
     NEVER_RAN,
+    NO_ROUTE,
     OK,
     RESTORED,
     TIMEOUT,
@@ -296,7 +297,7 @@
     def _count(self, server: str, status: str) -> None:
         statuses = self.core.counters.statuses
         statuses[status] = statuses.get(status, 0) + 1
-        if status in (MOOT, CANCELLED, WITHHELD):
+        if status in (MOOT, CANCELLED, NO_ROUTE, WITHHELD):
             return
         if self.seen is not None:
             self.seen(server, status)
--- a/sailhitch/interface.py
+++ b/sailhitch/interface.py
@@ -17,9 +17,10 @@
 OK, ERROR, BUSY, TIMEOUT = "ok", "error", "full", "timeout"
 CONNECT_FAILED, RESET, CANCELLED, MOOT = "connect_failed", "reset", "cancelled", "moot"
 WITHHELD = "withheld"  # nothing of it was written: news since the choice forbids this server
+NO_ROUTE = "no_route"  # nothing of it was written: this machine found no port or way, for a moment
 EXPIRED = "expired"  # its time was over before anything of it was written: no connection came up
 # These prove that the attempt did not run.
-NEVER_RAN = frozenset((BUSY, CONNECT_FAILED, EXPIRED, MOOT, WITHHELD))
+NEVER_RAN = frozenset((BUSY, CONNECT_FAILED, EXPIRED, MOOT, NO_ROUTE, WITHHELD))
 
 
 class Listed(NamedTuple):
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -15,7 +15,7 @@
 from .config import Config, parse_roster
 from .http import WHOLE, AnswerReader, MalformedError
 from .socket_poll import has_event
-from .system_errors import OUT_OF_RESOURCES
+from .system_errors import LOCAL_CONNECT_ERRORS, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
 
 PATH: Final = "/registry/instances"
 # A change counts as told so long after discovery had it and could be reached (s), whatever calls
@@ -205,6 +205,7 @@
         self._call: Call | None = None
         self._answer: asyncio.Future[None] | None = None  # of the call that is out
         self._seed = config.seed
+        self._shortage = Shortage()
         self._adopt(config.settings)
         # The next call asks for the whole list. Where discovery is shared, a watch from the known
         # list on costs it least.
@@ -417,14 +418,25 @@
         Guards against clients that have taken every descriptor while discovery was down, and rest:
         without one of theirs the watch would never come back, and drains never be heard of.
         """
-        try:
-            async with asyncio.timeout_at(limit):
-                _, call = await self.core.loop.create_connection(Call, *address)
-        except OSError as error:
-            if error.errno in OUT_OF_RESOURCES:
-                self.core.exhausted()  # the next call finds what is let go of here
-            raise
-        return call
+        loop = self.core.loop
+        while True:
+            try:
+                async with asyncio.timeout_at(limit):
+                    _, call = await loop.create_connection(Call, *address)
+            except OSError as error:
+                self._connect_failed(error)
+                if error.errno not in LOCAL_CONNECT_ERRORS or loop.time() + RETRY_PAUSE >= limit:
+                    raise
+            else:
+                self._shortage.ended()
+                return call
+            await asyncio.sleep(RETRY_PAUSE)
+
+    def _connect_failed(self, error: OSError) -> None:
+        """Free descriptors where the system has had none for a while; the next try finds them."""
+        number = error.errno or 0
+        if number in OUT_OF_RESOURCES and self._shortage.failed(self.core.clock(), number):
+            self.core.exhausted()
 
     def _drop(self) -> None:
         if self._call is not None:
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -24,6 +24,7 @@
     CONNECT_FAILED,
     ERROR,
     MOOT,
+    NO_ROUTE,
     OK,
     READY,
     RESET,
@@ -33,12 +34,16 @@
 )
 from .config import parse_load
 from .http import BODY, WHOLE, AnswerReader, MalformedError, chunk
+from .system_errors import LOCAL_CONNECT_ERRORS, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
 
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
 RECEIVE_BUFFER: Final = 128 * 1024
 # us that a connection rests after an answer. A host may send one twice, the second time some
 # milliseconds late (up to 3.8 were seen), and nothing tells that from the next request's answer.
 REST: Final = 5_000
+LOCAL_PATIENCE: Final = 100_000  # us for which an attempt tries again where this machine failed
+# us without a success after which a host that this machine finds no way to counts as unreachable.
+UNREACHABLE_AFTER: Final = 1_000_000
 SOON: Final = 300_000  # us after its head an answer of unknown length is passed on, whole or not
 # A host that is passing an answer on has stopped, or trickles, below these (bytes a second, us).
 FLOW_RATE: Final = 4 * 1024
@@ -46,16 +51,25 @@
 FLOW_STALL: Final = 8_000_000
 
 
+class LocalConnectError(Exception):
+    """This machine could not connect for a while; `status` is the attempt's outcome."""
+
+    def __init__(self, status: str) -> None:
+        super().__init__(status)
+        self.status = status
+
+
 class Host:
     """A host as this gateway reaches it. The module knows it by `id` alone."""
 
-    __slots__ = ("addr", "id", "idle", "listed", "open", "replaced")
+    __slots__ = ("addr", "id", "idle", "listed", "no_way", "open", "replaced")
 
     def __init__(self, listed: Listed, addr: Address) -> None:
         self.id, self.listed, self.addr = listed.server, listed, addr
         self.idle: list[Upstream] = []  # newest last
         self.open = 0  # connections, those being opened too
         self.replaced = False  # another host is at its address now
+        self.no_way = Shortage(UNREACHABLE_AFTER)  # of a local port or a route to it
 
     def take_rested(self, now: int) -> Upstream | None:
         """The newest idle connection on which no late second answer is to be feared any more."""
@@ -411,6 +425,7 @@
         self.open: dict[Upstream, None] = {}
         self.connecting = 0
         self.opened = 0  # counter
+        self._shortage = Shortage()  # of descriptors and buffers
 
     def size(self) -> int:
         return len(self.open) + self.connecting
@@ -537,33 +552,17 @@
         await self._connect(attempt, host, chosen)
 
     async def _connect(self, attempt: Attempt, host: Host, chosen: Chosen) -> None:
-        core, pool = self.core, self.pool
-        conn = None
+        """Open a connection for an attempt, and write on it or say why not."""
+        pool = self.pool
+        conn, failure = None, CONNECT_FAILED
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        except OSError:
-            # Danger: what escapes here leaves the attempt to its time-out, and counted as under
-            # way for ever. It says nothing of the host: the system has no descriptor.
-            self._unopened(host)
-            attempt.task, attempt.connect_by = None, 0
-            core.exhausted()
-            if not attempt.over:
-                pool.ended(attempt, MOOT, None, None)
-            return
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # What the system takes in of an answer that is not read shows in no budget.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-            await core.loop.sock_connect(sock, chosen[0])
-            # Danger: on one machine a port that nobody listens on may meet itself.
-            if sock.getsockname() != chosen[0] and not attempt.over:
-                conn = Upstream(self, host, sock)
-                made = conn
-                await core.loop.create_connection(lambda: made, sock=sock)
+            conn = await self._open_connection(attempt, host, chosen[0])
             while pool.unheard():
                 await asyncio.sleep(0.001)
+        except LocalConnectError as error:
+            failure = error.status
         except OSError:
-            conn = None
+            pass
         except asyncio.CancelledError:
             if conn is not None and conn.transport is not None:
                 conn.transport.abort()
@@ -572,7 +571,6 @@
             self.connecting -= 1
             if conn is None:
                 host.open -= 1
-                sock.close()
         attempt.task = None
         attempt.connect_by = 0
         if conn is not None:
@@ -581,13 +579,95 @@
             if conn.transport is None or conn.transport.is_closing():
                 conn.close()
                 conn = None
-        self._settle_on(attempt, host, chosen, conn)
+        self._settle_on(attempt, host, chosen, conn, failure)
+
+    async def _open_connection(
+        self, attempt: Attempt, host: Host, address: Address
+    ) -> Upstream | None:
+        """Return an open connection; None if the attempt is over by the time it is up.
+
+        Raises OSError where the host can't be reached, and LocalConnectError.
+        """
+        sock = await self._connected_socket(attempt, host, address)
+        conn = Upstream(self, host, sock)
+        try:
+            # Danger: on one machine a port that nobody listens on may meet itself.
+            if sock.getsockname() == address or attempt.over:
+                sock.close()
+                return None
+            await self.core.loop.create_connection(lambda: conn, sock=sock)
+        except BaseException:
+            if conn.transport is not None:
+                conn.transport.abort()
+            sock.close()
+            raise
+        return conn
+
+    async def _connected_socket(
+        self, attempt: Attempt, host: Host, address: Address
+    ) -> socket.socket:
+        """Connect, again for LOCAL_PATIENCE where it is this machine that fails for a moment.
+
+        Such a failure says nothing of the host, so its time to connect counts anew with each try.
+        Raises OSError where the host can't be reached, and LocalConnectError.
+        """
+        core = self.core
+        give_up = core.clock() + LOCAL_PATIENCE
+        while True:
+            try:
+                sock = await self._try_to_connect(address)
+            except OSError as error:
+                if error.errno not in LOCAL_CONNECT_ERRORS:
+                    raise
+                status = self._failed_locally(host, error)
+            else:
+                self._shortage.ended()
+                host.no_way.ended()
+                return sock
+            attempt.connect_by = 0
+            await asyncio.sleep(RETRY_PAUSE)
+            now = core.clock()
+            if attempt.over or now >= min(give_up, attempt.ends):
+                raise LocalConnectError(status)
+            attempt.connect_by = now + self.pool.reach.connect_timeout
+            core.schedule(attempt.exchange)
+
+    async def _try_to_connect(self, address: Address) -> socket.socket:
+        """Return a connected socket; raises OSError."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # What the system takes in of an answer that is not read shows in no budget.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            await self.core.loop.sock_connect(sock, address)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    def _failed_locally(self, host: Host, error: OSError) -> str:
+        """Return the outcome of an attempt that this machine's failure would end.
+
+        No descriptor or buffer: nothing at any host, so the request is given up. No port or route:
+        another host may do, and this one is held to be unreachable where that lasts.
+        """
+        now = self.core.clock()
+        self.core.logger.often("connect", f"connect failed on this machine: {error.strerror}")
+        number = error.errno or 0
+        if number in OUT_OF_RESOURCES:
+            if self._shortage.failed(now, number):
+                self.core.exhausted()
+            return MOOT
+        return CONNECT_FAILED if host.no_way.failed(now, number) else NO_ROUTE
 
     def _settle_on(
-        self, attempt: Attempt, host: Host, chosen: Chosen, conn: Upstream | None
-    ) -> None:
+        self, attempt: Attempt, host: Host, chosen: Chosen, conn: Upstream | None,
+        failure: str = CONNECT_FAILED,
+    ) -> None:  # fmt: skip
         """Write on this connection, which took a while to come by, or say why not.
 
+        `failure` is the outcome where there is none.
+
         Guards what the module chose by an older list: meanwhile news may have come that this host
         leaves, is gone, has moved or has started anew, and is cold.
         """
@@ -601,7 +681,7 @@
         elif not stands:
             pool.ended(attempt, WITHHELD, None, None)
         elif conn is None:
-            pool.ended(attempt, CONNECT_FAILED, None, None)
+            pool.ended(attempt, failure, None, None)
         elif not pool.remembered(attempt.exchange, now):
             self.give_back(conn)
             pool.ended(attempt, WITHHELD, None, None)
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -13,6 +13,7 @@
     FAILED,
     MOOT,
     NEVER_RAN,
+    NO_ROUTE,
     OK,
     RESTORED,
     TIMEOUT,
@@ -315,7 +316,7 @@
         if request.attempts >= self.settings.limits.max_attempts:
             self._finish(now, request, refuse=True)
             return
-        free = status in (CONNECT_FAILED, WITHHELD)  # no server has had any of it
+        free = status in (CONNECT_FAILED, NO_ROUTE, WITHHELD)  # no server has had any of it
         if self.retries.bank < 1.0 and not free:
             self.figures["spent"] += 1
             # Danger: at overload every refusal by a server would come back as another attempt.
--- a/sailhitch/policy/health.py
+++ b/sailhitch/policy/health.py
@@ -5,7 +5,17 @@
 import math
 import random
 
-from ..interface import BUSY, CONNECT_FAILED, ERROR, EXPIRED, OK, RESET, TIMEOUT, Report
+from ..interface import (
+    BUSY,
+    CONNECT_FAILED,
+    ERROR,
+    EXPIRED,
+    NO_ROUTE,
+    OK,
+    RESET,
+    TIMEOUT,
+    Report,
+)
 from .overload import Overload
 from .rate import RATE_TAU, SADDLE_MIN
 from .roster import Roster
@@ -18,6 +28,7 @@
 SHUN_FIRST = 1_000_000  # how long a failing server is shunned at first; doubles with each failure
 SHUN_MAX = 16_000_000
 FULL_REST = 1_000_000  # how long a server is left alone that has turned a request away
+NO_ROUTE_REST = 250_000  # how long one is left alone that this machine found no way to
 STRIKES = 3  # failures in a row that shun a server; fewer come by chance where answers get spoilt
 ERROR_ALPHA = 0.1  # EWMA weight of an attempt's failure or success: some ten attempts
 
@@ -70,6 +81,9 @@
                 self._shun(now, server)
         elif status == CONNECT_FAILED:
             self._shun(now, server)
+        elif status == NO_ROUTE:
+            # It is this machine that failed: no sign of a bad server, but others may do meanwhile.
+            server.rest_until = max(server.rest_until, now + NO_ROUTE_REST)
         elif status in (TIMEOUT, EXPIRED):
             if sent is not None and server.seen < sent:
                 # Nothing came from it since: it is silent, not busy.
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -17,10 +17,11 @@
 from sailhitch.front.connection_admission import Reason
 from sailhitch.net import upstream
 from tests.failing_calls import FailingCall, ModuleWith
-from tests.sockets import Client, Gate, Server, gate, plain, request, until
+from tests.sockets import Client, Gate, Registry, Server, gate, plain, request, until
 
 QUEUED = 20
 SHORT = (errno.ENFILE, errno.ENOBUFS)
+NO_WAY = (errno.EADDRNOTAVAIL, errno.ENETUNREACH)
 
 
 def fail_accept(it: Gate, script: list[int], patch: pytest.MonkeyPatch) -> FailingCall:
@@ -154,8 +155,8 @@
     return [await client.answer() for client in clients]
 
 
-@pytest.mark.parametrize("kind", ["get"])
-@pytest.mark.parametrize("number", [errno.ENFILE], ids=errno.errorcode.get)
+@pytest.mark.parametrize("kind", ["get", "post"])
+@pytest.mark.parametrize("number", SHORT, ids=errno.errorcode.get)
 def test_sockets_that_fail_for_a_moment_cost_no_request_and_no_connection(
     number: int, kind: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -173,8 +174,8 @@
     play(story)
 
 
-@pytest.mark.parametrize("kind", ["get"])
-@pytest.mark.parametrize("number", [errno.ENETUNREACH], ids=errno.errorcode.get)
+@pytest.mark.parametrize("kind", ["get", "post"])
+@pytest.mark.parametrize("number", [*NO_WAY, errno.ENOBUFS], ids=errno.errorcode.get)
 def test_connects_that_fail_on_this_machine_are_not_held_against_hosts(
     number: int, kind: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -191,6 +192,82 @@
     play(story)
 
 
+@pytest.mark.parametrize("number", NO_WAY, ids=errno.errorcode.get)
+def test_a_host_to_which_there_is_no_way_for_long_counts_as_unreachable(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its requests go elsewhere at first, and from then on it is not tried first any more."""
+
+    async def run() -> None:
+        async with (
+            Server() as host,
+            Server() as other,
+            gate(("a", host.addr), ("b", other.addr)) as it,
+        ):
+            refuse = fail_connect(it, host, [number] * 100_000, monkeypatch)
+            client = await it.client()
+            server = it.pool.module.roster.servers["a"]
+            count = 0
+            while not server.shun_until:
+                count += 1
+                assert count < 1000
+                assert (await client.ask(request(f"r{count}")))[0] == 200
+            tried = refuse.calls
+            for i in range(30):
+                assert (await client.ask(request(f"s{i}")))[0] == 200
+            assert refuse.calls == tried
+            assert not host.seen
+
+    asyncio.run(run())
+
+
+def test_a_request_is_refused_where_no_socket_is_to_be_had_for_long(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """And at once, as far as that can be known: long before its time is over."""
+
+    async def story(it: Gate, host: Server) -> None:
+        fail_socket([errno.ENFILE] * 100_000, monkeypatch)
+        client = await it.client()
+        before = it.core.clock()
+        assert (await client.ask(request("r1", b"pay", wait_ms=3000)))[0] == 503
+        assert it.core.clock() - before < 1_000_000
+        assert not host.seen
+        assert it.pool.module.roster.servers["a"].shun_until == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("number", [*SHORT, *NO_WAY], ids=errno.errorcode.get)
+def test_a_watch_whose_connect_fails_for_a_moment_is_heard_and_costs_no_connection(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def run() -> None:
+        async with (
+            Server() as host,
+            Registry(("a", host.addr)) as registry,
+            gate(("a", host.addr), discovery=registry.addr) as it,
+        ):
+            resting = [await it.client() for _ in range(24)]
+            for i, client in enumerate(resting):
+                assert (await client.ask(request(f"a{i}")))[0] == 200
+            most = it.core.admission.descriptors()
+            call = FailingCall(it.core.loop.create_connection, [number, number])
+            monkeypatch.setattr(it.core.loop, "create_connection", call)
+            for writer in registry.writers:
+                writer.transport.abort()  # the watch is opened anew
+            failed = it.core.counters.bad_lists
+            await until(lambda: call.failures == 2 and it.core.counters.bad_lists > failed)
+            seen = len(registry.seen)
+            await until(lambda: len(registry.seen) > seen)
+            # One call was reset with its connection; the failures of connect cost none more.
+            assert it.core.counters.bad_lists == failed + 1
+            assert closed_for_room(it) == 0
+            assert it.core.admission.descriptors() == most
+
+    asyncio.run(run())
+
+
 def test_a_closing_listener_that_still_empties_its_queue_holds_up_the_end(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
