Keep a ban that could not be written as soon as the disk takes it

Observed: staff take a host out while the bans' file can't be written: 200 and one line in the log. The disk is well again, the process is killed, the next one sends the host 14 or 15 of 30 requests.

Cause: `Succession._act` logged the OSError and let go of it. A process that inherited bans by the link never wrote the file either, so one that could not keep them left them to the memory of the next alone.

Change: `BanKeeper` writes in the call, as before, and after a failure every 0.1 s, later every 2 s, until it succeeds, a last time at the end of the process. A process that inherits bans writes them.

Not done: the file is not synced, as a sync would hold up all requests on a slow disk; a machine that crashes within moments of a ban may lose it (docs/design/crossings.md).

--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -19,6 +19,7 @@
 from ..net.listener import Listener
 from ..net.platform import Platform
 from . import legacy as told
+from .ban_keeper import BanKeeper
 from .files import Places
 from .legacy import Ban, HandoverError, Legacy, Pieces
 from .link import Link, listen, reach
@@ -41,6 +42,9 @@
         self.inherited = False
         self.passed = self.taken = 0  # connections, for the log
         self.others: dict[Link, int] = {}  # descriptors that they hold, by their last word
+        self._keeper = BanKeeper(
+            self.core.loop, places, lambda: told.bans_of(self.pool.maintenance), self.log
+        )
         self._pieces = Pieces()
         self._heard = asyncio.Event()
         self._sock: socket.socket | None = None
@@ -115,6 +119,7 @@
                 self._pieces.add(payload)
             elif kind == told.WHOLE:
                 self._take(self._pieces.whole())
+                self._keeper.keep()  # the process before may end without having been able to
                 self.inherited = True
                 self._heard.set()
             elif kind == told.DRAINING:
@@ -203,11 +208,7 @@
 
     def _act(self, ban: Ban, source: Link | None) -> None:
         self.pool.by_hand(ban.host, ban.out)
-        try:
-            self.places.keep(told.bans_of(self.pool.maintenance))
-        except OSError as error:
-            # It holds here all the same, and a successor that asks is told of it.
-            self.log.say(f"handover: bans can't be kept in {self.places.bans}: {error}")
+        self._keeper.keep()
         for link in self._links():
             if link is not source:
                 link.send(told.ban_frame(ban))
@@ -278,6 +279,7 @@
 
     def close(self) -> None:
         """End both links."""
+        self._keeper.close()
         if self._report is not None:
             self._report.cancel()
         if self._sock is not None:
--- a/tests/test_disk_failures.py
+++ b/tests/test_disk_failures.py
@@ -71,6 +71,23 @@
     asyncio.run(play())
 
 
+def test_a_ban_that_one_process_could_not_keep_is_kept_by_the_next(tmp_path: Path) -> None:
+    async def play() -> None:
+        a = Server()
+        async with hosted(tmp_path, a=a, b=Server()) as it:
+            first = await it.ready()
+            block_writes(tmp_path, first)
+            assert await first.out("a") == 200
+            await told(first, FAILED)
+            second = await it.ready()
+            assert await first.end() == 0
+            await second.end(signal.SIGKILL)
+            await it.ready()
+            assert await asked(it.addr, a) == 0
+
+    asyncio.run(play())
+
+
 def tier_of_one(folder: Path, nodes: dict[str, Node]) -> dict[str, Any]:
     """The operator file's value of the one member of a tier."""
     (folder / "keys").write_text(f"1 {os.urandom(32).hex()}\n")
