Have a tier's member take part again once its disk can be written

Observed, in a tier of one with a disk that fails for some tenths of a second: - the vote's write fails once: "silent from here on, until a restart"; - the state's write fails once as a ban comes into force: the member stays behind, and refuses what may not be repeated until the next change or a restart.

Cause: `Link._write` went silent for good, for a good reason: the core counts its own vote before the sync, so nothing that rests on it may be said. The core emits `Act` once for each turn, and `Tiered._go` answered a failed switch with `not_acted` and never tried again.

Change: the write is tried again after 0.1 s, later every 2 s. All that is behind it waits, as behind any write, but for messages, which count as lost meanwhile. A switch that failed is tried again after 0.2 s, later every 5 s, until it succeeds or a newer one is asked for. The model's disk does the same, and its stories make room with and without a restart.

--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -1,9 +1,9 @@
 """A member's link to the others: its socket, its disk and its beat around the tier's core.
 
 Effects happen in the order in which the core asks for them, and none before what has to be on disk
-ahead of it is there; the disk is written in a thread, one transaction at a time. Where it can't be
-written the member neither says nor acts by anything more in the tier, and the gateway goes on as it
-was.
+ahead of it is there; the disk is written in a thread, one transaction at a time. While it can't be
+written the member neither sends nor acts by anything in the tier, and the gateway goes on as it
+was. The write is tried again until it succeeds, and the effects behind it happen then.
 """
 
 from __future__ import annotations
@@ -32,6 +32,8 @@
 
 BEAT: Final = 0.1  # s
 LATE: Final = 5.0  # s between two lines about datagrams that were refused
+WRITE_RETRY: Final = 0.1  # s until a write that failed is tried again; doubles with each failure...
+WRITE_RETRY_MAX: Final = 2.0  # ...up to this
 
 
 def steady() -> int:
@@ -57,7 +59,7 @@
         self.disk = Disk(folder)
         self.kept = self.disk.load()
         self.member: Member | None = None
-        self.mute = ""  # why it says nothing in the tier any more
+        self.mute = ""  # why it sends nothing in the tier: the last failure of its disk
         self.sent_bytes = self.sent = 0
         self._places: dict[str, Address] = {}  # addresses by their text in the roster
         self._effects: deque[Effect] = deque()
@@ -204,6 +206,9 @@
         """Have happen what the core has asked for, up to the next thing that needs the disk."""
         assert self.member is not None
         self._effects.extend(self.member.take())
+        if self.mute:
+            # They count as lost: many would be old by the time the disk can be written.
+            self._effects = deque(one for one in self._effects if not isinstance(one, Send))
         while self._effects and self._writing is None:
             effect = self._effects.popleft()
             if isinstance(effect, Keep):
@@ -213,24 +218,45 @@
                     assert isinstance(more, Keep)
                     items.update(more.items)
                 self._writing = asyncio.get_running_loop().create_task(self._write(items))
-            elif not self.mute or isinstance(effect, Tell):
-                # Danger: the core counts its own vote before it is synced. What it goes on to say,
-                # act by or tell an operator rests on that, and is true only if the sync was.
+            else:
                 self._happen(effect)
 
     async def _write(self, items: dict[str, bytes | None]) -> None:
-        if not self.mute:
-            try:
-                await asyncio.to_thread(self.disk.write, items)
-            except DiskError as error:
-                self.mute = str(error)
-                self.say(f"tier: silent from here on, until a restart: {error}")
+        """Have these on disk, however often that fails; then go on with what waits for it.
+
+        Danger: the core counts its own vote before it is synced. What it goes on to send, act by or
+        tell an operator rests on that, and is true only once the sync was done.
+        """
+        pause = WRITE_RETRY
+        while not await self._written(items):
+            if self._closing():
+                break
+            await asyncio.sleep(pause)
+            pause = min(2 * pause, WRITE_RETRY_MAX)
         self._writing = None
-        if self._transport is not None and self._transport.is_closing():
+        if self._closing():
             self.disk.close()
             return
         self._pump()
 
+    async def _written(self, items: dict[str, bytes | None]) -> bool:
+        """Try to write these; return whether they are on disk."""
+        try:
+            await asyncio.to_thread(self.disk.write, items)
+        except DiskError as error:
+            if not self.mute:
+                self.say(f"tier: silent while its disk can't be written: {error}")
+            self.mute = str(error)
+            return False
+        if self.mute:
+            self.say("tier: its disk is written again")
+        self.mute = ""
+        return True
+
+    def _closing(self) -> bool:
+        """Return whether the link is closed."""
+        return self._transport is not None and self._transport.is_closing()
+
     def _happen(self, effect: Effect) -> None:
         if isinstance(effect, Send):
             self._send(effect.to, effect.message)
--- a/sailhitch/daemon/tiered.py
+++ b/sailhitch/daemon/tiered.py
@@ -41,6 +41,8 @@
 OUT: Final = come_back(b"this gateway is not sure of the rules that hold; another one may be\n")
 ASKED: Final = 10.0  # s that a change may take to be decided before the operator is told so
 LEAVING: Final = 1.0  # s that a drain gives to leaving
+SWITCH_RETRY: Final = 0.2  # s until a switch that failed is tried again; doubles each time...
+SWITCH_RETRY_MAX: Final = 5.0  # ...up to this
 
 
 def _check_same(base: Applied, head: Head) -> None:
@@ -170,15 +172,29 @@
             self._acting = asyncio.get_running_loop().create_task(self._go_on())
 
     async def _go_on(self) -> None:
+        """Go by what was asked for last; again where that fails, until there is something newer.
+
+        Danger: the core asks for each turn once. A member whose disk fails in that moment would be
+        behind, and refuse what may not be repeated, until the next change or a restart.
+        """
+        pause = SWITCH_RETRY
         try:
             while self._next is not None:
                 acting, self._next = self._next, None
-                await self._go(acting)
+                if await self._go(acting):
+                    pause = SWITCH_RETRY
+                    continue
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, SWITCH_RETRY_MAX)
+                self._next = self._next or acting
         finally:
             self._acting = None
 
-    async def _go(self, acting: Acting) -> None:
-        """Have the switch go by this, and say so once nothing goes by anything older."""
+    async def _go(self, acting: Acting) -> bool:
+        """Have the switch go by this, and say so once nothing goes by anything older.
+
+        Returns whether it could be done.
+        """
         last = self._last
         same = last is not None and last._replace(turn=acting.turn) == acting
         if not same:
@@ -186,12 +202,13 @@
                 await self._switch(acting)
             except Exception as error:  # whatever it is, it must not look like a confirmation
                 self.link.not_acted(acting.turn, str(error))
-                self.log.say(f"tier: turn {acting.turn} can't be acted by: {error}")
-                return
+                self.log.often("switch", f"tier: turn {acting.turn} can't be acted by: {error}")
+                return False
         self._last = acting
         self.link.acted(acting.turn)
         self.heard_from.set()
         self.heard_from = asyncio.Event()
+        return True
 
     async def _switch(self, acting: Acting) -> None:
         member = self.link.member
--- a/sailhitch/model/process.py
+++ b/sailhitch/model/process.py
@@ -13,6 +13,7 @@
 from .kernel import Kernel
 
 SYNC = (200, 6_000)  # us that a sync takes, at least and at most
+WRITE_RETRY = 100_000  # us until a write that failed is tried again
 
 
 class Disk:
@@ -100,20 +101,18 @@
     # --- Effects
 
     def take(self, effects: list[Effect]) -> None:
-        """Have these happen, in their order."""
-        self._effects.extend(effects)
+        """Have these happen, in their order; while the disk fails, messages are lost."""
+        self._effects.extend(e for e in effects if not (self.mute and isinstance(e, Send)))
         self._go_on()
 
     def _go_on(self) -> None:
         while self._effects and not self._busy:
             effect = self._effects.popleft()
             if isinstance(effect, Keep):
-                if self.disk.full:
-                    self.mute = True  # nothing that rests on it may be said
                 self._busy = True
                 delay = int(self._rng.integers(*SYNC))
                 self.kernel.after(delay, self._synced, self.life, effect, self.disk.now)
-            elif not self.mute or isinstance(effect, Tell):
+            else:
                 self.happen(effect)
 
     def _synced(self, life: int, keep: Keep, medium: dict[str, bytes]) -> None:
@@ -125,8 +124,13 @@
             if self._rng.random() < 0.5 and not self.disk.full:
                 self.written(keep)
             return
-        if not self.mute:
-            self.written(keep)
+        self.mute = self.disk.full
+        if self.mute:
+            # Nothing that rests on it may be said; messages count as lost meanwhile.
+            self._effects = deque(one for one in self._effects if not isinstance(one, Send))
+            self.kernel.after(WRITE_RETRY, self._synced, life, keep, medium)
+            return
+        self.written(keep)
         self.guarded(self._release)()
 
     def _release(self) -> None:
--- a/sailhitch/model/story.py
+++ b/sailhitch/model/story.py
@@ -143,10 +143,17 @@
         self._kill(event, lambda disk: disk.lose())
 
     def _full(self, event: Event) -> None:
-        """Its disk is full, until somebody makes room and starts it anew."""
+        """Its disk is full, until somebody makes room, or also starts it anew."""
         process = self._one(event)
         process.disk.full = True
-        self._later(event, lambda: self._kill(replace_for(event, S // 10)))
+
+        def room() -> None:
+            if event.value < 0.5:
+                process.disk.full = False
+            else:
+                self._kill(replace_for(event, S // 10))
+
+        self._later(event, room)
 
     def _all(self, event: Event) -> None:
         for i in range(len(self.world.names)):
--- a/sailhitch/tier/effects.py
+++ b/sailhitch/tier/effects.py
@@ -18,7 +18,8 @@
 class Keep(NamedTuple):
     """Have this on disk before any effect after it happens; None: it may be forgotten.
 
-    Danger: where that fails, no later effect may happen: the process falls silent in the tier.
+    Danger: until it is, no later effect may happen. While it fails, messages count as lost and the
+    rest waits: the process is silent in the tier.
     """
 
     items: dict[str, bytes | None]
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -780,7 +780,8 @@
     assert _rested(world).active.serial == 1
 
 
-def test_on_a_full_disk_no_page_is_kept_and_nothing_is_confirmed() -> None:
+@pytest.mark.parametrize("restarted", [True, False])
+def test_on_a_full_disk_no_page_is_kept_and_nothing_is_confirmed(restarted: bool) -> None:
     world = _stood()
     full = world.processes["g4"]
     before = _pages_on(full)
@@ -793,11 +794,15 @@
     assert full.mute
     assert _pages_on(full) == before
     assert _member(world, "g1").waiting_for() == ["g4"]
-    full.kill()
+    if restarted:
+        full.kill()
     full.disk.full = False
-    full.start()
+    if restarted:
+        full.start()
     head = _rested(world)
     assert (head.active.serial, head.pending) == (2, None)
+    assert not full.mute
+    assert _member(world, "g1").waiting_for() == []
     assert _pages_on(full) == _of_versions(world, head.active)
 
 
