Add failing tests for a short start, a log nobody reads and a cut last answer

Found by reading the paths of start, log and close:

- `socket` fails with ENFILE or ENOBUFS for a moment as the listener is made: the process ends with 2, "can't listen: Too many open files in system".
- Whoever collects the log stops, and its pipe is full: the next line blocks the loop, and with it every request, for as long as that lasts.
- A long answer is a connection's last and its client reads it slowly.
When a descriptor is needed, the connection is reset 0.1 s after the answer's last byte came from the host: 448,574 of 524,288 bytes reach the client.

--- /dev/null
+++ b/tests/test_overlooked_ends.py
@@ -0,0 +1,129 @@
+"""Ends that nobody asked for: a start that fails for a moment, a log nobody reads, a cut answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+
+from sailhitch.core.log import Log
+from sailhitch.front import State
+from sailhitch.front.connection_admission import LINGERED, Reason
+from sailhitch.lab.ports import free_port
+from sailhitch.net import listener
+from tests.sockets import PATIENCE, Registry, Server, Writer, config_value, gate, request, until
+
+# The real program, whose system has no descriptor or buffer for its first sockets.
+SHORT_START = """
+import errno, socket, sys
+from tests.failing_calls import FailingCall, ModuleWith
+import sailhitch.net.listener as listener
+call = FailingCall(socket.socket, [errno.ENFILE, errno.ENOBUFS, errno.ENFILE])
+listener.socket = ModuleWith(socket, "socket", call)
+from sailhitch.__main__ import main
+sys.exit(main([]))
+"""
+
+
+def test_a_start_waits_for_a_system_that_has_no_socket_for_a_moment(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Server() as host, Registry(("a", host.addr)) as registry:
+            path = tmp_path / "config.json"
+            path.write_text(json.dumps(config_value(registry.addr, ("a", host.addr))))
+            env = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+            env |= {"EDGE_CONFIG": str(path), "EDGE_LISTEN": f"127.0.0.1:{free_port()}"}
+            program = await asyncio.create_subprocess_exec(
+                sys.executable, "-B", "-c", SHORT_START, env=env, stderr=asyncio.subprocess.PIPE
+            )
+            assert program.stderr is not None
+            said = b""
+            async with asyncio.timeout(PATIENCE):
+                while line := await program.stderr.readline():
+                    said += line
+                    if line.rstrip().endswith(b" ready"):
+                        program.send_signal(signal.SIGTERM)
+                assert await program.wait() == 0, said.decode()
+
+    asyncio.run(play())
+
+
+def test_a_log_that_nobody_reads_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its pipe is full, as where whoever collects logs has stopped."""
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    filled = 0
+    try:
+        while True:
+            filled += os.write(writer, b"x" * 4096)
+    except BlockingIOError:
+        os.set_blocking(writer, True)
+    with os.fdopen(writer, "w") as stream:
+        monkeypatch.setattr(sys, "stderr", stream)
+        log = Log("n0")
+        saying = threading.Thread(target=log.say, args=("a line",), daemon=True)
+        saying.start()
+        saying.join(2.0)
+        held_up = saying.is_alive()
+        while filled > 0:
+            filled -= len(os.read(reader, min(filled, 65536)))
+        saying.join(PATIENCE)
+        log.say("another line")
+        stream.flush()
+        said = os.read(reader, 65536).decode()
+    os.close(reader)
+    assert not held_up
+    assert "another line" in said
+    assert "a line\n" not in said.replace("another line", "")
+    assert "1 lines were lost" in said
+
+
+def test_an_answer_that_its_client_still_reads_is_not_cut_for_a_descriptor(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The last one of its connection, all of which the host has given."""
+    monkeypatch.setattr(listener, "SEND_BUFFER", 4096)
+    size = 512 * 1024
+
+    async def long(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        writer.write(b"x" * size)
+
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        async with Server(long) as host, gate(("a", host.addr)) as it:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            host_name, _, port = it.addr.rpartition(":")
+            sock.connect((host_name, int(port)))
+            sock.setblocking(False)
+            await loop.sock_sendall(sock, request("r1", fields=b"Connection: close\r\n"))
+            await until(lambda: bool(it.clients()))
+            (client,) = it.clients()
+            got = 0
+            async with asyncio.timeout(PATIENCE):
+                while client.slot.state != State.CLOSING:
+                    got += len(await loop.sock_recv(sock, 1024))
+            transport = client.transport
+            assert transport is not None
+            assert transport.get_write_buffer_size() > 0
+            since = it.core.clock()
+            await until(lambda: it.core.clock() - since > 2 * LINGERED)
+            it.core.exhausted()
+            async with asyncio.timeout(PATIENCE):
+                try:
+                    while data := await loop.sock_recv(sock, 65536):
+                        got += len(data)
+                except ConnectionResetError:
+                    got = 0
+            assert got > size
+            assert it.core.admission.figures.closed[Reason.ROOM] == 0
+            sock.close()
+
+    asyncio.run(play())
