Lose a log line rather than wait for whoever reads the log

Observed: with standard error a full pipe, the next line blocks the event loop (test_overlooked_ends: the thread hangs until the pipe is read).

Cause: `Log.say` wrote without asking; a write to a full pipe waits.

Change: a line is written where poll(2) says that PIPE_BUF bytes fit, and is at most that long. What is lost is counted and said with the next line.

--- a/sailhitch/core/log.py
+++ b/sailhitch/core/log.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import select
 import sys
 import time
-from typing import Final
+from typing import Final, TextIO
 
 PER_KEY: Final = 5.0  # seconds between two lines about the same thing
 BURST: Final = 40  # lines within a second, whatever they are about
 KEYS: Final = 512
+LONGEST: Final = 4096  # characters of a line; a pipe that polls writable takes so many bytes
 
 
 class Log:
@@ -19,6 +21,7 @@
         self._name = name
         self._last: dict[str, tuple[float, int]] = {}
         self._second, self._lines = 0, 0
+        self._lost = 0  # lines that standard error did not take
 
     def say(self, text: str) -> None:
         """Write a line that comes seldom by itself."""
@@ -30,7 +33,12 @@
             return
         stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now % 1 * 1000):03d}"
         try:
-            sys.stderr.write(f"{stamp} {self._name} {text}\n")
+            if not _has_room(sys.stderr):
+                self._lost += 1
+                return
+            if self._lost:
+                text, self._lost = f"{text} ({self._lost} lines were lost before)", 0
+            sys.stderr.write(f"{stamp} {self._name} {text}\n"[:LONGEST])
             sys.stderr.flush()
         except (OSError, ValueError):
             return  # nobody reads the log; the gateway goes on
@@ -46,3 +54,18 @@
             self._last.clear()
         self._last[key] = (now, 0)
         self.say(f"{text} ({missed} more like this before)" if missed else text)
+
+
+def _has_room(stream: TextIO) -> bool:
+    """Return whether a line can be written without waiting.
+
+    Guards against a pipe whose reader has stopped: a write to a full one blocks the event loop, and
+    every request with it. A pipe is writable if PIPE_BUF bytes fit in; a file always is (poll(2)).
+    """
+    try:
+        descriptor = stream.fileno()
+    except (OSError, ValueError):
+        return True  # it is none of the system's
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return bool(poll.poll(0))
