Close no connection for its descriptor before its answer is written

Observed: a client that reads its last answer slowly (Connection: close, or the process draining) is reset 0.1 s after the host has given all of it, if a descriptor is needed: 448,574 of 524,288 bytes arrive.

Cause: `ConnectionAdmission._rank` put every closing connection first, 0.1 s after its close began, as one that only lingers; `let_go` aborts it, and `abort` resets what is half sent.

Change: the slot knows what is unsent at the close and after (`closing`, `progress`); while that is not 0 it is no victim.

--- a/sailhitch/front/connection_admission.py
+++ b/sailhitch/front/connection_admission.py
@@ -334,6 +334,8 @@
 
     def progress(self, slot: ConnectionSlot, now: int, unsent: int) -> None:
         """Record how much of an answer the kernel has not taken; 0 ends the wait."""
+        if slot.state == _CLOSING:
+            slot.unsent = unsent
         if slot.state != _WRITING:
             return
         self._tick(now)
@@ -346,13 +348,13 @@
         """Record a malformed request."""
         slot.source.wasted += OFFENCE
 
-    def closing(self, slot: ConnectionSlot, now: int, reason: Reason) -> None:
-        """Record that this side sends no new answer on it."""
+    def closing(self, slot: ConnectionSlot, now: int, reason: Reason, unsent: int = 0) -> None:
+        """Record that this side sends no new answer on it; `unsent` bytes are not written yet."""
         if slot.state == _CLOSING:
             return
         self._tick(now)
         self._end_wait(slot)
-        slot.ended = reason
+        slot.ended, slot.unsent = reason, unsent
         self._enter(slot, _CLOSING)
         slot.since = self.now
 
@@ -485,7 +487,8 @@
     def _rank(self, slot: ConnectionSlot) -> float:
         state, age = slot.state, self.now - slot.since
         if state == _CLOSING:
-            return -1.0 if age > LINGERED else 9.0
+            # Danger: closed before its last bytes are written, it loses an answer.
+            return -1.0 if age > LINGERED and not slot.unsent else 9.0
         if state in WAITING:
             young = state == _FRESH and age < YOUNG
             return self.worth(slot) + (2.0 if young else 0.0)
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -184,7 +184,9 @@
     def _start_closing(self, reason: Reason) -> None:
         """Send no new response after this."""
         self.phase = CLOSING
-        self.core.admission.closing(self.slot, self.core.clock(), reason)
+        transport = self.transport
+        unsent = transport.get_write_buffer_size() if transport is not None else 0
+        self.core.admission.closing(self.slot, self.core.clock(), reason, unsent)
 
     # --- State
 
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -108,6 +108,7 @@
         Bytes left to write get as long as any response. A reset would take the response from a
         client that is still sending what was refused.
         """
+        self.core.admission.progress(self.slot, now, size)
         patience = self.core.admission.limit(State.WRITING) if size else LINGER_IDLE
         age = now - self.slot.since
         if age > (LINGER_MAX if self.received_since_sweep else patience):
