Start, and find the process before, though the system is short for a moment

Observed: ENFILE or ENOBUFS from `socket` as the listener is made ends the process with 2. In an upgrade the same, or a full queue (EAGAIN) at the process before, counts as no process before: it never passes its connections on.

Cause: each was tried once; `reach` took every OSError for an empty place.

--- a/sailhitch/__main__.py
+++ b/sailhitch/__main__.py
@@ -17,6 +17,7 @@
 from .net.config import Config, ConfigError, adopt_socket, load_config, reload_config
 from .net.listener import Listener
 from .net.platform import Platform
+from .net.system_errors import retry_shortage
 
 if TYPE_CHECKING:
     from .control.server import OperatorServer
@@ -73,7 +74,11 @@
         loop.add_signal_handler(number, stop.set)
     heed(signal.SIGTERM, signal.SIGINT)
     platform.begin()
-    listener = platform.listen(config.listen, BACKLOG, held)
+
+    async def listen() -> Listener:
+        return platform.listen(config.listen, BACKLOG, held)
+
+    listener = await retry_shortage(listen)
     succession = await _succeed(platform, listener) if held is not None else None
     operator_server = await _open_operator_server(config, platform, succession)
     watch = loop.create_task(discovery.run())
@@ -141,7 +146,8 @@
     pool = platform.pool
     announce = succession.said if succession else pool.by_hand
     server = OperatorServer(OperatorHandlers(pool, announce), pool.core.logger)
-    await server.listen(config.operator)
+    address = config.operator
+    await retry_shortage(lambda: server.listen(address))
     return server
 
 
--- a/sailhitch/handover/link.py
+++ b/sailhitch/handover/link.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Final
 
+from ..net.system_errors import OUT_OF_RESOURCES
+
 LONGEST: Final = 64 * 1024  # of a frame
 SUN_PATH: Final = 100  # bytes of a path that surely fit into an address (unix(7))
 BACKLOG: Final = 4
@@ -118,13 +120,18 @@
 
 
 def reach(path: Path) -> socket.socket | None:
-    """A socket to the process that listens there; None if none does."""
+    """A socket to the process that listens there; None if none does.
+
+    Raises OSError where the system is out of resources for it, or that process for its queue.
+    """
     sock = _socket()
     try:
         with _short(path) as short:
             sock.connect(short)
-    except OSError:
+    except OSError as error:
         sock.close()
+        if error.errno in OUT_OF_RESOURCES or isinstance(error, BlockingIOError):
+            raise
         return None
     return sock
 
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -18,6 +18,7 @@
 from ..core.terms import Bounds
 from ..net.listener import Listener
 from ..net.platform import Platform
+from ..net.system_errors import retry_shortage
 from . import legacy as told
 from .ban_keeper import BanKeeper
 from .files import Places
@@ -55,7 +56,7 @@
 
     async def inherit(self) -> None:
         """Take what a predecessor leaves, or what is kept of bans where none answers."""
-        sock = reach(self.places.socket)
+        sock = await self._reach_before()
         if sock is not None:
             self.before = Link(sock, self._from_before, self._before_ended)
             self.share.before = True
@@ -69,6 +70,22 @@
             self._take_kept()
         self._settle()
 
+    async def _reach_before(self) -> socket.socket | None:
+        """Return a socket to the process before, if there is one.
+
+        Danger: taken for absent because of a moment's shortage, it would pass nothing on, and go on
+        serving beside this one.
+        """
+
+        async def once() -> socket.socket | None:
+            return reach(self.places.socket)
+
+        try:
+            return await retry_shortage(once)
+        except OSError as error:
+            self.log.say(f"handover: {self.places.socket} can't be reached: {error}")
+            return None
+
     def _take_kept(self) -> None:
         try:
             kept = self.places.kept()
--- a/sailhitch/net/system_errors.py
+++ b/sailhitch/net/system_errors.py
@@ -74,7 +74,8 @@
 async def retry_shortage(open_resource: Callable[[], Awaitable[T]]) -> T:
     """Open something at the start of a process, again while the system is out of resources.
 
-    Raises the last OSError after START_PATIENCE, and any other OSError at once.
+    A full queue of who is connected to (EAGAIN, unix(7)) counts as such. Raises the last OSError
+    after START_PATIENCE, and any other at once.
     """
     loop = asyncio.get_running_loop()
     give_up = loop.time() + START_PATIENCE
@@ -82,6 +83,7 @@
         try:
             return await open_resource()
         except OSError as error:
-            if error.errno not in OUT_OF_RESOURCES or loop.time() >= give_up:
+            short = error.errno in OUT_OF_RESOURCES or isinstance(error, BlockingIOError)
+            if not short or loop.time() >= give_up:
                 raise
         await asyncio.sleep(RETRY_PAUSE)
--- a/tests/test_overlooked_ends.py
+++ b/tests/test_overlooked_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import os
 import signal
@@ -16,8 +17,13 @@
 from sailhitch.core.log import Log
 from sailhitch.front import State
 from sailhitch.front.connection_admission import LINGERED, Reason
+from sailhitch.handover import link
+from sailhitch.handover.files import Places
+from sailhitch.handover.succession import Succession
 from sailhitch.lab.ports import free_port
 from sailhitch.net import listener
+from tests.failing_calls import FailingCall
+from tests.generations import hosted, told
 from tests.sockets import PATIENCE, Registry, Server, Writer, config_value, gate, request, until
 
 # The real program, whose system has no descriptor or buffer for its first sockets.
@@ -127,3 +133,29 @@
             sock.close()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.EAGAIN], ids=errno.errorcode.get)
+def test_a_process_before_is_found_though_the_system_is_short_for_a_moment(
+    number: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its socket can't be made, or its queue is full."""
+
+    async def play() -> None:
+        async with hosted(tmp_path, a=Server()) as it:
+            first = await it.ready()
+            assert await first.out("a") == 200
+            await told(first, "out for maintenance")
+            value = json.loads(it.path.read_text())
+            async with gate(discovery=value["discovery"]) as other:
+                failing = FailingCall(link._socket, [number, number])
+                monkeypatch.setattr(link, "_socket", failing)
+                places = Places(str(tmp_path), "n0")
+                second = Succession(other.platform, other.listener, places)
+                await second.inherit()
+                assert failing.failures == 2
+                assert second.inherited
+                assert other.pool.maintenance.is_out("a")
+                second.close()
+
+    asyncio.run(play())
