--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -281,3 +281,32 @@
         assert it.listener.sock.fileno() < 0
 
     play(story)
+
+
+def told_wait(message: bytes) -> int:
+    """How long (ms) a host was told that its gateway waits."""
+    return int(message.lower().partition(b"req-deadline-ms: ")[2].split(b"\r")[0])
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.EMFILE], ids=errno.errorcode.get)
+def test_what_waited_for_a_failing_accept_tells_its_host_no_more_than_is_left(
+    number: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its time has run since it was sent, though nobody has read it."""
+    wait, slack, waited = 1000, 150, 400
+
+    async def story(it: Gate, host: Server) -> None:
+        call = fail_accept(it, [number] * 100_000, monkeypatch)
+        client = await it.client()
+        sent = it.core.clock()
+        client.send(request("r1", wait_ms=wait))
+        await until(lambda: it.core.clock() - sent >= waited * 1000)
+        call.script.clear()
+        assert await status_of(client) == 200
+        assert told_wait(host.seen[0]) <= wait - waited + slack
+        # Once the queue has been empty, a new client's time counts from its own last byte.
+        other = await it.client()
+        assert (await other.ask(request("r2", wait_ms=wait)))[0] == 200
+        assert told_wait(host.seen[1]) > wait - slack
+
+    play(story)
