Count a request's time from when its connection began to wait for an accept

Cause: `Core._deadline` counts from when a request is read, less the loop's own lag. A connection in the kernel's queue is not read before it is accepted, and neither a failing accept (ENFILE, EMFILE) nor a wait for descriptors is a lag of the loop.

Change: the listener knows since when its queue can't be emptied. What is there to read at once on a connection accepted after that counts as come then; what comes with a later read has its own time, and so has every request once the queue was empty. It errs towards too early by the length of the failures.

--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -49,6 +49,7 @@
         "parser",
         "phase",
         "pipelined",
+        "queued_since",
         "read_watchdog",
         "received",
         "received_since_sweep",
@@ -79,6 +80,7 @@
         self.response_source: ResponseSource | None = None  # of a streamed response
         self.response_chunked = False  # that response is sent in chunks
         self.unsent = 0  # bytes of responses that the client has not taken, as budgeted
+        self.queued_since = 0  # when the bytes of its first read came, at the earliest; 0: unknown
         self._reset_request()
 
     def _reset_request(self) -> None:
--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -51,6 +51,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.retired = False
         self._shortage = Shortage()
+        self._queued_since = 0  # since when connections wait that can't be accepted; 0: none do
         self.sock = held or socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         # Accepted connections inherit this. By default the kernel buffers megabytes of a response
         # for a client that reads none of it, which no budget accounts for.
@@ -84,10 +85,12 @@
         for _ in range(most):
             way = core.way_in()
             if way == Verdict.WAIT and not last:
+                self._queued_since = self._queued_since or core.clock()
                 return Accepted.MORE_MAY_WAIT  # descriptors being closed are free in the next turn
             try:
                 sock, peer = self.sock.accept()
             except BlockingIOError:
+                self._queued_since = 0
                 return Accepted.QUEUE_EMPTY
             except OSError as error:
                 if error.errno in CONNECTION_LOST_IN_QUEUE:
@@ -103,6 +106,7 @@
 
     def _accept_failed(self, error: OSError) -> None:
         """Log a failure of the system, and free descriptors where it lasts."""
+        self._queued_since = self._queued_since or self.core.clock()
         self.core.logger.often("accept", f"accept failed: {error.strerror}")
         number = error.errno or 0
         if number in OUT_OF_RESOURCES and self._shortage.failed(self.core.clock(), number):
@@ -119,8 +123,14 @@
         self._admit(sock, self.core.admission.adopted(self.core.clock(), address))
 
     def _admit(self, sock: socket.socket, slot: ConnectionSlot) -> None:
-        """Serve an admitted connection."""
+        """Serve an admitted connection.
+
+        Danger: what it has sent may have waited for as long as accepting failed, and its client's
+        time has run since. It counts as come when the failures began.
+        """
         client = Downstream(self, sock, slot)
+        if self._queued_since and _has_bytes(sock):
+            client.queued_since = self._queued_since
         self.core.arriving.add(client)
         # The event loop itself holds only a weak reference to a task.
         task = self.core.loop.create_task(self._connect(client))
@@ -204,3 +214,11 @@
             return
         self.core.emptying.discard(self)
         self.sock.close()
+
+
+def _has_bytes(sock: socket.socket) -> bool:
+    """Return whether something has come on a connection that nobody has read from."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -51,6 +51,7 @@
             self.core.logger.often("reading", f"reading a request failed: {error!r:.100}")
             self._reject(400, "unreadable")
             return
+        self.queued_since = 0  # what comes with a later read has not waited for the accept
         self._advance(size)
 
     def _advance(self, size: int) -> None:
@@ -203,7 +204,7 @@
             exchange.head += b"Content-Length: %d\r\n" % self.received
         self.head_received = 0
         # A pipelined request's time runs from here, not from its turn.
-        exchange.came = self.core.arrival(self.core.clock())
+        exchange.came = self.queued_since or self.core.arrival(self.core.clock())
         self.pipelined.append(exchange)
         if len(self.pipelined) > MAX_PIPELINED:
             raise RejectError(400, "too many requests ahead of their answers")
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -16,6 +16,7 @@
 from sailhitch.core.process import drain
 from sailhitch.front.connection_admission import Reason
 from sailhitch.net import upstream
+from sailhitch.net.client_connection import HEAD
 from tests.failing_calls import FailingCall, ModuleWith
 from tests.sockets import Client, Gate, Registry, Server, gate, plain, request, until
 
@@ -310,3 +311,25 @@
         assert told_wait(host.seen[1]) > wait - slack
 
     play(story)
+
+
+def test_what_comes_after_a_failing_accept_has_all_of_its_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Half of its head had waited; its time runs from its last byte."""
+    wait = 1000
+
+    async def story(it: Gate, host: Server) -> None:
+        call = fail_accept(it, [errno.ENFILE] * 100_000, monkeypatch)
+        client = await it.client()
+        since = it.core.clock()
+        whole = request("r1", wait_ms=wait)
+        client.send(whole[:30])
+        await until(lambda: it.core.clock() - since >= 400_000)
+        call.script.clear()
+        await until(lambda: any(one.phase == HEAD for one in it.clients()))
+        client.send(whole[30:])
+        assert await status_of(client) == 200
+        assert told_wait(host.seen[0]) > wait - 150
+
+    play(story)
