--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -16,6 +16,7 @@
 from .budget import Budget
 from .exchange import Exchange
 from .interfaces import Client, Connection, ResponseSource
+from .invariants import Invariants, Violation
 from .log import Log
 from .pool import Pool
 from .terms import FAR, Answer, Bounds
@@ -58,6 +59,7 @@
         # `started_ms` compares with it.
         self._epoch = time.time_ns() - time.monotonic_ns()
         self.budget = Budget(bounds.memory_mb)
+        self.invariants = Invariants(log)
         self.pools: list[Pool] = []
         self.clients: dict[Connection, None] = {}
         self.admission = ConnectionAdmission(bounds.sizes(), self.clock())
@@ -261,6 +263,9 @@
 
     def _conclude(self, exchange: Exchange) -> Client | None:
         """The one answer is about to go out: nothing more does after it."""
+        if exchange.closed:
+            self.invariants.found(Violation.ANSWERED_TWICE, exchange)
+            return None
         exchange.closed = True
         client, exchange.client = exchange.client, None
         self.release_exchange(exchange)
@@ -304,6 +309,9 @@
 
     def answer_refused(self, exchange: Exchange, retry_after: int) -> None:
         """Turned away: a repeat is harmless."""
+        if not self.invariants.before_refusal(exchange):
+            self.answer_failed(exchange)
+            return
         client = self._conclude(exchange)
         if client is not None:
             client.refuse(exchange, retry_after)
@@ -440,8 +448,11 @@
             f"opened={sum(p.transport.opened for p in self.pools)} "
             f"hosts={sum(len(p.listed) for p in self.pools)} "
             f"lag_ms={self.timers.worst // MS} panics={c.panics} "
-            f"faults={c.faults} overdue={c.overdue} outcomes: {outcomes}"
+            f"faults={c.faults} overdue={c.overdue} violations={self.invariants.total} "
+            f"outcomes: {outcomes}"
         )
+        if self.invariants.total:
+            self.logger.say(f"violations: {self.invariants.told()}")
         self.logger.say(self.admission.told())
         for pool in self.pools:
             self.logger.say(f"{pool.name}: {pool.told()}")
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -213,6 +213,14 @@
         """An outcome that is known while the module is still speaking: told right after."""
         self._later.append((attempt, status))
 
+    def may_begin(self, attempt: Attempt, now: int, ready: bool) -> bool:
+        """Return whether an attempt's first byte may be written now, to a host that is `ready`."""
+        exchange = attempt.exchange
+        kind = exchange.kind
+        keyed = kind is not None and kind.effect == KEYED
+        remembered = keyed and self.remembered(exchange, now)
+        return self.core.invariants.before_send(attempt, now, ready, remembered) is None
+
     def remembered(self, exchange: Exchange, now: int) -> bool:
         """Whether a repeat that is written now is still known as one by its hosts.
 
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -15,6 +15,7 @@
 
 from ..core.exchange import Exchange
 from ..core.interfaces import ResponseSource
+from ..core.invariants import Violation
 from ..core.terms import Field
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..front import ConnectionSlot, Reason
@@ -116,6 +117,9 @@
         self.slot.holder = None
         self.core.clients.pop(self, None)
         self.core.admission.closed(self.slot, self.core.clock())
+        if exc is None and self.exchange is not None and not self.exchange.closed:
+            # A client's end comes with `eof_received` or an error: this side has closed.
+            self.core.invariants.found(Violation.CLOSED_OWING, self.exchange)
         self._account_unsent(0)
         self._drop_requests()
 
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -490,6 +490,9 @@
             return
         # Danger: in the turn after a stall requests may be read before news that has waited as long
         # as they have. Connecting takes a turn, and news is looked at after it.
+        if not self.pool.may_begin(attempt, now, self._is_there(host)):
+            self.pool.later(attempt, MOOT)
+            return
         late = self.core.held_up(now) and self.pool.unheard()
         while not late and (conn := host.take_rested(now)) is not None:
             # Danger: a host ends what has stood idle for long, and a request that crosses that
@@ -685,13 +688,17 @@
         elif not pool.remembered(attempt.exchange, now):
             self.give_back(conn)
             pool.ended(attempt, WITHHELD, None, None)
-        elif now >= attempt.ends or self._held_back(attempt) or self._unwanted(attempt):
+        elif self._is_over(attempt, now) or not pool.may_begin(attempt, now, stands):
             self.give_back(conn)
             pool.ended(attempt, MOOT, None, None)
         elif not conn.begin(attempt, now):
             conn.close()
             pool.ended(attempt, CONNECT_FAILED, None, None)
 
+    def _is_over(self, attempt: Attempt, now: int) -> bool:
+        """Whether an attempt that has waited for its connection is not to be made any more."""
+        return now >= attempt.ends or self._held_back(attempt) or self._unwanted(attempt)
+
     def _held_back(self, attempt: Attempt) -> bool:
         """Whether the rules that hold now forbid what the module chose under others."""
         return self.pool.may_write is not None and not self.pool.may_write(attempt)
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,132 @@
+"""What would break a rule is not done; it is counted by kind and told with the request's id."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from sailhitch.core.exchange import Attempt, Exchange
+from sailhitch.core.invariants import Invariants, Violation
+from sailhitch.core.log import Log
+from sailhitch.settings import KEYED, SAFE, UNSAFE, RequestClass, parse_settings
+from tests.fake import S, settings_value
+from tests.sockets import Gate, Server, Writer, gate, request, until
+
+CLASSES = {cls.effect: cls for cls in parse_settings(settings_value()).classes[:3]}
+NOW = 10 * S
+
+
+def exchange_of(kind: RequestClass) -> Exchange:
+    made = Exchange(None)  # type: ignore[arg-type]
+    made.name, made.kind = b"q1", kind
+    return made
+
+
+@pytest.mark.parametrize("effect", [SAFE, KEYED, UNSAFE])
+@pytest.mark.parametrize("ran", [True, False])
+@pytest.mark.parametrize("remembered", [True, False])
+def test_only_what_is_safe_or_remembered_is_sent_again(
+    effect: str, ran: bool, remembered: bool
+) -> None:
+    exchange = exchange_of(CLASSES[effect])
+    exchange.ran_at = NOW - S if ran else 0
+    it = Invariants(Log("n0"))
+    attempt = Attempt(exchange, 1, "a", NOW, NOW + S)
+    wrong = ran and effect != SAFE and not (effect == KEYED and remembered)
+    found = it.before_send(attempt, NOW, True, remembered and effect == KEYED)
+    assert found is (Violation.REPEATED if wrong else None)
+    assert it.total == wrong
+
+
+@pytest.mark.parametrize(
+    ("change", "now", "ready", "violation"),
+    [
+        (lambda e: None, NOW, True, None),
+        (lambda e: setattr(e, "closed", True), NOW, True, Violation.SENT_UNOWED),
+        (lambda e: None, NOW + S, True, Violation.SENT_LATE),
+        (lambda e: None, NOW, False, Violation.SENT_UNLISTED),
+    ],
+)
+def test_what_may_not_be_sent_is_named(
+    change: Callable[[Exchange], None], now: int, ready: bool, violation: Violation | None,
+    capsys: pytest.CaptureFixture[str],
+) -> None:  # fmt: skip
+    exchange = exchange_of(CLASSES[SAFE])
+    change(exchange)
+    it = Invariants(Log("n0"))
+    assert it.before_send(Attempt(exchange, 0, "a", NOW, NOW + S), now, ready, False) is violation
+    said = capsys.readouterr().err
+    assert ("request q1" in said) == (violation is not None)
+    assert it.told() == ("" if violation is None else f"{violation.name.lower()}=1")
+
+
+def test_a_second_copy_of_what_may_not_run_twice_is_a_violation() -> None:
+    exchange = exchange_of(CLASSES[UNSAFE])
+    it = Invariants(Log("n0"))
+    first, second = (Attempt(exchange, n, "a", NOW, NOW + S) for n in range(2))
+    exchange.out += [first, second]
+    assert it.before_send(second, NOW, True, False) is None  # the first is not written
+    first.conn = object()  # type: ignore[assignment]
+    assert it.before_send(second, NOW, True, False) is Violation.REPEATED
+
+
+def play(story: Callable[[Gate, Server], object], host: Server) -> None:
+    async def run() -> None:
+        async with host, gate(("a", host.addr)) as it:
+            await story(it, host)  # type: ignore[misc]
+
+    asyncio.run(run())
+
+
+async def silent(message: bytes, writer: Writer) -> None:
+    """A host that answers nothing."""
+    await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("body", [None, b"pay"])
+def test_a_refusal_of_what_may_have_run_goes_out_as_a_failure(body: bytes | None) -> None:
+    async def story(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(request("q1", body))
+        await until(lambda: bool(host.seen))
+        (exchange,) = it.core.live.values()
+        exchange.ran_at = it.core.clock()
+        it.core.answer_refused(exchange, 0)
+        status, _ = await client.answer()
+        assert (status == 503) == (body is None)
+        assert it.core.invariants.counts[Violation.REFUSED_AFTER_RUN] == (body is not None)
+
+    play(story, Server(silent))
+
+
+def test_a_second_answer_is_not_given() -> None:
+    async def story(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(request("q1"))
+        await until(lambda: bool(host.seen))
+        (exchange,) = it.core.live.values()
+        it.core.answer_refused(exchange, 0)
+        it.core.answer_failed(exchange)
+        assert (await client.answer())[0] == 503
+        assert it.core.invariants.counts[Violation.ANSWERED_TWICE] == 1
+        assert (await client.ask(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"))[0] == 200
+
+    play(story, Server(silent))
+
+
+@pytest.mark.parametrize("by_client", [True, False])
+def test_a_close_with_an_answer_owed_counts_where_it_is_this_sides(by_client: bool) -> None:
+    async def story(it: Gate, host: Server) -> None:
+        client = await it.client()
+        client.send(request("q1"))
+        await until(lambda: bool(host.seen))
+        if by_client:
+            client.writer.close()
+        else:
+            it.clients()[0].abort()
+        await until(lambda: not it.core.clients)
+        assert it.core.invariants.counts[Violation.CLOSED_OWING] == (not by_client)
+
+    play(story, Server(silent))
