Count refusals and failures by their reason, and retries and hedges

Need: of a refused request the log told only that it was shed or that the bank of further attempts was spent; the other reasons were one sum, and further attempts were not counted at all.

Change: `Gateway._finish` is given the reason, and the figures of a pool count each: shed, spent, unplaced, expired, timed_out, capped, may_have_run, retired; and retries and hedges. `spent` and `shed` mean what they did.

Measured: a test of one reason and of retries; decisions are unchanged.

--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -38,6 +38,11 @@
 WATCH_BACKOFF = 500_000  # first wait after a failed call, doubling with jitter
 WATCH_BACKOFF_MAX = 4_000_000
 
+# Refusals and failures by their reason (the first eight), and what else is counted for the log.
+FIGURES = (
+    "shed", "spent", "unplaced", "expired", "timed_out", "capped", "may_have_run", "retired",
+    "retries", "hedges", "cuts", "rests", "shuns", "cold",
+)  # fmt: skip
 DRAIN_TIMER, WATCH_TIMER, HEDGE_TIMER = 1, 2, 3
 
 
@@ -48,7 +53,7 @@
         self.port, self.settings = port, settings
         self.random = random.Random(seed)
         # For whoever looks for a cause, and for no decision.
-        self.figures = dict.fromkeys(("shed", "spent", "cuts", "rests", "shuns", "cold"), 0)
+        self.figures = dict.fromkeys(FIGURES, 0)
         self.live: dict[int, Request] = {}
         self.roster = Roster(settings, self.random)
         self.scores = Scores(settings)
@@ -104,7 +109,7 @@
         """No server will come any more: what is held is given up at once, and nothing is held."""
         self.retired = True
         for request in self.backlog.empty():
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "retired")
 
     def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
         """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
@@ -141,8 +146,7 @@
         self.retries.earn()
         self.roster.reach.width.arrived(now)
         if self.overload.sheds(now, kind, tenant, repeat):
-            self.figures["shed"] += 1
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "shed")
             return
         # A request is held only while it can still be served in time; late worth extends that.
         useful = kind.aim + int(kind.aim_stretch * work)
@@ -239,10 +243,11 @@
 
     # --- Placing a request: the paper's algorithm 1
 
-    def _finish(self, now: int, request: Request, refuse: bool) -> None:
+    def _finish(self, now: int, request: Request, why: str) -> None:
         """The one final answer this gateway gives itself; a refusal only where it is true."""
+        self.figures[why] += 1
         del self.live[request.id]
-        if refuse and request.harmless():
+        if why != "may_have_run" and request.harmless():
             self.port.refuse(request.id, self.overload.comeback(now))
         else:
             self.port.fail(request.id)
@@ -279,7 +284,7 @@
         if self._place(now, request):
             return
         if now >= request.hold_until or self.retired:
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "unplaced")
             return
         request.coin = COIN_SPENT
         self.backlog.hold(request)
@@ -292,7 +297,7 @@
     def _expired(self, now: int, request: Request) -> None:
         """No token came in time."""
         self.overload.late(now, request, True)
-        self._finish(now, request, refuse=True)
+        self._finish(now, request, "expired")
 
     def _arm_drain(self, now: int) -> None:
         if at := self.backlog.next_look(now):
@@ -308,20 +313,20 @@
             # Danger: what a failing server still holds is no sign that the fleet is overloaded.
             if not failing:
                 self.overload.late(now, request, status != MOOT)
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "timed_out")
             return
         if request.may_have_run and request.cls.effect not in (SAFE, KEYED):
-            self._finish(now, request, refuse=False)
+            self._finish(now, request, "may_have_run")
             return
         if request.attempts >= self.settings.limits.max_attempts:
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "capped")
             return
         free = status in (CONNECT_FAILED, NO_ROUTE, WITHHELD)  # no server has had any of it
         if self.retries.bank < 1.0 and not free:
-            self.figures["spent"] += 1
             # Danger: at overload every refusal by a server would come back as another attempt.
-            self._finish(now, request, refuse=True)
+            self._finish(now, request, "spent")
             return
+        self.figures["retries"] += 1
         self.retries.bank -= 0.0 if free else 1.0
         self._place_or_hold(now, request)
 
@@ -346,5 +351,6 @@
             if not overtaken(request, self.overload.usual(request)):
                 continue
             if now < request.hold_until and self._place(now, request):
+                self.figures["hedges"] += 1
                 self.retries.bank -= 1.0
         self._arm_hedge()
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -130,3 +130,20 @@
         assert it.core.invariants.counts[Violation.CLOSED_OWING] == (not by_client)
 
     play(story, Server(silent))
+
+
+def test_reasons_of_refusals_and_retries_are_counted() -> None:
+    """By the module's figures, which the log's line of its pool has."""
+
+    async def busy(message: bytes, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+
+    async def story(it: Gate, host: Server) -> None:
+        client = await it.client()
+        assert (await client.ask(request("q1")))[0] == 503
+        figures = it.pool.module.figures
+        assert figures["capped"] == 1
+        assert figures["retries"] == 4
+        assert "capped=1" in it.pool.told()
+
+    play(story, Server(busy))
