Add failing tests for wall clocks that differ between hosts and processes

Found by reading every place where a time of day is compared:

- A host's start that lies ahead of this process's clock (this clock was set back, or the host's forward) keeps it cold until then: an hour at a tenth or so of its load, in place of its cold time.
- A process that takes over after the wall clock was set back takes what is handed on with the old process's times, an hour ahead: bans, shuns and, worst, the moment of the last cut of the fleet's rate.

--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,74 @@
+"""A wall clock that is wrong at the start of a process, or was stepped, decides nothing for long.
+
+A host's time of start is the wall clock's of another machine, and may seem to lie ahead.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+from unittest import mock
+
+import pytest
+
+from sailhitch.handover.files import Places
+from sailhitch.handover.succession import Succession
+from sailhitch.interface import CHANGES
+from tests.fake import START, S, World, server
+from tests.generations import hosted, told
+from tests.sockets import Server, gate
+
+HOUR = 3600 * S
+COLD = 10 * S  # as tests/fake.py has it
+WARM_AT = 2 * COLD  # by then it has also left its share
+
+
+def is_cold(world: World, name: str) -> bool:
+    roster = world.gateway.roster
+    roster.regroup(world.now)
+    return any(one.name == name for one in roster.cold.servers)
+
+
+@pytest.mark.parametrize("ahead", [2 * S, HOUR])
+def test_a_host_that_seems_to_start_later_than_now_turns_warm_in_its_time(ahead: int) -> None:
+    world = World(server("a", boot=START + ahead), server("b"))
+    assert is_cold(world, "a")
+    world.run(COLD // 2)
+    assert is_cold(world, "a")
+    world.run(WARM_AT + S)
+    assert not is_cold(world, "a")
+
+
+def test_another_start_is_one_though_both_seem_to_lie_ahead() -> None:
+    world = World(server("a", boot=START + HOUR), server("b"))
+    world.run(WARM_AT + S)
+    assert not is_cold(world, "a")
+    world.gateway.members(world.now, CHANGES, [server("a", boot=START + HOUR + 30 * S)])
+    assert is_cold(world, "a")
+    world.run(2 * WARM_AT + 2 * S)
+    assert not is_cold(world, "a")
+
+
+def test_a_process_after_a_step_of_the_wall_clock_takes_bans_by_its_own_clock(
+    tmp_path: Path,
+) -> None:
+    async def play() -> None:
+        async with hosted(tmp_path, a=Server()) as it:
+            first = await it.ready()
+            assert await first.out("a") == 200
+            await told(first, "out for maintenance")
+            back = time.time_ns() - time.monotonic_ns() - HOUR * 1000
+            stepped = mock.Mock(side_effect=lambda: time.monotonic_ns() + back)
+            discovery = json.loads(it.path.read_text())["discovery"]
+            with mock.patch("time.time_ns", stepped):
+                async with gate(discovery=discovery) as other:
+                    places = Places(str(tmp_path), "n0")
+                    second = Succession(other.platform, other.listener, places)
+                    await second.inherit()
+                    since = other.pool.maintenance.bans["a"]
+                    assert 0 <= other.core.clock() - since < 60 * S
+                    second.close()
+
+    asyncio.run(play())
