--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -74,12 +74,20 @@
             yield f"lost: no answer {sent.ended - sent.at:.2f} s after it was sent"
         elif sent.end is End.CLOSED and (sent.fresh or self.arrivals[sent.name]):
             which = "a new" if sent.fresh else "a kept"
-            yield f"lost: {which} connection closed with no answer"
+            yield f"lost: {which} connection closed with no answer, {self._when(sent)}"
         elif sent.end in (End.SERVED, End.REFUSED, End.FAILED):
             late = sent.ended - sent.at - sent.wait
             if late > LATEST + MACHINE:
                 yield f"lost: answered {late:.2f} s late"
 
+    def _when(self, sent: Sent) -> str:
+        """When a request was sent and ended, by its process's start, end and kill."""
+        life = self._life(sent)
+        said = [f"sent {sent.at - life.started:.3f}", f"closed {sent.ended - life.started:.3f}"]
+        marks = {"told to end": life.stopped, "killed": life.killed, "ended": life.ended}
+        said += [f"{mark} {at - life.started:.3f}" for mark, at in marks.items() if at]
+        return ", ".join(said) + " s after its process's start"
+
     def _attempt(self, sent: Sent, arrival: Arrival) -> Iterator[str]:
         slack = MACHINE + arrival.held + self._paused(self._life(sent), arrival.at)
         if sent.end in (End.LEFT, End.SILENT):
