Take hosts' starts and handed-on times by this process's clock

Observed: three tests of a wall clock stepped by an hour, and by reading: a process that takes over after the clock was set back has `t_cut` of the fleet's rate an hour ahead; the cubic is then far below 0, and all but 5% is shed until the clock has caught up.

Cause: `Core.clock` starts from the time of day at the process's start and runs on evenly, as it should. A host's `started_ms` is another machine's wall clock, and two processes' clocks differ by any step between their starts.

Change: a listed start that lies ahead counts as started when it is first heard; the list's own word is kept beside it, so that the same entry is no new start. What is handed on says by which epoch its times are, and is moved to that of whoever takes it. Files of bans are read as before, as the machine may have been started anew between.

Measured: the tests fail without it and pass with it, one of a rate that was cut among them. Open: a clock that is ahead of all hosts' makes hosts that have just started look warm; nothing that a gateway is told shows that.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -57,7 +57,7 @@
         self.bounds, self.loop, self.logger = bounds, loop, log
         # One clock for all: it runs evenly and starts from the time of day, so that a host's
         # `started_ms` compares with it.
-        self._epoch = time.time_ns() - time.monotonic_ns()
+        self.epoch = (time.time_ns() - time.monotonic_ns()) // 1000  # us
         self.budget = Budget(bounds.memory_mb)
         self.invariants = Invariants(log)
         self.pools: list[Pool] = []
@@ -83,7 +83,8 @@
     # --- Clock and timers
 
     def clock(self) -> int:
-        return (time.monotonic_ns() + self._epoch) // 1000
+        """Return the time in microseconds; no step of the wall clock changes it."""
+        return time.monotonic_ns() // 1000 + self.epoch
 
     def held_up(self, now: int) -> bool:
         """Whether the loop has had no turn for a while, and what has come meanwhile is unread."""
--- a/sailhitch/core/learned.py
+++ b/sailhitch/core/learned.py
@@ -11,11 +11,13 @@
 
 def learned(module: Gateway) -> Knowledge:
     """What has been learned; what is out, held or counted as tokens stays where it is."""
-    plain, load, typical = KnownServer._fields[:-1], module.overload, module.scores
+    plain, load, typical = KnownServer._fields[1:-1], module.overload, module.scores
     pairs = zip(load.arrivals[::2], load.arrivals[1::2], strict=True)
     return Knowledge(
         {
-            s.name: KnownServer._make([*[getattr(s, name) for name in plain], s.rate.known()])
+            s.name: KnownServer._make(
+                [s.listed_boot, *[getattr(s, name) for name in plain], s.rate.known()]
+            )
             for s in module.roster.servers.values()
             if s.seen or s.failures
         },
@@ -38,7 +40,7 @@
     load, typical = module.overload, module.scores
     for name, known in knowledge.servers.items():
         server = module.roster.servers.get(name)
-        if server is not None and server.boot == known.boot:
+        if server is not None and server.listed_boot == known.boot:
             for field, value in zip(KnownServer._fields[2:-1], known[2:-1], strict=True):
                 setattr(server, field, value)
             server.rate.adopt(known.rate)
--- a/sailhitch/handover/legacy.py
+++ b/sailhitch/handover/legacy.py
@@ -15,7 +15,7 @@
 
 from ..core.maintenance import Maintenance, Returned
 from ..core.terms import Entry, Roster
-from ..interface import Knowledge
+from ..interface import Knowledge, KnownRate
 
 FORM: Final = 1  # of what follows; another is left alone
 MAGIC: Final = b"sailhitch"
@@ -39,6 +39,8 @@
     version: int = 0  # of the list
     hosts: list[Entry] = []  # empty where no list has come
     knowledge: Knowledge | None = None  # what the module has learned
+    # The clock's offset from the machine's monotonic one; 0 where it is not told.
+    epoch: int = 0
 
 
 class Ban(msgspec.Struct, array_like=True, frozen=True):
@@ -61,6 +63,53 @@
     maintenance.returned.update(legacy.returned)
 
 
+def by_clock_of(legacy: Legacy, epoch: int) -> Legacy:
+    """What was told with its times by the clock of whoever takes it, which has this epoch.
+
+    Both clocks start from the time of day. Danger: where that was stepped back between the two
+    starts, a rate that was cut or a shun would end so much later, an hour perhaps, and nearly all
+    requests be refused until then.
+    """
+    by = epoch - legacy.epoch
+    if not legacy.epoch or not by:
+        return legacy
+    return msgspec.structs.replace(
+        legacy,
+        bans={name: since + by for name, since in legacy.bans.items()},
+        returned={
+            name: Returned(one.entered + by, one.left + by) for name, one in legacy.returned.items()
+        },
+        knowledge=None if legacy.knowledge is None else _moved(legacy.knowledge, by),
+        epoch=epoch,
+    )
+
+
+def _moved(knowledge: Knowledge, by: int) -> Knowledge:
+    """What was learned, with its times so much later; 0 is never, and stays so."""
+
+    def at(time: int) -> int:
+        return time + by if time else 0
+
+    def rate(known: KnownRate) -> KnownRate:
+        return known._replace(t_rate=at(known.t_rate), begun=at(known.begun), t_cut=at(known.t_cut))
+
+    servers = {
+        name: one._replace(
+            seen=at(one.seen),
+            sent_seen=at(one.sent_seen),
+            shun_until=at(one.shun_until),
+            rate=rate(one.rate),
+        )
+        for name, one in knowledge.servers.items()
+    }
+    return knowledge._replace(
+        servers=servers,
+        t_arrival=at(knowledge.t_arrival),
+        t_start=at(knowledge.t_start),
+        fleet=rate(knowledge.fleet),
+    )
+
+
 def roster_of(legacy: Legacy) -> Roster | None:
     """The list as the other process had it; None where it had none."""
     if not legacy.hosts:
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -135,7 +135,7 @@
             if kind == told.STATE:
                 self._pieces.add(payload)
             elif kind == told.WHOLE:
-                self._take(self._pieces.whole())
+                self._take(told.by_clock_of(self._pieces.whole(), self.core.epoch))
                 self._keeper.keep()  # the process before may end without having been able to
                 self.inherited = True
                 self._heard.set()
@@ -195,6 +195,7 @@
             version=self.platform.discovery.version,
             hosts=list(self.pool.listed.values()),
             knowledge=self.pool.knowledge(),
+            epoch=self.core.epoch,
         )
 
     def _after_ended(self) -> None:
--- a/sailhitch/policy/roster.py
+++ b/sailhitch/policy/roster.py
@@ -53,10 +53,10 @@
             known = self.servers.get(entry.server)
             if known is None:
                 leave = 1.0 + LEAVE_SPREAD * self.random.random()
-                self.servers[entry.server] = Server(entry, leave)
+                self.servers[entry.server] = Server(entry, leave, now)
             else:
-                restarted = entry.boot != known.boot
-                known.list_as(entry)
+                restarted = entry.boot != known.listed_boot
+                known.list_as(entry, now)
                 if restarted:
                     known.forget()
         self.regroup(now)
--- a/sailhitch/policy/server.py
+++ b/sailhitch/policy/server.py
@@ -20,12 +20,13 @@
     """One server as this gateway sees it."""
 
     __slots__ = (
-        "boot", "cell", "errors", "failures", "filling", "flight", "hash", "kind", "leave", "name",
+        "boot", "cell", "errors", "failures", "filling", "flight", "hash", "kind", "leave",
+        "listed_boot", "name",
         "outstanding", "q_bar", "r_bar", "rate", "rest_until", "seen", "sent_seen", "service",
         "shun_until", "state", "strikes", "t_token", "tokens", "weight", "zone",
     )  # fmt: skip
 
-    def __init__(self, listed: Listed, leave: float) -> None:
+    def __init__(self, listed: Listed, leave: float, now: int) -> None:
         self.name = listed.server
         self.leave = leave  # it gets its slice alone until this multiple of the cold time
         digest = hashlib.blake2b(listed.server.encode(), digest_size=8).digest()
@@ -33,13 +34,22 @@
         self.flight: dict[tuple[int, int], int] = {}  # attempts out, oldest first, when sent
         self.filling: set[tuple[int, int]] = set()  # attempts whose body still comes
         self.outstanding = 0
-        self.list_as(listed)
+        self.listed_boot = -1
+        self.list_as(listed, now)
         self.forget()
 
-    def list_as(self, listed: Listed) -> None:
+    def list_as(self, listed: Listed, now: int) -> None:
+        """Take what the list says of it from now on.
+
+        Danger: its time of start is another machine's wall clock. Where that seems to lie ahead,
+        as after a step of either clock, it counts as started now, once: it would be cold until
+        then, for an hour perhaps.
+        """
+        if listed.boot != self.listed_boot:
+            self.listed_boot, self.boot = listed.boot, min(listed.boot, now)
         self.weight = listed.weight if listed.weight > 0 else 1.0
         self.zone, self.cell, self.kind = listed.zone, listed.cell, listed.kind
-        self.state, self.boot = listed.state, listed.boot
+        self.state = listed.state
 
     def forget(self) -> None:
         """Start from nothing known: scored by the fleet's typical figures until it answers."""
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -11,11 +11,15 @@
 from pathlib import Path
 from unittest import mock
 
+import msgspec
 import pytest
 
+from sailhitch.core.learned import learned, teach
+from sailhitch.core.maintenance import Returned
 from sailhitch.handover.files import Places
+from sailhitch.handover.legacy import Legacy, by_clock_of, pack, unpack
 from sailhitch.handover.succession import Succession
-from sailhitch.interface import CHANGES
+from sailhitch.interface import CHANGES, FULL
 from tests.fake import START, S, World, server
 from tests.generations import hosted, told
 from tests.sockets import Server, gate
@@ -41,6 +45,20 @@
     assert not is_cold(world, "a")
 
 
+@pytest.mark.parametrize("mode", [CHANGES, FULL])
+def test_what_is_listed_again_with_such_a_start_has_not_started_anew(mode: str) -> None:
+    entries = [server("a", boot=START + HOUR), server("b")]
+    world = World(*entries)
+    world.request(1)
+    known = world.gateway.roster.servers["a"]
+    known.seen = world.now
+    for second in range(1, 12):
+        world.run(second * 2 * S)
+        world.gateway.members(world.now, mode, entries)
+    assert known.seen  # it is not forgotten
+    assert not is_cold(world, "a")
+
+
 def test_another_start_is_one_though_both_seem_to_lie_ahead() -> None:
     world = World(server("a", boot=START + HOUR), server("b"))
     world.run(WARM_AT + S)
@@ -51,6 +69,32 @@
     assert not is_cold(world, "a")
 
 
+def test_what_is_handed_on_is_taken_by_the_clock_of_who_takes_it() -> None:
+    """The wall clock was set back by an hour between the starts of the two processes."""
+    before = World(server("a"), server("b"))
+    overload = before.gateway.overload
+    overload.fleet.cut(before.now, 100.0, 3.0 * S)
+    overload.fleet.received(before.now)
+    known = before.gateway.roster.servers["a"]
+    known.failures, known.shun_until = 1, before.now + S
+    legacy = Legacy(
+        ["a"], {"a": before.now}, {"b": Returned(before.now, before.now)},
+        knowledge=learned(before.gateway), epoch=5 * HOUR,
+    )  # fmt: skip
+    taken = by_clock_of(unpack(pack(legacy)), 4 * HOUR)
+    after = World(server("a"), server("b"))
+    after.now -= HOUR
+    assert taken.knowledge is not None
+    teach(after.gateway, taken.knowledge)
+    assert after.gateway.roster.servers["a"].shun_until == after.now + S
+    # Cut a moment ago, the rate is four fifths of what came in, as in the process before.
+    assert after.gateway.overload.fleet.grow(after.now) == pytest.approx(80.0)
+    assert taken.bans == {"a": after.now}
+    assert taken.returned["b"] == Returned(after.now, after.now)
+    # From a process that does not tell its clock, all is taken as it is.
+    assert by_clock_of(msgspec.structs.replace(legacy, epoch=0), 4 * HOUR).bans == legacy.bans
+
+
 def test_a_process_after_a_step_of_the_wall_clock_takes_bans_by_its_own_clock(
     tmp_path: Path,
 ) -> None:
