Part connecting to hosts from the pool of connections to them

Change: `net/connector.py` makes sockets to hosts and decides what a local failure comes to. Moved, not changed; the tests patch it there.

--- /dev/null
+++ b/sailhitch/net/connector.py
@@ -0,0 +1,94 @@
+"""Connect to hosts, and tell this machine's failures from a host's.
+
+A connect(2) that fails before a packet has left says nothing of the host. It is tried again for a
+moment; what an attempt comes to where that does not help is decided here.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Final
+
+from ..core.exchange import Attempt
+from ..core.pool import Pool
+from ..core.terms import Address
+from ..interface import CONNECT_FAILED, MOOT, NO_ROUTE
+from .system_errors import LOCAL_CONNECT_ERRORS, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
+
+RECEIVE_BUFFER: Final = 128 * 1024  # bytes of an answer that the kernel may hold
+PATIENCE: Final = 100_000  # us for which an attempt tries again where this machine failed
+# us without a success after which a host that this machine finds no way to counts as unreachable.
+UNREACHABLE_AFTER: Final = 1_000_000
+
+
+class LocalConnectError(Exception):
+    """This machine could not connect for a while; `status` is the attempt's outcome."""
+
+    def __init__(self, status: str) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+class Connector:
+    """Makes the sockets to the hosts of one pool."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool, self.core = pool, pool.core
+        self._shortage = Shortage()  # of descriptors and buffers
+
+    async def connect(self, attempt: Attempt, no_way: Shortage, address: Address) -> socket.socket:
+        """Return a connected socket for an attempt.
+
+        Tries again for PATIENCE where it is this machine that fails; the attempt's time to connect
+        counts anew with each try. `no_way` counts such failures of the host's address. Raises
+        OSError where the host can't be reached, and LocalConnectError.
+        """
+        core = self.core
+        give_up = core.clock() + PATIENCE
+        while True:
+            try:
+                sock = await self._try(address)
+            except OSError as error:
+                if error.errno not in LOCAL_CONNECT_ERRORS:
+                    raise
+                status = self._failed(no_way, error)
+            else:
+                self._shortage.ended()
+                no_way.ended()
+                return sock
+            attempt.connect_by = 0
+            await asyncio.sleep(RETRY_PAUSE)
+            now = core.clock()
+            if attempt.over or now >= min(give_up, attempt.ends):
+                raise LocalConnectError(status)
+            attempt.connect_by = now + self.pool.reach.connect_timeout
+            core.schedule(attempt.exchange)
+
+    async def _try(self, address: Address) -> socket.socket:
+        """Return a connected socket; raises OSError."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # What the system takes in of an answer that is not read shows in no budget.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+            await self.core.loop.sock_connect(sock, address)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+    def _failed(self, no_way: Shortage, error: OSError) -> str:
+        """Return the outcome of an attempt that this machine's failure would end.
+
+        No descriptor or buffer: nothing at any host, so the request is given up. No port or route:
+        another host may do, and this one is held to be unreachable where that lasts.
+        """
+        now = self.core.clock()
+        self.core.logger.often("connect", f"connect failed on this machine: {error.strerror}")
+        number = error.errno or 0
+        if number in OUT_OF_RESOURCES:
+            if self._shortage.failed(now, number):
+                self.core.exhausted()
+            return MOOT
+        return CONNECT_FAILED if no_way.failed(now, number) else NO_ROUTE
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -24,7 +24,6 @@
     CONNECT_FAILED,
     ERROR,
     MOOT,
-    NO_ROUTE,
     OK,
     READY,
     RESET,
@@ -33,17 +32,14 @@
     Report,
 )
 from .config import parse_load
+from .connector import UNREACHABLE_AFTER, Connector, LocalConnectError
 from .http import BODY, WHOLE, AnswerReader, MalformedError, chunk
-from .system_errors import LOCAL_CONNECT_ERRORS, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
+from .system_errors import Shortage
 
 PIECE: Final = 64 * 1024  # so much of a large request is handed to the transport at a time
-RECEIVE_BUFFER: Final = 128 * 1024
 # us that a connection rests after an answer. A host may send one twice, the second time some
 # milliseconds late (up to 3.8 were seen), and nothing tells that from the next request's answer.
 REST: Final = 5_000
-LOCAL_PATIENCE: Final = 100_000  # us for which an attempt tries again where this machine failed
-# us without a success after which a host that this machine finds no way to counts as unreachable.
-UNREACHABLE_AFTER: Final = 1_000_000
 SOON: Final = 300_000  # us after its head an answer of unknown length is passed on, whole or not
 # A host that is passing an answer on has stopped, or trickles, below these (bytes a second, us).
 FLOW_RATE: Final = 4 * 1024
@@ -51,14 +47,6 @@
 FLOW_STALL: Final = 8_000_000
 
 
-class LocalConnectError(Exception):
-    """This machine could not connect for a while; `status` is the attempt's outcome."""
-
-    def __init__(self, status: str) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class Host:
     """A host as this gateway reaches it. The module knows it by `id` alone."""
 
@@ -425,7 +413,7 @@
         self.open: dict[Upstream, None] = {}
         self.connecting = 0
         self.opened = 0  # counter
-        self._shortage = Shortage()  # of descriptors and buffers
+        self._connector = Connector(pool)
 
     def size(self) -> int:
         return len(self.open) + self.connecting
@@ -591,7 +579,7 @@
 
         Raises OSError where the host can't be reached, and LocalConnectError.
         """
-        sock = await self._connected_socket(attempt, host, address)
+        sock = await self._connector.connect(attempt, host.no_way, address)
         conn = Upstream(self, host, sock)
         try:
             # Danger: on one machine a port that nobody listens on may meet itself.
@@ -606,63 +594,6 @@
             raise
         return conn
 
-    async def _connected_socket(
-        self, attempt: Attempt, host: Host, address: Address
-    ) -> socket.socket:
-        """Connect, again for LOCAL_PATIENCE where it is this machine that fails for a moment.
-
-        Such a failure says nothing of the host, so its time to connect counts anew with each try.
-        Raises OSError where the host can't be reached, and LocalConnectError.
-        """
-        core = self.core
-        give_up = core.clock() + LOCAL_PATIENCE
-        while True:
-            try:
-                sock = await self._try_to_connect(address)
-            except OSError as error:
-                if error.errno not in LOCAL_CONNECT_ERRORS:
-                    raise
-                status = self._failed_locally(host, error)
-            else:
-                self._shortage.ended()
-                host.no_way.ended()
-                return sock
-            attempt.connect_by = 0
-            await asyncio.sleep(RETRY_PAUSE)
-            now = core.clock()
-            if attempt.over or now >= min(give_up, attempt.ends):
-                raise LocalConnectError(status)
-            attempt.connect_by = now + self.pool.reach.connect_timeout
-            core.schedule(attempt.exchange)
-
-    async def _try_to_connect(self, address: Address) -> socket.socket:
-        """Return a connected socket; raises OSError."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            # What the system takes in of an answer that is not read shows in no budget.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-            await self.core.loop.sock_connect(sock, address)
-        except BaseException:
-            sock.close()
-            raise
-        return sock
-
-    def _failed_locally(self, host: Host, error: OSError) -> str:
-        """Return the outcome of an attempt that this machine's failure would end.
-
-        No descriptor or buffer: nothing at any host, so the request is given up. No port or route:
-        another host may do, and this one is held to be unreachable where that lasts.
-        """
-        now = self.core.clock()
-        self.core.logger.often("connect", f"connect failed on this machine: {error.strerror}")
-        number = error.errno or 0
-        if number in OUT_OF_RESOURCES:
-            if self._shortage.failed(now, number):
-                self.core.exhausted()
-            return MOOT
-        return CONNECT_FAILED if host.no_way.failed(now, number) else NO_ROUTE
-
     def _settle_on(
         self, attempt: Attempt, host: Host, chosen: Chosen, conn: Upstream | None,
         failure: str = CONNECT_FAILED,
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -15,7 +15,7 @@
 
 from sailhitch.core.process import drain
 from sailhitch.front.connection_admission import Reason
-from sailhitch.net import upstream
+from sailhitch.net import connector
 from sailhitch.net.client_connection import HEAD
 from tests.failing_calls import FailingCall, ModuleWith
 from tests.sockets import Client, Gate, Registry, Server, gate, plain, request, until
@@ -40,7 +40,7 @@
 def fail_socket(script: list[int], patch: pytest.MonkeyPatch) -> FailingCall:
     """Have sockets for connections to hosts fail by a script."""
     call = FailingCall(socket.socket, script)
-    patch.setattr(upstream, "socket", ModuleWith(socket, "socket", call))
+    patch.setattr(connector, "socket", ModuleWith(socket, "socket", call))
     return call
 
 
