--- a/tests/test_tier_model.py
+++ b/tests/test_tier_model.py
@@ -39,6 +39,11 @@
     assert not found, tell(*shrink(draw(found[0][0])))
 
 
+def test_a_member_that_left_and_came_back_with_an_older_disk_keeps_no_change_waiting() -> None:
+    """The story of seed 100328: promise 4, as a pending version waits for it for ever."""
+    assert broken(draw(100_328)) is None
+
+
 def test_a_slow_switch_alone_breaks_nothing(monkeypatch: Patch) -> None:
     monkeypatch.setattr("sailhitch.model.tier.SWITCH", SLOW)
     assert [seed for seed in range(15) if broken(draw(seed))] == []
