Add failing tests for a leave decided late and for turns that nobody knows

A member whose leave is decided after its next life has read the register acts by withdrawn rules (promise 2). What a proposer had decided before it died is known to nobody that runs (promise 4).

Change: tests/test_tier_recovery.py plays both in the model; the model's end also checks that all that run know what was decided.

--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -321,8 +321,16 @@
         since = max(self._trouble[by], self._trouble[name])
         self.truth.told_dead(self.kernel.now, by, name, since)
 
+    def check_known(self) -> None:
+        """Promise 4: all that are up know what was decided."""
+        heads = {p.name: p.member.known for p in self.processes.values() if p.up and p.member}
+        self.truth.known(
+            {name: 0 if known is None else known.head.turn for name, known in heads.items()}
+        )
+
     def check_end(self) -> None:
         """Promise 4, of those that are up."""
+        self.check_known()
         up = [p for p in self.processes.values() if p.up and p.member is not None]
         self.truth.ended(
             {p.name: p.member.standing(p.clock()).name for p in up if p.member is not None},
--- a/sailhitch/model/truth.py
+++ b/sailhitch/model/truth.py
@@ -141,6 +141,12 @@
 
     # --- Promise 4: it ends
 
+    def known(self, turns: dict[str, int]) -> None:
+        """So long after the last fault, at the latest, all that run know what was decided."""
+        for name, turn in turns.items():
+            if self.latest is not None and turn < self.latest.turn:
+                raise BrokenError(f"4: {name} knows turn {turn}; {self.latest.turn} was decided")
+
     def ended(self, standings: dict[str, Any], turns: dict[str, int]) -> None:
         """So long after the last fault, at the latest, nothing is pending and all act by one."""
         if self.latest is None:
--- /dev/null
+++ b/tests/test_tier_recovery.py
@@ -0,0 +1,141 @@
+"""What a member that ended left half done, and a member that left and came back, in the model.
+
+*Left and back.* A member's leave goes through the register as a round. It ended before that was
+decided, and its next life read the register from voters that had not accepted it yet: "g1 is IN".
+The voters' contents came later, they accepted, and the leave was decided after the reading. From
+then on no change waited for g1, which went on by withdrawn rules: "2: g1 did 4 under turn 4,
+0.480 s after serial 3, which forbids it, was in force".
+
+*Decided, and nobody knows.* A proposer was killed after its Accepts had been sent. A majority of
+the voters accepted (turn 5 on their disks, all six members knew turn 4), and nobody asked them
+again: "4: g2 knows turn 4; 5 was decided". Of the 400 proposers of this test, killed 1 to 120 ms
+after they were asked for a change, 20 left such a turn.
+"""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from concurrent.futures import ProcessPoolExecutor
+
+import msgspec
+
+from sailhitch.model.story import Event, Story, broken
+from sailhitch.model.tier import TierProcess, World
+from sailhitch.model.truth import BrokenError
+
+S = 1_000_000
+KILLED = 40  # proposers killed after each kind of change
+
+# What is left of seed 100328 when all is cut out that it breaks a promise without.
+LEFT_AND_BACK = Story(
+    100_328, 6, 3, None,
+    (
+        Event(4425774, "pause", (4,), 3660760, 0.8503931865564057),
+        Event(4465926, "part", (3, 0, 1, 2, 4), 1452937, 0.4000087011041249),
+        Event(7281982, "cut", (5, 2), 2943881, 0.6320105671864972),
+        Event(7720526, "loss", (5,), 402940, 0.4835024961219886),
+        Event(8780193, "cut", (0, 4), 1753591, 0.26294584369775065),
+        Event(11351095, "propose", (4,), 1733914, 5.0),
+        Event(11422288, "pause", (0,), 1409590, 0.16079521468749736),
+        Event(11831583, "kill", (3,), 1910936, 0.6845383584418733),
+        Event(12155720, "all", (4,), 580256, 0.818834299551545),
+        Event(13156965, "withdraw", (0,), 3076021, 0.6857885490195161),
+        Event(13566277, "old", (0,), 187117, 0.5694064278091963),
+        Event(14760269, "pose", (1,), 936595, 0.9390028663972592),
+        Event(14765264, "loss", (3,), 1999494, 0.38640878723776717),
+        Event(15063754, "leave", (0,), 1566837, 0.6259817162889815),
+    ),
+)  # fmt: skip
+
+
+def test_a_member_that_left_and_came_back_acts_by_no_withdrawn_rules() -> None:
+    """It is cut off right after it came back, while another member changes the rules."""
+    found = {}
+    for flip in (0, 2, 4, 5):
+        more = Event(19 * S, "part", (0,), 8 * S), Event(int(19.5 * S), "propose", (1,), 0, flip)
+        story = msgspec.structs.replace(LEFT_AND_BACK, events=(*LEFT_AND_BACK.events, *more))
+        found[flip] = broken(story)
+    assert found == {0: None, 2: None, 4: None, 5: None}
+
+
+# --- Proposers that die for good
+
+
+def _propose(process: TierProcess) -> None:
+    process.propose(1, 0)
+
+
+def _pose(process: TierProcess) -> None:
+    process.pose(7)
+
+
+def _leave(process: TierProcess) -> None:
+    process.ask(lambda member: member.leave())
+
+
+def _withdraw(process: TierProcess) -> None:
+    process.withdraw()
+
+
+def _nothing(process: TierProcess) -> None:
+    """It makes what is pending active by itself, or founds the tier."""
+
+
+def _killed_during(seed: int, name: str, change: Callable[[TierProcess], None]) -> str | None:
+    """Kill a member for good some milliseconds after a change began; what was broken."""
+    world = World(seed, 5, 3)
+    world.start()
+    world.kernel.run(4 * S)
+    if change in (_withdraw, _nothing):
+        # One other member holds what is pending back; then nothing does.
+        world.processes["g5"].pause()
+        world.processes[name].propose(1, 0)
+        world.kernel.run(6 * S)
+        world.processes["g5"].wake()
+    process = world.processes[name]
+    change(process)
+    delay = int(world.kernel.stream("death").integers(1_000, 120_000))
+    world.kernel.after(delay, process.kill)
+    return _broken_at_rest(world)
+
+
+def _broken_at_rest(world: World) -> str | None:
+    try:
+        world.kernel.run(world.kernel.now + 20 * S)
+        world.check_known()
+    except BrokenError as error:
+        return str(error)
+    return None
+
+
+CHANGES = {one.__name__: one for one in (_propose, _pose, _leave, _withdraw, _nothing)}
+
+
+def _play_death(case: tuple[str, str, int]) -> str | None:
+    name, change, seed = case
+    said = _killed_during(seed, name, CHANGES[change])
+    return None if said is None else f"{name} {change} seed {seed}: {said}"
+
+
+def test_what_a_dead_proposer_had_decided_is_known_to_all_that_run() -> None:
+    """g1 is a voter, and g4 is none."""
+    cases = itertools.product(("g1", "g4"), CHANGES, range(KILLED))
+    with ProcessPoolExecutor(2) as pool:
+        found = [said for said in pool.map(_play_death, cases, chunksize=10) if said is not None]
+    assert found == []
+
+
+def _founder_killed(seed: int) -> str | None:
+    world = World(seed, 5, 3)
+    world.start()
+    stream = world.kernel.stream("death")
+    founder = world.processes[f"g{int(stream.integers(1, 4))}"]
+    world.kernel.at(int(stream.integers(300_000, 1_500_000)), founder.kill)
+    return _broken_at_rest(world)
+
+
+def test_a_tier_whose_founder_died_is_known_to_all_that_run_or_is_not_founded() -> None:
+    with ProcessPoolExecutor(2) as pool:
+        found = list(pool.map(_founder_killed, range(KILLED), chunksize=5))
+    assert [(seed, said) for seed, said in enumerate(found) if said is not None] == []
