Have voters tell a starting member of its earlier life's unfinished rounds

Cause: Member._read cleared the mark of a leave on disk when the first reading ended, though the leave of the same life still waited behind that reading. The next life read without writing, and the earlier leave was decided after that. Beside it, the mark is on the member's own disk: with an empty one in its place the same happens where Accepts come late (0 under turn 1, 0.113 s after serial 2), with the mark mended too (a trial).

Change: a vote has the rounds that were promised since the last accepted one; a voter that has promised one of the reader's answers UnfinishedRound, and a first reading then writes. The mark stays until a life that has not left has read. The bytes of all messages before stay as they were.

--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -45,6 +45,7 @@
     ReadReply,
     ReadRequest,
     Relayed,
+    UnfinishedRound,
     Version,
     VoteRecoveryReply,
     VoteRecoveryRequest,
@@ -62,7 +63,8 @@
 __all__ = ["CONTENT", "KNOWN", "Founding", "Member", "MemberStatus", "Roster", "TierConfig"]
 
 RECORDS: Final = 12  # of members, in a datagram of gossip
-KNOWN, LEFT = "known", "left"  # names on disk
+KNOWN: Final = "known"  # the name on disk of the latest head
+LEFT: Final = "left"  # ...and of a mark that this member may have left
 REPORT_AGAIN: Final = 300_000  # us between two reports to who proposed what is pending
 POLLS: Final = 6  # questions in a lease's length
 READ_AGAIN: Final = 500_000  # us between two readings of a register that was empty
@@ -124,9 +126,8 @@
         self._read_again = self._head_is_new = False
         self._poll_at = self._read_at = self._report_at = 0
         self._presence.keep_incarnation()
-        # Danger: the leave of an earlier life of this process may still be under way. If it were
-        # decided after this life has read that it is inside, no change would wait for it.
-        self.proposer.add(Job(None, self._read, LEFT in kept))
+        # Voters of an earlier version of the program do not tell of a leave that is under way.
+        self.proposer.add(self._first_reading(at_once=LEFT in kept))
 
     @property
     def confirmed(self) -> int:
@@ -152,7 +153,7 @@
         self._outbox.send_all(self.proposer.tick(now))
         if self._read_again and now >= self._read_at:
             self._read_again, self._read_at = False, now + READ_AGAIN
-            self.proposer.add(Job(None, self._read))
+            self.proposer.add(self._first_reading())
         if not self.settled():
             self._settle()
         self._exchange.ask(now, self._sources)
@@ -383,7 +384,7 @@
     ) -> None:
         answer: Message | None = None
         if isinstance(message, ReadRequest):
-            answer = ReadReply(message.number, voter.wants()) if voter.votes else None
+            answer = voter.read(sender, message.number)
         elif isinstance(message, Prepare):
             self.proposer.rank(message.ballot)
             answer = voter.prepare(message)
@@ -407,7 +408,7 @@
 
     def _hear_voter(self, sender: str, message: Message, now: int) -> None:
         """A voter's answer to something that this member asked."""
-        if isinstance(message, ReadReply):
+        if isinstance(message, ReadReply | UnfinishedRound):
             self.proposer.seen(sender, message)
         elif isinstance(message, Promise):
             self._stamp(sender, message.stamp)
@@ -486,8 +487,17 @@
 
     # --- Heads
 
+    def _first_reading(self, at_once: bool = False) -> Job:
+        """The reading that a start begins with.
+
+        Danger: the leave of an earlier life may still be under way. If it were decided after this
+        life has read that it is inside, no change would wait for it. A mark on this member's own
+        disk is not enough: that may be an older or an empty one by now. Voters tell.
+        """
+        return Job(None, self._read, final=True, at_once=at_once)
+
     def _read(self, decided: Decided | None, end: End) -> None:
-        """The reading that a start begins with."""
+        """That reading has ended."""
         may_found = self.founding is not None and self.voter is not None
         step = after_reading(decided, self._kept_turn, self.known is not None, may_found)
         if step is NextStep.REPORT_LOSS:
@@ -498,7 +508,8 @@
             self._found_tier()
         if decided is not None:
             self.heard_register = True
-            self._outbox.keep({LEFT: None})
+            if not self.left:  # otherwise a leave of this life waits behind this reading
+                self._outbox.keep({LEFT: None})
             self._learn(decided, self.rng.choice(self.config.voters))
             self._settle()
 
--- a/sailhitch/tier/messages.py
+++ b/sailhitch/tier/messages.py
@@ -79,6 +79,16 @@
     accepted: Decided | None  # accepted by this voter, which may be the only one
 
 
+class UnfinishedRound(msgspec.Struct, frozen=True, array_like=True, tag="u"):
+    """In place of a `ReadReply`: a round of the asking member may still be decided.
+
+    This voter has promised one, and has accepted none since.
+    """
+
+    number: int
+    accepted: Decided | None  # accepted by this voter, which may be the only one
+
+
 class Prepare(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     ballot: Ballot
 
@@ -210,8 +220,8 @@
 
 
 Plain = (
-    ReadRequest | ReadReply | Prepare | Promise | Accept | Accepted | VoteRecoveryRequest
-    | VoteRecoveryReply | News | Poll | Grant | BlockRequest | Block
+    ReadRequest | ReadReply | UnfinishedRound | Prepare | Promise | Accept | Accepted
+    | VoteRecoveryRequest | VoteRecoveryReply | News | Poll | Grant | BlockRequest | Block
     | PageRequest | PageReply | Ping | Ack | Nack
 )  # fmt: skip
 
--- a/sailhitch/tier/proposer.py
+++ b/sailhitch/tier/proposer.py
@@ -13,7 +13,16 @@
 
 from .effects import End
 from .line import Change, read
-from .messages import Accepted, Ballot, Decided, Message, Promise, ReadReply, ReadRequest
+from .messages import (
+    Accepted,
+    Ballot,
+    Decided,
+    Message,
+    Promise,
+    ReadReply,
+    ReadRequest,
+    UnfinishedRound,
+)
 from .register import Phase, Round, majority
 
 RESEND: Final = 100_000  # us until something unanswered is said again
@@ -27,12 +36,15 @@
 class Job:
     """A change to make, and whom to tell; `change` None: only read.
 
-    `write`: what is read is written again, so that nothing older can come to anything after it.
+    `final`: no round that an earlier life of this member began is decided after what is read.
     """
 
-    def __init__(self, change: Change | None, ended: Ended, write: bool = False) -> None:
-        self.change, self.ended, self.write = change, ended, write
-        self.looks = LOOKS if write else 0
+    def __init__(
+        self, change: Change | None, ended: Ended, final: bool = False, at_once: bool = False
+    ) -> None:
+        """`at_once`: there may be such a round, and a round of this life puts an end to it."""
+        self.change, self.ended, self.final = change, ended, final
+        self.looks = LOOKS if at_once else 0
 
 
 class Reading:
@@ -40,30 +52,43 @@
 
     Whatever was decided before it began is accepted by one of that majority under that ballot or a
     lower one, so what it finds is no older.
+
+    A `final` one counts only voters that have promised no round of the reader's name since they
+    last accepted. Accepts of an earlier life's round were sent after a majority had promised it,
+    and before this reading began, so one of those that agree here had promised it. Unless that one
+    has accepted a higher ballot since, it answers `UnfinishedRound`. So nothing of that round is
+    decided later, also not by another proposer that finds it accepted by a minority.
     """
 
-    def __init__(self, number: int, voters: Collection[str]) -> None:
-        self.number, self.voters = number, tuple(voters)
+    def __init__(self, number: int, voters: Collection[str], final: bool = False) -> None:
+        self.number, self.voters, self.final = number, tuple(voters), final
         self.need = majority(len(self.voters))
-        self._seen: dict[str, Decided | None] = {}
+        self._seen: dict[str, ReadReply | UnfinishedRound] = {}
 
     def unanswered(self) -> list[tuple[str, Message]]:
         look = ReadRequest(self.number)
         return [(v, look) for v in self.voters if v not in self._seen]
 
-    def seen(self, voter: str, answer: ReadReply) -> None:
+    def seen(self, voter: str, answer: ReadReply | UnfinishedRound) -> None:
         """A voter's answer."""
         if answer.number == self.number:
-            self._seen[voter] = answer.accepted
+            self._seen[voter] = answer
 
     def found(self) -> Decided | None:
         """What was decided, once that is certain."""
-        said = [one for one in self._seen.values() if one is not None]
+        said = [
+            one.accepted for one in self._seen.values()
+            if one.accepted is not None and not (self.final and isinstance(one, UnfinishedRound))
+        ]  # fmt: skip
         return next((one for one in said if said.count(one) >= self.need), None)
 
+    def has_unfinished(self) -> bool:
+        """Whether a round of an earlier life of this member may still be decided."""
+        return self.final and any(isinstance(one, UnfinishedRound) for one in self._seen.values())
+
     def empty(self) -> bool:
         """Whether nothing was decided: a majority has accepted nothing."""
-        return sum(one is None for one in self._seen.values()) >= self.need
+        return sum(one.accepted is None for one in self._seen.values()) >= self.need
 
     def torn(self) -> bool:
         """Whether a majority has answered and does not agree: a change may be under way."""
@@ -116,12 +141,14 @@
         if job.change is None and job.looks < LOOKS:
             job.looks += 1
             self._number += 1
-            self.reading = Reading(self._number, self.voters)
+            self.reading = Reading(self._number, self.voters, job.final)
         else:
-            self.round = Round(self.ballot(), self.voters, job.change or read, job.write)
+            self.round = Round(self.ballot(), self.voters, job.change or read, job.final)
 
     def _again(self, now: int) -> None:
         """Leave off, and begin anew after a while that grows with the defeats."""
+        if self.reading is not None and self.reading.has_unfinished():
+            self.jobs[0].looks = LOOKS  # only a round of its own puts an end to that one
         self.round = self.reading = None
         self.defeats += 1
         most = STEP << min(self.defeats, 5)
@@ -132,7 +159,7 @@
         at = self.round or self.reading
         return [] if at is None else at.unanswered()
 
-    def seen(self, voter: str, answer: ReadReply) -> None:
+    def seen(self, voter: str, answer: ReadReply | UnfinishedRound) -> None:
         """A voter's answer to `ReadRequest`."""
         if self.reading is not None:
             self.reading.seen(voter, answer)
--- a/sailhitch/tier/register.py
+++ b/sailhitch/tier/register.py
@@ -35,6 +35,7 @@
 )
 
 VOTE: Final = "vote"  # the name under which a voter's vote is kept
+ANY_PROPOSER: Final = ""  # in a ballot of a vote: which proposers had promises was forgotten
 
 
 def majority(voters: int) -> int:
@@ -48,6 +49,8 @@
     promised: Ballot
     accepted: Decided | None
     stamp: int  # how many changes of the vote there were
+    # Ballots promised since the last accepted one, the latest of each proposer.
+    unfinished: tuple[Ballot, ...] = ()
 
 
 class Mode(Enum):
@@ -83,7 +86,8 @@
         """Promise to accept nothing below a ballot, if nothing above it was promised."""
         ok, news = ballot >= self.vote.promised, ballot > self.vote.promised
         if news:
-            self._change(ballot, self.vote.accepted)
+            others = (one for one in self.vote.unfinished if one.by != ballot.by)
+            self._change(ballot, self.vote.accepted, (*others, ballot))
         vote = self.vote
         return Promise(ballot, ok, vote.promised, vote.accepted, vote.stamp), news
 
@@ -94,7 +98,7 @@
         said = self.vote.accepted
         news = ok and (said is None or said.ballot != ballot)
         if news:
-            self._change(ballot, Decided(ballot, message.head))
+            self._change(ballot, Decided(ballot, message.head), ())
         answer = Accepted(ballot, ok, self.vote.promised, self.vote.stamp, [*message.stamps])
         return answer, news
 
@@ -103,11 +107,21 @@
         said = self.vote.accepted
         if said is not None and said.ballot >= decided.ballot:
             return False
-        self._change(max(self.vote.promised, decided.ballot), decided)
+        unfinished = tuple(one for one in self.vote.unfinished if one > decided.ballot)
+        self._change(max(self.vote.promised, decided.ballot), decided, unfinished)
         return True
 
-    def _change(self, promised: Ballot, accepted: Decided | None) -> None:
-        self.vote = Vote(promised, accepted, self.vote.stamp + 1)
+    def has_unfinished(self, proposer: str) -> bool:
+        """Whether it has promised a round of this proposer and has accepted none since.
+
+        Such a round may still be decided, also where its proposer has ended.
+        """
+        return any(one.by in (proposer, ANY_PROPOSER) for one in self.vote.unfinished)
+
+    def _change(
+        self, promised: Ballot, accepted: Decided | None, unfinished: tuple[Ballot, ...]
+    ) -> None:
+        self.vote = Vote(promised, accepted, self.vote.stamp + 1, unfinished)
 
     # --- Coming back
 
@@ -155,7 +169,8 @@
 
         `known` is the latest stamp of this voter that anybody has seen.
         """
-        self.vote = Vote(ballot, accepted, max(known, self.vote.stamp) + 1)
+        forgotten = Ballot(ballot.n, ANY_PROPOSER, 0)
+        self.vote = Vote(ballot, accepted, max(known, self.vote.stamp) + 1, (forgotten,))
         self.mode = Mode.VOTING
         self._mended.clear()
 
--- a/sailhitch/tier/voter.py
+++ b/sailhitch/tier/voter.py
@@ -20,6 +20,8 @@
     Poll,
     Prepare,
     Promise,
+    ReadReply,
+    UnfinishedRound,
     VoteRecoveryReply,
     VoteRecoveryRequest,
 )
@@ -80,6 +82,13 @@
 
     # --- Votes
 
+    def read(self, reader: str, number: int) -> ReadReply | UnfinishedRound | None:
+        """The answer to a reading. None: this voter does not vote."""
+        if not self.votes:
+            return None
+        answer = UnfinishedRound if self.acceptor.has_unfinished(reader) else ReadReply
+        return answer(number, self.wants())
+
     def prepare(self, message: Prepare) -> Promise | None:
         """None: this voter does not vote."""
         if not self.votes:
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -44,6 +44,7 @@
     ReadRequest,
     Relayed,
     Suspicion,
+    UnfinishedRound,
     Version,
     VoteRecoveryReply,
     VoteRecoveryRequest,
@@ -162,6 +163,7 @@
         "323132313231323132313231323132313231323132313231323132313231323132313231323132a2"
         "6731a3616e6e07a767312d36332d32"
     ),
+    "u": "93a17503c0",
     "p": "92a1709307a2673163",
     "P": (
         "96a1509307a2673163c39307a2673163929307a267316397040203970201d9406162616261626162"
@@ -227,7 +229,8 @@
     decided = Decided(ballot, head)
     record, suspicion = MemberRecord("g1", 1, 99, 5, 4, "why", b"w"), Suspicion("g2", 1, ["g3"])
     return {
-        "l": ReadRequest(3), "L": ReadReply(3, decided), "p": Prepare(ballot),
+        "l": ReadRequest(3), "L": ReadReply(3, decided),
+        "u": UnfinishedRound(3, None), "p": Prepare(ballot),
         "P": Promise(ballot, True, ballot, decided, 5), "a": Accept(ballot, head, {"g1": 4}),
         "A": Accepted(ballot, False, ballot, 6, ["g1"]), "h": VoteRecoveryRequest(9),
         "H": VoteRecoveryReply(9, {"g1": 4}),
--- a/tests/test_tier_recovery.py
+++ b/tests/test_tier_recovery.py
@@ -19,10 +19,22 @@
 from concurrent.futures import ProcessPoolExecutor
 
 import msgspec
+import pytest
 
 from sailhitch.model.story import Event, Story, broken
 from sailhitch.model.tier import TierProcess, World
 from sailhitch.model.truth import BrokenError
+from sailhitch.tier.messages import (
+    Accept,
+    Ballot,
+    Decided,
+    Head,
+    ReadReply,
+    UnfinishedRound,
+    Version,
+)
+from sailhitch.tier.proposer import Reading
+from sailhitch.tier.register import Acceptor, Vote
 
 S = 1_000_000
 KILLED = 40  # proposers killed after each kind of change
@@ -59,6 +71,104 @@
     assert found == {0: None, 2: None, 4: None, 5: None}
 
 
+@pytest.mark.parametrize("disk", ["as it was", "empty"])
+def test_a_leave_that_reaches_voters_late_is_not_decided_after_the_return(disk: str) -> None:
+    """g4 leaves; only g1 hears its Accept soon. It starts anew and is cut off from then on.
+
+    With an empty disk g4 knows nothing of having left: voters tell it. Were it to go by what most
+    of them had accepted, it would do "0 under turn 1, 0.113 s after serial 2, which forbids it".
+    """
+    world = World(1, 5, 3)
+    world.start()
+    world.kernel.run(4 * S)
+    process = world.processes["g4"]
+    _delay_accepts(world, "g4", ("g2", "g3"), 600_000)
+    process.ask(lambda member: member.leave())
+    _run_until(world, lambda: _accepted_turn(world, "g1") == 2)
+    process.kill()
+    if disk == "empty":
+        process.disk.lose()
+    process.start()
+    world.kernel.run(world.kernel.now + 520_000)
+    names = world.names
+    world.network.cuts = {(a, b) for a in names for b in names if (a == "g4") != (b == "g4")}
+    world.kernel.run(world.kernel.now + 2 * S)
+    world.processes["g1"].propose(0, 0)
+    world.kernel.run(world.kernel.now + 10 * S)  # the checker looks at what g4 does all the while
+    world.network.cuts = set()
+    world.kernel.run(world.kernel.now + 20 * S)
+    world.check_end()
+
+
+def test_a_voter_tells_of_rounds_that_it_promised_and_accepted_nothing_after() -> None:
+    version = Version(1, 0, "a", "g1", "", 0, "c")
+    head = Head(1, 1, 1, version, None, "r")
+    first, second, third = Ballot(1, "g1", 0), Ballot(2, "g1", 0), Ballot(3, "g2", 0)
+    acceptor = Acceptor("v1", ("v1",), None)
+
+    def unfinished() -> list[str]:
+        return [name for name in ("g1", "g2", "g3") if acceptor.has_unfinished(name)]
+
+    acceptor.prepare(first)
+    assert unfinished() == ["g1"]
+    acceptor.accept(Accept(first, head, {}))
+    assert unfinished() == []
+    acceptor.prepare(second)
+    acceptor.prepare(third)
+    assert unfinished() == ["g1", "g2"]
+    acceptor.learn(Decided(second, head))
+    assert unfinished() == ["g2"]
+    kept = msgspec.msgpack.decode(msgspec.msgpack.encode(acceptor.vote), type=Vote)
+    assert Acceptor("v1", ("v1",), kept).has_unfinished("g2")
+    acceptor.mend(Ballot(4, "v1", 0), None, 0)  # what it had promised was lost
+    assert unfinished() == ["g1", "g2", "g3"]
+
+
+def test_a_vote_that_an_earlier_version_kept_is_read() -> None:
+    earlier = msgspec.msgpack.encode([Ballot(1, "g1", 0), None, 3])
+    assert msgspec.msgpack.decode(earlier, type=Vote).unfinished == ()
+
+
+def test_a_final_reading_counts_no_voter_with_an_unfinished_round() -> None:
+    decided = Decided(
+        Ballot(1, "g1", 0), Head(1, 1, 1, Version(1, 0, "a", "", "", 0, ""), None, "")
+    )
+    for final in (False, True):
+        reading = Reading(7, ("v1", "v2", "v3"), final)
+        reading.seen("v1", ReadReply(7, decided))
+        reading.seen("v2", UnfinishedRound(7, decided))
+        assert reading.found() == (None if final else decided)
+        assert reading.torn() is reading.has_unfinished() is final
+        reading.seen("v3", ReadReply(7, decided))
+        assert reading.found() == decided
+
+
+def _delay_accepts(world: World, sender: str, to: tuple[str, ...], delay: int) -> None:
+    """Have a member's Accepts reach these voters so much later, in microseconds."""
+    real = world.network.deliver
+
+    def deliver(origin: str, name: str, message: object) -> None:
+        if origin == sender and name in to and isinstance(message, Accept):
+            world.kernel.after(delay, real, origin, name, message)
+        else:
+            real(origin, name, message)
+
+    world.network.deliver = deliver
+
+
+def _accepted_turn(world: World, voter: str) -> int:
+    member = world.processes[voter].member
+    accepted = None if member is None or member.voter is None else member.voter.wants()
+    return 0 if accepted is None else accepted.head.turn
+
+
+def _run_until(world: World, condition: Callable[[], bool], most: int = S) -> None:
+    end = world.kernel.now + most
+    while not condition():
+        assert world.kernel.now < end
+        world.kernel.run(world.kernel.now + 1_000)
+
+
 # --- Proposers that die for good
 
 
