Have voters complete rounds whose proposer has ended

Symptom: a change is decided and nobody that runs knows: it is in no status, is not enforced, wakes at a later round, and whoever plans anew is refused as stale or busy by what nobody shows.

Cause: only the proposer of a round learns its end and tells of it. Voters whose Accepts come into force after its death (an Accept waits for its contents) had no reason to ask again. Traced in: two voters and g1 hold turn 5 under one ballot, all six members know turn 4.

It serves whatever a proposer leaves: activation, enrolment, leave, posture, withdrawal, founding, as all of them are rounds. What follows a round is said once (Member._learn_from_voters), in place of three times.

--- a/sailhitch/tier/__init__.py
+++ b/sailhitch/tier/__init__.py
@@ -14,6 +14,7 @@
     voter             a voter's part of a member
     first_reading     what follows the reading of the register that a start begins with
     activation        when a pending version is made active
+    round_recovery    when a voter completes a round whose proposer may have ended
     lease             who has heard of a majority of voters lately, by round trips alone
     confirmations     who has confirmed a head, and whom it still waits for
     lapse_reports     whose lease has lapsed, as the voters report it
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -26,7 +26,7 @@
 from .first_reading import NextStep, after_reading
 from .gossip import Gossip
 from .lease import Grants, Lease
-from .line import Change, activate, enrol, found, offer, pose, withdraw
+from .line import Change, activate, enrol, found, offer, pose, read, withdraw
 from .membership import MembershipTable
 from .messages import (
     Accept,
@@ -57,6 +57,7 @@
 from .proposer import Job, Proposer
 from .register import VOTE, majority
 from .roster import EMPTY_ROSTER, Roster, RosterIndex, decode_roster
+from .round_recovery import RoundRecovery
 from .status_report import status_report
 from .voter import STAMPS, Voter
 
@@ -122,6 +123,7 @@
         self._jobs = 0
         self._confirmations = Confirmations(self.membership, len(config.voters))
         self._activation, self._enrolment = Activation(rng), Enrolment()
+        self._recovery = RoundRecovery(rng)
         self._unanswered: tuple[str, Accept] | None = None  # whose contents are on their way
         self._read_again = self._head_is_new = False
         self._poll_at = self._read_at = self._report_at = 0
@@ -166,6 +168,7 @@
         self._make_lapse_report(now)
         self._enrol(now)
         self._activate(now)
+        self._recover(now)
         self._keep_stamps()
         self._report_confirmed(now)
         if self._gossip.is_due(now, self._is_busy(now)):
@@ -607,8 +610,7 @@
         def ended(decided: Decided | None, end: End) -> None:
             self._enrolment.end()
             self._exchange.end_offer(digest)
-            if decided is not None:
-                self._learn(decided, self.rng.choice(self.config.voters))
+            self._learn_from_voters(decided, end)
 
         self.proposer.add(Job(enrol(known.head.roster, digest), ended))
 
@@ -665,6 +667,18 @@
 
     def _activated(self, decided: Decided | None, end: End) -> None:
         self._activation.under_way = False
+        self._learn_from_voters(decided, end)
+
+    def _recover(self, now: int) -> None:
+        """Complete a round that this voter has accepted and nobody speaks of any more."""
+        voter = self.voter
+        if voter is None or not voter.votes or self.proposer.jobs:
+            return  # a job of its own, if there is one, finds what was accepted
+        if self._recovery.is_due(now, voter.wants(), self.known):
+            self.proposer.add(Job(read, self._learn_from_voters))
+
+    def _learn_from_voters(self, decided: Decided | None, end: End) -> None:
+        """A round of this member has found or made this."""
         if decided is not None:
             self._learn(decided, self.rng.choice(self.config.voters))
 
