Tell members that start later whom the others take for dead

Cause: Prober.news passes a suspicion on with six datagrams and never again. Who starts later hears none of it, and a suspicion that nobody confirms ends only after 24 s, behind a turn of probes.

Change: a datagram with room for it names one member that is taken for dead, drawn at random. A later life still voids it, as with every suspicion.

--- a/sailhitch/tier/probes.py
+++ b/sailhitch/tier/probes.py
@@ -117,12 +117,18 @@
         if not self._suspicions:
             return []
         open_ = [(one.told, name) for name, one in self._suspicions.items() if one.told < TIMES]
-        said = []
-        for _, name in sorted(open_)[:CARRIED]:
-            one = self._suspicions[name]
-            one.told += 1
-            said.append(Suspicion(name, one.life, sorted(one.by)))
-        return said
+        names = [name for _, name in sorted(open_)[:CARRIED]]
+        for name in names:
+            self._suspicions[name].told += 1
+        if len(names) < CARRIED:
+            # Danger: whoever has started since heard none of it, and finds out by itself alone.
+            dead = [name for name in self.dead() if name not in names]
+            names += self.rng.sample(dead, min(1, len(dead)))
+        return [self._said(name) for name in names]
+
+    def _said(self, name: str) -> Suspicion:
+        one = self._suspicions[name]
+        return Suspicion(name, one.life, sorted(one.by))
 
     def doubted(self, doubts: Iterable[Suspicion], life_of: LifeOf, now: int) -> int:
         """Others' suspicions; the highest life of this member that is doubted, or 0.
