Add failing tests for a gateway's own stalls that are held against hosts and members

Need: in one run of the suite beside load, 'held up for 311 ms' was followed 23 ms later by 'host a: connect_failed', and twenty callers were refused by the shunning of a sound host. To be told apart: a timer that runs before the socket is read, a connect that failed, the node in the same loop.

Change: tests/test_own_stalls.py holds the loop up at will, on both kinds of loop, by 0.05 to 0.4 s in the turn after a connect has begun.

The system had connected them, so the node is not it. A host that was written to 0.2 s late is shunned as silent; a member's beat runs before it reads answers.

--- /dev/null
+++ b/tests/test_own_stalls.py
@@ -0,0 +1,153 @@
+"""A gateway that was held up itself holds that against no host and no member.
+
+Timers that are due run before the sockets are read once a held-up loop goes on. In one run of the
+whole suite beside load: "held up for 311 ms", 23 ms later "host a: connect_failed", then "served=60
+refused=20 timed_out=20 shuns=1 retries=80", with a sound host. A stall made at will shows it: the
+system had connected all of them, and the time-out for connecting ran before the loop heard of that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+import uvloop
+
+from sailhitch.daemon.link import Link
+from sailhitch.lab.ports import free_port
+from sailhitch.net.connector import Connector
+from sailhitch.tier.config import TierConfig
+from sailhitch.tier.messages import Message, Ping
+from sailhitch.tier.wire import Keys, Wire
+from tests.sockets import Gate, Server, Writer, answer, gate, request, until
+
+LOOPS: list[Callable[[], asyncio.AbstractEventLoop]] = [
+    asyncio.new_event_loop, uvloop.new_event_loop,
+]  # fmt: skip
+STALLS = (0.05, 0.15, 0.24, 0.26, 0.3, 0.4)  # s; the time-out for connecting is 0.25
+Patch = pytest.MonkeyPatch
+
+
+def _stall_at(patch: Patch, number: int, seconds: float) -> None:
+    """Hold the loop up in the turn after that connect to a host has begun."""
+    real, begun = Connector._try, itertools.count(1)
+
+    async def tried(self: Connector, *args: Any) -> Any:
+        if next(begun) == number:
+            self.core.loop.call_soon(time.sleep, seconds)
+        return await real(self, *args)
+
+    patch.setattr(Connector, "_try", tried)
+
+
+def _play(loop: Callable[[], asyncio.AbstractEventLoop], story: Callable[[], Any]) -> Any:
+    with asyncio.Runner(loop_factory=loop) as runner:
+        return runner.run(story())
+
+
+async def _ask_all(it: Gate, count: int, wait_ms: int = 1500) -> Counter[int]:
+    clients = [await it.client() for _ in range(count)]
+    for i, client in enumerate(clients):
+        client.send(request(f"r{i}", wait_ms=wait_ms))
+    return Counter([(await client.answer())[0] for client in clients])
+
+
+def test_connections_that_came_up_in_a_stall_are_no_failures_of_their_host(
+    monkeypatch: Patch,
+) -> None:
+    async def story() -> tuple[Counter[int], dict[str, int], int]:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            got = await _ask_all(it, count)
+            return got, dict(it.core.counters.statuses), it.pool.module.figures["shuns"]
+
+    found = {}
+    for loop, (count, number), stall in itertools.product(
+        LOOPS, ((1, 1), (20, 1), (20, 20), (80, 40)), STALLS
+    ):
+        with monkeypatch.context() as scope:
+            _stall_at(scope, number, stall)
+            ended = _play(loop, story)
+        if ended != (Counter({200: count}), {"ok": count}, 0):
+            found[loop.__module__, count, number, stall] = ended
+    assert found == {}
+
+
+def test_a_host_is_not_silent_that_had_little_of_a_requests_time(monkeypatch: Patch) -> None:
+    """The loop was held up while it connected; the host had the request for its last tenths."""
+
+    async def late(message: bytes, writer: Writer) -> None:
+        await asyncio.sleep(0.15)
+        writer.write(answer(b"late"))
+
+    async def story() -> tuple[Counter[int], int]:
+        async with Server(late) as host, gate(("a", host.addr)) as it:
+            return await _ask_all(it, 1, 300), it.pool.module.figures["shuns"]
+
+    for loop in LOOPS:
+        with monkeypatch.context() as scope:
+            _stall_at(scope, 1, 0.2)
+            got, shuns = _play(loop, story)
+        assert set(got) <= {503, 504}
+        assert shuns == 0, loop
+
+
+def test_a_member_that_was_held_up_reads_what_came_before_it_judges_others(
+    tmp_path: Path,
+) -> None:
+    """Answers to its probes lie in the socket while its beat is due, and may have for a second."""
+
+    async def story() -> list[str]:
+        addresses = {name: ("127.0.0.1", free_port(socket.SOCK_DGRAM)) for name in ("g1", "g2")}
+        keys, folder = Keys(1, {1: b"k" * 32}), tmp_path / f"{addresses['g1'][1]}"
+        terms = TierConfig("g1", ("g1",), tuple(addresses))
+        link = Link(terms, addresses, keys, folder, lambda acting: None, lambda text: None)
+        await link.start(None)
+        done: list[str] = []
+        await asyncio.sleep(0)
+        _note_calls(link, done)
+        datagram = Wire(keys, "g2", 7).seal("g1", Ping(1, 0))
+
+        def held_up() -> None:
+            """Its beat is due while it reads something else, and the datagram comes."""
+            woken.recv(1)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as other:
+                other.sendto(datagram, addresses["g1"])
+            time.sleep(0.3)
+
+        waker, woken = socket.socketpair()
+        woken.setblocking(False)
+        asyncio.get_running_loop().add_reader(woken, held_up)
+        waker.send(b"x")
+        await until(lambda: "tick" in done and "heard" in done)
+        asyncio.get_running_loop().remove_reader(woken)
+        waker.close()
+        woken.close()
+        link.close()
+        return done
+
+    for loop in LOOPS:
+        assert _play(loop, story)[:2] == ["heard", "tick"], loop
+
+
+def _note_calls(link: Link, done: list[str]) -> None:
+    """Note when the core is told of a datagram, and of time that has passed."""
+    member = link.member
+    assert member is not None
+    heard, tick = member.heard, member.tick
+
+    def note_heard(sender: str, message: Message, now: int) -> None:
+        done.append("heard")
+        heard(sender, message, now)
+
+    def note_tick(now: int) -> None:
+        done.append("tick")
+        tick(now)
+
+    member.heard, member.tick = note_heard, note_tick  # type: ignore[method-assign]
