Hold a gateway's own stalls against no host and no member

Symptom: after 'held up for 311 ms' a sound host is told as connect_failed and shunned, and callers are refused (80 requests: 116 connect_failed, 3 shuns, 60 served, 20 refused).

Cause: once a held-up loop goes on, timers run first. The timer wheel gives sockets one turn, and a connect needs several of them until Hosts._connect is through; Pool.due did not ask whether the system had connected. In the same way an attempt whose time ran out in a stall counted as the host's silence (EXPIRED, or TIMEOUT where it was written late), a member's beat ran before the datagrams that came in a stall, and a connect that failed on this machine was not tried again where the stall was longer than the 0.1 s for that.

Change: Pool.due asks Transport.is_connected (poll(2), which takes no error away from the loop) and lets the loop hear of it; unsent, such an attempt says nothing of its host. Pool._had_fair_time leaves out a time-out after a stall of which the host had the lesser part; the decision module learns nothing of it, nor does the tier's evidence on zones. Link reads datagrams ahead of a beat that is late. Connector tries LEAST_TRIES times.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -78,6 +78,7 @@
             loop, self.clock, self._fire, self._fire_failed, self._stalled, _moot
         )
         self._next_id = 1
+        self.held_up_at = 0  # when it last went on after it was held up
         self._beat_at = self._sweep_at = self._stats_at = self._client_sweep_at = 0
 
     # --- Clock and timers
@@ -127,6 +128,7 @@
 
     def _stalled(self, now: int, late: int) -> None:
         self.logger.often("stall", f"held up for {late // MS} ms")
+        self.held_up_at = now
         for pool in self.pools:
             pool.stalled(now)
 
--- a/sailhitch/core/exchange.py
+++ b/sailhitch/core/exchange.py
@@ -62,12 +62,13 @@
 
     __slots__ = (
         "begun", "conn", "connect_by", "ends", "exchange", "n", "over", "patience", "sent",
-        "server", "task",
+        "server", "task", "written",
     )  # fmt: skip
 
     def __init__(self, exchange: Exchange, n: int, server: str, now: int, ends: int) -> None:
         self.exchange, self.n, self.server = exchange, n, server
         self.sent, self.ends = now, ends
+        self.written = 0  # when its first byte went to a connection
         self.patience = 0  # how long it may take from the last byte of a body that still comes
         self.begun = False  # its answer is being passed on
         self.connect_by = 0  # while it waits for a connection
--- a/sailhitch/core/interfaces.py
+++ b/sailhitch/core/interfaces.py
@@ -117,6 +117,9 @@
     def start(self, attempt: Attempt, now: int) -> None:
         """Send an attempt; to a host that is not listed, it fails as a failed connection."""
 
+    def is_connected(self, attempt: Attempt) -> bool:
+        """Return whether the system has connected it, while it still waits for its connection."""
+
     def list_host(self, entry: Entry) -> None:
         """Add a host, or update a known one."""
 
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from ..interface import (
     BY_HAND,
@@ -44,6 +44,9 @@
     from .core import Core
 
 
+HEAR_CONNECTED: Final = 10_000  # us in which a loop that was held up hears of a connection
+
+
 class Pool:
     """Translates between the core and one instance of the module; implements `Port`."""
 
@@ -236,10 +239,15 @@
         """Look at an attempt's time-outs."""
         if attempt.ends <= now:
             # What has not been written never ran, whatever it waited for.
-            unsent = EXPIRED if attempt.connect_by else MOOT
+            waits = attempt.connect_by and not self.transport.is_connected(attempt)
+            unsent = EXPIRED if waits else MOOT
             self._give_up(attempt, TIMEOUT if attempt.conn is not None else unsent)
         elif attempt.connect_by and attempt.connect_by <= now:
-            self._give_up(attempt, CONNECT_FAILED)
+            if self.transport.is_connected(attempt):
+                # Danger: after a stall timers run before the loop hears of what was connected.
+                attempt.connect_by = now + HEAR_CONNECTED
+            else:
+                self._give_up(attempt, CONNECT_FAILED)
 
     def begun(
         self, attempt: Attempt, answer: Answer, length: int | None, load: Report | None,
@@ -292,20 +300,30 @@
                 # Danger: passed on as it is, a host's 503 would say what this gateway's own says,
                 # that a repeat is harmless.
                 exchange.fallback = answer if answer.status != 503 else None
-        self._count(attempt.server, status)
+        fair = status != TIMEOUT or self._had_fair_time(attempt, now)
+        self._count(attempt.server, status, fair)
         closed = exchange.closed
         self._tell(
             exchange,
             lambda: self.module.outcome(
-                now, exchange.id, attempt.n, status, closed, latency, attempt.server, load
+                now, exchange.id, attempt.n, status, closed, latency, attempt.server, load, fair
             ),
         )
         core.release_exchange(exchange)
 
-    def _count(self, server: str, status: str) -> None:
+    def _had_fair_time(self, attempt: Attempt, now: int) -> bool:
+        """Whether an attempt that has timed out says something of its host.
+
+        It does not where this process was held up before it wrote the request, and the host had
+        less of its time than that took.
+        """
+        held_up = attempt.sent < self.core.held_up_at <= attempt.written
+        return not held_up or now - attempt.written >= attempt.written - attempt.sent
+
+    def _count(self, server: str, status: str, fair: bool) -> None:
         statuses = self.core.counters.statuses
         statuses[status] = statuses.get(status, 0) + 1
-        if status in (MOOT, CANCELLED, NO_ROUTE, WITHHELD):
+        if not fair or status in (MOOT, CANCELLED, NO_ROUTE, WITHHELD):
             return
         if self.seen is not None:
             self.seen(server, status)
--- a/sailhitch/daemon/link.py
+++ b/sailhitch/daemon/link.py
@@ -31,6 +31,8 @@
 from .places import address_of
 
 BEAT: Final = 0.1  # s
+HELD_UP: Final = 40_000  # us by which a beat may be late before datagrams are read ahead of it
+READ_FIRST: Final = 0.001  # s that the loop gets for that
 LATE: Final = 5.0  # s between two lines about datagrams that were refused
 WRITE_RETRY: Final = 0.1  # s until a write that failed is tried again; doubles with each failure...
 WRITE_RETRY_MAX: Final = 2.0  # ...up to this
@@ -67,6 +69,7 @@
         self._waiters: dict[int, asyncio.Future[Done]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._beat: asyncio.TimerHandle | None = None
+        self._beat_due = 0  # by `steady`
         self.unsent: dict[str, int] = {}  # datagrams that the system refused to send, by why
         self._told_refused: dict[str, int] = {}
         self._refused_at = 0.0
@@ -185,9 +188,20 @@
 
     # --- The beat
 
+    def _on_beat(self) -> None:
+        """Let time pass for the core; what came while the loop was held up is read before that.
+
+        Danger: the loop runs timers first. Members would be judged by answers that lie unread.
+        """
+        if steady() - self._beat_due <= HELD_UP:
+            self._tick()
+            return
+        self._beat = asyncio.get_running_loop().call_later(READ_FIRST, self._tick)
+
     def _tick(self) -> None:
         assert self.member is not None
-        self._beat = asyncio.get_running_loop().call_later(BEAT, self._tick)
+        self._beat_due = steady() + int(BEAT * 1e6)
+        self._beat = asyncio.get_running_loop().call_later(BEAT, self._on_beat)
         self.member.tick(steady())
         self._pump()
         self.beaten()
--- a/sailhitch/net/connector.py
+++ b/sailhitch/net/connector.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from typing import Final
 
@@ -14,10 +15,12 @@
 from ..core.pool import Pool
 from ..core.terms import Address
 from ..interface import CONNECT_FAILED, MOOT, NO_ROUTE
+from .socket_poll import pending_events
 from .system_errors import LOCAL_CONNECT_ERRORS, OUT_OF_RESOURCES, RETRY_PAUSE, Shortage
 
 RECEIVE_BUFFER: Final = 128 * 1024  # bytes of an answer that the kernel may hold
 PATIENCE: Final = 100_000  # us for which an attempt tries again where this machine failed
+LEAST_TRIES: Final = 3
 # us without a success after which a host that this machine finds no way to counts as unreachable.
 UNREACHABLE_AFTER: Final = 1_000_000
 
@@ -36,19 +39,21 @@
     def __init__(self, pool: Pool) -> None:
         self.pool, self.core = pool, pool.core
         self._shortage = Shortage()  # of descriptors and buffers
+        self._sockets: dict[Attempt, socket.socket] = {}  # being connected
 
     async def connect(self, attempt: Attempt, no_way: Shortage, address: Address) -> socket.socket:
         """Return a connected socket for an attempt.
 
-        Tries again for PATIENCE where it is this machine that fails; the attempt's time to connect
-        counts anew with each try. `no_way` counts such failures of the host's address. Raises
-        OSError where the host can't be reached, and LocalConnectError.
+        Tries again for PATIENCE, and LEAST_TRIES times, where it is this machine that fails; the
+        attempt's time to connect counts anew with each try. `no_way` counts such failures of the
+        host's address. Raises OSError where the host can't be reached, and LocalConnectError.
         """
         core = self.core
-        give_up = core.clock() + PATIENCE
+        give_up, tries = core.clock() + PATIENCE, 0
         while True:
+            tries += 1
             try:
-                sock = await self._try(address)
+                sock = await self._try(attempt, address)
             except OSError as error:
                 if error.errno not in LOCAL_CONNECT_ERRORS:
                     raise
@@ -60,14 +65,28 @@
             attempt.connect_by = 0
             await asyncio.sleep(RETRY_PAUSE)
             now = core.clock()
-            if attempt.over or now >= min(give_up, attempt.ends):
+            # Danger: a loop that was held up has used the time, and not tried again.
+            given_up = now >= give_up and tries >= LEAST_TRIES
+            if attempt.over or given_up or now >= attempt.ends:
                 raise LocalConnectError(status)
             attempt.connect_by = now + self.pool.reach.connect_timeout
             core.schedule(attempt.exchange)
 
-    async def _try(self, address: Address) -> socket.socket:
+    def is_connected(self, attempt: Attempt) -> bool:
+        """Whether the system has connected an attempt's socket, also if the loop has not heard."""
+        sock = self._sockets.get(attempt)
+        if sock is None or sock.fileno() < 0:
+            return False
+        return pending_events(sock.fileno(), select.POLLOUT) == select.POLLOUT
+
+    def forget(self, attempt: Attempt) -> None:
+        """An attempt waits for its connection no more."""
+        self._sockets.pop(attempt, None)
+
+    async def _try(self, attempt: Attempt, address: Address) -> socket.socket:
         """Return a connected socket; raises OSError."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sockets[attempt] = sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             # What the system takes in of an answer that is not read shows in no budget.
--- a/sailhitch/net/socket_poll.py
+++ b/sailhitch/net/socket_poll.py
@@ -7,6 +7,12 @@
 
 def has_event(descriptor: int, events: int) -> bool:
     """Return whether one of these poll(2) events is pending; costs about a microsecond."""
+    return bool(pending_events(descriptor, events))
+
+
+def pending_events(descriptor: int, events: int) -> int:
+    """Return those of these poll(2) events that are pending; errors and hang-ups always count."""
     poll = select.poll()
     poll.register(descriptor, events)
-    return bool(poll.poll(0))
+    found = poll.poll(0)
+    return found[0][1] if found else 0
--- a/sailhitch/net/upstream.py
+++ b/sailhitch/net/upstream.py
@@ -140,7 +140,7 @@
             return False
         self.expect()
         self._clear()
-        self.attempt, attempt.conn = attempt, self
+        self.attempt, attempt.conn, attempt.written = attempt, self, now
         self.upload, self.rest = upload, not last
         if count < len(first):
             rest = memoryview(first)[count:]
@@ -456,6 +456,9 @@
         if self.at.get(host.addr) is host:
             del self.at[host.addr]
 
+    def is_connected(self, attempt: Attempt) -> bool:
+        return self._connector.is_connected(attempt)
+
     def drop_host(self, name: str) -> None:
         """A host is gone for good; what is out at it runs on to its end."""
         host = self.hosts.pop(name, None)
@@ -560,6 +563,7 @@
             conn = None
         finally:
             self.connecting -= 1
+            self._connector.forget(attempt)
             if conn is None:
                 host.open -= 1
         attempt.task = None
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -160,15 +160,18 @@
 
     def outcome(
         self, now: int, req: int, attempt: int, status: str, closed: bool, latency: int,
-        name: str, report: Report | None,
+        name: str, report: Report | None, fair: bool = True,
     ) -> None:  # fmt: skip
-        """An attempt ended: learn from it, then go on with its request if that is still owed."""
+        """An attempt ended: learn from it, then go on with its request if that is still owed.
+
+        `fair`: the outcome says something of the server, and not of this gateway alone.
+        """
         server = self.roster.servers.get(name)
         request = self.live.get(req)
         streamed, sent, failing = request is not None and request.judged, None, False
         if server is not None:
             sent, failing = server.landed(req, attempt), server.failures > 0
-            if not (streamed and status == OK):
+            if fair and not (streamed and status == OK):
                 self.health.learn(now, server, status, latency, report, sent)
         if request is not None:
             request.out -= 1
