Add a failing test for a gateway whose wall clock is ahead of all hosts'

A host that has just started seems to have run for as long as the clocks differ, is taken for warm, and gets a warm host's part of the load.

Change: over the wire, with discovery that is pushed and asked, a host whose start changes while the list was known to hold must be cold.

--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -22,7 +22,7 @@
 from sailhitch.interface import CHANGES, FULL
 from tests.fake import START, S, World, server
 from tests.generations import hosted, told
-from tests.sockets import Server, gate
+from tests.sockets import Registry, Server, gate, until
 
 HOUR = 3600 * S
 COLD = 10 * S  # as tests/fake.py has it
@@ -116,3 +116,28 @@
                     second.close()
 
     asyncio.run(play())
+
+
+def test_a_gateway_whose_clock_is_ahead_knows_a_host_that_has_just_restarted() -> None:
+    """Its wall clock is an hour ahead of the host's: by that the host has run for an hour.
+
+    The list had the host with another start until a moment before.
+    """
+
+    async def play(asked: bool) -> None:
+        async with Server() as host:
+            registry = Registry(("a", host.addr))
+            registry.entries[0]["started_ms"] = 1
+            changes = {"settings": {"discovery": "subscribe" if asked else "automatic"}}
+            async with registry, gate(("a", host.addr), discovery=registry.addr, **changes) as it:
+                known = it.pool.module.roster
+                await until(lambda: it.discovery.version == 1)
+                seen = len(registry.seen)
+                await until(lambda: len(registry.seen) > seen + 2)  # the list holds
+                registry.entries[0]["started_ms"] = int(time.time() * 1000) - 3_600_000
+                registry.version = 2
+                await until(lambda: it.discovery.version == 2)
+                assert known.cold.is_cold(it.core.clock(), known.servers["a"])
+
+    for asked in (False, True):
+        asyncio.run(play(asked))
