Learn from a restart that hosts' clocks are behind, and count their starts by that

Symptom: a gateway whose wall clock is ahead of all hosts' takes a host that has just started for a warm one, and sends it a warm host's part of the load.

Cause: Server.list_as goes by the host's wall clock alone, and by this machine's at the process's start. Nothing bounded a start from below.

Change: a list that brings a known host's restart tells with it when the list last held without it (Discovery, Pool.list_held_at). A start that lies further before that than the cold time is a clock's fault; by that difference later starts are counted as later (Roster.clock_ahead). A host whose clock is behind alone costs others one cold time each, once. Left: hosts that had started just before this process did, before any restart was seen, and differences under the cold time.

--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -57,6 +57,7 @@
         self.core, self.name, self.settings, self.reach = core, name, settings, reach
         self.request_classes = RequestClasses(settings.classes)
         self.listed: dict[str, Entry] = {}  # as the list has them
+        self.list_held_at = 0  # when its source last said that nothing was new; 0: not known
         self.maintenance = Maintenance()
         self.failing: set[str] = set()  # hosts whose last attempt failed; for the log only
         self.watch_wanted: Callable[[bool], None] = lambda on: None
@@ -369,7 +370,8 @@
             self.maintenance.gone(name)
             self.transport.drop_host(name)
         now = self.core.clock()
-        self._tell(None, lambda: self.module.members(now, mode, entries))
+        since = self.list_held_at if mode in (FULL, CHANGES) else 0
+        self._tell(None, lambda: self.module.members(now, mode, entries, since))
 
     def _told(self, entry: Entry) -> Entry:
         """An entry as module and transport hear it, with what staff have said over it."""
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -261,6 +261,7 @@
             return
         self.address = address
         self._whole = True
+        self.pool.list_held_at = 0  # what the other service had is no word of this one's
         self._drop()
         # Danger: waiting for the module's own time to ask again could outlast the time in which
         # the new service's news counts as told.
@@ -410,6 +411,7 @@
             self.core.logger.often("entries", f"discovery: {roster.bad} entries out of form")
         if roster.full or roster.entries or self.asked:
             self.pool.list_news(roster)
+        self.pool.list_held_at = self.core.clock()
         return bool(roster.entries)
 
     async def _connect(self, address: Address, limit: float) -> Call:
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -111,8 +111,11 @@
         for request in self.backlog.empty():
             self._finish(now, request, "retired")
 
-    def members(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
-        """Discovery's news. A failed call or broken subscription is asked anew, later each time."""
+    def members(self, now: int, mode: str, entries: Sequence[Listed], since: int = 0) -> None:
+        """Discovery's news. A failed call or broken subscription is asked anew, later each time.
+
+        `since` is when the list was last known to hold as it was before; 0: not known.
+        """
         if mode == FAILED:
             self.watching = False
             wait = int(self.watch_wait * (0.5 + self.random.random()))
@@ -127,7 +130,7 @@
         elif mode != BY_HAND:
             self.watching = True
             self.watch_wait = WATCH_BACKOFF
-        self.roster.news(now, mode, entries)
+        self.roster.news(now, mode, entries, since)
         self._drain(now)
 
     def request(
--- a/sailhitch/policy/roster.py
+++ b/sailhitch/policy/roster.py
@@ -36,14 +36,15 @@
         self.key_count: dict[int, int] = {}
         self.key_total = 0
         self.keyed: dict[int, list[Server]] = {}  # rendezvous candidates, until the list changes
+        self.clock_ahead = 0  # by how much this machine's wall clock surely is ahead of a host's
 
     def adopt(self, settings: Settings) -> None:
         if (settings.me, settings.gateways) != (self.settings.me, self.settings.gateways):
             self.reach.adopt(settings.me, settings.gateways)
         self.settings, self.cold.rules = settings, settings.rules
 
-    def news(self, now: int, mode: str, entries: Sequence[Listed]) -> None:
-        """What the list says from now on."""
+    def news(self, now: int, mode: str, entries: Sequence[Listed], since: int = 0) -> None:
+        """What the list says from now on; until `since` it surely held as it was before."""
         if mode in (FULL, RESTORED):
             listed = {e.server for e in entries}
             for server in self.servers.values():
@@ -53,14 +54,27 @@
             known = self.servers.get(entry.server)
             if known is None:
                 leave = 1.0 + LEAVE_SPREAD * self.random.random()
-                self.servers[entry.server] = Server(entry, leave, now)
+                self.servers[entry.server] = Server(entry, leave, now, self.clock_ahead)
             else:
                 restarted = entry.boot != known.listed_boot
-                known.list_as(entry, now)
+                if restarted:
+                    self._compare_clocks(entry, since)
+                known.list_as(entry, now, self.clock_ahead)
                 if restarted:
                     known.forget()
         self.regroup(now)
 
+    def _compare_clocks(self, entry: Listed, since: int) -> None:
+        """Learn from a restart whether hosts' wall clocks are behind this machine's.
+
+        A host that was listed with another start at `since` can't have run for much longer. Danger:
+        by a clock that is ahead one that has just started looks warm, and is pushed over. What is
+        less than the cold time may be a list that came late, and says nothing of clocks.
+        """
+        ahead = since - entry.boot
+        if entry.boot and ahead > self.settings.rules.cold_time:
+            self.clock_ahead = max(self.clock_ahead, ahead)
+
     def regroup(self, now: int) -> None:
         """Sort the ready servers by zone and warmth; after list news and as cold ones warm up."""
         zone = self.settings.zone
--- a/sailhitch/policy/server.py
+++ b/sailhitch/policy/server.py
@@ -26,7 +26,7 @@
         "shun_until", "state", "strikes", "t_token", "tokens", "weight", "zone",
     )  # fmt: skip
 
-    def __init__(self, listed: Listed, leave: float, now: int) -> None:
+    def __init__(self, listed: Listed, leave: float, now: int, clock_ahead: int = 0) -> None:
         self.name = listed.server
         self.leave = leave  # it gets its slice alone until this multiple of the cold time
         digest = hashlib.blake2b(listed.server.encode(), digest_size=8).digest()
@@ -35,18 +35,21 @@
         self.filling: set[tuple[int, int]] = set()  # attempts whose body still comes
         self.outstanding = 0
         self.listed_boot = -1
-        self.list_as(listed, now)
+        self.list_as(listed, now, clock_ahead)
         self.forget()
 
-    def list_as(self, listed: Listed, now: int) -> None:
+    def list_as(self, listed: Listed, now: int, clock_ahead: int = 0) -> None:
         """Take what the list says of it from now on.
 
+        `clock_ahead` is by how much this machine's wall clock is ahead of hosts', as far as known.
+
         Danger: its time of start is another machine's wall clock. Where that seems to lie ahead,
         as after a step of either clock, it counts as started now, once: it would be cold until
         then, for an hour perhaps.
         """
         if listed.boot != self.listed_boot:
-            self.listed_boot, self.boot = listed.boot, min(listed.boot, now)
+            self.listed_boot = listed.boot
+            self.boot = min(listed.boot + clock_ahead, now) if listed.boot else 0
         self.weight = listed.weight if listed.weight > 0 else 1.0
         self.zone, self.cell, self.kind = listed.zone, listed.cell, listed.kind
         self.state = listed.state
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -141,3 +141,34 @@
 
     for asked in (False, True):
         asyncio.run(play(asked))
+
+
+@pytest.mark.parametrize("mode", [CHANGES, FULL])
+def test_a_gateway_whose_clock_is_ahead_takes_no_host_that_restarted_for_warm(mode: str) -> None:
+    """Its wall clock is an hour ahead of all hosts': what starts seems to have run for an hour.
+
+    The list held a second ago with another start, so the host can't have run for longer.
+    """
+    world = World(server("a", boot=START - HOUR), server("b", boot=START - HOUR))
+    world.run(WARM_AT + S)
+    assert not is_cold(world, "a")
+    started = world.now - HOUR
+    entries = [server("a", boot=started), server("b", boot=START - HOUR)]
+    world.gateway.members(world.now, mode, entries, world.now - S)
+    assert is_cold(world, "a")
+    assert not is_cold(world, "b")
+    # What it has learned of the clocks holds for a host that is new, too.
+    joined = [*entries, server("c", boot=started + S)]
+    world.gateway.members(world.now, mode, joined, world.now - S)
+    assert is_cold(world, "c")
+    world.run(2 * WARM_AT + 2 * S)
+    assert not is_cold(world, "a")
+    assert not is_cold(world, "c")
+
+
+def test_a_host_that_restarted_while_discovery_was_silent_is_as_old_as_it_is_told() -> None:
+    world = World(server("a", boot=START - HOUR), server("b"))
+    world.run(2 * WARM_AT)
+    entries = [server("a", boot=START + S), server("b")]
+    world.gateway.members(world.now, FULL, entries, START + S)  # the last list came before that
+    assert not is_cold(world, "a")
