--- a/tests/test_disk_failures.py
+++ b/tests/test_disk_failures.py
@@ -20,6 +20,8 @@
 from sailhitch.daemon.admin import ask
 from sailhitch.daemon.process import Daemon
 from sailhitch.daemon.store import Store, StoreError
+from sailhitch.handover.files import Places
+from sailhitch.handover.legacy import Legacy
 from sailhitch.lab.message import build
 from sailhitch.lab.node import Node
 from sailhitch.lab.ports import free_port
@@ -165,3 +167,24 @@
 
 def _ban(folder: Path, node: str) -> dict[str, Any]:
     return ask(folder / "admin.sock", {"op": "ban", "node": node, "out": True, "why": "fan"})
+
+
+def test_bans_are_synced_before_they_are_told_as_kept(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A machine that crashes right after the answer has them: the file, and its name."""
+    done: list[str] = []
+    fsync, replace = os.fsync, os.replace
+
+    def note_fsync(descriptor: int) -> None:
+        done.append("sync " + Path(os.readlink(f"/proc/self/fd/{descriptor}")).name)
+        fsync(descriptor)
+
+    def note_replace(fresh: Path, path: Path) -> None:
+        done.append("replace")
+        replace(fresh, path)
+
+    monkeypatch.setattr(os, "fsync", note_fsync)
+    monkeypatch.setattr(os, "replace", note_replace)
+    Places(str(tmp_path), "n0").keep(Legacy(["a"], {"a": 1}, {}))
+    assert done == [f"sync sailhitch-n0.{os.getpid()}", "replace", f"sync {tmp_path.name}"]
