Sync bans before they are told as kept, and cut log lines by bytes

Symptom: a machine that crashes within moments of the answer loses a ban that staff were told is kept. A log line over 4,096 characters runs into the next, and one of non-ASCII text may be longer than a pipe takes without waiting, which would hold up every request.

Cause: Places.keep wrote and renamed the file without fsync(2) of file and folder; Log.say cut the whole line, its end included, by characters.

Lines are cut to PIPE_BUF bytes.

--- a/sailhitch/core/log.py
+++ b/sailhitch/core/log.py
@@ -10,7 +10,7 @@
 PER_KEY: Final = 5.0  # seconds between two lines about the same thing
 BURST: Final = 40  # lines within a second, whatever they are about
 KEYS: Final = 512
-LONGEST: Final = 4096  # characters of a line; a pipe that polls writable takes so many bytes
+LONGEST: Final = select.PIPE_BUF  # bytes of a line; a pipe that polls writable takes so many
 
 
 class Log:
@@ -38,7 +38,7 @@
                 return
             if self._lost:
                 text, self._lost = f"{text} ({self._lost} lines were lost before)", 0
-            sys.stderr.write(f"{stamp} {self._name} {text}\n"[:LONGEST])
+            sys.stderr.write(_line(f"{stamp} {self._name} {text}"))
             sys.stderr.flush()
         except (OSError, ValueError):
             return  # nobody reads the log; the gateway goes on
@@ -56,6 +56,18 @@
         self.say(f"{text} ({missed} more like this before)" if missed else text)
 
 
+def _line(text: str) -> str:
+    """Return a text as one line, cut where it is too long.
+
+    Danger: what is cut must be bytes and not characters, and must not be the end of the line: the
+    next line would run into it.
+    """
+    encoded = text.encode(errors="backslashreplace")
+    if len(encoded) >= LONGEST:
+        text = encoded[: LONGEST - 1].decode(errors="ignore")
+    return text + "\n"
+
+
 def _has_room(stream: TextIO) -> bool:
     """Return whether a line can be written without waiting.
 
--- a/sailhitch/handover/files.py
+++ b/sailhitch/handover/files.py
@@ -12,6 +12,15 @@
 MOST: Final = 4 << 20
 
 
+def _sync_folder(folder: Path) -> None:
+    """Have a folder's names on disk; raises OSError."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 class Places:
     """Where a gateway's processes find one another."""
 
@@ -22,11 +31,15 @@
         self.bans = self.folder / f"sailhitch-{safe}.bans"
 
     def keep(self, legacy: Legacy) -> None:
-        """Keep bans, whole or as they were; raises OSError."""
+        """Keep bans, whole or as they were, also through a crash of the machine; raises OSError."""
         fresh = self.bans.with_suffix(f".{os.getpid()}")
         try:
-            fresh.write_bytes(pack(legacy))
+            with fresh.open("wb") as file:
+                file.write(pack(legacy))
+                file.flush()
+                os.fsync(file.fileno())
             os.replace(fresh, self.bans)
+            _sync_folder(self.folder)
         except OSError:
             with contextlib.suppress(OSError):
                 fresh.unlink()
--- a/tests/test_disk_failures.py
+++ b/tests/test_disk_failures.py
@@ -188,3 +188,21 @@
     monkeypatch.setattr(os, "replace", note_replace)
     Places(str(tmp_path), "n0").keep(Legacy(["a"], {"a": 1}, {}))
     assert done == [f"sync sailhitch-n0.{os.getpid()}", "replace", f"sync {tmp_path.name}"]
+
+
+def test_bans_that_could_not_be_synced_leave_those_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    places = Places(str(tmp_path), "n0")
+    places.keep(Legacy(["a"], {"a": 1}, {}))
+
+    def fail(descriptor: int) -> None:
+        raise OSError(errno.EIO, os.strerror(errno.EIO))
+
+    monkeypatch.setattr(os, "fsync", fail)
+    with pytest.raises(OSError, match="Input/output"):
+        places.keep(Legacy(["a", "b"], {"b": 2}, {}))
+    kept = places.kept()
+    assert kept is not None
+    assert kept.bans == {"a": 1}
+    assert [path.name for path in tmp_path.iterdir()] == [places.bans.name]
