Add a failing test for connections on their way to a successor that ends

Connections that a process passes on lie in the socket to its successor until that takes them, and end with it.

Change: the successor is held up, ten connections are passed on, their clients send, and it is killed.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -183,6 +183,34 @@
     asyncio.run(play())
 
 
+def test_connections_on_their_way_to_a_successor_that_ends_are_served_on(tmp_path: Path) -> None:
+    """The successor stands still while they are passed on, and is killed with them unread.
+
+    Their descriptors lie in the socket between the two; the process before has closed its own. So
+    the system resets them, with whatever their clients have sent on them since.
+    """
+
+    async def play() -> None:
+        async with hosted(tmp_path, a=Server()) as it:
+            old = await it.ready()
+            clients = [await it.client() for _ in range(10)]
+            for i, client in enumerate(clients):
+                assert await client.ask(request(f"r{i}")) == (200, b"served")
+            after = await it.ready()
+            after.program.send_signal(signal.SIGSTOP)
+            old.program.send_signal(signal.SIGTERM)
+            await told(old, "SIGTERM: draining")
+            await asyncio.sleep(0.2)  # they are passed on within 0.02 s, while nobody takes them
+            for i, client in enumerate(clients):
+                client.send(request(f"s{i}"))
+            await after.end(signal.SIGKILL)
+            answers = (client.answer() for client in clients)
+            ends = await asyncio.gather(*answers, return_exceptions=True)
+            assert [repr(end) for end in ends] == ["(200, b'served')"] * len(clients)
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("descriptor", ["x", "999", "0"])
 def test_a_descriptor_that_is_no_listening_socket_is_named(tmp_path: Path, descriptor: str) -> None:
     async def play() -> None:
