--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import random
+import signal
 import time
 from collections.abc import Awaitable, Callable
 
@@ -13,12 +15,13 @@
 from tests.soak.gateways import Gateway
 from tests.soak.nodes import Mode, SoakNode
 from tests.soak.proxy import LATE_MOST
-from tests.soak.records import Drain, Records
+from tests.soak.records import Crowded, Drain, Records
 from tests.soak.system_faults import Call
 from tests.sockets import dial
 
 SPAN = 8.0  # s over which troubles begin
 COUNT = (18, 28)  # of them, at least and at most
+MORE = (2, 5)  # signals in series and crowds, beside those
 BAD_AT_ONCE = 0.4  # share of the nodes that may misbehave at a time
 LOCAL_FAILURES = {
     Call.ACCEPT: (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS),
@@ -26,6 +29,8 @@
     Call.CONNECT: (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS),
 }
 STEPS = (-3600.0, -2.0, 2.0, 3600.0)  # s by which a wall clock is stepped
+SERIES = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)  # any of them, again and again
+CROWD = 300  # idle connections, which is more than a gateway has descriptors
 IDLERS, HALVES = 20, 6  # connections of a crowd that say nothing, or half of a request
 
 
@@ -44,12 +49,17 @@
             self.watch_reset, self.system_calls, self.system_calls, self.system_calls, self.clock,
             self.idlers, self.leavers, self.stalled_end, self.stalled_end, self.surge,
         ]  # fmt: skip
+        # Drawn from a stream of their own, so that those above stay the same for a seed.
+        self.more = random.Random(f"{rng.getstate()} more")
+        self.more_kinds = [self.signals, self.signals, self.crowd_of_idlers]
         self._bad: set[str] = set()
 
     async def run(self) -> None:
         """Have all happen, and return once they are over."""
         count = self.rng.randint(*COUNT)
         drawn = [(self.rng.uniform(0.0, SPAN), self.rng.choice(self.kinds)) for _ in range(count)]
+        for _ in range(self.more.randint(*MORE)):
+            drawn.append((self.more.uniform(0.0, SPAN), self.more.choice(self.more_kinds)))
         begun = time.monotonic()
 
         async def one(at: float, kind: Callable[[], Awaitable[str]]) -> None:
@@ -77,6 +87,29 @@
         await asyncio.gather(*(gateway.restart() for gateway in chosen))
         return " ".join(gateway.name for gateway in chosen)
 
+    async def signals(self) -> str:
+        """One is told to end among other signals, within milliseconds of each other."""
+        gateway, rng = self.more.choice(self.gateways), self.more
+        before = [(rng.uniform(0.0, 0.02), signal.SIGHUP) for _ in range(rng.randint(0, 2))]
+        after = [(rng.uniform(0.0, 0.3), rng.choice(SERIES)) for _ in range(rng.randint(0, 4))]
+        await gateway.restart(before, after)
+        return " ".join([gateway.name, *(number.name for _, number in (*before, *after))])
+
+    async def crowd_of_idlers(self) -> str:
+        """Clients that say nothing take all descriptors of one, and stay for a while."""
+        gateway = self.more.choice(self.gateways)
+        crowd = Crowded(gateway.name, time.monotonic())
+        self.records.crowds.append(crowd)
+        clients = []
+        for _ in range(CROWD):
+            with contextlib.suppress(OSError):
+                clients.append(await dial(gateway.addr))
+        await asyncio.sleep(self.more.uniform(0.5, 3.0))
+        for client in clients:
+            client.writer.close()
+        crowd.over = time.monotonic()
+        return gateway.name
+
     async def stalled_end(self) -> str:
         """One ends while its accepts fail, and is held up as its listener is about to close."""
         gateway = self.rng.choice(self.gateways)
