Name the parts of zones by the field: controller, rollout, health_tracker

Need: readable code; the house's names are withdrawn (helm, course, sight, Eyes, Tally).

No behaviour, and no assertion of a test, is different.

Measured: tests of zones, layers and the tier's switch pass.

--- a/benchmarks/zones.py
+++ b/benchmarks/zones.py
@@ -20,7 +20,7 @@
 from concurrent.futures import ProcessPoolExecutor
 
 from sailhitch.model.tier import World
-from sailhitch.zones.helm import Helm
+from sailhitch.zones.controller import ZoneController
 
 S = 1_000_000
 NODES = {str(i): f"z{i % 3}" for i in range(30)}
@@ -77,21 +77,25 @@
     rng = random.Random(seed)
     kind = ("sick", "half", "gray", "pause")[seed % 4]
     world = fleet(9, seed, rng.choice([0.0, 0.1, 0.3]))
-    helms: dict[str, Helm] = {n: p.helm for n, p in world.processes.items() if p.helm is not None}
-    chosen = rng.sample(sorted(helms), rng.randint(1, 3))
-    for name, helm in helms.items():
+    controllers: dict[str, ZoneController] = {
+        n: p.controller for n, p in world.processes.items() if p.controller is not None
+    }
+    chosen = rng.sample(sorted(controllers), rng.randint(1, 3))
+    for name, controller in controllers.items():
         part, zone = (1.0, "") if kind == "sick" else (0.5, "")
         if kind == "gray":
             part, zone = rng.uniform(0.1, 0.17), "z1"
         if kind == "gray" or (kind in ("sick", "half") and name in chosen):
-            helm.saw = _worse(helm.saw, rng, part, zone)  # type: ignore[method-assign]
+            controller.saw = _worse(controller.saw, rng, part, zone)  # type: ignore[method-assign]
     if kind == "pause":
         for name in chosen:
             process = world.processes[name]
             process.pause()
             world.kernel.after(rng.randrange(S, 10 * S), process.wake)
     world.kernel.run(world.kernel.now + 20 * S)
-    left = sorted({zone for helm in helms.values() for zone in helm.posture.zones})
+    left = sorted(
+        {zone for controller in controllers.values() for zone in controller.posture.zones}
+    )
     return f"seed {seed}, {kind}: {', '.join(left)}" if left else ""
 
 
--- a/sailhitch/daemon/zoned.py
+++ b/sailhitch/daemon/zoned.py
@@ -1,7 +1,7 @@
 """Zones in the daemon: operators' words, the way back step by step, and what nodes they come to.
 
 The posture is a record of the tier, beside its line of versions. This daemon goes by it with the
-switch (`tiered`); what it proposes and says is decided by `zones/helm.py`.
+switch (`tiered`); what it proposes and says is decided by `zones/controller.py`.
 """
 
 from __future__ import annotations
@@ -18,9 +18,9 @@
 from ..tier.effects import End
 from ..tier.member import MemberStatus
 from ..tier.messages import Version
-from ..zones import course
+from ..zones import rollout
+from ..zones.controller import Heard, ZoneController, ZoneTerms, all_renewed, all_unused
 from ..zones.diagnosis import Kind
-from ..zones.helm import Heard, Helm, ZoneTerms, all_renewed, all_unused
 from ..zones.posture import NOTHING, Posture, PostureError, read
 from .link import steady
 from .live import ApplyError, Live
@@ -44,7 +44,7 @@
         self.mode = part.mode
         step = 2 * gateway.cold_time if part.step is None else part.step
         terms = ZoneTerms(part.max_out, step, gateway.zone, part.mode == "act", part.leaves_an_hour)
-        self.helm = Helm(terms, random.Random(secrets.randbits(64)))
+        self.controller = ZoneController(terms, random.Random(secrets.randbits(64)))
         self._kinds: dict[str, Kind] = {}  # as last told
         self._proposing: asyncio.Task[None] | None = None
         self._keys: dict[tuple[str, str], str] = {}  # `pool/id` by pool and module's name
@@ -76,13 +76,13 @@
         if not posture.zones:
             return frozenset(), frozenset()
         nodes = _by_pool(state)
-        return all_unused(posture, nodes), all_renewed(self.helm.posture, posture, nodes)
+        return all_unused(posture, nodes), all_renewed(self.controller.posture, posture, nodes)
 
     def goes_by(self, version: Version | None, posture: Posture) -> None:
         """The switch is done."""
         state, places = self.live.applied.state, self.live.places.nodes
         serial = 0 if version is None else version.serial
-        self.helm.goes_by(serial, posture, _by_pool(state), steady())
+        self.controller.goes_by(serial, posture, _by_pool(state), steady())
         if self.mode == "off":
             return
         self._keys = {
@@ -94,7 +94,7 @@
             pool.seen = self._watch(pool)
 
     def _watch(self, pool: Pool) -> Callable[[str, str], None]:
-        keys, saw, name = self._keys, self.helm.saw, pool.name
+        keys, saw, name = self._keys, self.controller.saw, pool.name
 
         def seen(server: str, status: str) -> None:
             key = keys.get((name, server))
@@ -111,16 +111,16 @@
         if member is None:
             return
         now = steady()
-        if self.mode == "off" or not self.helm.due(now):
+        if self.mode == "off" or not self.controller.due(now):
             return
-        member.word, news = self.helm.word(now)
+        member.word, news = self.controller.word(now)
         if news:
             member.hurry(now)
-        heard = self.helm.hear(member.words(now))
+        heard = self.controller.hear(member.words(now))
         self._tell(heard)
         if self._proposing is not None or self.tiered.link.standing() is not MemberStatus.IN:
             return
-        found = self.helm.look(now, heard)
+        found = self.controller.look(now, heard)
         if found is not None:
             posture, why = found
             self.live.core.logger.say(f"zones: {why}; proposes the next step")
@@ -140,7 +140,7 @@
 
     async def _propose(self, posture: Posture, why: str) -> None:
         try:
-            await self._pose(posture, f"{course.AUTOMATION}: {why}")
+            await self._pose(posture, f"{rollout.AUTOMATION}: {why}")
         except ApplyError as error:
             self.live.core.logger.say(f"zones: not proposed: {error}")
         finally:
@@ -148,7 +148,7 @@
 
     async def _pose(self, posture: Posture, by: str) -> Version:
         """Have the tier go by a posture; raises ApplyError."""
-        base, when = self.helm.serial, int(time.time() * 1e6)
+        base, when = self.controller.serial, int(time.time() * 1e6)
         done = await self.tiered.decided(lambda m: m.pose(posture.content(), base, by, when))
         if done.end is not End.ACTIVE or done.head.posture is None:
             raise ApplyError("another order about zones came first; look again")
@@ -168,7 +168,9 @@
         if standing is not MemberStatus.IN:
             raise ApplyError(f"this gateway {standing.value}; ask another one")
         try:
-            wanted = self.helm.asked(act, zone, why, by, step if isinstance(step, int) else None)
+            wanted = self.controller.asked(
+                act, zone, why, by, step if isinstance(step, int) else None
+            )
         except PostureError as error:
             raise ApplyError(str(error)) from None
         if request.get("dry_run"):
@@ -180,8 +182,11 @@
 
     def _carried(self, wanted: Posture) -> dict[str, dict[str, Any]]:
         """What the nodes of each pool would have to carry."""
-        bans, pools, found = self.live.applied.state["bans"].keys(), self.helm.nodes, {}
-        out, was = all_unused(wanted, pools) | bans, all_unused(self.helm.posture, pools) | bans
+        bans, pools, found = self.live.applied.state["bans"].keys(), self.controller.nodes, {}
+        out, was = (
+            all_unused(wanted, pools) | bans,
+            all_unused(self.controller.posture, pools) | bans,
+        )
         for pool, nodes in pools.items():
             now, before = len(nodes.keys() - out), len(nodes.keys() - was)
             found[pool] = {
@@ -196,7 +201,7 @@
         assert member is not None
         try:
             async with asyncio.timeout(self.tiered.part.agree_within / 1e6):
-                while self.helm.serial < version.serial or (late := member.lagging()):
+                while self.controller.serial < version.serial or (late := member.lagging()):
                     await asyncio.sleep(0.02)
         except TimeoutError:
             return late[:NAMED]
@@ -206,7 +211,11 @@
         """What `zones status` shows."""
         member, now = self.tiered.link.member, steady()
         words = {} if member is None else member.words(now)
-        return {"ok": True, "mode": self.mode, **self.helm.status(now, self.helm.hear(words))}
+        return {
+            "ok": True,
+            "mode": self.mode,
+            **self.controller.status(now, self.controller.hear(words)),
+        }
 
 
 def _by_pool(state: State) -> dict[str, dict[str, str]]:
--- a/sailhitch/lab/judge.py
+++ b/sailhitch/lab/judge.py
@@ -12,8 +12,8 @@
 from typing import Any, Final, Protocol
 
 from ..daemon.schema import read_duration
-from ..zones.course import FIRST, following
 from ..zones.posture import in_use
+from ..zones.rollout import FIRST, following
 from .load import LOST, REFUSED, SERVED, Load
 from .node import Effect, Node, doubled
 from .scenario import Scenario, StepPart
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -137,12 +137,15 @@
         return member.confirmed >= turn and not member.lagging()
 
     def _is_back(self, step: StepPart) -> bool:
-        helms = [self.world.processes[name].helm for name in step.who]
-        return all(helm is not None and step.node not in helm.posture.zones for helm in helms)
+        controllers = [self.world.processes[name].controller for name in step.who]
+        return all(
+            controller is not None and step.node not in controller.posture.zones
+            for controller in controllers
+        )
 
     def _is_left(self, step: StepPart) -> bool:
-        helms = [self.world.processes[name].helm for name in step.who]
-        orders = [None if h is None else h.posture.zones.get(step.node) for h in helms]
+        controllers = [self.world.processes[name].controller for name in step.who]
+        orders = [None if h is None else h.posture.zones.get(step.node) for h in controllers]
         return all(order is not None and not order.share for order in orders)
 
     # --- Steps
@@ -257,12 +260,12 @@
             self._end(one, "refused")
 
     def _ask_zones(self, step: StepPart, process: TierProcess) -> int | None:
-        helm = process.helm
-        assert helm is not None
+        controller = process.controller
+        assert controller is not None
         if not self._is_in(process.name):
             return None
         try:
-            posture = helm.asked(step.do, step.node, "lab", "model", None)
+            posture = controller.asked(step.do, step.node, "lab", "model", None)
         except PostureError:
             return None
         return process.pose_zones(posture)
--- a/sailhitch/model/tier.py
+++ b/sailhitch/model/tier.py
@@ -19,7 +19,7 @@
 from ..tier.member import Founding, Member, MemberStatus, TierConfig
 from ..tier.messages import Message, Version
 from ..tier.register import VOTE
-from ..zones.helm import Helm, ZoneTerms, all_unused
+from ..zones.controller import ZoneController, ZoneTerms, all_unused
 from ..zones.posture import NOTHING, Posture, read
 from .contents import DEFAULT, Contents, is_on_disk, permitted
 from .kernel import Kernel
@@ -46,7 +46,7 @@
         self.log: list[tuple[int, str]] = []
         self.changes: dict[int, str] = {}  # by job
         self.ended: dict[int, Done] = {}  # by job
-        self.helm: Helm | None = None
+        self.controller: ZoneController | None = None
         self.unused: frozenset[str] = frozenset()
         self._switched_at = 0
         self._draw = random.Random(world.kernel.seed * 1009 + len(world.processes))
@@ -63,11 +63,11 @@
             world.terms(self.name), boot, dict(self.disk.now), rng, self.clock(), founding
         )
         self._switched_at = 0
-        self.helm = None
+        self.controller = None
         if world.zones:
             terms = ZoneTerms(1, world.step, world.place_of(self.name), world.act)
-            self.helm = Helm(terms, rng)
-            self.helm.goes_by(0, NOTHING, {"all": world.zones}, self.clock())
+            self.controller = ZoneController(terms, rng)
+            self.controller.goes_by(0, NOTHING, {"all": world.zones}, self.clock())
         self.unused = frozenset()
         self._take()
         self._tick()
@@ -87,14 +87,14 @@
         self.kernel.after(self.world.beat, self.guarded(self._tick))
 
     def _steer(self) -> None:
-        helm, member = self.helm, self.member
+        controller, member = self.controller, self.member
         now = self.clock()
-        if helm is None or member is None or not helm.due(now):
+        if controller is None or member is None or not controller.due(now):
             return
-        member.word, news = helm.word(now)
+        member.word, news = controller.word(now)
         if news:
             member.hurry(now)
-        found = helm.look(now, helm.hear(member.words(now)))
+        found = controller.look(now, controller.hear(member.words(now)))
         if found is not None and member.standing(now) is MemberStatus.IN:
             self.pose_zones(found[0])
 
@@ -119,8 +119,8 @@
         if free and self.member.standing(self.clock()) is MemberStatus.IN:
             assert self.view is not None
             zone = self.world.zones.get(str(act))
-            if self.helm is not None and zone is not None:
-                self.helm.saw(str(act), zone in self.world.frozen, False, self.clock())
+            if self.controller is not None and zone is not None:
+                self.controller.saw(str(act), zone in self.world.frozen, False, self.clock())
             self.world.truth.did(Deed(self.kernel.now, self.name, act, self.view.turn))
         self.kernel.after(self.world.every, self.guarded(self._act))
 
@@ -149,10 +149,10 @@
         self.allowed = self._read(acting.active)
         if acting.pending is not None:
             self.allowed &= self._read(acting.pending)
-        if self.helm is not None and acting.posture is not None:
+        if self.controller is not None and acting.posture is not None:
             posture = read(self.member.contents.read(acting.posture.digest))
             nodes = {"all": self.world.zones}
-            self.helm.goes_by(acting.posture.serial, posture, nodes, self.clock())
+            self.controller.goes_by(acting.posture.serial, posture, nodes, self.clock())
             self.unused = all_unused(posture, nodes)
         self.world.truth.goes_by(self.kernel.now, acting)
         self.member.acted(acting.turn, self.clock())
@@ -225,8 +225,8 @@
     def pose_zones(self, posture: Posture) -> int:
         """Propose this about zones; the number of the job."""
         assert self.member is not None
-        assert self.helm is not None
-        return self._asked(self.member.pose(posture.content(), self.helm.serial, "model", 0))
+        assert self.controller is not None
+        return self._asked(self.member.pose(posture.content(), self.controller.serial, "model", 0))
 
     def ask(self, what: Callable[[Member], int | None]) -> int | None:
         """Have the core do a job; its number, or None where it can't now."""
--- a/sailhitch/zones/helm.py
+++ b/sailhitch/zones/controller.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass
 from typing import Any, Final, NamedTuple
 
-from . import course, evidence
+from . import evidence, rollout
 from .diagnosis import Finding, Kind, Report, diagnose
+from .health_tracker import ZoneHealth
 from .posture import NOTHING, Posture, PostureError, check, renewed, unused
-from .sight import Eyes
 
 LOOK: Final = 200_000  # us between two looks at what all say
 SPREAD: Final = 1_000_000  # us over which members' proposals of one step are spread
@@ -46,7 +46,7 @@
     leaves_an_hour: int = 4  # so many at the most without an operator
 
 
-class Helm:
+class ZoneController:
     """A gateway's posture, counts and next proposal."""
 
     def __init__(self, terms: ZoneTerms, rng: random.Random) -> None:
@@ -54,7 +54,7 @@
         self.serial = 0
         self.posture = NOTHING
         self.nodes: Nodes = {}
-        self.tally, self.eyes = evidence.Tally(), Eyes()
+        self.outcome_counts, self.zone_health = evidence.OutcomeCounts(), ZoneHealth()
         self.zone_of: dict[str, str] = {}
         self._look_at = 0
         self._began: dict[str, tuple[int, int, int]] = {}  # step, round, when
@@ -70,12 +70,12 @@
         was, renewed_ = all_unused(self.posture, nodes), all_renewed(self.posture, posture, nodes)
         self.nodes = nodes
         self.zone_of = {name: zone for pool in nodes.values() for name, zone in pool.items()}
-        self.eyes.keep(self.zone_of)
+        self.zone_health.keep(self.zone_of)
         if serial == self.serial:
             return
-        self.eyes.forget((was - all_unused(posture, nodes)) | renewed_)
+        self.zone_health.forget((was - all_unused(posture, nodes)) | renewed_)
         for zone, order in posture.zones.items():
-            if order.by == course.AUTOMATION and zone not in self.posture.zones:
+            if order.by == rollout.AUTOMATION and zone not in self.posture.zones:
                 self._leaves.append(now)
         self.serial, self.posture = serial, posture
         began = {}
@@ -86,22 +86,22 @@
             first = (*at, now + self.rng.randrange(SPREAD))
             began[zone] = old if old is not None and old[:2] == at else first
         self._began = began
-        self.tally.goes_by(posture)
+        self.outcome_counts.goes_by(posture)
 
     def saw(self, node: str, failed: bool, full: bool, now: int) -> None:
         """A request to a node has ended; one that is full is not one that fails."""
         zone = self.zone_of.get(node)
         if zone is not None:
-            self.eyes.saw(node, failed, full, now)
+            self.zone_health.saw(node, failed, full, now)
             if not full:
-                self.tally.saw(zone, failed)
+                self.outcome_counts.saw(zone, failed)
 
     def word(self, now: int) -> tuple[bytes, bool]:
         """What to say to the others, and whether they wait for it: other nodes fail than before."""
-        sights = self.eyes.sights(self.zone_of, now)
+        sights = self.zone_health.sights(self.zone_of, now)
         failing = {zone: one.failed for zone, one in sights.items() if one.failed}
         news, self._failing = failing != self._failing, failing
-        word = evidence.Word(self.tally.counts(), self.terms.place, sights)
+        word = evidence.Word(self.outcome_counts.counts(), self.terms.place, sights)
         return evidence.write(word), news
 
     # --- What the fleet sees
@@ -138,7 +138,7 @@
         for zone, since in sorted(self._gone_since.items()):
             if now - since < self._patience:
                 continue
-            order = course.leave_for_now(self.terms.step, found[zone].told[:MOST_WHY])
+            order = rollout.leave_for_now(self.terms.step, found[zone].told[:MOST_WHY])
             wanted = self.posture.with_zone(zone, order)
             try:
                 self._check(wanted, zone)
@@ -154,7 +154,7 @@
             return gone
         for zone, order in self.posture.zones.items():
             since = evidence.fleet(heard.said, zone, order.step)
-            found = course.judge(order, self.age(zone, now), since)
+            found = rollout.judge(order, self.age(zone, now), since)
             if found is not None:
                 return self.posture.with_zone(zone, found[0]), f"{zone}: {found[1]}"
         return None
@@ -186,13 +186,13 @@
         if act == "release":
             return Posture(self.posture.zones, "")
         if act == "leave":
-            return self.posture.with_zone(zone, course.leave(by, why))
+            return self.posture.with_zone(zone, rollout.leave(by, why))
         if act != "return":
             raise PostureError(f"act: not known: {act[:40]!r}")
         if order is None:
             raise PostureError(f"zone {zone!r} was not left; see `sailhitch zones status`")
         dwell = max(self.terms.step, step or 0)
-        return self.posture.with_zone(zone, course.begin(order, dwell, by, why))
+        return self.posture.with_zone(zone, rollout.begin(order, dwell, by, why))
 
     def status(self, now: int, heard: Heard) -> dict[str, Any]:
         """What `zones status` shows."""
@@ -210,7 +210,7 @@
                 told[name] |= {
                     "share": order.share, "phase": order.phase, "by": order.by, "why": order.why,
                     "relapses": order.relapses, "ended": since.ended, "failed": since.failed,
-                    "waits_for": course.waits_for(order, self.age(name, now)),
+                    "waits_for": rollout.waits_for(order, self.age(name, now)),
                 }  # fmt: skip
         return {"serial": self.serial, "held": self.posture.held, "zones": told}
 
--- a/sailhitch/zones/diagnosis.py
+++ b/sailhitch/zones/diagnosis.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
-from .sight import Sight
+from .health_tracker import Sight
 
 GONE: Final = 0.8  # of its nodes failed last: one of a few that still answers saves no zone
 GRAY: Final = 0.2  # the operators' "a fifth lost"
--- a/sailhitch/zones/evidence.py
+++ b/sailhitch/zones/evidence.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from .course import Since
+from .health_tracker import Sight
 from .posture import Posture
-from .sight import Sight
+from .rollout import Since
 
 MOST: Final = 16  # zones in a word
 LARGEST: Final = 400  # bytes of a word
@@ -31,7 +31,7 @@
     sights: dict[str, Sight] = {}
 
 
-class Tally:
+class OutcomeCounts:
     """One gateway's own counts."""
 
     def __init__(self) -> None:
--- a/sailhitch/zones/sight.py
+++ b/sailhitch/zones/health_tracker.py
@@ -31,7 +31,7 @@
     full: bool
 
 
-class Eyes:
+class ZoneHealth:
     """The last outcomes, by node; bounded by the nodes of the state that holds."""
 
     def __init__(self) -> None:
--- a/sailhitch/zones/course.py
+++ b/sailhitch/zones/rollout.py
@@ -2,7 +2,7 @@
 
 A step doubles what is in use, as a slow start does, from the least share on. It lasts for as long
 as its nodes need to get warm, and until so many requests have ended there since it began; if too
-many of them failed the course goes one step back, at once, and each step lasts twice as long from
+many of them failed the rollout goes one step back, at once, and each step lasts twice as long from
 then on. Every member may propose the next step by these rules; the tier's register lets one win.
 """
 
@@ -60,7 +60,7 @@
     """What is to become of a zone on its way back, and why; None: nothing yet.
 
     `age` is for how long this member has gone by the order's step and round, in microseconds. An
-    order of None ends the course: the zone is in use as a whole.
+    order of None ends the rollout: the zone is in use as a whole.
     """
     if order.phase != "returning":
         return None
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -15,10 +15,17 @@
 from sailhitch.model.tier import World
 from sailhitch.tier.effects import End
 from sailhitch.tier.line import Step, pose
-from sailhitch.zones import course, evidence
-from sailhitch.zones.course import FIRST, MOST_RELAPSES, NEEDED, SURE_BAD, Since, judge
+from sailhitch.zones import evidence, rollout
+from sailhitch.zones.controller import (
+    HOUR,
+    Nodes,
+    ZoneController,
+    ZoneTerms,
+    all_renewed,
+    all_unused,
+)
 from sailhitch.zones.diagnosis import Finding, Kind, Report, diagnose, sick
-from sailhitch.zones.helm import HOUR, Helm, Nodes, ZoneTerms, all_renewed, all_unused
+from sailhitch.zones.health_tracker import FORGOTTEN, Sight, ZoneHealth
 from sailhitch.zones.posture import (
     NOTHING,
     Posture,
@@ -28,7 +35,7 @@
     read,
     unused,
 )
-from sailhitch.zones.sight import FORGOTTEN, Eyes, Sight
+from sailhitch.zones.rollout import FIRST, MOST_RELAPSES, NEEDED, SURE_BAD, Since, judge
 
 S = 1_000_000
 STEP = 2 * S
@@ -84,7 +91,7 @@
     assert read(made.content()) == made
 
 
-# --- The course
+# --- The rollout
 
 
 @pytest.mark.parametrize(
@@ -122,7 +129,7 @@
 
 
 def test_a_course_without_a_failure_ends_after_five_steps() -> None:
-    order, shares = course.begin(course.leave("ada", ""), STEP, "ada", ""), []
+    order, shares = rollout.begin(rollout.leave("ada", ""), STEP, "ada", ""), []
     while True:
         shares.append(order.share)
         found = judge(order, STEP, Since(100, 0))
@@ -163,7 +170,7 @@
 
 
 def test_counts_belong_to_a_step_and_outlast_a_round_of_it() -> None:
-    tally = evidence.Tally()
+    tally = evidence.OutcomeCounts()
     tally.saw("z", True)
     assert tally.counts() == {}
     for order, ended in ((_order(), 1), (_order(round=1), 2), (_order(step=2), 1)):
@@ -187,10 +194,10 @@
 # --- Operators
 
 
-def _helm(posture: Posture = NOTHING, nodes: Nodes = POOLS, **terms: Any) -> Helm:
-    helm = Helm(ZoneTerms(1, STEP, **terms), random.Random(1))
-    helm.goes_by(1, posture, nodes, 0)
-    return helm
+def _controller(posture: Posture = NOTHING, nodes: Nodes = POOLS, **terms: Any) -> ZoneController:
+    controller = ZoneController(ZoneTerms(1, STEP, **terms), random.Random(1))
+    controller.goes_by(1, posture, nodes, 0)
+    return controller
 
 
 @pytest.mark.parametrize(
@@ -200,7 +207,12 @@
         (NOTHING, "return", "z1", "was not left"),
         (NOTHING, "explode", "z1", "not known"),
         (NOTHING, "release", "", "nothing to do"),
-        (Posture({"z1": course.leave("a", "")}), "leave", "z2", r"2 zones would be out \(z1, z2\)"),
+        (
+            Posture({"z1": rollout.leave("a", "")}),
+            "leave",
+            "z2",
+            r"2 zones would be out \(z1, z2\)",
+        ),
         (Posture({"z1": BACK, "z0": BACK}), "leave", "z2", "no zone would be in use as a whole"),
     ],
 )
@@ -208,22 +220,22 @@
     posture: Posture, act: str, zone: str, said: str
 ) -> None:
     with pytest.raises(PostureError, match=said):
-        _helm(posture).asked(act, zone, "", "ada", None)
+        _controller(posture).asked(act, zone, "", "ada", None)
 
 
 def test_no_pool_is_left_without_nodes() -> None:
     pools = {"p": NODES, "small": {"small/a": "z1"}}
     with pytest.raises(PostureError, match="pool 'small' has no nodes outside of zone 'z1'"):
-        _helm(nodes=pools).asked("leave", "z1", "", "ada", None)
+        _controller(nodes=pools).asked("leave", "z1", "", "ada", None)
 
 
 def test_who_holds_keeps_what_is_and_an_operators_word_goes_on() -> None:
-    helm = _helm(Posture({"z1": BACK}))
-    words = helm.hear({"g2": evidence.write(evidence.Word({"z1": (1, 100, 0)}))})
-    assert helm.look(10 * S, words) is not None
-    helm.goes_by(2, helm.asked("hold", "", "", "ada", None), POOLS, 10 * S)
-    assert helm.look(60 * S, words) is None
-    assert helm.asked("leave", "z1", "", "ada", None).zones["z1"].phase == "out"
+    controller = _controller(Posture({"z1": BACK}))
+    words = controller.hear({"g2": evidence.write(evidence.Word({"z1": (1, 100, 0)}))})
+    assert controller.look(10 * S, words) is not None
+    controller.goes_by(2, controller.asked("hold", "", "", "ada", None), POOLS, 10 * S)
+    assert controller.look(60 * S, words) is None
+    assert controller.asked("leave", "z1", "", "ada", None).zones["z1"].phase == "out"
 
 
 # --- A fleet
@@ -250,8 +262,8 @@
 
 def _ask(world: World, name: str, act: str, zone: str) -> None:
     process = world.processes[name]
-    assert process.helm is not None
-    process.pose_zones(process.helm.asked(act, zone, "", "ada", None))
+    assert process.controller is not None
+    process.pose_zones(process.controller.asked(act, zone, "", "ada", None))
 
 
 def _out(world: World, zone: str) -> list[int]:
@@ -291,7 +303,9 @@
     least: list[int] = []
     _go_on(world, 60, lambda: least.append(min(_out(world, "z1"))))
     assert min(least) == 3  # no more than the one node of the first step
-    relapses = [p.helm.posture.zones["z1"].relapses for p in world.processes.values() if p.helm]
+    relapses = [
+        p.controller.posture.zones["z1"].relapses for p in world.processes.values() if p.controller
+    ]
     assert min(relapses) >= 2
     world.frozen.clear()
     _go_on(world, 120)
@@ -300,7 +314,7 @@
 
 def test_one_sick_gateway_holds_no_return_back(monkeypatch: Patch) -> None:
     world = _fleet()
-    sick = world.processes["g5"].helm
+    sick = world.processes["g5"].controller
     assert sick is not None
     monkeypatch.setattr(sick, "saw", functools.partial(_as_failed, sick.saw))
     _ask(world, "g1", "leave", "z1")
@@ -417,7 +431,7 @@
 
 
 def test_the_last_outcome_counts_until_it_is_forgotten() -> None:
-    eyes, nodes = Eyes(), {"a": "z", "b": "z", "c": "y"}
+    eyes, nodes = ZoneHealth(), {"a": "z", "b": "z", "c": "y"}
     for node, failed in (("a", True), ("a", False), ("b", True), ("gone", True)):
         eyes.saw(node, failed, False, 5)
     assert eyes.sights(nodes, 5) == {"z": Sight(2, 1, 0)}
@@ -465,9 +479,9 @@
 def _nobody_leaves(frozen: set[str], sick: tuple[str, ...] = ()) -> None:
     world = _fleet(9, 2, act=True)
     for name in sick:
-        helm = world.processes[name].helm
-        assert helm is not None
-        helm.saw = functools.partial(_as_failed, helm.saw)  # type: ignore[method-assign]
+        controller = world.processes[name].controller
+        assert controller is not None
+        controller.saw = functools.partial(_as_failed, controller.saw)  # type: ignore[method-assign]
     world.frozen |= frozen
     _go_on(world, 20)
     for zone in ("z0", "z1", "z2"):
@@ -505,27 +519,27 @@
 
 
 def test_only_so_many_leaves_an_hour_without_an_operator() -> None:
-    helm = _helm(act=True, leaves_an_hour=2)
-    words = helm.hear(_said(GOOD, GOOD, BAD))
+    controller = _controller(act=True, leaves_an_hour=2)
+    words = controller.hear(_said(GOOD, GOOD, BAD))
     now, serial = 0, 1
     for _ in range(2):
-        assert helm.leaving(now, words) is None  # it has to last
-        found = helm.leaving(now + 2 * S, words)
+        assert controller.leaving(now, words) is None  # it has to last
+        found = controller.leaving(now + 2 * S, words)
         assert found is not None
         for posture in (found[0], NOTHING):
             serial, now = serial + 1, now + 10 * S
-            helm.goes_by(serial, posture, POOLS, now)
-            assert helm.leaving(now, helm.hear(_said(GOOD, GOOD, GOOD))) is None
-    assert helm.leaving(now, words) is None
-    assert helm.leaving(now + 2 * S, words) is None
-    assert helm.leaving(now + HOUR, words) is not None
+            controller.goes_by(serial, posture, POOLS, now)
+            assert controller.leaving(now, controller.hear(_said(GOOD, GOOD, GOOD))) is None
+    assert controller.leaving(now, words) is None
+    assert controller.leaving(now + 2 * S, words) is None
+    assert controller.leaving(now + HOUR, words) is not None
 
 
 def test_who_only_advises_proposes_nothing_and_shows_what_it_finds() -> None:
-    helm = _helm()
-    words = helm.hear(_said(GOOD, GOOD, BAD))
-    assert [helm.leaving(at * S, words) for at in range(9)] == [None] * 9
-    told = helm.status(9 * S, words)["zones"]["z2"]
+    controller = _controller()
+    words = controller.hear(_said(GOOD, GOOD, BAD))
+    assert [controller.leaving(at * S, words) for at in range(9)] == [None] * 9
+    told = controller.status(9 * S, words)["zones"]["z2"]
     assert (told["finding"], told["sure"]) == ("gone", 1.0)
     assert told["seen"] == "100% of its nodes fail from z0 (2 gateways)"
 
@@ -542,13 +556,13 @@
         kinds = {zone: Kind.GONE if zone in gone else Kind.WELL for zone in sizes}
         return {zone: Finding(kind, 1.0, "") for zone, kind in kinds.items()}
 
-    patch.setattr("sailhitch.zones.helm.diagnose", diagnose)
+    patch.setattr("sailhitch.zones.controller.diagnose", diagnose)
 
 
 def _steps_without_evidence(patch: Patch) -> None:
-    patch.setattr(course, "NEEDED", 0)
-    patch.setattr(course, "SURE_BAD", 1 << 30)
-    patch.setattr(course, "BAD", 1.0)
+    patch.setattr(rollout, "NEEDED", 0)
+    patch.setattr(rollout, "SURE_BAD", 1 << 30)
+    patch.setattr(rollout, "BAD", 1.0)
 
 
 def _believes_each(patch: Patch) -> None:
@@ -558,7 +572,7 @@
         return Since(sum(e for e, _ in said), sum(f for _, f in said))
 
     patch.setattr(evidence, "fleet", fleet)
-    patch.setattr(course, "SURE_BAD", 2)
+    patch.setattr(rollout, "SURE_BAD", 2)
 
 
 def _waits_for_what_is_pending(patch: Patch) -> None:
