Go on with passed-on connections that a successor did not take before it ended

Symptom: a successor that is killed while connections are passed on to it ends those it had not read: 10 of 10 clients get a reset, with requests sent on them since.

Cause: a descriptor on its way lies in the socket between the two processes; the one before closes its own as soon as it is sent.

Change: the process before keeps a duplicate until the successor says TAKEN (handover/ passed_connections.py), and goes on with the rest where that process has surely ended, by its pidfd: one that has only left the link may have taken them. The way to say so is told in HELLO, so that with a process of an earlier version on either side all is as before.

--- a/sailhitch/handover/legacy.py
+++ b/sailhitch/handover/legacy.py
@@ -23,7 +23,8 @@
 MOST: Final = 16 << 20  # of state; more is none
 
 # What a frame holds.
-HELLO, STATE, WHOLE, READY, BAN, CLIENT, DRAINING, HOLDS = b"HSWRBCDN"
+HELLO, STATE, WHOLE, READY, BAN, CLIENT, DRAINING, HOLDS, TAKEN = b"HSWRBCDNT"
+CONFIRMS: Final = 1  # behind the form in a HELLO: a TAKEN follows each CLIENT that is taken
 
 
 class HandoverError(ValueError):
--- a/sailhitch/handover/succession.py
+++ b/sailhitch/handover/succession.py
@@ -24,6 +24,7 @@
 from .files import Places
 from .legacy import Ban, HandoverError, Legacy, Pieces
 from .link import Link, listen, reach
+from .passed_connections import PassedConnections, PeerProcess
 from .shares import Share
 
 INHERIT: Final = 2.0  # s that a predecessor may take to tell what it knows
@@ -42,6 +43,9 @@
         self.after: Link | None = None
         self.inherited = False
         self.passed = self.taken = 0  # connections, for the log
+        self._unconfirmed = PassedConnections()
+        self._after_process: PeerProcess | None = None
+        self._after_confirms = False
         self.others: dict[Link, int] = {}  # descriptors that they hold, by their last word
         self._keeper = BanKeeper(
             self.core.loop, places, lambda: told.bans_of(self.pool.maintenance), self.log
@@ -60,7 +64,7 @@
         if sock is not None:
             self.before = Link(sock, self._from_before, self._before_ended)
             self.share.before = True
-            self.before.send(bytes((told.HELLO, told.FORM)))
+            self.before.send(bytes((told.HELLO, told.FORM, told.CONFIRMS)))
             try:
                 async with asyncio.timeout(INHERIT):
                     await self._heard.wait()
@@ -128,6 +132,8 @@
             for descriptor in descriptors:
                 self.taken += 1
                 self.listener.adopt(descriptor)
+                if self.before is not None:
+                    self.before.send(bytes((told.TAKEN,)))
             return
         for descriptor in descriptors:
             os.close(descriptor)
@@ -169,6 +175,7 @@
             # Danger: of two that would follow only one may; the later one is who is waited for.
             self.after.close()
         self.after = Link(sock, self._from_after, self._after_ended)
+        self._after_process, self._after_confirms = PeerProcess(sock), False
         self.share.after, self.share.after_ready = True, False
         self._settle()
 
@@ -176,7 +183,10 @@
         for descriptor in descriptors:
             os.close(descriptor)
         assert self.after is not None
-        if kind == told.HELLO:
+        if kind == told.TAKEN:
+            self._unconfirmed.taken()
+        elif kind == told.HELLO:
+            self._after_confirms = payload[1:2] == bytes((told.CONFIRMS,))
             for frame in told.frames(told.pack(self._legacy())):
                 self.after.send(frame)
             self.log.say("handover: a process that would follow has been told what is known")
@@ -203,9 +213,27 @@
         if self.after is not None:
             self.others.pop(self.after, None)
         self.after = None
+        self._take_back()
         self.share.after = self.share.after_ready = False
         self._settle()
 
+    def _take_back(self) -> None:
+        """Go on with connections that a process that has ended did not take.
+
+        Danger: one that lives and has only left the link may have taken them, and two would read
+        from one connection.
+        """
+        process, self._after_process = self._after_process, None
+        if process is None:
+            return
+        if len(self._unconfirmed) and process.has_ended():
+            descriptors = self._unconfirmed.take_back()
+            self.log.say(f"handover: {len(descriptors)} connections were not taken, and go on here")
+            for descriptor in descriptors:
+                self.listener.adopt(descriptor)
+        self._unconfirmed.close()
+        process.close()
+
     # --- Both
 
     def _links(self) -> list[Link]:
@@ -282,7 +310,7 @@
         """
         left = [client for client in list(self.core.clients) if not self._pass(client)]
         waits = self.after is not None and self.after.waits()
-        waits = waits or self.before is not None
+        waits = waits or self.before is not None or len(self._unconfirmed) > 0
         return waits or bool(self.core.arriving) or any(not c.is_closed() for c in left)
 
     def _pass(self, client: Connection) -> bool:
@@ -292,6 +320,8 @@
         if descriptor is None:
             return False
         self.passed += 1
+        if self._after_confirms:
+            self._unconfirmed.keep(descriptor)
         self.after.send(bytes((told.CLIENT,)), descriptor)
         return True
 
@@ -303,6 +333,9 @@
         if self._sock is not None:
             self.core.loop.remove_reader(self._sock)
             self._sock.close()
+        self._unconfirmed.close()
+        if self._after_process is not None:
+            self._after_process.close()
         for link in self._links():
             link.on_end = lambda: None  # this process has ended, and not the other
             link.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,6 +6,8 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -26,7 +28,8 @@
     pack,
     unpack,
 )
-from sailhitch.handover.link import Link
+from sailhitch.handover.link import Link, listen
+from sailhitch.handover.passed_connections import PassedConnections, PeerProcess
 from sailhitch.handover.shares import Share
 from sailhitch.interface import Report
 from tests.fake import MS, World, server
@@ -211,6 +214,51 @@
     asyncio.run(play())
 
 
+def test_a_peer_that_leaves_its_link_counts_as_ended_only_once_its_process_has(
+    tmp_path: Path,
+) -> None:
+    """It may have taken connections, and two processes would read from one."""
+    path = tmp_path / "s"
+    code = (
+        "import socket, sys\n"
+        "sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)\n"
+        "sock.connect(sys.argv[1])\n"
+        "sock.close()\n"
+        "sys.stdin.read()\n"
+    )
+    with listen(path) as listening:
+        command = [sys.executable, "-c", code, str(path)]
+        with subprocess.Popen(command, stdin=subprocess.PIPE) as peer:
+            listening.setblocking(True)
+            sock, _ = listening.accept()
+            with sock:
+                process = PeerProcess(sock)
+                assert sock.recv(1) == b""  # its end of the link is closed
+                assert not process.has_ended()
+                peer.kill()
+                peer.wait()
+                assert process.has_ended()
+                process.close()
+                assert not process.has_ended()
+
+
+def test_what_was_passed_on_is_taken_in_its_order_or_taken_back() -> None:
+    one, two = socket.socketpair()
+    passed = PassedConnections()
+    for sock in (one, two, two):
+        passed.keep(sock.fileno())
+    passed.taken()
+    left = passed.take_back()
+    assert [os.path.sameopenfile(fd, two.fileno()) for fd in left] == [True, True]
+    for descriptor in left:
+        os.close(descriptor)
+    passed.keep(one.fileno())
+    passed.close()
+    assert passed.take_back() == []
+    one.close()
+    two.close()
+
+
 @pytest.mark.parametrize("descriptor", ["x", "999", "0"])
 def test_a_descriptor_that_is_no_listening_socket_is_named(tmp_path: Path, descriptor: str) -> None:
     async def play() -> None:
