Take a start for a clock's fault only from twice the cold time on

Change: the threshold of Roster._compare_clocks is a named multiple of the cold time.

Measured: test_clock_steps passes.

--- a/sailhitch/policy/roster.py
+++ b/sailhitch/policy/roster.py
@@ -21,6 +21,7 @@
 REPLICAS_MOST = 32  # ...out of so many for a hot one
 HOT_WIDTH = 1.5  # a key is spread over this multiple of the servers that its share of traffic fills
 KEY_WINDOW = 2000  # requests after which the counts of keys are halved
+CLOCKS_DIFFER = 2.0  # from this multiple of the cold time on it is clocks that differ
 LEAVE_SPREAD = 0.5  # of the cold time; gateways let a warm server out of its slice over this
 
 
@@ -68,11 +69,11 @@
         """Learn from a restart whether hosts' wall clocks are behind this machine's.
 
         A host that was listed with another start at `since` can't have run for much longer. Danger:
-        by a clock that is ahead one that has just started looks warm, and is pushed over. What is
-        less than the cold time may be a list that came late, and says nothing of clocks.
+        by a clock that is ahead one that has just started looks warm, and is pushed over. Little
+        more than the cold time may be a list that came late, and says nothing of clocks.
         """
         ahead = since - entry.boot
-        if entry.boot and ahead > self.settings.rules.cold_time:
+        if entry.boot and ahead > CLOCKS_DIFFER * self.settings.rules.cold_time:
             self.clock_ahead = max(self.clock_ahead, ahead)
 
     def regroup(self, now: int) -> None:
