Name the tier's new message in the figures of scale runs

Need: test_scale_rig asks that every message has a name there, and failed in the whole run for UnfinishedRound.

Change: its tag is 'unfinished round' in benchmarks/scale/hollow.py.

--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -29,7 +29,8 @@
 LEAVE_WITHIN: Final = 1.0  # s that a restart gives to leaving, as the daemon's drain
 # What messages are called in the figures, by their tag on the wire, which outlasts renamings.
 KINDS: Final = {
-    "l": "read", "L": "read answer", "p": "prepare", "P": "promise", "a": "accept",
+    "l": "read", "L": "read answer", "u": "unfinished round", "p": "prepare", "P": "promise",
+    "a": "accept",
     "A": "accepted", "h": "voter hello", "H": "voter here", "n": "gossip", "q": "lease question",
     "g": "lease grant", "c": "content request", "C": "content piece", "i": "ping", "I": "ack",
     "N": "nack", "v": "relayed", "t": "page request", "T": "page reply",
