Say once when a shortage of descriptors lasts, and drop records that nobody reads

Change: system_errors.free_if_lasting serves listener, discovery and connector. No behaviour and no check is different.

--- a/sailhitch/net/connector.py
+++ b/sailhitch/net/connector.py
@@ -19,9 +19,9 @@
 from .system_errors import (
     LOCAL_CONNECT_ERRORS,
     OUT_OF_RESOURCES,
-    OWN_LIMIT,
     RETRY_PAUSE,
     Shortage,
+    free_if_lasting,
 )
 
 RECEIVE_BUFFER: Final = 128 * 1024  # bytes of an answer that the kernel may hold
@@ -113,7 +113,6 @@
         self.core.logger.often("connect", f"connect failed on this machine: {error.strerror}")
         number = error.errno or 0
         if number in OUT_OF_RESOURCES:
-            if self._shortage.failed(now, number):
-                self.core.exhausted(number in OWN_LIMIT)
+            free_if_lasting(self.core, self._shortage, number)
             return MOOT
         return CONNECT_FAILED if no_way.failed(now, number) else NO_ROUTE
--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -17,10 +17,9 @@
 from .socket_poll import has_event
 from .system_errors import (
     LOCAL_CONNECT_ERRORS,
-    OUT_OF_RESOURCES,
-    OWN_LIMIT,
     RETRY_PAUSE,
     Shortage,
+    free_if_lasting,
 )
 
 PATH: Final = "/registry/instances"
@@ -442,9 +441,7 @@
 
     def _connect_failed(self, error: OSError) -> None:
         """Free descriptors where the system has had none for a while; the next try finds them."""
-        number = error.errno or 0
-        if number in OUT_OF_RESOURCES and self._shortage.failed(self.core.clock(), number):
-            self.core.exhausted(number in OWN_LIMIT)
+        free_if_lasting(self.core, self._shortage, error.errno or 0)
 
     def _drop(self) -> None:
         if self._call is not None:
--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -17,10 +17,9 @@
 from .responses import closing_response
 from .system_errors import (
     CONNECTION_LOST_IN_QUEUE,
-    OUT_OF_RESOURCES,
-    OWN_LIMIT,
     RETRY_PAUSE,
     Shortage,
+    free_if_lasting,
 )
 
 ACCEPT_BATCH: Final = 64  # connections accepted in one turn of the loop
@@ -114,9 +113,7 @@
         """Log a failure of the system, and free descriptors where it lasts."""
         self._queued_since = self._queued_since or self.core.clock()
         self.core.logger.often("accept", f"accept failed: {error.strerror}")
-        number = error.errno or 0
-        if number in OUT_OF_RESOURCES and self._shortage.failed(self.core.clock(), number):
-            self.core.exhausted(number in OWN_LIMIT)
+        free_if_lasting(self.core, self._shortage, error.errno or 0)
 
     def adopt(self, descriptor: int) -> None:
         """Take over an idle connection that another process of this gateway hands on."""
--- a/sailhitch/net/system_errors.py
+++ b/sailhitch/net/system_errors.py
@@ -8,11 +8,13 @@
 import asyncio
 import errno
 from collections.abc import Awaitable, Callable
-from typing import Final, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
+
+if TYPE_CHECKING:
+    from ..core.core import Core
 
 # A process or system that has no more descriptors or buffers to give.
 OUT_OF_RESOURCES: Final = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
-OWN_LIMIT: Final = frozenset({errno.EMFILE})  # ...of these, the process's own limit
 # connect(2) failed on this machine, before a packet left it: no free port, no route, no buffer.
 LOCAL_CONNECT_ERRORS: Final = OUT_OF_RESOURCES | {
     errno.EADDRNOTAVAIL,
@@ -72,6 +74,12 @@
         self._failures = 0
 
 
+def free_if_lasting(core: Core, shortage: Shortage, number: int) -> None:
+    """Record a failed call's errno; free descriptors where they are short and that lasts."""
+    if number in OUT_OF_RESOURCES and shortage.failed(core.clock(), number):
+        core.exhausted(own_limit=number == errno.EMFILE)
+
+
 async def retry_shortage(open_resource: Callable[[], Awaitable[T]]) -> T:
     """Open something at the start of a process, again while the system is out of resources.
 
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -78,15 +78,6 @@
     over: float = float("inf")
 
 
-@dataclass(slots=True)
-class Crowded:
-    """A while in which idle clients take a gateway's descriptors."""
-
-    gateway: str
-    begun: float
-    over: float = float("inf")
-
-
 @dataclass(slots=True)
 class Records:
     """All of a play."""
@@ -96,7 +87,6 @@
     effects: dict[str, int] = field(default_factory=dict)  # by request
     lives: dict[str, list[Life]] = field(default_factory=dict)  # by gateway
     drains: list[Drain] = field(default_factory=list)
-    crowds: list[Crowded] = field(default_factory=list)
     outages: list[tuple[float, float]] = field(default_factory=list)  # of discovery
     stalls: list[tuple[float, float]] = field(default_factory=list)  # of the soak's own process
     troubles: list[str] = field(default_factory=list)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -15,7 +15,7 @@
 from tests.soak.gateways import Gateway
 from tests.soak.nodes import Mode, SoakNode
 from tests.soak.proxy import LATE_MOST
-from tests.soak.records import Crowded, Drain, Records
+from tests.soak.records import Drain, Records
 from tests.soak.system_faults import Call
 from tests.sockets import dial
 
@@ -98,8 +98,6 @@
     async def crowd_of_idlers(self) -> str:
         """Clients that say nothing take all descriptors of one, and stay for a while."""
         gateway = self.more.choice(self.gateways)
-        crowd = Crowded(gateway.name, time.monotonic())
-        self.records.crowds.append(crowd)
         clients = []
         for _ in range(CROWD):
             with contextlib.suppress(OSError):
@@ -107,7 +105,6 @@
         await asyncio.sleep(self.more.uniform(0.5, 3.0))
         for client in clients:
             client.writer.close()
-        crowd.over = time.monotonic()
         return gateway.name
 
     async def stalled_end(self) -> str:
