Count a dead preferred source of pages as tried, so that live ones are asked again

Callers: after a proposer's death a tier decided nothing any more, and a gateway stayed out until a restart. Cause: a preferred source that timed out was taken out of the sources tried without end. An untried source, the dead one, was always left, so the live one that had timed out once in a partition was never asked again. Mend: eight time-outs of a page at a preferred source count as tried, so each pass over the sources ends.

--- a/sailhitch/tier/page_fetch.py
+++ b/sailhitch/tier/page_fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Final
 
@@ -21,6 +22,7 @@
     def __init__(self, timeout: int) -> None:
         self.tried_sources: set[str] = set()
         self.late_sources: set[str] = set()  # of those tried, whose reply may still come
+        self.timeouts: Counter[str] = Counter()  # by source, since the last `forget_sources`
         self.begin("", timeout)
 
     def begin(self, source: str, timeout: int) -> None:
@@ -32,6 +34,12 @@
         self.requested_at: dict[int, int] = {}  # by offset of a block that has not arrived
         self.unanswered_requests = 0  # in a row
 
+    def forget_sources(self) -> None:
+        """Forget which sources were tried, before all of them are tried again."""
+        self.tried_sources.clear()
+        self.late_sources.clear()
+        self.timeouts.clear()
+
     def has_timed_out(self, now: int) -> bool:
         """Return whether a requested block is overdue."""
         return any(now - time >= self.timeout for time in self.requested_at.values())
--- a/sailhitch/tier/page_fetcher.py
+++ b/sailhitch/tier/page_fetcher.py
@@ -30,6 +30,8 @@
 MAX_RANGES_PER_REQUEST: Final = 16
 MAX_PAGES_IN_FLIGHT: Final = 64
 MAX_UNANSWERED_REQUESTS: Final = 2  # in a row, after which the source of a partial page is replaced
+# Of one page at a preferred source, before the page is requested of all other sources.
+MAX_TIMEOUTS_PER_SOURCE: Final = 8
 RETRY_DELAY: Final = 400_000  # us after all sources were tried
 REFUSALS_BEFORE_DELAY: Final = 4
 REFUSAL_DELAY: Final = RETRY_DELAY // 4  # us; pages spread among the members meanwhile
@@ -123,8 +125,7 @@
             source = self._sources.select(fetch.tried_sources, now, rng)
             if source is None:
                 del self._queued[digest]
-                fetch.tried_sources.clear()
-                fetch.late_sources.clear()
+                fetch.forget_sources()
                 self._delayed[digest] = now + RETRY_DELAY, fetch
                 continue
             fetch.begin(source, self._sources.timeout_of(source))
@@ -217,13 +218,19 @@
             self._delayed[digest] = now + REFUSAL_DELAY, fetch
 
     def _on_timeout(self, digest: str, fetch: PageFetch, now: int) -> None:
-        """Replace a source that did not answer in time; its reply may still come."""
+        """Replace a source that did not answer in time; its reply may still come.
+
+        A preferred source most likely has the page, so a lost datagram does not rule it out. But it
+        counts as tried after a few time-outs: the others are tried again only once all were.
+        """
         source = fetch.source
         self._sources.on_timeout(source, now)
         self._requeue(digest, fetch)
         fetch.late_sources.add(source)
-        if self._sources.is_preferred(source):
-            fetch.tried_sources.discard(source)  # it most likely has the page, whoever else has not
+        fetch.timeouts[source] += 1
+        may_repeat = fetch.timeouts[source] < MAX_TIMEOUTS_PER_SOURCE
+        if may_repeat and self._sources.is_preferred(source):
+            fetch.tried_sources.discard(source)
 
     def _requeue(self, digest: str, fetch: PageFetch) -> None:
         """Have a page fetched from another source."""
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -400,6 +400,17 @@
     assert len({*asked}) < 10
 
 
+def test_a_source_that_was_silent_once_is_asked_again_though_a_preferred_one_is_dead() -> None:
+    """Guards against a fetch that asks a dead preferred source without end, and no other."""
+    tree = build(some_entries(20), 500)
+    digest = tree_digest(tree.root)
+    play = Play({"dead": silent, "b": silent, "c": silent})
+    play.want(digest, "dead")
+    assert not play.run(digest, 3 * S)
+    play.sources["b"] = honest(holding(tree))
+    assert play.run(digest, 20 * S)
+
+
 def _with_prefix(digits: str, count: int) -> list[str]:
     """Names, chosen by trying, whose places in the tree begin alike."""
     names: list[str] = []
