Request pages last of members that are declared dead

Callers: after a proposer's death each page of its change cost up to eight time-outs of 90 to 250 ms at the dead member, between those at live ones; a change waits that long more. Cause: preferred sources were chosen by their own silence alone. The fallback ranks leave out the dead, the preferred rank did not. Evidence: with a dead preferred source and two silent ones the order of requests was dead, b, dead, c, dead, dead, and so on. Now b, c, dead: the prober's word orders the sources, and a dead one gets one request a pass. It is not left out, as the word may be wrong. The new test needs the new argument, so it could not run on the code before; the order above is its measurement there.

--- a/sailhitch/tier/content_exchange.py
+++ b/sailhitch/tier/content_exchange.py
@@ -11,6 +11,7 @@
 from .content_store import Arrival, ContentStore
 from .messages import Block, BlockRequest, PageReply, PageRequest, RegisterState
 from .outbox import Outbox
+from .page_sources import IsAlive
 from .voter import content_digests
 
 MAX_AWAITED_CONTENTS: Final = 24  # retained for pending votes, whether they are chosen or not
@@ -25,8 +26,15 @@
 class ContentExchange:
     """Owns the content store and its fetches. Effects go to the member's outbox."""
 
-    def __init__(self, kept: Mapping[str, bytes], outbox: Outbox, rng: random.Random, now: int):
-        self.store = ContentStore.from_disk(kept, now)
+    def __init__(
+        self,
+        kept: Mapping[str, bytes],
+        outbox: Outbox,
+        rng: random.Random,
+        now: int,
+        is_alive: IsAlive,
+    ) -> None:
+        self.store = ContentStore.from_disk(kept, now, is_alive)
         self._outbox = outbox
         self._rng = rng
         self._job_references: Counter[str] = Counter()  # by digest: the jobs that need it
--- a/sailhitch/tier/content_store.py
+++ b/sailhitch/tier/content_store.py
@@ -31,6 +31,7 @@
     MAX_RANGES_PER_REQUEST,
     PageFetcher,
 )
+from .page_sources import IsAlive, assume_alive
 from .page_store import PageStore
 from .token_bucket import TokenBucket
 
@@ -84,23 +85,31 @@
     """The contents that are here and those being fetched. Times in microseconds."""
 
     def __init__(
-        self, contents: Mapping[str, bytes], pages: Mapping[str, bytes] | None = None, now: int = 0
+        self,
+        contents: Mapping[str, bytes],
+        pages: Mapping[str, bytes] | None = None,
+        now: int = 0,
+        is_alive: IsAlive = assume_alive,
     ) -> None:
-        """Create a store of these packed contents and pages, by digest."""
+        """Create a store of these packed contents and pages, by digest.
+
+        Pages are requested last of members that `is_alive` declares dead.
+        """
         self.packed = dict(contents)
         self._pages = PageStore(pages or {})
         request_budget = TokenBucket(BYTES_PER_SECOND, BURST_BYTES, now)
         self._reply_budget = TokenBucket(BYTES_PER_SECOND, BURST_BYTES, now)
         self._block_fetcher = BlockFetcher(request_budget)
-        self._page_fetcher = PageFetcher(request_budget)
+        self._page_fetcher = PageFetcher(request_budget, is_alive)
         self._wanted_roots: set[str] = set()
 
     @classmethod
-    def from_disk(cls, kept: Mapping[str, bytes], now: int) -> ContentStore:
+    def from_disk(
+        cls, kept: Mapping[str, bytes], now: int, is_alive: IsAlive = assume_alive
+    ) -> ContentStore:
         """Return the store with the contents on a disk; other names are ignored."""
-        return cls(
-            _strip_prefix(kept, CONTENT_KEY_PREFIX), _strip_prefix(kept, PAGE_KEY_PREFIX), now
-        )
+        contents = _strip_prefix(kept, CONTENT_KEY_PREFIX)
+        return cls(contents, _strip_prefix(kept, PAGE_KEY_PREFIX), now, is_alive)
 
     @property
     def corrupt_count(self) -> int:
--- a/sailhitch/tier/page_fetcher.py
+++ b/sailhitch/tier/page_fetcher.py
@@ -13,7 +13,7 @@
 from ..pages import MAX_PAGE_BYTES, PageError, child_digests, decompress, verify
 from .messages import PageBlock, PageRange, PageReply, PageRequest
 from .page_fetch import BLOCK_SIZE, MAX_BLOCKS_PER_RANGE, PageFetch
-from .page_sources import MAX_TIMEOUT, PageSources
+from .page_sources import MAX_TIMEOUT, IsAlive, PageSources, assume_alive
 from .token_bucket import TokenBucket
 
 __all__ = [
@@ -48,12 +48,12 @@
 class PageFetcher:
     """Pages that are missing, and the requests in flight for them."""
 
-    def __init__(self, budget: TokenBucket) -> None:
+    def __init__(self, budget: TokenBucket, is_alive: IsAlive = assume_alive) -> None:
         self._budget = budget
         self._queued: dict[str, PageFetch] = {}  # to be started, in this order
         self._delayed: dict[str, tuple[int, PageFetch]] = {}  # with the time until when
         self._in_flight: dict[str, PageFetch] = {}
-        self._sources = PageSources()
+        self._sources = PageSources(is_alive)
         self.corrupt_count = 0  # replies that were not of the requested page
 
     def __len__(self) -> int:
@@ -229,7 +229,7 @@
         fetch.late_sources.add(source)
         fetch.timeouts[source] += 1
         may_repeat = fetch.timeouts[source] < MAX_TIMEOUTS_PER_SOURCE
-        if may_repeat and self._sources.is_preferred(source):
+        if may_repeat and self._sources.may_repeat(source):
             fetch.tried_sources.discard(source)
 
     def _requeue(self, digest: str, fetch: PageFetch) -> None:
--- a/sailhitch/tier/page_sources.py
+++ b/sailhitch/tier/page_sources.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
 # Of a request: so many round trips of its source; the maximum where none is known.
@@ -16,6 +16,14 @@
 MAX_BACKOFF: Final = 6_400_000  # us
 MAX_PREFERRED_SOURCES: Final = 16
 
+IsAlive = Callable[[str], bool]
+"""Returns whether a member is not declared dead."""
+
+
+def assume_alive(name: str) -> bool:
+    """Return True, where nothing tells which members are dead."""
+    return True
+
 
 class _Backoff(NamedTuple):
     until: int
@@ -25,7 +33,8 @@
 class PageSources:
     """Sources by how likely they have a page; times in microseconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, is_alive: IsAlive = assume_alive) -> None:
+        self._is_alive = is_alive
         self._preferred: dict[str, None] = {}  # the one that proved itself last is the last
         self._fallback_ranks: Sequence[Sequence[str]] = ()
         self._backoffs: dict[str, _Backoff] = {}
@@ -42,22 +51,30 @@
         if len(self._preferred) > MAX_PREFERRED_SOURCES:
             del self._preferred[next(iter(self._preferred))]
 
-    def is_preferred(self, name: str) -> bool:
-        """Return whether a member has announced a tree or sent a page lately."""
-        return name in self._preferred
+    def may_repeat(self, name: str) -> bool:
+        """Return whether a source that has timed out is worth another request of the same page.
+
+        It is where it has announced a tree or sent a page lately, and is not declared dead.
+        """
+        return name in self._preferred and self._is_alive(name)
 
     def set_fallback(self, ranks: Sequence[Sequence[str]]) -> None:
         """Set the members to ask after the preferred ones, the most likely rank first."""
         self._fallback_ranks = ranks
 
     def select(self, tried: Collection[str], now: int, rng: random.Random) -> str | None:
-        """Return an untried source of the first rank that has one, those in backoff last."""
-        ranks = (self._preferred, *self._fallback_ranks)
+        """Return an untried source of the first rank that has one.
+
+        Those in backoff come after the others, and those declared dead come last.
+        """
+        alive = [name for name in self._preferred if self._is_alive(name)]
+        dead = [name for name in self._preferred if name not in alive and name not in tried]
+        ranks = (alive, *self._fallback_ranks)
         untried = [[name for name in names if name not in tried] for names in ranks]
         available = [
             [name for name in names if not self._is_in_backoff(name, now)] for names in untried
         ]
-        for names in (*available, *untried):
+        for names in (*available, *untried, dead):
             if names:
                 source = rng.choice(names)
                 self._extend_backoff(source, now)  # one page shows whether it is back
--- a/sailhitch/tier/parts.py
+++ b/sailhitch/tier/parts.py
@@ -55,7 +55,7 @@
     gossip = Gossip(rng, prober, [name for name in config.peers if name != config.name])
     outbox = Outbox(config.name, gossip, prober, rng)
     membership = MembershipTable(config.name, _last_incarnation(persisted) + 1, boot)
-    exchange = ContentExchange(persisted, outbox, rng, now)
+    exchange = ContentExchange(persisted, outbox, rng, now, prober.is_alive)
     persisted_stamps = _persisted_stamps(persisted)
     stamps = dict(persisted_stamps)  # the voter adds its own
     proposer = Proposer(config.name, boot, config.voters, rng)
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -411,6 +411,18 @@
     assert play.run(digest, 20 * S)
 
 
+def test_a_source_that_is_declared_dead_is_asked_last_and_once() -> None:
+    """Guards against time-outs for each page at a proposer that is known to have died."""
+    digest = tree_digest(build(some_entries(3)).root)
+    sink = ContentStore({}, is_alive=lambda name: name != "dead")
+    rng = random.Random(1)
+    sink.fetch(digest, "dead")
+    asked = []
+    for i in range(5):
+        asked += [to for to, _ in sink.requests(1 + i * MAX_TIMEOUT, rng, [["b"], ["c"]])]
+    assert asked == ["b", "c", "dead"]
+
+
 def _with_prefix(digits: str, count: int) -> list[str]:
     """Names, chosen by trying, whose places in the tree begin alike."""
     names: list[str] = []
