Report a member that lacks the state's contents as behind, not as outside

Cause: the configuration is empty until the contents are here, and joined_revision 0 stands for both cases. Mend: not caught up and not joined is "behind"; rows say null while no configuration is known. Either status refuses to act, so what a gateway does is unchanged. Recorded bytes are unchanged. Failed before: the new test, with ('outside', 'is not in the roster').

--- a/sailhitch/daemon/cli_tier.py
+++ b/sailhitch/daemon/cli_tier.py
@@ -66,7 +66,7 @@
     age = member["age"]
     heard = "never heard" if age is None else f"heard {age / 1e6:.1f} s ago"
     voter = " voter" if member["voter"] else ""
-    outside = "" if member["inside"] else " not in the roster"
+    outside = " not in the roster" if member["inside"] is False else ""
     place = f" at {member['place']}" if member["place"] else ""
     health = f", {member['health']}" if member["health"] != "alive" else ""
     fault = f": {member['trouble']}" if member["trouble"] else ""
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -108,6 +108,11 @@
         """Return the configuration of the latest state whose contents are here."""
         return self._register.configuration
 
+    @property
+    def knows_configuration(self) -> bool:
+        """Whether `configuration` is one that was chosen, and not the empty one of a start."""
+        return self._register.knows_configuration
+
     # --- Events
 
     def take_effects(self) -> list[Effect]:
@@ -234,8 +239,12 @@
             return MemberStatus.DUPLICATE_NAME
         if not register.has_read_register:
             return MemberStatus.READING_REGISTER
-        if not register.joined_revision or register.has_left:
+        if register.has_left:
             return MemberStatus.NOT_A_MEMBER
+        if not register.joined_revision:
+            # Until its contents are here, the configuration that counts is not known.
+            is_known = register.is_caught_up()
+            return MemberStatus.NOT_A_MEMBER if is_known else MemberStatus.BEHIND
         if self.confirmed_revision < register.joined_revision:
             return MemberStatus.BEHIND
         if self.lease is not None and now >= self.lease.expires_at():
--- a/sailhitch/tier/register_view.py
+++ b/sailhitch/tier/register_view.py
@@ -76,6 +76,11 @@
         """Return the configuration of the latest state whose contents are here."""
         return self.index.configuration
 
+    @property
+    def knows_configuration(self) -> bool:
+        """Whether the contents of a state were here since the start; until then it is empty."""
+        return bool(self._configuration_digest)
+
     def is_caught_up(self) -> bool:
         """Return whether all contents of the chosen state are here.
 
--- a/sailhitch/tier/status_report.py
+++ b/sailhitch/tier/status_report.py
@@ -28,7 +28,10 @@
 
 
 def _members(member: Member, now: int) -> list[dict[str, Any]]:
-    """Return a row for each member that is configured or has a record."""
+    """Return a row for each member that is configured or has a record.
+
+    Where this member has no configuration yet, `inside` is None: not known.
+    """
     configuration = member.configuration
     table = member.membership
     config = member.config
@@ -44,7 +47,7 @@
         members.append(
             {
                 "name": name,
-                "inside": name in member_names,
+                "inside": name in member_names if member.knows_configuration else None,
                 "voter": name in voters,
                 "confirmed": 0 if record is None else record.confirmed_revision,
                 "age": age,
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -765,6 +765,25 @@
     return lambda: setattr(world.network, "send", send)
 
 
+def test_a_member_that_lacks_the_contents_is_behind_and_not_outside() -> None:
+    """Guards against a status that takes a member out that the configuration has."""
+    world = _stood()
+    process = world.processes["g5"]
+    world.processes["g5"].kill()
+    process.disk.write(dict.fromkeys(_pages_on(process)))
+    heal = _drop(world, "g5")
+    process.start()
+    world.kernel.run(world.kernel.now + 3 * S)
+    member = _member(world, "g5")
+    status = member.status(process.clock())
+    assert not member.is_caught_up()
+    assert (status["standing"], status["why"]) == ("behind", MemberStatus.BEHIND.reason)
+    assert {row["inside"] for row in status["members"]} == {None}
+    heal()
+    _rested(world)
+    assert member.status(process.clock())["standing"] == "in"
+
+
 def test_a_voter_that_lacks_a_leaf_does_not_accept() -> None:
     tree = build(some_entries(50), 500)
     leaf = next(page for page, raw in tree.pages.items() if not child_digests(raw))
