Show in tier status what is fetched, from whom and for how long

Change: the oldest fetch with its digest, source and age, the number of fetches and of jobs that wait, in the daemon's tier status and in what the command prints. Member.status and the recorded bytes are unchanged; a command of this release still reads the replies of earlier ones. Held by a case of the content store for pages and for undivided contents.

--- a/sailhitch/daemon/admin_replies.py
+++ b/sailhitch/daemon/admin_replies.py
@@ -37,6 +37,15 @@
     summary: str
 
 
+class FetchRecord(TypedDict):
+    """The fetch of a tier's content or page that has taken longest."""
+
+    digest: str
+    source: str  # the member that it was requested of last
+    age: int  # us since it was first requested
+    count: int  # of all contents and pages that are being fetched
+
+
 class MovedReply(ErrorReply):
     """The reply to a plan that was made against an earlier state."""
 
--- a/sailhitch/daemon/cli_tier.py
+++ b/sailhitch/daemon/cli_tier.py
@@ -5,13 +5,15 @@
 import argparse
 import json
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 from .cli_gateway import request_reply
 from .cli_inspect import show_history
 from .cli_outcome import CHANGES, DONE, CommandError
 from .schema import read_duration
 
+MAX_DIGEST_LENGTH: Final = 16  # characters of a digest that are printed
+
 
 def tier(options: argparse.Namespace) -> int:
     """Print what the gateways of a tier agree on, or change who is waited for."""
@@ -55,6 +57,8 @@
     if status["voter"] is not None:
         old_disk = ", its disk was an old one" if status["old_disk"] else ""
         print(f"voter: {status['voter']}{old_disk}")
+    if status.get("fetching") is not None:  # gateways of earlier releases do not tell
+        print(_describe_fetch(status["fetching"], status["jobs"]))
     if status["silent"]:
         print(f"silent: {status['silent']}")
     for member in status["members"]:
@@ -62,6 +66,13 @@
             print(_describe_member(member))
 
 
+def _describe_fetch(fetch: Mapping[str, Any], jobs: int) -> str:
+    oldest = f"{fetch['digest'][:MAX_DIGEST_LENGTH]} for {fetch['age'] / 1e6:.1f} s"
+    others = f", {fetch['count'] - 1} more beside it" if fetch["count"] > 1 else ""
+    waiting = f"; {jobs} reads or changes of this gateway wait" if jobs else ""
+    return f"fetching {oldest}, now from {fetch['source']}{others}{waiting}"
+
+
 def _describe_member(member: Mapping[str, Any]) -> str:
     age = member["age"]
     heard = "never heard" if age is None else f"heard {age / 1e6:.1f} s ago"
--- a/sailhitch/daemon/tier_commands.py
+++ b/sailhitch/daemon/tier_commands.py
@@ -8,6 +8,7 @@
 
 from ..tier.effects import ProposalResult
 from ..tier.member import Member
+from .admin_replies import FetchRecord
 from .intake import RoutedIntake
 from .schema import MOST_MEMBERS, TierMemberPart, TierPart
 from .state_applier import ApplyError
@@ -83,10 +84,13 @@
         member = self.link.member
         if member is None:
             return {"ok": True, "tier": self.part.name, "standing": "starting"}
+        now = steady()
         return {
             "ok": True,
             "tier": self.part.name,
-            **member.status(steady()),
+            **member.status(now),
+            "fetching": _fetch_record(member, now),
+            "jobs": len(member.proposer.jobs),
             "silent": self.link.disk_is_failing,
             "datagrams": self.link.sent,
             "bytes": self.link.sent_bytes,
@@ -95,6 +99,19 @@
         }
 
 
+def _fetch_record(member: Member, now: int) -> FetchRecord | None:
+    """Return what has been fetched for longest, None for nothing."""
+    fetch = member.contents.oldest_fetch()
+    if fetch is None:
+        return None
+    return FetchRecord(
+        digest=fetch.digest,
+        source=fetch.source,
+        age=now - fetch.started_at,
+        count=fetch.fetch_count,
+    )
+
+
 def _check_member(name: str, address: str) -> None:
     """Raise ApplyError for a name or an address that the operator file would not take either."""
     try:
--- a/sailhitch/tier/block_fetcher.py
+++ b/sailhitch/tier/block_fetcher.py
@@ -9,8 +9,10 @@
 import random
 import zlib
 from collections.abc import Iterable, Sequence
+from operator import attrgetter
 from typing import Final
 
+from .fetch_status import FetchStatus
 from .messages import Block, BlockRequest
 from .page_fetcher import BLOCK_SIZE
 from .token_bucket import TokenBucket
@@ -42,6 +44,7 @@
 
     def __init__(self, source: str) -> None:
         self.source = source
+        self.started_at: int | None = None  # when it was first requested
         self.total: int | None = None
         self.blocks: dict[int, bytes] = {}
         self.requested_at: dict[int, int] = {}  # when, by offset
@@ -78,6 +81,15 @@
     def __len__(self) -> int:
         return len(self._fetches)
 
+    def oldest(self) -> FetchStatus | None:
+        """Return the fetch that has taken longest, None where nothing was requested yet."""
+        statuses = [
+            FetchStatus(digest, fetch.source, fetch.started_at, len(self))
+            for digest, fetch in self._fetches.items()
+            if fetch.started_at is not None
+        ]
+        return min(statuses, key=attrgetter("started_at"), default=None)
+
     def add(self, digest: str, source: str) -> None:
         """Fetch a content from a member that has it, or had it."""
         if digest not in self._fetches:
@@ -109,6 +121,8 @@
                 if not self._budget.take(BLOCK_SIZE, now):
                     return requests
                 fetch.requested_at[offset] = now
+                if fetch.started_at is None:
+                    fetch.started_at = now
                 requests.append((fetch.source, BlockRequest(digest, offset)))
         return requests
 
--- a/sailhitch/tier/content_store.py
+++ b/sailhitch/tier/content_store.py
@@ -19,10 +19,12 @@
 import re
 import zlib
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from operator import attrgetter
 from typing import Final, NamedTuple
 
 from ..pages import Tree, child_digests, compress
 from .block_fetcher import BlockFetcher, digest_of, unpack
+from .fetch_status import FetchStatus
 from .messages import Block, BlockRequest, PageBlock, PageRange, PageReply, PageRequest
 from .page_fetcher import (
     BLOCK_HEADER,
@@ -192,6 +194,15 @@
         """Whether a content that is not here is being fetched."""
         return bool(len(self._block_fetcher) or len(self._page_fetcher))
 
+    def oldest_fetch(self) -> FetchStatus | None:
+        """Return the fetch that has taken longest, None where nothing was requested yet."""
+        statuses = [self._block_fetcher.oldest(), self._page_fetcher.oldest()]
+        started = [status for status in statuses if status is not None]
+        if not started:
+            return None
+        oldest = min(started, key=attrgetter("started_at"))
+        return oldest._replace(fetch_count=sum(status.fetch_count for status in started))
+
     def fetch(self, digest: str, source: str) -> None:
         """Fetch a content; `source` most likely has it."""
         root = root_of(digest)
--- a/sailhitch/tier/page_fetch.py
+++ b/sailhitch/tier/page_fetch.py
@@ -22,6 +22,7 @@
     def __init__(self, timeout: int) -> None:
         self.tried_sources: set[str] = set()
         self.late_sources: set[str] = set()  # of those tried, whose reply may still come
+        self.started_at: int | None = None  # when the page was first requested
         self.timeouts: Counter[str] = Counter()  # by source, since the last `forget_sources`
         self.begin("", timeout)
 
--- a/tests/test_content_store.py
+++ b/tests/test_content_store.py
@@ -37,6 +37,7 @@
     tree_digest,
 )
 from sailhitch.tier.effects import ApplyVersions, Effect, Persist
+from sailhitch.tier.fetch_status import FetchStatus
 from sailhitch.tier.member import Configuration, Member, MemberStatus, TierConfig
 from sailhitch.tier.messages import (
     Accept,
@@ -411,6 +412,23 @@
     assert play.run(digest, 20 * S)
 
 
+def test_the_fetch_that_takes_longest_is_told_with_its_source() -> None:
+    """Guards against a fetch that never ends and that no operator can see."""
+    tree = build(some_entries(3))
+    play = Play({"a": silent})
+    assert play.sink.oldest_fetch() is None
+    play.want(tree_digest(tree.root), "a")
+    assert not play.run(tree_digest(tree.root), 3 * S)
+    assert play.sink.oldest_fetch() == FetchStatus(tree.root, "a", STEP, 1)
+    play.sources["a"] = honest(holding(tree))
+    assert play.run(tree_digest(tree.root))
+    assert play.sink.oldest_fetch() is None
+    play.want("ab" * 32, "a")  # an undivided content
+    assert len(play.sink.requests(play.now, play.rng, [["b"]])) == 1
+    play.sink.requests(play.now + S, play.rng, [["b"]])
+    assert play.sink.oldest_fetch() == FetchStatus("ab" * 32, "b", play.now, 1)
+
+
 def test_a_source_that_is_declared_dead_is_asked_last_and_once() -> None:
     """Guards against time-outs for each page at a proposer that is known to have died."""
     digest = tree_digest(build(some_entries(3)).root)
