Restart a fetch of blocks whose first source is gone and was packed differently

Cause: the length that the first block names counted for ever; blocks of a member that packs the same content to another length were dropped. Mend: once the source was replaced, a block of another length starts the fetch over. A source that still answers keeps its fetch, so nothing is lost to two sources at a time. Failed before: the new case, which has the first block from a member that then dies (has() is false after 10 s).

--- a/sailhitch/tier/block_fetcher.py
+++ b/sailhitch/tier/block_fetcher.py
@@ -44,11 +44,19 @@
 
     def __init__(self, source: str) -> None:
         self.source = source
+        self.source_was_replaced = False  # since the first block that counts
         self.started_at: int | None = None  # when it was first requested
         self.total: int | None = None
         self.blocks: dict[int, bytes] = {}
         self.requested_at: dict[int, int] = {}  # when, by offset
 
+    def restart(self, total: int) -> None:
+        """Start over with a packed form of another length."""
+        self.total = total
+        self.blocks.clear()
+        self.requested_at.clear()
+        self.source_was_replaced = False
+
     def next_offsets(self, now: int) -> Iterable[int]:
         """Yield the offsets to request; the first block shows how many there are."""
         offsets = (0,) if self.total is None else range(0, self.total, BLOCK_SIZE)
@@ -117,6 +125,7 @@
         for digest, fetch in self._fetches.items():
             if others and fetch.has_timed_out(now):
                 fetch.source = rng.choice(others)
+                fetch.source_was_replaced = True
             for offset in list(fetch.next_offsets(now)):
                 if not self._budget.take(BLOCK_SIZE, now):
                     return requests
@@ -133,6 +142,9 @@
             return None
         if fetch.total is None:
             fetch.total = block.total
+        elif fetch.total != block.total and fetch.source_was_replaced:
+            # Members may pack a content differently, and the one that sent the first block is late.
+            fetch.restart(block.total)
         size = min(BLOCK_SIZE, fetch.total - block.offset)
         if block.total != fetch.total or len(block.data) != size:
             return None
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -4,6 +4,7 @@
 
 import random
 import sqlite3
+import zlib
 from pathlib import Path
 from typing import Any
 
@@ -293,6 +294,30 @@
     assert sink.read(digest) == content
 
 
+def test_a_content_is_fetched_though_the_source_of_its_first_block_died() -> None:
+    """Guards against a fetch that waits for the packing of a member that is gone."""
+    content = random.Random(3).randbytes(4 * BLOCK_SIZE).hex().encode()
+    gone, alive, sink = ContentStore({}), ContentStore({}), ContentStore({})
+    digest, _ = alive.add(content)
+    gone.packed[digest] = zlib.compress(content, 0)
+    assert len(gone.packed[digest]) != len(alive.packed[digest])
+    rng = random.Random(1)
+    sink.fetch(digest, "gone")
+    [(_, first)] = sink.requests(0, rng, [["alive"]])
+    assert isinstance(first, BlockRequest)
+    block = gone.answer_block(first, 0)
+    assert block is not None
+    sink.take_block(block)
+    for now in range(S, 11 * S, S // 10):
+        for source, request in sink.requests(now, rng, [["alive"]]):
+            assert isinstance(request, BlockRequest)
+            answer = alive.answer_block(request, now) if source == "alive" else None
+            if answer is not None:
+                sink.take_block(answer)
+    assert sink.has(digest)
+    assert sink.read(digest) == content
+
+
 def test_a_content_with_another_digest_is_rejected() -> None:
     source, sink = ContentStore({}), ContentStore({})
     digest, _ = source.add(b"x" * 10)
