Replace a source of blocks that is overdue, whoever has the requests sent

Callers: a tier decided nothing any more after a death, and gateways stayed out or behind until a restart. Cause: sources of blocks were replaced only in calls that name others, the ticks. Each repeated Accept renewed the overdue request at the same source, so the next tick found it fresh, and a member that lacks the content was asked for it without end. Mend: the fetcher keeps the sources named last, as the fetcher of pages does, and each call replaces an overdue one.

--- a/sailhitch/tier/block_fetcher.py
+++ b/sailhitch/tier/block_fetcher.py
@@ -84,6 +84,7 @@
     def __init__(self, budget: TokenBucket) -> None:
         self._budget = budget
         self._fetches: dict[str, _ContentFetch] = {}
+        self._fallback_sources: Sequence[str] = ()
         self.corrupt_count = 0  # complete contents that had another digest
 
     def __len__(self) -> int:
@@ -103,6 +104,10 @@
         if digest not in self._fetches:
             self._fetches[digest] = _ContentFetch(source)
 
+    def set_fallback_sources(self, names: Sequence[str]) -> None:
+        """Set the members that replace a source that does not answer."""
+        self._fallback_sources = names
+
     def forget(self, digest: str) -> None:
         """Cancel the fetch of a content."""
         self._fetches.pop(digest, None)
@@ -114,17 +119,15 @@
             digest: fetch for digest, fetch in self._fetches.items() if digest in retained
         }
 
-    def requests(
-        self, now: int, others: Sequence[str], rng: random.Random
-    ) -> list[tuple[str, BlockRequest]]:
+    def requests(self, now: int, rng: random.Random) -> list[tuple[str, BlockRequest]]:
         """Return the requests to send now, each with its addressee.
 
-        A source that does not answer is replaced by one of `others`.
+        A source that does not answer is replaced by one of the fallback sources.
         """
         requests: list[tuple[str, BlockRequest]] = []
         for digest, fetch in self._fetches.items():
-            if others and fetch.has_timed_out(now):
-                fetch.source = rng.choice(others)
+            if self._fallback_sources and fetch.has_timed_out(now):
+                fetch.source = rng.choice(self._fallback_sources)
                 fetch.source_was_replaced = True
             for offset in list(fetch.next_offsets(now)):
                 if not self._budget.take(BLOCK_SIZE, now):
--- a/sailhitch/tier/content_store.py
+++ b/sailhitch/tier/content_store.py
@@ -239,9 +239,9 @@
         """
         if others is not None:
             self._page_fetcher.set_fallback_sources(others)
-        other_names = [name for rank in others or () for name in rank]
+            self._block_fetcher.set_fallback_sources([name for rank in others for name in rank])
         requests: list[tuple[str, BlockRequest | PageRequest]] = []
-        requests += self._block_fetcher.requests(now, other_names, rng)
+        requests += self._block_fetcher.requests(now, rng)
         if self._pages.size < MAX_STORED_PAGE_BYTES:
             requests += self._page_fetcher.requests(now, rng)
         return requests
--- a/tests/test_tier_model.py
+++ b/tests/test_tier_model.py
@@ -62,7 +62,7 @@
     assert find_violation(draw_scenario(100_328)) is None
 
 
-@pytest.mark.parametrize("seed", [401296, 401720, 403616])
+@pytest.mark.parametrize("seed", [401296, 401720, 403616, 501117, 501891])
 def test_a_change_ends_after_its_proposer_died(seed: int) -> None:
     assert find_violation(draw_scenario_with_death(seed)) is None
 
--- a/tests/test_tier_parts.py
+++ b/tests/test_tier_parts.py
@@ -294,6 +294,23 @@
     assert sink.read(digest) == content
 
 
+def test_a_source_of_blocks_is_replaced_whoever_asks_for_the_requests() -> None:
+    """Guards against a fetch that asks one member without end, as each Accept renews its request.
+
+    A repeated Accept has requests sent without the sources that a tick names.
+    """
+    alive, sink = ContentStore({}), ContentStore({})
+    digest, _ = alive.add(b"content")
+    rng = random.Random(1)
+    sink.fetch(digest, "lacks it")
+    asked = [source for source, _ in sink.requests(0, rng, [["alive"]])]
+    for now in range(S // 5, 2 * S, S // 5):
+        asked += [source for source, _ in sink.requests(now, rng)]
+        asked += [source for source, _ in sink.requests(now + S // 20, rng, [["alive"]])]
+    assert asked[0] == "lacks it"
+    assert set(asked[1:]) == {"alive"}
+
+
 def test_a_content_is_fetched_though_the_source_of_its_first_block_died() -> None:
     """Guards against a fetch that waits for the packing of a member that is gone."""
     content = random.Random(3).randbytes(4 * BLOCK_SIZE).hex().encode()
