Reckon a request's time from the stall only until the sockets were read after it

Callers: after a stall of the gateway's loop every request was refused as late for up to 25 ms, one after the other: 24 and 28 requests of two clients after a large change beside load; a request that came in a stall could have all of its time again, so a host ran it after its client had given up. Cause: arrival was now less the lag of the last wake-up of the timers, which stood until the next wake-up and was still 0 where the loop read its sockets before its timers. Evidence: a stall made at will. Mend: arrival is when the periodic tick was due, while it is overdue, and not before the answer before it on its connection; an accepted connection with bytes that wait keeps that time. The tick runs once sockets were read.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -25,7 +25,7 @@
 from .resource_limits import ResourceLimits
 from .response import Response
 from .statistics import write_statistics
-from .timer_wheel import LATE, MS, NEVER, TimerWheel
+from .timer_wheel import LATE, MS, NEVER, TIMER_DELAY, TimerWheel
 
 __all__ = ["CLIENT_SWEEP_INTERVAL", "PERIODIC_INTERVAL", "Counters", "GatewayCore"]
 
@@ -190,8 +190,13 @@
             self.schedule(request)
 
     def arrival(self, now: int) -> int:
-        """Return when bytes read now arrived: after a stall they are read late."""
-        return now - self.timers.lag
+        """Return when bytes read now arrived, at the earliest: after a stall they are read late.
+
+        The stall's length is by how much the periodic tick is overdue. The tick after a stall runs
+        once the sockets were read, so what is read after it arrived after the stall.
+        """
+        due = self.periodic.next_tick_at
+        return due if now - due > TIMER_DELAY else now
 
     def _deadline(self, request: RequestContext, arrived: int) -> int:
         wait = request.wait_ms * MS
--- a/sailhitch/core/periodic.py
+++ b/sailhitch/core/periodic.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..front import Reason
-from .timer_wheel import MS
+from .timer_wheel import MS, NEVER
 
 if TYPE_CHECKING:
     from .core import GatewayCore
@@ -24,6 +24,7 @@
     def __init__(self, core: GatewayCore) -> None:
         self._core = core
         self.last_tick_at = 0  # the core detects stalls of the event loop by this
+        self.next_tick_at = NEVER  # and how long one has lasted by this
         self.host_sweep_at = 0
         self.client_sweep_at = 0
         self.statistics_at = 0
@@ -33,13 +34,14 @@
         self.last_tick_at = now + PERIODIC_INTERVAL
         self.host_sweep_at = now + HOST_SWEEP_INTERVAL
         self.statistics_at = now + STATISTICS_INTERVAL
-        self._core.timers.push(self.last_tick_at, None)
+        self.next_tick_at = self.last_tick_at
+        self._core.timers.push(self.next_tick_at, None)
 
     def tick(self, now: int) -> None:
         """Run the tasks that are due."""
         core = self._core
-        next_at = max(now + PERIODIC_INTERVAL // 2, self.last_tick_at + PERIODIC_INTERVAL)
-        core.timers.push(next_at, None)
+        self.next_tick_at = max(now + PERIODIC_INTERVAL // 2, self.last_tick_at + PERIODIC_INTERVAL)
+        core.timers.push(self.next_tick_at, None)
         self.last_tick_at = now
         self._run("admission", self._watch_admission, now)
         if now >= self.host_sweep_at:
--- a/sailhitch/core/timer_wheel.py
+++ b/sailhitch/core/timer_wheel.py
@@ -9,6 +9,7 @@
 
 MS: Final = 1000
 NEVER: Final = 1 << 62  # us; a time that never comes
+TIMER_DELAY: Final = 2 * MS  # by which timers of an idle event loop may be late
 LATE: Final = 40 * MS  # of delay, after which sockets are read before timers fire
 
 T = TypeVar("T")
@@ -39,7 +40,7 @@
         self.failed = failed
         self.is_stale = is_stale
         self.stalled = stalled  # called with the time and the delay, before sockets are read
-        self.lag = 0  # delay of the last wake-up; 0 up to 2 ms
+        self.lag = 0  # delay of the last wake-up; 0 up to `TIMER_DELAY`
         self.max_lag = 0  # largest delay of a stall; its reader resets it
         self._heap: list[tuple[int, int, T]] = []
         self._sequence = 0
@@ -70,7 +71,7 @@
         now = self.clock()
         late = now - self._armed_at
         self._handle = None
-        self.lag = late if late > 2 * MS else 0
+        self.lag = late if late > TIMER_DELAY else 0
         if late > LATE:
             # After a stall the loop runs timers before it reads sockets: responses that arrived
             # long ago would count as timed out, and requests would go to draining hosts.
--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -87,6 +87,10 @@
 
     def _on_readable(self) -> None:
         """Accept who waits; pause where the system fails, as the loop would spin here."""
+        now = self.core.clock()
+        arrived = self.core.arrival(now)
+        if arrived < now and not self._backlog_since:
+            self._backlog_since = arrived  # the event loop stalled
         if self._accept(ACCEPT_BATCH) is Accepted.SYSTEM_FAILED:
             self._pause_accepting()
 
@@ -134,12 +138,14 @@
     def _admit(self, sock: socket.socket, slot: ConnectionSlot) -> None:
         """Serve an admitted connection.
 
-        What it has sent may have waited for as long as accepting failed, and its client's
-        time has run since. It counts as come when the failures began.
+        What it has sent may have waited for as long as accepting failed or the event loop
+        stalled, and its client's time has run since. It counts as come when that began.
         """
         client = Downstream(self, sock, slot)
-        if self._backlog_since and _has_bytes(sock):
-            client.queued_since = self._backlog_since
+        now = self.core.clock()
+        waiting_since = self._backlog_since or self.core.arrival(now)
+        if waiting_since < now and _has_bytes(sock):
+            client.queued_since = waiting_since
         self.core.arriving.add(client)
         # The event loop itself holds only a weak reference to a task.
         task = self.core.loop.create_task(self._connect(client))
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -211,11 +211,21 @@
             request.head += b"Content-Length: %d\r\n" % self.received
         self.head_received = 0
         # A pipelined request's time runs from here, not from its turn.
-        request.arrived_at = self.queued_since or self.core.arrival(self.core.clock())
+        request.arrived_at = self._arrival()
         self.pipelined.append(request)
         if len(self.pipelined) > MAX_PIPELINED:
             raise RejectError(400, "too many requests ahead of their answers")
 
+    def _arrival(self) -> int:
+        """Return when the bytes of the request that was just read arrived, at the earliest."""
+        if self.queued_since:
+            return self.queued_since
+        arrived = self.core.arrival(self.core.clock())
+        if self.request is None and not self.pipelined and self.slot.request_count:
+            # A client sends its next request after the response to the one before.
+            return max(arrived, self.slot.since)
+        return arrived
+
     # --- Streamed body
 
     def _begin_upload(self, request: RequestContext) -> None:
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -80,6 +80,56 @@
     assert found == {}
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("stall", [0.1, 0.5, 1.5])
+def test_requests_that_come_after_a_stall_have_all_of_their_time(
+    loop: Callable[[], asyncio.AbstractEventLoop], stall: float
+) -> None:
+    """Guards against a deadline that is reckoned from a time before the stall."""
+
+    async def story() -> tuple[Counter[int], int]:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            client = await it.client()
+            assert (await client.ask(request("before")))[0] == 200
+            got: Counter[int] = Counter()
+            for i in range(3):
+                time.sleep(stall)
+                # It is here when the loop goes on, so it may have come at any time of the stall.
+                assert (await client.ask(request(f"a{i}", wait_ms=400)))[0] in (200, 503)
+                for n in range(50):
+                    got.update([(await client.ask(request(f"b{i}-{n}", wait_ms=400)))[0]])
+                other = await it.client()
+                got.update([(await other.ask(request(f"c{i}", wait_ms=400)))[0]])
+            return got, it.pool.policy.counters["shuns"]
+
+    assert _play(loop, story) == (Counter({200: 153}), 0)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("opened", ["before", "in the stall"])
+def test_a_request_that_came_in_a_stall_has_what_is_left_of_its_time(
+    loop: Callable[[], asyncio.AbstractEventLoop], opened: str
+) -> None:
+    """Its client has given up when the stall ends; no host is to run it."""
+
+    async def story() -> tuple[int, int]:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            name, port = it.addr.split(":")
+            with socket.create_connection((name, int(port))) as early:
+                await until(lambda: len(it.core.clients) == 1)
+                sock = early if opened == "before" else socket.create_connection((name, int(port)))
+                with sock:
+                    sock.sendall(request("r1", wait_ms=300))
+                    time.sleep(0.6)
+                    sock.setblocking(False)
+                    head = await asyncio.get_running_loop().sock_recv(sock, 1000)
+                    return int(head.split()[1]), len(host.seen)
+
+    status, runs = _play(loop, story)
+    assert status in (503, 504)
+    assert runs == 0
+
+
 def test_a_host_is_not_silent_that_had_little_of_a_requests_time(monkeypatch: Patch) -> None:
     """The loop was held up while it connected; the host had the request for its last tenths."""
 
