Diagnose zones where no zone has nodes, and break lab plays by tracebacks

Operators: zones status ended in "the answer was cut short", and every gateway of a tier logged a ZeroDivisionError five times a second, once the last nodes had left while a zone was returned to. Cause: reports carry the counts of a recovery's step, so there are reports where there are no nodes; "all zones fail" is true of no zones, and the mean of none was taken. Mend: a gateway without evidence of any zone is not faulty. The other divisions of the zones were read; none is by a count that can be 0. A traceback in a gateway's log now breaks a play of any scenario.

--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -32,6 +32,7 @@
 from .relay import Relay
 from .scenario import Scenario, ScenarioError, StepPart
 
+TRACEBACK: Final = "Traceback (most recent call last)"
 START: Final = 20.0  # s for daemons to find each other
 # Steps that set what all links do, and by which of a relay's rates.
 LINKS: Final = {
@@ -328,8 +329,16 @@
             gateway.send(signal.SIGCONT)
         await asyncio.gather(*(load.finish() for load in self.loads.values()))
         Judge(self.result, self.nodes, self.gateways, self.loads).judge(began, ended)
+        self._report_tracebacks()
         return self.result
 
+    def _report_tracebacks(self) -> None:
+        """Count a gateway as broken whose event loop logged an exception that nothing handled."""
+        for name, gateway in self.gateways.items():
+            count = gateway.log.read_text().count(TRACEBACK) if gateway.log.exists() else 0
+            if count:
+                self.result.broken.append(f"{name}: {count} tracebacks in its log")
+
     async def ask_steadily(self, gateway: Gateway) -> None:
         """Have clients of its own ask a gateway from now on."""
         seed = self.scenario.seed + self.names.index(gateway.name)
--- a/sailhitch/zones/diagnosis.py
+++ b/sailhitch/zones/diagnosis.py
@@ -67,7 +67,7 @@
     report: GatewayReport, reports: Sequence[GatewayReport], sizes: Mapping[str, int]
 ) -> bool:
     zones = [zone for zone in report.observations if _has_evidence(report, zone, sizes)]
-    if len(zones) < min(2, len(sizes)):
+    if not zones or len(zones) < min(2, len(sizes)):
         return False
     ratios = [_failure_ratio(report, zone) for zone in zones]
     if not all(ratio >= DEGRADED_RATIO for ratio in ratios):
