Set readiness though the zones' part of a heartbeat fails

Callers: with a fault in the zones' part a gateway that starts never gets traffic, and one whose lease has run out stays ready and answers each payout with 503. Cause: readiness is set behind the zones' heartbeat in one callback, so an exception there (the diagnosis without nodes, 39 in nine seconds) left it as it was. Mend: the exception is counted and logged as a fault, like that of any other periodic task, and readiness follows. Failed before: the new test, with the ZeroDivisionError.

--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -199,7 +199,10 @@
     def _on_heartbeat(self) -> None:
         core = self.state_applier.core
         status = self.link.member_status()
-        self.zone_coordinator.on_heartbeat()
+        try:
+            self.zone_coordinator.on_heartbeat()
+        except Exception as error:
+            core.fault("the zones' heartbeat", error)
         core.ready = status is MemberStatus.ACTIVE and not core.drain_since and not self.stopped
         if status is not self._member_status:
             self._member_status = status
--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,54 @@
+"""An exception that nobody expected ends what raised it, and nothing beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from sailhitch.daemon.schema import TierMemberPart, TierPart
+from sailhitch.daemon.tier_link import TierLink
+from sailhitch.daemon.tier_source import TierStateSource
+from sailhitch.daemon.zone_coordinator import ZoneCoordinator
+from sailhitch.lab.ports import free_port
+from sailhitch.tier.member import MemberStatus
+from sailhitch.tier.wire import Keys
+from tests.daemons import file_value, inside, pool
+
+Patch = pytest.MonkeyPatch
+
+
+def _fail(*_: Any) -> None:
+    raise ZeroDivisionError("division by zero")
+
+
+def test_a_fault_of_the_zones_keeps_no_gateway_from_being_ready(
+    tmp_path: Path, monkeypatch: Patch
+) -> None:
+    """Guards against a gateway that is never ready, or stays ready, as zones can't be diagnosed."""
+    status = MemberStatus.ACTIVE
+    monkeypatch.setattr(ZoneCoordinator, "on_heartbeat", _fail)
+    monkeypatch.setattr(TierLink, "member_status", lambda self: status)
+
+    async def story() -> None:
+        nonlocal status
+        async with inside(tmp_path, file_value([pool("p", {})], free_port())) as it:
+            core = it.live.core
+            member = TierMemberPart(name="g1", address="127.0.0.1:9001")
+            part = TierPart(name="t", key_file="unused", members=[member], voters=["g1"])
+            keys = Keys(1, {1: b"k" * 32})
+            source = TierStateSource(it.live, part, keys, tmp_path, None, core.logger)
+            heartbeat = source.link.on_heartbeat
+            assert heartbeat is not None
+            core.ready = False
+            heartbeat()
+            assert core.ready
+            status = MemberStatus.LEASE_EXPIRED
+            heartbeat()
+            assert not core.ready
+            assert core.counters.faults == 2
+            core.counters.faults = 0  # `inside` expects none
+
+    asyncio.run(story())
