Answer an admin request that raises, in place of a cut connection

Operators: zones status in a tier without nodes printed "the answer was cut short", with the cause in the gateway's log alone, as a traceback. Cause: an exception that no request expects reached the event loop, and the connection was closed. Mend: it is counted and logged as a fault and answered as failed, with its name. Expected errors are as before. Failed before: the new test, with an empty reply.

--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -22,7 +22,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from .admin_client import AdminError, ask
-from .admin_replies import BAD, MOVED, AdminReply, error_reply
+from .admin_replies import BAD, FAILED, MOVED, AdminReply, error_reply
 from .admin_requests import AdminRequests
 from .source import StateSource
 from .state_applier import StateApplier
@@ -52,6 +52,7 @@
     ) -> None:
         self.path = path
         self.clients = 0
+        self._core = state_applier.core
         self._requests = AdminRequests(state_applier, source, tier)
         self._server: asyncio.Server | None = None
 
@@ -84,7 +85,7 @@
                 uid = self._authorize(writer)
                 request = await _read_request(reader)
             # Not within the time limit: an apply that has begun is carried to its end.
-            reply = await self._requests.execute(request, uid)
+            reply = await self._execute(request, uid)
             await _send(writer, reply, CLIENT_TIMEOUT)
         except _RefusedError as error:
             with contextlib.suppress(OSError, TimeoutError):
@@ -95,6 +96,14 @@
             self.clients -= 1
             writer.close()
 
+    async def _execute(self, request: dict[str, Any], uid: int) -> AdminReply:
+        """Return the reply to a request, also where its execution raises unexpectedly."""
+        try:
+            return await self._requests.execute(request, uid)
+        except Exception as error:
+            self._core.fault("an admin request", error)
+            return error_reply(FAILED, f"unexpected, see the log: {error!r:.100}")
+
     def _authorize(self, writer: asyncio.StreamWriter) -> int:
         """Return the client's user id; raises _RefusedError for a client that is not served."""
         if self.clients > MAX_CLIENTS:
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from sailhitch.daemon.admin_requests import AdminRequests
 from sailhitch.daemon.schema import TierMemberPart, TierPart
 from sailhitch.daemon.tier_link import TierLink
 from sailhitch.daemon.tier_source import TierStateSource
@@ -18,6 +20,7 @@
 from tests.daemons import file_value, inside, pool
 
 Patch = pytest.MonkeyPatch
+PATIENCE = 5.0  # s
 
 
 def _fail(*_: Any) -> None:
@@ -52,3 +55,25 @@
             core.counters.faults = 0  # `inside` expects none
 
     asyncio.run(story())
+
+
+def test_a_request_that_raises_is_answered(tmp_path: Path, monkeypatch: Patch) -> None:
+    """Guards against an admin connection that is cut without a word."""
+
+    async def failing(self: AdminRequests, request: Any, uid: int) -> None:
+        _fail()
+
+    async def story() -> None:
+        async with inside(tmp_path, file_value([pool("p", {})], free_port())) as it:
+            monkeypatch.setattr(AdminRequests, "execute", failing)
+            reader, writer = await asyncio.open_unix_connection(str(it.admin.path))
+            writer.write(b'{"op": "hosts"}\n')
+            async with asyncio.timeout(PATIENCE):
+                reply = json.loads(await reader.readline() or b"{}")
+            writer.close()
+            assert (reply["ok"], reply["code"]) == (False, "failed")
+            assert "ZeroDivisionError" in reply["error"]
+            assert it.live.core.counters.faults == 1
+            it.live.core.counters.faults = 0  # `inside` expects none
+
+    asyncio.run(story())
