Read the register after a long stall before attempts are sent by an old order

Callers: a gateway that wakes sends what lies in its sockets, payouts among it, to a zone that the others have left meanwhile because it fails. Cause: orders about zones do not wait for members that are declared dead, and a member that was stopped went by its old order until gossip reached it, some 100 ms later. Mend: where the heartbeat is late by 1 s, attempts wait until the register was read and applied, for 1 s at most; the hosts are looked at again before the first byte, as after unread news of a discovery. A member that hears nobody goes on.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -73,6 +73,7 @@
             loop, self.clock, self._fire, self._fire_failed, self._on_stall, _is_stale
         )
         self.stalled_until = 0  # end of the event loop's last stall
+        self.catching_up = False  # what was decided elsewhere in a stall is not applied yet
         self.periodic = PeriodicTasks(self)
         self._descriptors = DescriptorManager(self)
         self._next_id = 1
@@ -83,9 +84,12 @@
         """Return the time in microseconds; no step of the wall clock changes it."""
         return time.monotonic_ns() // 1000 + self.epoch
 
-    def event_loop_stalled(self, now: int) -> bool:
-        """Return whether the event loop is late, and what has arrived meanwhile is unread."""
-        return now - self.periodic.last_tick_at > PERIODIC_INTERVAL + LATE
+    def may_be_outdated(self, now: int) -> bool:
+        """Return whether updates may have arrived that the pools' choices don't reflect.
+
+        The event loop is late, and what has arrived meanwhile is unread, or a source catches up.
+        """
+        return self.catching_up or now - self.periodic.last_tick_at > PERIODIC_INTERVAL + LATE
 
     def begin(self) -> None:
         """Start the periodic work."""
--- a/sailhitch/daemon/tier_link.py
+++ b/sailhitch/daemon/tier_link.py
@@ -55,6 +55,7 @@
 MemberJob = Callable[[Member], int | None]  # starts a job; its number, None where it can't start
 ApplyCallback = Callable[[AppliedVersions], None]
 HeartbeatCallback = Callable[[], None]
+StallCallback = Callable[[], object]  # its result is ignored
 LogCallback = Callable[[str], None]
 
 
@@ -99,6 +100,7 @@
         self.on_apply = on_apply
         self.log = log
         self.on_heartbeat = on_heartbeat
+        self.on_stall: StallCallback | None = None  # called before the heartbeat after a stall
         self.boot = secrets.randbits(48)
         self.wire = Wire(keys, config.name, self.boot)
         self.disk = Disk(folder)
@@ -165,6 +167,14 @@
         if self._writing is None:
             self.disk.close()
 
+    def overdue(self) -> int:
+        """Return by how many microseconds the heartbeat is late: the event loop stalled so long."""
+        return max(0, steady() - self._heartbeat_due) if self._heartbeat_due else 0
+
+    def has_confirmed(self, revision: int) -> bool:
+        """Return whether this process applies the versions of a revision, or later ones."""
+        return self.member is not None and self.member.confirmed_revision >= revision
+
     def member_status(self) -> MemberStatus:
         """Return the member's status at this moment."""
         if self.member is None:
@@ -243,9 +253,11 @@
 
         The loop runs timers before sockets: members whose replies lie unread would be suspected.
         """
-        if steady() - self._heartbeat_due <= STALLED_AFTER:
+        if self.overdue() <= STALLED_AFTER:
             self._tick()
             return
+        if self.on_stall is not None:
+            self.on_stall()
         self._heartbeat_handle = asyncio.get_running_loop().call_later(READ_FIRST, self._tick)
 
     def _tick(self) -> None:
--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -19,6 +19,7 @@
 from ..tier.effects import AppliedVersions
 from ..tier.member import BootstrapVersion, Member, MemberStatus, TierConfig
 from ..tier.wire import Keys
+from .catch_up import CatchUp
 from .endpoint_registry import address_of
 from .intake import come_back
 from .plan import PlanError, check_base, load_plan
@@ -32,7 +33,7 @@
 from .tier_commands import TierCommands
 from .tier_decisions import DECISION_TIMEOUT
 from .tier_link import TierLink
-from .version_applier import VersionApplier
+from .version_applier import PoolGates, VersionApplier
 from .version_states import VersionStates
 from .zone_coordinator import ZoneCoordinator
 
@@ -82,13 +83,16 @@
             config, addresses, keys, folder, self._on_apply, log.write, self._on_heartbeat
         )
         self.stopped = False
+        catch_up = CatchUp(self.link, state_applier.core, log)
+        self.link.on_stall = catch_up.is_needed
         self._member_status: MemberStatus | None = None
         self._states = VersionStates()
         self.zone_coordinator = ZoneCoordinator(
             self.link, state_applier, zones, state_applier.gateway, part.agree_within
         )
+        gates = PoolGates(self._may_write, catch_up.is_needed)
         self.version_applier = VersionApplier(
-            self.link, state_applier, self._states, self.zone_coordinator, self._may_write, log
+            self.link, state_applier, self._states, self.zone_coordinator, gates, log
         )
         self.changes = TierChanges(part, self.version_applier, self._states)
         self.commands = TierCommands(part, self.link, state_applier.intake)
@@ -125,7 +129,7 @@
             0, applied.applied_at, applied.applied_by, {**applied.state, "listeners": {}}
         )
         self.state_applier.intake.gate = self._gate
-        self.version_applier.install_write_gate()
+        self.version_applier.install_gates()
         await self.link.start(None if self.link.has_persisted_state else bootstrap)
         return applied
 
--- a/sailhitch/daemon/version_applier.py
+++ b/sailhitch/daemon/version_applier.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
+from ..core.interfaces import HasUnreadEvent, MayWrite
 from ..core.log import Log
-from ..core.request_context import Attempt
 from ..tier.effects import AppliedVersions
 from .rules import meet
 from .state import State
@@ -26,7 +26,12 @@
 APPLY_RETRY_MAX: Final = 5.0  # ...up to this
 RULE_KINDS: Final = ("routes", "classes", "tenants")  # objects that decide how a request is handled
 
-WriteGate = Callable[[Attempt], bool]
+
+class PoolGates(NamedTuple):
+    """What pools ask before they write."""
+
+    may_write: MayWrite
+    is_behind: HasUnreadEvent
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +52,7 @@
         state_applier: StateApplier,
         states: VersionStates,
         zones: ZoneCoordinator,
-        may_write: WriteGate,
+        gates: PoolGates,
         log: Log,
     ) -> None:
         self.link = link
@@ -59,7 +64,7 @@
         self.rules_revision = 0
         self._states = states
         self._zones = zones
-        self._may_write = may_write
+        self._gates = gates
         self._log = log
         self._task: asyncio.Task[None] | None = None
         self._next_versions: AppliedVersions | None = None
@@ -71,10 +76,11 @@
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._apply_pending())
 
-    def install_write_gate(self) -> None:
+    def install_gates(self) -> None:
         """Have every pool ask before it writes a request to a node."""
         for pool in self.state_applier.core.pools:
-            pool.may_write = self._may_write
+            pool.may_write = self._gates.may_write
+            pool.has_unread_event = self._gates.is_behind
 
     async def _apply_pending(self) -> None:
         """Apply what was asked for last; retry where that fails, until there is something newer.
@@ -143,7 +149,7 @@
         self._states.keep_only({v.digest for v in applied})
         self.rules_revision = rules_revision
         self._zones.apply(versions.traffic_policy, traffic_policy)
-        self.install_write_gate()
+        self.install_gates()
         applied_at = self.state_applier.applied.applied_at
         self.base = AppliedState(version.serial, applied_at, version.operator, resolved.active)
         self._log.write(_describe(versions))
--- a/sailhitch/net/connection_pool.py
+++ b/sailhitch/net/connection_pool.py
@@ -142,7 +142,7 @@
         if not self.pool.may_send(attempt, now, self._is_listed(host)):
             self.pool.defer_outcome(attempt, AttemptOutcome.NOT_SENT)
             return
-        late = self.core.event_loop_stalled(now) and self.pool.has_unread_updates()
+        late = self.core.may_be_outdated(now) and self.pool.has_unread_updates()
         while not late and (conn := host.take_idle_connection(now)) is not None:
             # A host closes a connection that has been idle for long, and a request that crosses
             # that counts as one that may have run.
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -20,6 +20,7 @@
 import pytest
 import uvloop
 
+from sailhitch.daemon.catch_up import MIN_STALL, CatchUp
 from sailhitch.daemon.tier_link import TierLink
 from sailhitch.lab.ports import free_port
 from sailhitch.net.connector import Connector
@@ -202,3 +203,29 @@
         tick(now)
 
     member.on_message, member.on_tick = note_heard, note_tick  # type: ignore[method-assign]
+
+
+def test_a_member_that_hears_nobody_after_a_stall_goes_on_by_what_it_knew(tmp_path: Path) -> None:
+    """Guards against requests that wait for ever in a gateway that is cut off when it wakes."""
+
+    async def story() -> None:
+        async with gate(("a", "127.0.0.1:9")) as it:
+            addresses = {name: ("127.0.0.1", free_port(socket.SOCK_DGRAM)) for name in ("g1", "g2")}
+            config = TierConfig("g1", ("g1", "g2"), tuple(addresses))
+            keys = Keys(1, {1: b"k" * 32})
+            link = TierLink(
+                config, addresses, keys, tmp_path, lambda acting: None, lambda text: None
+            )
+            await link.start(None)
+            catch_up = CatchUp(link, it.core, it.core.logger)
+            link.on_stall = catch_up.is_needed
+            await asyncio.sleep(0.2)
+            assert not catch_up.is_needed()
+            time.sleep(2 * MIN_STALL / 1e6)
+            assert catch_up.is_needed()
+            assert it.core.catching_up
+            await until(lambda: not catch_up.is_needed())
+            assert not it.core.catching_up
+            link.close()
+
+    asyncio.run(story())
