--- a/benchmarks/scale/processes.py
+++ b/benchmarks/scale/processes.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from sailhitch.lab.tier import Gateway
+from sailhitch.lab.gateway_process import GatewayProcess
 
 from .figures import now
 
@@ -102,7 +102,7 @@
             await program.wait()
 
 
-class RealDaemon(Gateway):
+class RealDaemon(GatewayProcess):
     """`sailhitch run`, whose log says by which serial it goes."""
 
     def __init__(self, name: str, folder: Path, value: Mapping[str, Any], port: int) -> None:
--- a/benchmarks/tier_cpu.py
+++ b/benchmarks/tier_cpu.py
@@ -18,13 +18,14 @@
 from pathlib import Path
 
 from sailhitch.lab.crowd import dial
+from sailhitch.lab.gateway_process import GatewayProcess
 from sailhitch.lab.message import build
 from sailhitch.lab.ports import free_port
 from sailhitch.lab.scenario import Scenario
-from sailhitch.lab.tier import Gateway, Lab
+from sailhitch.lab.tier import Lab
 
 
-def cpu(gateway: Gateway) -> float:
+def cpu(gateway: GatewayProcess) -> float:
     """Seconds of CPU that a daemon has used so far, of all its threads.
 
     By the scheduler's own count (proc(5), schedstat): what `stat` tells is sampled at the system's
@@ -51,7 +52,7 @@
     return [(b - a) / seconds for a, b in zip(before, after, strict=True)]
 
 
-async def asked(gateway: Gateway, requests: int) -> float:
+async def asked(gateway: GatewayProcess, requests: int) -> float:
     """Microseconds of CPU a request, one after the other."""
     loop = asyncio.get_running_loop()
     line = await dial(gateway.addr)
@@ -84,7 +85,7 @@
                 "admin": str(here / "admin.sock"),
             }
             value["listeners"] = [{"name": "web", "address": f"127.0.0.1:{port}"}]
-            alone = Gateway("alone", here, value, port)
+            alone = GatewayProcess("alone", here, value, port)
             await alone.start()
             await asyncio.sleep(2.0)
             found: dict[str, list[float]] = {"alone": [], "tier": []}
--- a/sailhitch/lab/tier.py
+++ b/sailhitch/lab/tier.py
@@ -14,20 +14,20 @@
 import shutil
 import signal
 import socket
-import sys
 import tempfile
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
-from ..daemon.admin import AdminError, ask
+from ..daemon.admin import AdminError
 from ..daemon.plan import make_plan
 from ..daemon.schema import parse_value
-from .files import toml_text
+from .gateway_process import GatewayProcess
 from .judge import Judge, Result, Told
 from .load import MIX, Load
 from .node import Fault, Memory, Node
+from .operator_file import operator_file
 from .ports import free_port
 from .relay import Relay
 from .scenario import Scenario, ScenarioError, StepPart
@@ -57,73 +57,11 @@
 Say = Callable[[str], None]
 
 
-class Gateway:
-    """A daemon as a process of its own."""
+class DaemonPorts(NamedTuple):
+    """The ports of daemons, by their names."""
 
-    def __init__(self, name: str, folder: Path, value: Mapping[str, Any], port: int) -> None:
-        self.name = name
-        self.folder = folder
-        self.value = dict(value)
-        self.addr = f"127.0.0.1:{port}"
-        self.admin = folder / "admin.sock"
-        self.log = folder / "log"
-        self.program: asyncio.subprocess.Process | None = None
-        self.down: list[tuple[float, float]] = []  # when it was not to be expected to serve
-        self.restarted = False
-        self._down_since: float | None = 0.0
-
-    async def start(self) -> None:
-        """Start it."""
-        file = self.folder / "g.toml"
-        file.write_text(toml_text(self.value))
-        with open(self.log, "ab") as log:
-            self.program = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sailhitch.daemon.cli",
-                "run",
-                str(file),
-                stderr=log,
-                stdout=log,
-                cwd=Path(__file__).resolve().parents[2],
-            )
-
-    def send(self, number: int) -> None:
-        """Send a signal to the process."""
-        if self.program is not None and self.runs():
-            self.program.send_signal(number)
-
-    def runs(self) -> bool:
-        """Return whether it was started and has not ended."""
-        return self.program is not None and self.program.returncode is None
-
-    async def end(self, number: int = signal.SIGKILL) -> None:
-        """End it, and wait until it has."""
-        if self.program is not None and self.runs():
-            self.program.send_signal(signal.SIGCONT)
-            self.program.send_signal(number)
-            await self.program.wait()
-
-    def out(self, now: float) -> None:
-        """Record that nothing is expected of it from now on."""
-        self._down_since = now if self._down_since is None else self._down_since
-
-    def back(self, now: float) -> None:
-        """Record that it serves again."""
-        if self._down_since is not None:
-            self.down.append((self._down_since, now))
-            self._down_since = None
-
-    async def ask(self, request: Mapping[str, Any], patience: float = 30.0) -> dict[str, Any]:
-        """One admin request; raises AdminError."""
-        return await asyncio.to_thread(ask, self.admin, request, patience)
-
-    async def status(self) -> dict[str, Any]:
-        """Return what `tier status` says; empty where it does not answer."""
-        try:
-            return await self.ask({"op": "tier", "act": "status"}, 1.0)
-        except AdminError:
-            return {}
+    datagrams: dict[str, int]  # of the tier
+    clients: dict[str, int]
 
 
 class Lab:
@@ -135,7 +73,7 @@
         self.say = say
         self.names = scenario.names()
         self.nodes = {f"n{i + 1}": Node(0.002) for i in range(scenario.nodes)}
-        self.gateways: dict[str, Gateway] = {}
+        self.gateways: dict[str, GatewayProcess] = {}
         self.relays: dict[tuple[str, str], Relay] = {}
         self.loads: dict[str, Load] = {}
         self.result = Result(scenario)
@@ -152,22 +90,25 @@
             node.memory = memory
             node.compares = scenario.compares
             await node.start()
-        ports = {name: free_port(socket.SOCK_DGRAM) for name in self.names}
+        ports = DaemonPorts(
+            {name: free_port(socket.SOCK_DGRAM) for name in self.names},
+            {name: free_port() for name in self.names},
+        )
         for i, a in enumerate(self.names):
             for j, b in enumerate(self.names):
                 if a != b:
-                    relay = Relay(("127.0.0.1", ports[b]), scenario.seed * 1000 + i * 30 + j)
+                    target = ("127.0.0.1", ports.datagrams[b])
+                    relay = Relay(target, scenario.seed * 1000 + i * 30 + j)
                     await relay.start()
                     self.relays[a, b] = relay
         keys = self.folder / "keys"
         keys.write_text(f"1 {secrets.token_hex(32)}\n")
         for name in self.names:
             folder = self.folder / name
-            port = free_port()
             folder.mkdir()
-            value = self._file(name, ports, port, keys, folder)
+            value = self._operator_file(name, ports, keys)
             parse_value(value)  # a wrong file is better found here than in three logs
-            self.gateways[name] = Gateway(name, folder, value, port)
+            self.gateways[name] = GatewayProcess(name, folder, value, ports.clients[name])
         first = [one for name, one in self.gateways.items() if name not in scenario.late]
         await asyncio.gather(*(one.start() for one in first))
         await self._until("all members are in", self._all_in)
@@ -175,76 +116,16 @@
         for gateway in first:
             gateway.back(now)
 
-    def _file(
-        self, name: str, ports: Mapping[str, int], port: int, keys: Path, folder: Path
-    ) -> dict[str, Any]:
+    def _operator_file(self, name: str, ports: DaemonPorts, keys: Path) -> dict[str, Any]:
         """Return a member's operator file; others are reached by the relays of its own links."""
-        at = {
-            b: ports[b] if b == name else self.relays[name, b].port
-            for b in self.names
-            if b == name or b not in self.scenario.late
-        }
-        tier: dict[str, Any] = {
-            "name": "lab",
-            "key_file": str(keys),
-            "agree_within": self.scenario.agree_within,
-            "members": [{"name": n, "address": f"127.0.0.1:{port}"} for n, port in at.items()],
-            "voters": self.names[: self.scenario.voters],
-        }
-        if self.scenario.lease is not None:
-            tier["lease"] = self.scenario.lease
-        scenario = self.scenario
-        nodes = [
-            {"id": i, "address": node.addr, "zone": scenario.zone_of(i)}
-            for i, node in self.nodes.items()
-        ]
-        zones = {"mode": scenario.mode, "step": scenario.step}
-        count = len(nodes) - self.scenario.spare
-        pools = [{"name": "claims", "nodes": nodes[:count]}]
-        if self.scenario.spare:
-            pools.append({"name": "spare", "nodes": nodes[count:]})
-        return {
-            "version": 1,
-            "gateway": {
-                "name": name,
-                "state_dir": str(folder / "state"),
-                "admin": str(folder / "admin.sock"),
-                "memory_mb": 64,
-                "cold_time": scenario.cold_time,
-                "zone": scenario.zone_of(name),
-            },
-            "tier": tier,
-            **({"zones": zones} if scenario.zones else {}),
-            "listeners": [{"name": "web", "address": f"127.0.0.1:{port}"}],
-            "classes": [
-                {"name": "page", "aim": "1s", "deadline": "2s"},
-                {"name": "payout", "effect": "unsafe", "aim": "1s", "deadline": "2s"},
-                {
-                    "name": "filing",
-                    "effect": "keyed",
-                    "aim": "1s",
-                    "deadline": "2s",
-                    "dedup": "pool",
-                    "window": "60s",
-                },
-            ],
-            "pools": pools,
-            "routes": [
-                {
-                    "name": "payouts",
-                    "match": {"path_prefix": "/payouts"},
-                    "class": "payout",
-                    "pools": {"claims": 1.0},
-                },
-                {
-                    "name": "filings",
-                    "match": {"path_prefix": "/claims", "methods": ["POST"]},
-                    "class": "filing",
-                    "pools": {"claims": 1.0},
-                },
-                {"name": "rest", "class": "page", "pools": {"claims": 1.0}},
-            ],
+        members = {
+            other: ports.datagrams[other] if other == name else self.relays[name, other].port
+            for other in self.names
+            if other == name or other not in self.scenario.late
         }
+        nodes = {node_name: node.addr for node_name, node in self.nodes.items()}
+        folder = self.folder / name
+        return operator_file(self.scenario, name, folder, ports.clients[name], keys, members, nodes)
 
     async def _all_in(self) -> bool:
         running = [one for one in self.gateways.values() if one.runs()]
@@ -339,7 +220,7 @@
             if count:
                 self.result.broken.append(f"{name}: {count} tracebacks in its log")
 
-    async def ask_steadily(self, gateway: Gateway) -> None:
+    async def ask_steadily(self, gateway: GatewayProcess) -> None:
         """Have clients of its own ask a gateway from now on."""
         seed = self.scenario.seed + self.names.index(gateway.name)
         name = gateway.name
@@ -380,7 +261,7 @@
             for one in chosen:
                 await self._fault(step, one, now)
 
-    async def _fault(self, step: StepPart, one: Gateway, now: float) -> None:
+    async def _fault(self, step: StepPart, one: GatewayProcess, now: float) -> None:
         state = one.folder / "state"
         if step.do == "pause":
             one.out(now)
@@ -416,7 +297,7 @@
             elif step.do == "heal" and not step.who:
                 relay.cut = False
 
-    async def _command(self, step: StepPart, gateway: Gateway) -> None:
+    async def _command(self, step: StepPart, gateway: GatewayProcess) -> None:
         loop = asyncio.get_running_loop()
         asked = loop.time()
         try:
@@ -433,7 +314,7 @@
         self.result.told.append(told)
         self.say(f"          {step.do} {step.node} at {gateway.name}: {end} {text}".rstrip())
 
-    async def _join(self, step: StepPart, gateway: Gateway) -> dict[str, Any]:
+    async def _join(self, step: StepPart, gateway: GatewayProcess) -> dict[str, Any]:
         """Have the tier look for one elsewhere: a newcomer, or another machine under its name."""
         answer: dict[str, Any] = {}
         for name in step.to:
@@ -446,7 +327,7 @@
             answer = await gateway.ask(place)
         return answer
 
-    async def _carry_out(self, step: StepPart, gateway: Gateway) -> dict[str, Any]:
+    async def _carry_out(self, step: StepPart, gateway: GatewayProcess) -> dict[str, Any]:
         if step.do in ("ban", "unban"):
             return await gateway.ask(
                 {"op": "ban", "node": f"claims/{step.node}", "out": step.do == "ban", "why": "lab"}
