Let no attempt wait for a tier whose link is closed

Found by reading once more: a closed link has no heartbeat, so its lateness grows, and attempts of a process that ends after it would wait for the register again and again. And the callback after a stall ran before the next heartbeat was scheduled; had it raised, the member would have had no heartbeat any more. Change: a closed link is never late, and the heartbeat is scheduled first. Failed before: the last lines of test_a_member_that_hears_nobody_after_a_stall_goes_on_by_what_it_knew.

--- a/sailhitch/daemon/tier_link.py
+++ b/sailhitch/daemon/tier_link.py
@@ -160,6 +160,7 @@
 
     def close(self) -> None:
         """Stop at once, without leaving the tier."""
+        self._heartbeat_due = 0
         if self._heartbeat_handle is not None:
             self._heartbeat_handle.cancel()
         if self._transport is not None:
@@ -168,7 +169,10 @@
             self.disk.close()
 
     def overdue(self) -> int:
-        """Return by how many microseconds the heartbeat is late: the event loop stalled so long."""
+        """Return by how many microseconds the heartbeat is late: the event loop stalled so long.
+
+        It is 0 before the start and once the link is closed.
+        """
         return max(0, steady() - self._heartbeat_due) if self._heartbeat_due else 0
 
     def has_confirmed(self, revision: int) -> bool:
@@ -256,9 +260,9 @@
         if self.overdue() <= STALLED_AFTER:
             self._tick()
             return
+        self._heartbeat_handle = asyncio.get_running_loop().call_later(READ_FIRST, self._tick)
         if self.on_stall is not None:
             self.on_stall()
-        self._heartbeat_handle = asyncio.get_running_loop().call_later(READ_FIRST, self._tick)
 
     def _tick(self) -> None:
         assert self.member is not None
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -227,5 +227,7 @@
             await until(lambda: not catch_up.is_needed())
             assert not it.core.catching_up
             link.close()
+            time.sleep(2 * MIN_STALL / 1e6)
+            assert not catch_up.is_needed()  # a closed link hears nothing more
 
     asyncio.run(story())
