Time a connect to a host from when it begins, not from when its attempt is made

What callers saw: after a stall of the gateway's loop of a quarter of a second a sound host was ejected, and where all retries went the same way a 503 (20 of 80).

Cause: the time-out for connecting ran from when the attempt was made; its connect begins in a task, one turn of the loop later. uvloop runs timers before tasks, so after a stall in between the time-out found no socket and called the host unreachable.

--- a/sailhitch/net/connection_pool.py
+++ b/sailhitch/net/connection_pool.py
@@ -157,7 +157,7 @@
             conn = host.idle.pop(0)
             self._wait(attempt, self._rest(attempt, host, _identity(host), conn), conn.close)
         elif self.core.free_descriptor():
-            self._open(attempt, host, now)
+            self._count_opening(host)
             self._wait(
                 attempt, self._connect(attempt, host, _identity(host)), lambda: self._unopened(host)
             )
@@ -177,9 +177,8 @@
         attempt.pending_connect = task = self.core.loop.create_task(work)
         task.add_done_callback(lambda done: undo() if done.cancelled() else None)
 
-    def _open(self, attempt: Attempt, host: Host, now: int) -> None:
+    def _count_opening(self, host: Host) -> None:
         """Count a connection that is about to be opened."""
-        attempt.connect_by = now + self.pool.connection_settings.connect_timeout
         self.connecting += 1
         host.open += 1
 
@@ -201,8 +200,7 @@
             self._start_on(attempt, host, chosen, conn)
             return
         conn.close()
-        self._open(attempt, host, self.core.clock())
-        self.core.schedule(attempt.request)
+        self._count_opening(host)
         await self._connect(attempt, host, chosen)
 
     async def _connect(self, attempt: Attempt, host: Host, chosen: HostIdentity) -> None:
--- a/sailhitch/net/connector.py
+++ b/sailhitch/net/connector.py
@@ -50,15 +50,19 @@
     async def connect(self, attempt: Attempt, no_way: Shortage, address: Address) -> socket.socket:
         """Return a connected socket for an attempt.
 
-        Tries again for PATIENCE, and LEAST_TRIES times, where it is this machine that fails; the
-        attempt's time to connect counts anew with each try. `no_way` counts such failures of the
-        host's address. Raises OSError where the host can't be reached, and LocalConnectError.
+        Tries again for LOCAL_RETRY_TIME, and MIN_ATTEMPTS times, where it is this machine that
+        fails; the attempt's time to connect counts from the start of each try. `no_way` counts such
+        failures of the host's address. Raises OSError where the host can't be reached, and
+        LocalConnectError.
         """
         core = self.core
         give_up = core.clock() + LOCAL_RETRY_TIME
         tries = 0
         while True:
             tries += 1
+            # Not from when this task was created: the event loop may have stalled since.
+            attempt.connect_by = core.clock() + self.pool.connection_settings.connect_timeout
+            core.schedule(attempt.request)
             try:
                 sock = await self._try(attempt, address)
             except OSError as error:
@@ -76,8 +80,6 @@
             given_up = now >= give_up and tries >= MIN_ATTEMPTS
             if attempt.finished or given_up or now >= attempt.expires_at:
                 raise LocalConnectError(status)
-            attempt.connect_by = now + self.pool.connection_settings.connect_timeout
-            core.schedule(attempt.request)
 
     def is_connected(self, attempt: Attempt) -> bool:
         """Whether the system has connected an attempt's socket, also if the loop has not heard."""
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -23,6 +23,7 @@
 from sailhitch.daemon.catch_up import MIN_STALL, CatchUp
 from sailhitch.daemon.tier_link import TierLink
 from sailhitch.lab.ports import free_port
+from sailhitch.net.connection_pool import ConnectionPool
 from sailhitch.net.connector import Connector
 from sailhitch.tier.config import TierConfig
 from sailhitch.tier.messages import Message, Ping
@@ -49,6 +50,18 @@
     patch.setattr(Connector, "_try", tried)
 
 
+def _stall_before_connect(patch: Patch, number: int, seconds: float) -> None:
+    """Hold the loop up in the turn in which that attempt is made, before its task runs."""
+    real, made = ConnectionPool._wait, itertools.count(1)
+
+    def waits(self: ConnectionPool, *args: Any) -> None:
+        real(self, *args)
+        if next(made) == number:
+            time.sleep(seconds)
+
+    patch.setattr(ConnectionPool, "_wait", waits)
+
+
 def _play(loop: Callable[[], asyncio.AbstractEventLoop], story: Callable[[], Any]) -> Any:
     with asyncio.Runner(loop_factory=loop) as runner:
         return runner.run(story())
@@ -81,6 +94,26 @@
     assert found == {}
 
 
+def test_a_stall_before_an_attempt_connects_is_no_failure_of_its_host(monkeypatch: Patch) -> None:
+    """Guards against a time-out that runs from before the connect has begun."""
+
+    async def story() -> tuple[Counter[int], dict[str, int], int]:
+        async with Server() as host, gate(("a", host.addr)) as it:
+            got = await _ask_all(it, count)
+            return got, dict(it.core.counters.statuses), it.pool.policy.counters["shuns"]
+
+    found = {}
+    for loop, (count, number), stall in itertools.product(
+        LOOPS, ((1, 1), (20, 20), (80, 40), (80, 80)), (0.24, 0.26, 0.4)
+    ):
+        with monkeypatch.context() as scope:
+            _stall_before_connect(scope, number, stall)
+            ended = _play(loop, story)
+        if ended != (Counter({200: count}), {"ok": count}, 0):
+            found[loop.__module__, count, number, stall] = ended
+    assert found == {}
+
+
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("stall", [0.1, 0.5, 1.5])
 def test_requests_that_come_after_a_stall_have_all_of_their_time(
