Count what waited for its accept from when it came, not from the backlog's start

What callers saw: beside a crowd that goes on connecting, sound requests were refused as late though they had just come. Cause: a backlog's begin is kept until the queue has once been empty, and everything in it counts as come then.

The kernel knows when the last data came on a connection (TCP_INFO); a request that waited counts as come then.

--- a/sailhitch/net/listener.py
+++ b/sailhitch/net/listener.py
@@ -21,6 +21,7 @@
     Shortage,
     free_if_lasting,
 )
+from .tcp_info import data_arrival
 
 ACCEPT_BATCH: Final = 64  # connections accepted in one turn of the loop
 ACCEPT_PAUSE: Final = 0.05  # s without accepting after an error
@@ -139,13 +140,13 @@
         """Serve an admitted connection.
 
         What it has sent may have waited for as long as accepting failed or the event loop
-        stalled, and its client's time has run since. It counts as come when that began.
+        stalled, and its client's time has run since.
         """
         client = Downstream(self, sock, slot)
         now = self.core.clock()
         waiting_since = self._backlog_since or self.core.arrival(now)
         if waiting_since < now and _has_bytes(sock):
-            client.queued_since = waiting_since
+            client.queued_since = data_arrival(sock, waiting_since, now)
         self.core.arriving.add(client)
         # The event loop itself holds only a weak reference to a task.
         task = self.core.loop.create_task(self._connect(client))
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -336,6 +336,30 @@
     play(story)
 
 
+def test_who_came_late_to_a_queue_has_the_rest_of_its_own_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against all of a backlog counting as come when it began."""
+    wait, waited = 500, 800
+
+    async def story(it: Gate, host: Server) -> None:
+        call = fail_accept(it, [errno.ENFILE] * 100_000, monkeypatch)
+        since = it.core.clock()
+        first = await it.client()
+        first.send(request("first", wait_ms=wait))
+        await until(lambda: it.core.clock() - since >= waited * 1000)
+        last = await it.client()
+        last.send(request("last", wait_ms=wait))
+        await until(lambda: it.core.clock() - since >= (waited + 100) * 1000)
+        call.script.clear()
+        assert await status_of(last) == 200
+        assert told_wait(host.seen[0]) <= wait - 100 + 20
+        assert await status_of(first) == 503
+        assert len(host.seen) == 1
+
+    play(story)
+
+
 def test_what_comes_after_a_failing_accept_has_all_of_its_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
