Crowds: keep a rate by the time in which the process could run

test_front_crowds has gateway, host, front and crowd in one process. Beside load the process waits for a CPU (traced by /proc/self/schedstat: of a stall of 254 ms 214 ms are such waits and 40 ms its own work), and the load generator then made up for the time at once: 100 to 180 requests in one turn for the 85 places of its own front. The "no seat" that failed beside_hoarders[500-...] are that front's own, decided before anything is sent; in such a play the gateway served 727 of 727.

The generator's clock now stands still while the process waits for a CPU; what the gateway itself uses still counts, so a slow gateway meets the same rate as before. No share, count or bound is changed.

--- a/sailhitch/lab/crowd.py
+++ b/sailhitch/lab/crowd.py
@@ -16,6 +16,7 @@
 from typing import Any, Final, Self, cast
 
 from .message import platform
+from .run_time import run_time
 
 SERVED = "served"
 REFUSED = "refused"
@@ -246,13 +247,12 @@
         task.add_done_callback(self.tasks.discard)
 
     async def steady(self, rate: float, count: int, one: Callable[[], Awaitable[object]]) -> None:
-        """Begin `count` of something at `rate` a second, and wait for all of them."""
+        """Begin `count` of something at `rate` a second of run time, and wait for all of them."""
         running: set[asyncio.Task[object]] = set()
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        started = run_time()
         for i in range(count):
-            delay = started + i / rate - loop.time()
-            if delay > 0:
+            while (delay := started + i / rate - run_time()) > 0:
                 await asyncio.sleep(delay)
             running.add(loop.create_task(_swallow(one())))
         await asyncio.gather(*running)
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -18,6 +18,7 @@
 import pytest
 
 from sailhitch.front import Reason
+from sailhitch.lab import run_time
 from sailhitch.lab.crowd import LOST, NO_SEAT, SERVED, Crowd, Front, Tally
 from sailhitch.lab.message import platform
 from sailhitch.lab.node import Node
@@ -156,6 +157,24 @@
     play(act)
 
 
+def test_what_waited_for_a_cpu_makes_up_for_it_in_no_burst(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a crowd that asks at many times its rate after a wait for a CPU."""
+    rate, count, waited, begun = 200.0, 40, [0.0], list[float]()
+    monkeypatch.setattr(run_time, "run_delay", lambda: waited[0])
+
+    async def one() -> None:
+        begun.append(run_time.run_time())
+        if len(begun) == 10:
+            time.sleep(0.3)
+            waited[0] = 0.3
+
+    started = run_time.run_time()
+    asyncio.run(Crowd("").steady(rate, count, one))
+    early = [at - started - i / rate for i, at in enumerate(begun)]
+    assert len(begun) == count
+    assert min(early) >= 0
+
+
 # --- Misuse
 
 
