Tell the decision module of a stall before the answers that the stall delayed

What callers saw: after a stall of the gateway's own, requests that had just come were refused (503, shed) with a sound host. Cause: the module disregards responses that a stall has delayed, but it is told of the stall by the timers, and a loop that was held up may read its sockets first: the delayed responses counted as a fleet that is overloaded, and the rate was cut.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -124,6 +124,16 @@
         if isinstance(target, RequestContext) and not target.closed:
             self.respond_failed(target)
 
+    def detect_stall(self, now: int) -> None:
+        """Tell the pools of a stall that has ended and whose timers have not run yet.
+
+        The event loop may read sockets before its timers, and the decision module must not judge a
+        response that a stall has delayed without knowing of it.
+        """
+        due = self.periodic.next_tick_at
+        if now - due > LATE and self.stalled_until < due:
+            self._on_stall(now, now - due)
+
     def _on_stall(self, now: int, late: int) -> None:
         self.logger.write_limited("stall", f"held up for {late // MS} ms")
         self.stalled_until = now
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -243,6 +243,7 @@
         if request.closed:
             return None
         now = self.core.clock()
+        self.core.detect_stall(now)
         attempt.response_started = True
         attempt.expires_at = NEVER
         client = self.core.respond_streaming(request, response, length, source)
@@ -279,6 +280,7 @@
             core.client_disconnected(request)
         request.open_attempts.remove(attempt)
         now = core.clock()
+        core.detect_stall(now)
         latency = now - attempt.sent_at
         if not request.closed:
             if status == AttemptOutcome.OK:
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -164,6 +164,33 @@
     assert runs == 0
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+def test_answers_that_a_stall_held_up_make_the_gateway_shed_nothing(
+    loop: Callable[[], asyncio.AbstractEventLoop],
+) -> None:
+    """Guards against answers that are judged before the stall is known that made them late."""
+
+    async def last_one_stalls(message: bytes, writer: Writer) -> None:
+        writer.write(answer(b"now"))
+        seen.append(message)
+        if len(seen) % 200 == 0:
+            time.sleep(1.0)  # the answers of this turn lie unread with the gateway
+
+    async def story() -> tuple[Counter[int], int]:
+        async with Server(last_one_stalls) as host, gate(("a", host.addr)) as it:
+            clients = [await it.client() for _ in range(20)]
+            got: Counter[int] = Counter()
+            for turn in range(40):
+                for i, client in enumerate(clients):
+                    client.send(request(f"r{turn}-{i}"))
+                got.update([(await client.answer())[0] for client in clients])
+                await asyncio.sleep(0.02)
+            return got, it.pool.policy.counters["cuts"]
+
+    seen: list[bytes] = []
+    assert _play(loop, story) == (Counter({200: 800}), 0)
+
+
 def test_a_host_is_not_silent_that_had_little_of_a_requests_time(monkeypatch: Patch) -> None:
     """The loop was held up while it connected; the host had the request for its last tenths."""
 
