Give the watch's connect the turn of the loop that its response has after a stall

What callers saw: a gateway held up for over 0.5 s while it connects to discovery took that for a failed call, so its list, and the news of a drain, came a pause later. Cause: the time-out ran before the loop had reported the connection that the system had made. The wait for a response knew of that; both now use one function, core/loop_wait.py.

--- a/sailhitch/net/discovery.py
+++ b/sailhitch/net/discovery.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from ..core.endpoints import Address, EndpointUpdate
+from ..core.loop_wait import CONNECT_DELAY, wait_until_done
 from ..core.pool import Pool
 from ..settings import Settings
 from .backoff import Backoff
@@ -23,7 +24,6 @@
 
 PATH: Final = "/registry/instances"
 IMMEDIATE: Final = 50_000  # us; a response after less than that came at once
-LOOP_TURN: Final = 0.001  # s in which the event loop reads what has arrived
 
 
 class MovedError(Exception):
@@ -225,11 +225,7 @@
         self._response = done
         call.send(target, address, done)
         try:
-            await asyncio.wait((done,), timeout=limit - loop.time())
-            if not done.done():
-                # After a stall the event loop runs timers before sockets. One turn of it reads
-                # what has arrived.
-                await asyncio.sleep(LOOP_TURN)
+            await wait_until_done(done, limit - loop.time())
         finally:
             self._response = None  # up to the pool nothing is waited for any more
         if not done.done():
@@ -283,8 +279,7 @@
         loop = self.core.loop
         while True:
             try:
-                async with asyncio.timeout_at(limit):
-                    _, call = await loop.create_connection(Call, *address)
+                call = await self._connect_once(address, limit)
             except OSError as error:
                 self._connect_failed(error)
                 if error.errno not in LOCAL_CONNECT_ERRORS or loop.time() + RETRY_PAUSE >= limit:
@@ -294,6 +289,18 @@
                 return call
             await asyncio.sleep(RETRY_PAUSE)
 
+    async def _connect_once(self, address: Address, limit: float) -> Call:
+        """Return a new connection; raises OSError or TimeoutError."""
+        loop = self.core.loop
+        connecting = loop.create_task(loop.create_connection(Call, *address))
+        try:
+            if not await wait_until_done(connecting, limit - loop.time(), CONNECT_DELAY):
+                raise TimeoutError
+            _, call = connecting.result()
+            return call
+        finally:
+            connecting.cancel()
+
     def _connect_failed(self, error: OSError) -> None:
         """Free descriptors if the system has had none for a while, for the next attempt."""
         free_if_lasting(self.core, self._shortage, error.errno or 0)
--- a/tests/test_own_stalls.py
+++ b/tests/test_own_stalls.py
@@ -25,10 +25,11 @@
 from sailhitch.lab.ports import free_port
 from sailhitch.net.connection_pool import ConnectionPool
 from sailhitch.net.connector import Connector
+from sailhitch.net.discovery import Discovery
 from sailhitch.tier.config import TierConfig
 from sailhitch.tier.messages import Message, Ping
 from sailhitch.tier.wire import Keys, Wire
-from tests.sockets import Gate, Server, Writer, answer, gate, request, until
+from tests.sockets import Gate, Registry, Server, Writer, answer, gate, request, until
 
 LOOPS: list[Callable[[], asyncio.AbstractEventLoop]] = [
     asyncio.new_event_loop,
@@ -210,6 +211,32 @@
         assert shuns == 0, loop
 
 
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_stall_while_the_watch_connects_is_no_failure_of_discovery(
+    loop: Callable[[], asyncio.AbstractEventLoop], monkeypatch: Patch
+) -> None:
+    """Guards against a connect that counts as failed though the system has made it."""
+    real, turns = Discovery._connect, itertools.count()
+
+    async def connect(self: Discovery, *args: Any) -> Any:
+        for _ in range(next(turns)):
+            await asyncio.sleep(0)
+        self.core.loop.call_soon(time.sleep, 0.7)
+        return await real(self, *args)
+
+    async def story() -> tuple[int, bool]:
+        async with (
+            Server() as host,
+            Registry(("a", host.addr)) as registry,
+            gate(discovery=registry.addr) as it,
+        ):
+            await asyncio.wait_for(it.platform.discovery.settled.wait(), 5.0)
+            return it.core.counters.bad_lists, "a" in it.hosts.hosts
+
+    monkeypatch.setattr(Discovery, "_connect", connect)
+    assert [_play(loop, story) for _ in range(3)] == [(0, True)] * 3
+
+
 def test_a_member_that_was_held_up_reads_what_came_before_it_judges_others(
     tmp_path: Path,
 ) -> None:
