--- a/sailhitch/tier/block_fetcher.py
+++ b/sailhitch/tier/block_fetcher.py
@@ -9,10 +9,9 @@
 import random
 import zlib
 from collections.abc import Iterable, Sequence
-from operator import attrgetter
 from typing import Final
 
-from .fetch_status import FetchStatus
+from .fetch_status import FetchStatus, oldest_fetch
 from .messages import Block, BlockRequest
 from .page_fetcher import BLOCK_SIZE
 from .token_bucket import TokenBucket
@@ -92,12 +91,7 @@
 
     def oldest(self) -> FetchStatus | None:
         """Return the fetch that has taken longest, None where nothing was requested yet."""
-        statuses = [
-            FetchStatus(digest, fetch.source, fetch.started_at, len(self))
-            for digest, fetch in self._fetches.items()
-            if fetch.started_at is not None
-        ]
-        return min(statuses, key=attrgetter("started_at"), default=None)
+        return oldest_fetch(self._fetches)
 
     def add(self, digest: str, source: str) -> None:
         """Fetch a content from a member that has it, or had it."""
--- a/sailhitch/tier/page_fetcher.py
+++ b/sailhitch/tier/page_fetcher.py
@@ -8,11 +8,10 @@
 
 import random
 from collections.abc import Iterable, Sequence, Set
-from operator import attrgetter
 from typing import Final, NamedTuple
 
 from ..pages import MAX_PAGE_BYTES, PageError, child_digests, decompress, verify
-from .fetch_status import FetchStatus
+from .fetch_status import FetchStatus, oldest_fetch
 from .messages import PageBlock, PageRange, PageReply, PageRequest
 from .page_fetch import BLOCK_SIZE, MAX_BLOCKS_PER_RANGE, PageFetch
 from .page_sources import MAX_TIMEOUT, IsAlive, PageSources, assume_alive
@@ -64,13 +63,7 @@
     def oldest(self) -> FetchStatus | None:
         """Return the fetch that has taken longest, None where nothing was requested yet."""
         delayed = {digest: fetch for digest, (_, fetch) in self._delayed.items()}
-        fetches = {**self._queued, **delayed, **self._in_flight}
-        statuses = [
-            FetchStatus(digest, fetch.source, fetch.started_at, len(self))
-            for digest, fetch in fetches.items()
-            if fetch.started_at is not None
-        ]
-        return min(statuses, key=attrgetter("started_at"), default=None)
+        return oldest_fetch({**self._queued, **delayed, **self._in_flight})
 
     def prefer(self, name: str) -> None:
         """Prefer the member that announced a new tree; older sources may not have it."""
