--- a/sailhitch/front/connection_admission.py
+++ b/sailhitch/front/connection_admission.py
@@ -12,10 +12,10 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from .eviction import EVICTABLE_BELOW, LOW_PRESSURE, Retention, lowest, unproven_room
 from .groups import VIOLATOR_STANDING, Groups, source_of
 from .slots import (
     WAITING,
@@ -25,28 +25,20 @@
     State,
     kind_once_idle,
 )
-from .survival import REFRESH, Kind, LifeTables, fade, octave
-from .time_limits import NEW_CONNECTION_GRACE, TimeLimits
+from .survival import REFRESH, Kind, LifeTables, fade
+from .time_limits import TimeLimits
 
-LOW_PRESSURE: Final = 0.55  # up to which connections are kept as long as they may be...
-HIGH_PRESSURE: Final = 0.8  # ...and from which on the limits are at their shortest
+HIGH_PRESSURE: Final = 0.8  # from which on the limits are at their shortest
 PRESSURE_STEP: Final = 0.05  # of the pressure factor, from which the time limits are set again
 EVICTION_THRESHOLD: Final = 0.6  # under high pressure idle connections of less value are closed
 MAX_HORIZON: Final = 2_000_000  # us over which a coming request is discounted...
 MIN_HORIZON: Final = 300_000  # ...where request slots are scarce
-REJECTED_LINGER: Final = 100_000  # us after which a rejected client has read its response, if ever
-UNPROVEN_SHARE: Final = 0.5  # of the clients' descriptors, for those without any request yet
 MIN_UNPROVEN_PER_SOURCE: Final = 2  # of them, whatever the source did
 EVICTION_BATCH_DIVISOR: Final = 24  # one part in so many of the descriptors is freed at a time
 MAIN_SOURCE_SHARE: Final = 0.5  # of all requests, from which on a source is always admitted
 VIOLATION_PENALTY: Final = 2.0  # misused slots that a malformed request counts as
 DESCRIPTOR_LIMIT_HOLD: Final = 10_000_000  # us for which a limit that was hit is assumed to hold
 MIN_DESCRIPTORS: Final = 8
-# Ranks of eviction: values of waiting connections are from 0 to 1.
-LINGERING_RANK: Final = -1.0
-IN_FLIGHT_RANK: Final = 2.0  # added for connections so new that a request may be in flight
-EVICTABLE_BELOW: Final = 4.0
-NOT_EVICTABLE: Final = 9.0
 
 # Bound once: these are looked up several times for each request.
 _FRESH, _HEAD, _BODY, _BUSY, _WRITING, _IDLE, _CLOSING = State
@@ -83,6 +75,7 @@
         self._hit_until = 0
         self._refreshed = now
         self._limits = TimeLimits()
+        self._retention = Retention(self.tables, sizes)
         self._set_limits()
 
     # --- Measures
@@ -99,7 +92,7 @@
 
     def resize(self, sizes: ConnectionBudget) -> None:
         """Set new limits; what exceeds them is closed in the usual order, never at once."""
-        self.budget = sizes
+        self.budget = self._retention.budget = sizes
         self._strain()
 
     def descriptors(self) -> int:
@@ -110,8 +103,8 @@
     def on_descriptors_exhausted(self, now: int, others: int) -> None:
         """Lower the limit on descriptors: the system has none left, whatever the settings say.
 
-        Covers descriptors that are not counted here. The limit holds for CEILING_BACK only, as
-        what held them may be closed by then.
+        Covers descriptors that are not counted here. The limit holds for
+        DESCRIPTOR_LIMIT_HOLD only, as what held them may be closed by then.
         """
         self._tick(now)
         self._hit = max(
@@ -162,7 +155,7 @@
         elapsed = self.now - self._refreshed
         self._refreshed = self.now
         horizon = MAX_HORIZON + int(_ramp(self._seats()) * (MIN_HORIZON - MAX_HORIZON))
-        waits = [(p.kind, self.now - p.since) for p in self.slots if p.state in WAITING]
+        waits = [(slot.kind, self.now - slot.since) for slot in self.slots if slot.state in WAITING]
         keep = fade(elapsed)
         self.tables.refresh(waits, keep, horizon)
         self.sources.refresh(keep)
@@ -357,35 +350,13 @@
             return True
         if source.quota >= MAIN_SOURCE_SHARE:
             return True
-        part = max(MIN_UNPROVEN_PER_SOURCE, source.quota * self._unproven_room())
+        part = max(MIN_UNPROVEN_PER_SOURCE, source.quota * unproven_room(self.budget))
         return source.unproven < part
 
     def on_rejected(self) -> None:
         """Count a refused connection."""
         self.figures.turned_away += 1
 
-    def _unproven_room(self) -> float:
-        return UNPROVEN_SHARE * self.budget.max_client_descriptors
-
-    def retention_value(self, slot: ConnectionSlot) -> float:
-        """Return the expected value of a waiting connection's next request, from 0 to 1.
-
-        It is weighted down where its source or tenant holds more than its share.
-        """
-        value = self.tables.expected_requests[slot.kind][octave(self.now - slot.since)]
-        return value * self._fair(slot)
-
-    def _fair(self, slot: ConnectionSlot) -> float:
-        source = slot.source
-        tenant = slot.tenant
-        if slot.state == _IDLE:
-            seats = LOW_PRESSURE * self.budget.request_slots
-            fair = _part(source.quota * seats, source.idle)
-            if tenant is not None:
-                fair *= _part(tenant.quota * seats, tenant.idle)
-            return fair * source.standing
-        return _part(source.quota * self._unproven_room(), source.unproven) * source.standing
-
     def is_retained(self, slot: ConnectionSlot, now: int) -> bool:
         """Return whether to keep a connection after the answer that is about to be written."""
         if self.used <= LOW_PRESSURE * self.budget.request_slots:
@@ -406,9 +377,8 @@
         if surplus <= 0 or not self.count[_IDLE]:
             return []
         ceiling = EVICTION_THRESHOLD * _ramp(self._seats())
-        low = [(self.retention_value(p), i, p) for i, p in enumerate(self._in(_IDLE))]
-        low = [entry for entry in low if entry[0] < ceiling]
-        return [entry[2] for entry in heapq.nsmallest(surplus, low)]
+        value = self._retention.value
+        return lowest(((value(slot, self.now), slot) for slot in self._in(_IDLE)), ceiling, surplus)
 
     def eviction_candidates(self, now: int, most: int = 0) -> list[ConnectionSlot]:
         """Return the connections to close for their descriptors, least worth first.
@@ -418,21 +388,8 @@
         """
         self._tick(now)
         most = most or max(2, self.held // EVICTION_BATCH_DIVISOR)
-        ranked = [(self._rank(p), i, p) for i, p in enumerate(self.slots)]
-        fit = [entry for entry in ranked if entry[0] < EVICTABLE_BELOW]
-        return [entry[2] for entry in heapq.nsmallest(most, fit)]
-
-    def _rank(self, slot: ConnectionSlot) -> float:
-        state = slot.state
-        age = self.now - slot.since
-        if state == _CLOSING:
-            # Closed before its last bytes are written, it loses an answer.
-            has_lingered = age > REJECTED_LINGER and not slot.unsent
-            return LINGERING_RANK if has_lingered else NOT_EVICTABLE
-        if state in WAITING:
-            young = state == _FRESH and age < NEW_CONNECTION_GRACE
-            return self.retention_value(slot) + (IN_FLIGHT_RANK if young else 0.0)
-        return NOT_EVICTABLE
+        rank = self._retention.eviction_rank
+        return lowest(((rank(slot, self.now), slot) for slot in self.slots), EVICTABLE_BELOW, most)
 
     def overdue(self, slot: ConnectionSlot, now: int) -> Reason | None:
         """Return the reason to close a connection that has exceeded a limit, or None."""
@@ -459,7 +416,7 @@
         return soonest
 
     def _in(self, *states: State) -> Iterator[ConnectionSlot]:
-        return (p for p in self.slots if p.state in states)
+        return (slot for slot in self.slots if slot.state in states)
 
     # --- For the log
 
@@ -484,7 +441,3 @@
 
 def _ramp(pressure: float) -> float:
     return min(1.0, max(0.0, (pressure - LOW_PRESSURE) / (HIGH_PRESSURE - LOW_PRESSURE)))
-
-
-def _part(quota: float, held: int) -> float:
-    return 1.0 if held <= quota else quota / held
--- a/tests/test_overlooked_ends.py
+++ b/tests/test_overlooked_ends.py
@@ -16,7 +16,7 @@
 
 from sailhitch.core.log import Log
 from sailhitch.front import Reason, State
-from sailhitch.front.connection_admission import REJECTED_LINGER
+from sailhitch.front.eviction import REJECTED_LINGER
 from sailhitch.handover import link
 from sailhitch.handover.files import HandoverFiles
 from sailhitch.handover.takeover import Takeover
