Front: the pressure on slots, descriptors and memory in a module of its own

Its counters are called counters. No behaviour changes: 147 tests of the front, descriptors, flows and failing calls pass.

--- a/sailhitch/front/connection_admission.py
+++ b/sailhitch/front/connection_admission.py
@@ -1,9 +1,8 @@
 """Admit client connections within a budget, and choose which to close when it runs short.
 
-Three resources can run short. *Seats*: the connections that the fronts before this gateway deal out
-for requests; one that is idle for a client that won't return is denied to every other client.
-*Descriptors*: shared with the connections to hosts. *Memory*: bodies and unread answers. Pressure
-is the share in use of the scarcest.
+Three resources can run short. *Request slots*: the connections that the fronts before this gateway
+deal out for requests; one that is idle for a client that won't return is denied to every other
+client. *Descriptors*: shared with the connections to hosts. *Memory*: bodies and unread answers.
 
 This module opens and closes nothing. It is told what connections do, and names those to close; one
 whose request is open is never among them. All times are microseconds on a monotonic clock; a step
@@ -15,8 +14,9 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
-from .eviction import EVICTABLE_BELOW, LOW_PRESSURE, Retention, lowest, unproven_room
+from .eviction import EVICTABLE_BELOW, Retention, lowest, unproven_room
 from .groups import VIOLATOR_STANDING, Groups, source_of
+from .pressure import LOW_PRESSURE, ResourcePressure
 from .slots import (
     WAITING,
     ConnectionBudget,
@@ -28,7 +28,6 @@
 from .survival import REFRESH, Kind, LifeTables, fade
 from .time_limits import TimeLimits
 
-HIGH_PRESSURE: Final = 0.8  # from which on the limits are at their shortest
 PRESSURE_STEP: Final = 0.05  # of the pressure factor, from which the time limits are set again
 EVICTION_THRESHOLD: Final = 0.6  # under high pressure idle connections of less value are closed
 MAX_HORIZON: Final = 2_000_000  # us over which a coming request is discounted...
@@ -37,8 +36,6 @@
 EVICTION_BATCH_DIVISOR: Final = 24  # one part in so many of the descriptors is freed at a time
 MAIN_SOURCE_SHARE: Final = 0.5  # of all requests, from which on a source is always admitted
 VIOLATION_PENALTY: Final = 2.0  # misused slots that a malformed request counts as
-DESCRIPTOR_LIMIT_HOLD: Final = 10_000_000  # us for which a limit that was hit is assumed to hold
-MIN_DESCRIPTORS: Final = 8
 
 # Bound once: these are looked up several times for each request.
 _FRESH, _HEAD, _BODY, _BUSY, _WRITING, _IDLE, _CLOSING = State
@@ -47,39 +44,37 @@
 class AdmissionCounters:
     """Counters for the log and for tests."""
 
-    __slots__ = ("closed", "opened", "peak", "reused", "turned_away")
+    __slots__ = ("closed", "opened", "reused", "turned_away")
 
     def __init__(self) -> None:
         self.opened = self.turned_away = self.reused = 0
         self.closed = [0] * len(Reason)
-        self.peak = 0.0  # of pressure, since it was last reset
 
 
 class ConnectionAdmission:
     """Decides on the client connections of all fronts."""
 
-    def __init__(self, sizes: ConnectionBudget, now: int) -> None:
-        self.budget = sizes
+    def __init__(self, budget: ConnectionBudget, now: int) -> None:
         self.now = now
         self.tables = LifeTables()
         self.sources = Groups()
         self.tenants = Groups()
         self.slots: dict[ConnectionSlot, None] = {}  # all, oldest first
         self.count = [0] * len(State)
-        self.figures = AdmissionCounters()
-        self.others = 0  # descriptors that are not clients'
-        self.memory = 0.0  # share in use
-        self.pressure_factor = 0.0  # of whatever is shortest, 0 to 1
-        # a limit below the configured one, found by hitting it
-        self._hit = 0
-        self._hit_until = 0
+        self.counters = AdmissionCounters()
+        self._pressure = ResourcePressure(budget)
         self._refreshed = now
         self._limits = TimeLimits()
-        self._retention = Retention(self.tables, sizes)
+        self._retention = Retention(self.tables, budget)
         self._set_limits()
 
     # --- Measures
 
+    @property
+    def budget(self) -> ConnectionBudget:
+        """Return the budget that holds now."""
+        return self._pressure.budget
+
     @property
     def held(self) -> int:
         """Return the descriptors that clients hold."""
@@ -87,54 +82,38 @@
 
     @property
     def used(self) -> int:
-        """Return the seats in use."""
+        """Return the request slots in use."""
         return self.count[_BUSY] + self.count[_WRITING] + self.count[_IDLE]
 
-    def resize(self, sizes: ConnectionBudget) -> None:
-        """Set new limits; what exceeds them is closed in the usual order, never at once."""
-        self.budget = self._retention.budget = sizes
-        self._strain()
+    @property
+    def pressure_factor(self) -> float:
+        """Return the pressure of whatever is scarcest, 0 to 1."""
+        return self._pressure.factor
+
+    def resize(self, budget: ConnectionBudget) -> None:
+        """Set a new budget; what exceeds it is closed in the usual order, never at once."""
+        self._pressure.budget = self._retention.budget = budget
+        self._pressure.update(self.now, self.held, self.used)
 
     def descriptors(self) -> int:
         """Return the limit on descriptors: the configured one, or a lower one hit of late."""
-        most = self.budget.descriptors
-        return min(most, self._hit) if self._hit_until > self.now else most
+        return self._pressure.descriptor_limit(self.now)
 
     def on_descriptors_exhausted(self, now: int, others: int) -> None:
-        """Lower the limit on descriptors: the system has none left, whatever the settings say.
+        """Lower the limit on descriptors for a while, as the system has none left.
 
-        Covers descriptors that are not counted here. The limit holds for
-        DESCRIPTOR_LIMIT_HOLD only, as what held them may be closed by then.
+        `others` are the descriptors that are not clients'.
         """
-        self._tick(now)
-        self._hit = max(
-            MIN_DESCRIPTORS, self.held + others - max(1, self.held // EVICTION_BATCH_DIVISOR)
-        )
-        self._hit_until = self.now + DESCRIPTOR_LIMIT_HOLD
+        freed = max(1, self.held // EVICTION_BATCH_DIVISOR)
+        self._pressure.on_descriptors_exhausted(self._tick(now), self.held + others - freed)
 
     def needs_eviction(self, others: int) -> bool:
         """Return whether one more client would exceed the clients' share or the total."""
-        return (
-            self.held >= self.budget.max_client_descriptors
-            or self.held + others >= self.descriptors()
-        )
+        return self._pressure.is_full(self.now, self.held, others)
 
     def pressure(self) -> float:
         """Return the share in use of the scarcest resource; above 1 if overcommitted."""
-        clients = self.held / max(1.0, self.budget.max_client_descriptors)
-        whole = (self.held + self.others) / max(1, self.descriptors())
-        # Connections to hosts alone must not put pressure on the clients' reserved share.
-        whole = min(whole, self.held / max(1.0, self.budget.min_client_share * self.descriptors()))
-        return max(self._seats(), clients, whole, self.memory)
-
-    def _seats(self) -> float:
-        """Return the share of seats in use."""
-        return self.used / max(1, self.budget.request_slots)
-
-    def _strain(self) -> None:
-        pressure = self.pressure()
-        self.figures.peak = max(self.figures.peak, pressure)
-        self.pressure_factor = _ramp(pressure)
+        return self._pressure.share(self.now, self.held, self.used)
 
     def update_pressure(self, now: int, others: int, memory: float) -> None:
         """Update pressure; called several times a second.
@@ -142,19 +121,22 @@
         `others` are the descriptors that are not clients', `memory` is the share in use.
         """
         self._tick(now)
-        self.others = others
-        self.memory = memory
-        before = self.pressure_factor
-        self._strain()
+        pressure = self._pressure
+        pressure.other_descriptors = others
+        pressure.memory = memory
+        before = pressure.factor
+        pressure.update(self.now, self.held, self.used)
         if self.now - self._refreshed >= REFRESH:
             self._refresh()
-        elif abs(self.pressure_factor - before) > PRESSURE_STEP:
+        elif abs(pressure.factor - before) > PRESSURE_STEP:
             self._set_limits()
 
     def _refresh(self) -> None:
         elapsed = self.now - self._refreshed
         self._refreshed = self.now
-        horizon = MAX_HORIZON + int(_ramp(self._seats()) * (MIN_HORIZON - MAX_HORIZON))
+        horizon = MAX_HORIZON + int(
+            self._pressure.slot_factor(self.used) * (MIN_HORIZON - MAX_HORIZON)
+        )
         waits = [(slot.kind, self.now - slot.since) for slot in self.slots if slot.state in WAITING]
         keep = fade(elapsed)
         self.tables.refresh(waits, keep, horizon)
@@ -175,7 +157,7 @@
         slot.source.unproven += 1
         self.slots[slot] = None
         self.count[_FRESH] += 1
-        self.figures.opened += 1
+        self.counters.opened += 1
         return slot
 
     def on_adopted(self, now: int, address: str) -> ConnectionSlot:
@@ -234,7 +216,7 @@
     def _came_back(self, slot: ConnectionSlot) -> None:
         gap = self.now - slot.since
         self.tables.on_request(slot.kind, gap)
-        self.figures.reused += 1
+        self.counters.reused += 1
         slot.gap = gap if not slot.gap else (3 * slot.gap + gap) // 4
 
     def on_response(self, slot: ConnectionSlot, now: int, unsent: int = 0) -> None:
@@ -296,7 +278,7 @@
         if slot.ended is None:
             self._end_wait(slot)
             slot.ended = Reason.PEER
-        self.figures.closed[slot.ended] += 1
+        self.counters.closed[slot.ended] += 1
         if slot.state == _IDLE:
             self._idle(slot, -1)
         del self.slots[slot]
@@ -355,7 +337,7 @@
 
     def on_rejected(self) -> None:
         """Count a refused connection."""
-        self.figures.turned_away += 1
+        self.counters.turned_away += 1
 
     def is_retained(self, slot: ConnectionSlot, now: int) -> bool:
         """Return whether to keep a connection after the answer that is about to be written."""
@@ -363,20 +345,20 @@
             return True
         self._tick(now)
         value = self.tables.expected_requests[kind_once_idle(slot)][0] * slot.source.standing
-        return value >= EVICTION_THRESHOLD * _ramp(self._seats())
+        return value >= EVICTION_THRESHOLD * self._pressure.slot_factor(self.used)
 
     def low_value_slots(self, now: int) -> list[ConnectionSlot]:
-        """Return the idle connections to close for their seats now, least worth first.
+        """Return the idle connections to close for their request slots now, least worth first.
 
         One whose client returns within milliseconds is as good as a free seat, and closing it
         would only cost a handshake. So none above a ceiling of worth is closed, however short
-        seats are.
+        slots are.
         """
         self._tick(now)
         surplus = int(self.used - LOW_PRESSURE * self.budget.request_slots)
         if surplus <= 0 or not self.count[_IDLE]:
             return []
-        ceiling = EVICTION_THRESHOLD * _ramp(self._seats())
+        ceiling = EVICTION_THRESHOLD * self._pressure.slot_factor(self.used)
         value = self._retention.value
         return lowest(((value(slot, self.now), slot) for slot in self._in(_IDLE)), ceiling, surplus)
 
@@ -423,21 +405,17 @@
     def summary(self) -> str:
         """Return a log line: connections by state, pressure, closings by reason."""
         states = _pairs(State, self.count)
-        closed = _pairs(Reason, self.figures.closed)
+        closed = _pairs(Reason, self.counters.closed)
         pressure = self.pressure()
-        peak = self.figures.peak
-        self.figures.peak = pressure
+        peak = self._pressure.peak
+        self._pressure.peak = pressure
         return (
             f"door: {states or 'empty'} seats={self.used}/{self.budget.request_slots} "
-            f"pressure={pressure:.2f} peak={peak:.2f} opened={self.figures.opened} "
-            f"reused={self.figures.reused} away={self.figures.turned_away} "
+            f"pressure={pressure:.2f} peak={peak:.2f} opened={self.counters.opened} "
+            f"reused={self.counters.reused} away={self.counters.turned_away} "
             f"closed: {closed or 'none'}"
         )
 
 
 def _pairs(names: type[State] | type[Reason], counts: Iterable[int]) -> str:
     return " ".join(f"{names(i).name.lower()}={n}" for i, n in enumerate(counts) if n)
-
-
-def _ramp(pressure: float) -> float:
-    return min(1.0, max(0.0, (pressure - LOW_PRESSURE) / (HIGH_PRESSURE - LOW_PRESSURE)))
--- a/sailhitch/front/eviction.py
+++ b/sailhitch/front/eviction.py
@@ -6,11 +6,11 @@
 from collections.abc import Iterable
 from typing import Final
 
+from .pressure import LOW_PRESSURE
 from .slots import WAITING, ConnectionBudget, ConnectionSlot, State
 from .survival import LifeTables, octave
 from .time_limits import NEW_CONNECTION_GRACE
 
-LOW_PRESSURE: Final = 0.55  # up to which connections are kept as long as they may be
 REJECTED_LINGER: Final = 100_000  # us after which a rejected client has read its response, if ever
 UNPROVEN_SHARE: Final = 0.5  # of the clients' descriptors, for those without any request yet
 # Ranks of eviction: values of waiting connections are from 0 to 1.
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -416,7 +416,7 @@
         silent.writer.transport.pause_reading()  # type: ignore[attr-defined]
         silent.send(request("s", BODY * 4))
         n = 0
-        while it.core.admission.figures.closed[Reason.UNREAD] == 0:
+        while it.core.admission.counters.closed[Reason.UNREAD] == 0:
             n += 1
             assert (await other.ask(request(f"o{n}", b"body")))[1] == b"body"
         silent.writer.transport.abort()
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -117,7 +117,7 @@
         beside(scene, scene.crowd.hoarders(scene.front, hoard, 100, 400))
         await asyncio.gather(*back)
         assert again.ends == {SERVED: 600}
-        assert scene.it.core.admission.figures.closed[Reason.SEAT] > 100
+        assert scene.it.core.admission.counters.closed[Reason.SEAT] > 100
         # 20 connections would do; some are lost before it is seen who comes back.
         assert scene.front.dialled - hoard.asked < 120
 
@@ -212,7 +212,7 @@
         await scene.serve_honest()
         scene.check()
         await until(lambda: scene.crowd.closed["trickle"] == 100)
-        assert scene.it.core.admission.figures.closed[Reason.SLOW] > 0
+        assert scene.it.core.admission.counters.closed[Reason.SLOW] > 0
         assert scene.node.effects[b"slow"] == 0
 
     play(act)
@@ -232,7 +232,7 @@
         scene.node.size = 32
         await scene.serve_honest()
         scene.check()
-        await until(lambda: admission.figures.closed[Reason.UNREAD] >= 5)
+        await until(lambda: admission.counters.closed[Reason.UNREAD] >= 5)
         await until(lambda: scene.it.core.budget.streamed == 0)
 
     play(act)
--- a/tests/test_front_door.py
+++ b/tests/test_front_door.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies as st
 
 from sailhitch.front import ConnectionAdmission, ConnectionBudget, ConnectionSlot, Reason, State
-from sailhitch.front.connection_admission import DESCRIPTOR_LIMIT_HOLD
 from sailhitch.front.groups import MOST_GROUPS, Groups, source_of
+from sailhitch.front.pressure import DESCRIPTOR_LIMIT_HOLD
 from sailhitch.front.slots import WAITING
 from sailhitch.front.time_limits import (
     FIRST_BYTE_LIMIT,
@@ -87,7 +87,7 @@
     slot = idle(it, 0)
     assert run(it, MAX_IDLE - S, step=100 * MS) == []
     assert run(it, MAX_IDLE + S, step=100 * MS) == [slot]
-    assert it.figures.closed[Reason.IDLE] == 1
+    assert it.counters.closed[Reason.IDLE] == 1
 
 
 def test_who_asks_once_and_holds_on_gives_up_its_seat_within_a_second() -> None:
--- a/tests/test_overlooked_ends.py
+++ b/tests/test_overlooked_ends.py
@@ -129,7 +129,7 @@
                 except ConnectionResetError:
                     got = 0
             assert got > size
-            assert it.core.admission.figures.closed[Reason.ROOM] == 0
+            assert it.core.admission.counters.closed[Reason.ROOM] == 0
             sock.close()
 
     asyncio.run(play())
--- a/tests/test_system_failures.py
+++ b/tests/test_system_failures.py
@@ -61,7 +61,7 @@
 
 def closed_for_room(it: Gate) -> int:
     """How many clients' connections were closed to make room."""
-    return it.core.admission.figures.closed[Reason.ROOM]
+    return it.core.admission.counters.closed[Reason.ROOM]
 
 
 def play(story: Callable[[Gate, Server], Any], **changes: Any) -> None:
