--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""Hosts pause for some seconds within long answers whose length they don't tell ahead."""
+"""A host falls silent while long request bodies are on their way to it."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
@@ -11,6 +12,7 @@
 sys.path.insert(0, str(HERE.parent))
 
 from rig import (  # noqa: E402 (found by the path above)
+    ANSWER_SLACK,
     BROKEN,
     HELD,
     NOT_RUN,
@@ -21,105 +23,80 @@
     Platform,
     Record,
     free_ports,
+    lost,
     now,
     run_case,
 )
 
-GATEWAYS = 2
-HOSTS = 5
-ANSWER = 200 * 1024  # bytes of an answer; answers have up to 32 MB (more/DAYS)
-PIECE = 40 * 1024  # bytes that a host writes at a time
-PAUSE = 4.0  # s; "peers take seconds to read or to write" (more/DAYS)
-SHARE = 5  # every fifth answer of a host has such a pause
-DEADLINE = 2.75  # s: 55% of the class's 5 s (BRIEF)
-PATIENCE = 6.0  # s that clients wait beyond their deadline
-QUIET = 3.0  # s before the hosts begin to pause
-TROUBLE = 6.0  # s
+GATEWAYS = 6  # today 5 to 6 (BRIEF)
+HOSTS = 10
+QUIET = 3.0  # s before each cut
+SILENT = 6.0  # s that a fifth of the hosts is silent (STANDING: 6 s, a fifth, two cuts)
+BODIES = range(5 << 20, 8 << 20)  # bytes; bodies have up to 32 MB (more/DAYS)
+DEADLINE = 1.65  # s: 55% of the class's 3 s (BRIEF)
+PATIENCE = 12.0  # s that clients wait beyond their deadline
 
 
 async def case(record: Record, trouble: bool) -> int:
     """Play the case; return the exit code."""
     platform = Platform(record)
     try:
-        hosts = await platform.start_hosts(
-            HOSTS,
-            "--answer",
-            str(ANSWER),
-            "--pieces",
-            str(PIECE),
-            "--pause",
-            str(PAUSE),
-            "--share",
-            str(SHARE),
-        )
+        hosts = await platform.start_hosts(HOSTS)
         ports = free_ports(GATEWAYS)
         for port in ports:
             await Discovery([host.entry for host in hosts], record).start(port)
         gateways = await platform.start_gateways(GATEWAYS, hosts, ports)
         clients = Clients(gateways, record, PATIENCE)
+        end = now() + 2 * (QUIET + SILENT)
 
-        def pay(i: int) -> Ask:
-            return Ask(f"p{i:05d}", "payout", deadline=DEADLINE, body=300)
+        def file_claim(i: int) -> Ask:
+            body = random.choice(BODIES)
+            return Ask(f"f{i:05d}", "claim-file", deadline=DEADLINE, body=body)
 
-        await asyncio.gather(
-            clients.every(0.1, now() + QUIET + TROUBLE, pay),
-            disrupt(hosts, record, trouble),
-        )
+        load = [
+            clients.every(0.25, end, lambda i: Ask(f"s{i:05d}", "claim-status", deadline=2.2)),
+            clients.every(0.04, end, file_claim),
+        ]
+        await asyncio.gather(*load, disrupt(hosts, record, trouble))
         await clients.finish()
-        await asyncio.sleep(PAUSE)  # the hosts go on with what they were at
-        return judge(clients.asks, hosts, record)
+        at_host = {}
+        for host in hosts:
+            for event in host.events():
+                at_host[event["id"]] = host.entry.id
+                record.line(f"host {host.entry.id}: {event['what']} {event['id']}", event["at"])
+        if any(gateway.process.poll() is not None for gateway in gateways):
+            return BROKEN
+        found = lost(clients.asks)
+        for ask in found:
+            limit = ask.deadline + ANSWER_SLACK
+            where = at_host.get(ask.name, "no host")
+            record.line(f"LOST: {ask.describe()}; its limit is {limit:.2f} s; sent to {where}")
+        served = sum(ask.whole for ask in clients.asks)
+        summary = f"{len(clients.asks)} requests, {served} served, {len(found)} lost"
+        record.line(summary)
+        print(summary)
+        if not served:
+            return NOT_RUN
+        return BROKEN if found else HELD
     finally:
         platform.close()
 
 
 async def disrupt(hosts: list[Host], record: Record, trouble: bool) -> None:
-    """Let the hosts pause within every fifth answer, from now on."""
-    await asyncio.sleep(QUIET)
-    if trouble:
-        record.line(f"hosts begin to pause {PAUSE} s within every answer of {SHARE}")
-        for host in hosts:
-            host.process.send_signal(signal.SIGUSR1)
-
-
-def judge(asks: list[Ask], hosts: list[Host], record: Record) -> int:
-    """Check that no answer was cut off, or held back, that a host was still giving.
-
-    Counted are only requests at which a host had given the first bytes of the answer while the
-    client still waited, and at which the gateway then ended the connection to that host before
-    the host had given the rest, with the client still there and no answer of another host served.
-    """
-    by_name = {ask.name: ask for ask in asks}
-    first_piece: dict[str, float] = {}
-    cut: dict[str, float] = {}
-    for host in hosts:
-        for event in host.events():
-            name = event["id"]
-            detail = f" {event['why']}" if "why" in event else ""
-            record.line(
-                f"host {host.entry.id}: {event['what']} {name}{detail} {event.get('upto', '')}",
-                event["at"],
-            )
-            if event["what"] == "piece":
-                first_piece.setdefault(name, event["at"])
-            elif event["what"] == "cut off" and name in first_piece:
-                cut[name] = event["at"]
-    found = 0
-    for name, first in first_piece.items():
-        ask = by_name[name]
-        in_time = first < ask.sent + ask.deadline
-        if in_time and not ask.whole and (name in cut or not ask.answered):
-            found += 1
-            record.line(
-                f"LOST: {ask.describe()}; its host gave the first bytes {first - ask.sent:.3f} s "
-                f"after its last byte, and went on {PAUSE} s later"
-            )
-    served = sum(ask.whole for ask in asks)
-    summary = f"{len(asks)} requests, {served} served, {found} cut off"
-    record.line(summary)
-    print(summary)
-    if not served:
-        return NOT_RUN
-    return BROKEN if found else HELD
+    """Stop a fifth of the hosts for a while, then another fifth."""
+    size = len(hosts) // 5
+    for group in (hosts[:size], hosts[size : 2 * size]):
+        await asyncio.sleep(QUIET)
+        names = " and ".join(host.entry.id for host in group)
+        if trouble:
+            record.line(f"{names} fall silent")
+            for host in group:
+                host.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(SILENT)
+        if trouble:
+            for host in group:
+                host.process.send_signal(signal.SIGCONT)
+            record.line(f"{names} go on")
 
 
 if __name__ == "__main__":
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,9 @@
-"""A new configuration moves discovery to an address where calls are answered slowly."""
+"""Hosts pause for some seconds within long answers whose length they don't tell ahead."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -12,13 +13,10 @@
 from rig import (  # noqa: E402 (found by the path above)
     BROKEN,
     HELD,
-    LOCAL,
     NOT_RUN,
-    SOCKET_SLACK,
     Ask,
     Clients,
     Discovery,
-    Gateway,
     Host,
     Platform,
     Record,
@@ -27,93 +25,101 @@
     run_case,
 )
 
-GATEWAYS = 3
+GATEWAYS = 2
 HOSTS = 5
-SLOW = 2.5  # s from a call to its answer; whole, and to every call
-QUIET = 3.0  # s before the new configuration
-DRAIN_AFTER = 1.0  # s from then to the drain of a host
-LENGTH = 20.0  # s
-TOLD_WITHIN = 6.0  # s after discovery has a change and can be reached (STANDING)
-GRACE = 1.0  # s: rules.drainGrace of the settings
-PATIENCE = 3.0  # s that clients wait beyond their deadline
+ANSWER = 200 * 1024  # bytes of an answer; answers have up to 32 MB (more/DAYS)
+PIECE = 40 * 1024  # bytes that a host writes at a time
+PAUSE = 4.0  # s; "peers take seconds to read or to write" (more/DAYS)
+SHARE = 5  # every fifth answer of a host has such a pause
+DEADLINE = 2.75  # s: 55% of the class's 5 s (BRIEF)
+PATIENCE = 6.0  # s that clients wait beyond their deadline
+QUIET = 3.0  # s before the hosts begin to pause
+TROUBLE = 6.0  # s
 
 
 async def case(record: Record, trouble: bool) -> int:
     """Play the case; return the exit code."""
     platform = Platform(record)
     try:
-        hosts = await platform.start_hosts(HOSTS)
-        old_port, new_port = free_ports(2)
-        entries = [host.entry for host in hosts]
-        old = Discovery(entries, record, "the old discovery")
-        new = Discovery(entries, record, "the new discovery")
-        await old.start(old_port)
-        gateways = await platform.start_gateways(GATEWAYS, hosts, [old_port] * 3, "subscribe")
+        hosts = await platform.start_hosts(
+            HOSTS,
+            "--answer",
+            str(ANSWER),
+            "--pieces",
+            str(PIECE),
+            "--pause",
+            str(PAUSE),
+            "--share",
+            str(SHARE),
+        )
+        ports = free_ports(GATEWAYS)
+        for port in ports:
+            await Discovery([host.entry for host in hosts], record).start(port)
+        gateways = await platform.start_gateways(GATEWAYS, hosts, ports)
         clients = Clients(gateways, record, PATIENCE)
-        new.delay = SLOW if trouble else 0.0
-        await new.start(new_port)
-        times: dict[str, float] = {}
+
+        def pay(i: int) -> Ask:
+            return Ask(f"p{i:05d}", "payout", deadline=DEADLINE, body=300)
+
         await asyncio.gather(
-            clients.every(
-                0.03,
-                now() + LENGTH,
-                lambda i: Ask(f"s{i:05d}", "claim-status", deadline=2.2),
-            ),
-            move(gateways, hosts[0], old, new, new_port, times, record),
+            clients.every(0.1, now() + QUIET + TROUBLE, pay),
+            disrupt(hosts, record, trouble),
         )
         await clients.finish()
-        if any(gateway.process.poll() is not None for gateway in gateways):
-            record.line("a gateway has ended")
-            return BROKEN
-        return judge(clients.asks, hosts[0], times["drains"], record)
+        await asyncio.sleep(PAUSE)  # the hosts go on with what they were at
+        return judge(clients.asks, hosts, record)
     finally:
         platform.close()
 
 
-async def move(
-    gateways: list[Gateway],
-    host: Host,
-    old: Discovery,
-    new: Discovery,
-    new_port: int,
-    times: dict[str, float],
-    record: Record,
-) -> None:
-    """Move discovery, and let a host drain a second later."""
+async def disrupt(hosts: list[Host], record: Record, trouble: bool) -> None:
+    """Let the hosts pause within every fifth answer, from now on."""
     await asyncio.sleep(QUIET)
-    ending = asyncio.create_task(old.stop())
-    for gateway in gateways:
-        gateway.reload(discovery=f"{LOCAL}:{new_port}")
-    record.line(f"SIGHUP: discovery moves; a call to it is answered after {new.delay} s")
-    await asyncio.sleep(DRAIN_AFTER)
-    times["drains"] = now()
-    new.set_state(host.entry.id, "leaving")
-    await ending
+    if trouble:
+        record.line(f"hosts begin to pause {PAUSE} s within every answer of {SHARE}")
+        for host in hosts:
+            host.process.send_signal(signal.SIGUSR1)
 
 
-def judge(asks: list[Ask], host: Host, drains: float, record: Record) -> int:
-    """Check that nothing new is sent to the draining host after the grace.
+def judge(asks: list[Ask], hosts: list[Host], record: Record) -> int:
+    """Check that no answer was cut off, or held back, that a host was still giving.
 
-    Each gateway counts as told at the latest time that the pages allow, whether or not the change
-    was written to it before.
+    Counted are only requests at which a host had given the first bytes of the answer while the
+    client still waited, and at which the gateway then ended the connection to that host before
+    the host had given the rest, with the client still there and no answer of another host served.
     """
-    limit = drains + TOLD_WITHIN + GRACE + SOCKET_SLACK
-    begun = [event for event in host.events() if event["what"] == "begins"]
-    late = [event for event in begun if event["first"] > limit]
-    record.line("last time at which an attempt at the draining host may begin", limit)
-    for event in late:
-        record.line(f"DRAIN: {host.entry.id} got {event['id']}", event["first"])
-    last = max((event["first"] for event in begun), default=0.0) - drains
+    by_name = {ask.name: ask for ask in asks}
+    first_piece: dict[str, float] = {}
+    cut: dict[str, float] = {}
+    for host in hosts:
+        for event in host.events():
+            name = event["id"]
+            detail = f" {event['why']}" if "why" in event else ""
+            record.line(
+                f"host {host.entry.id}: {event['what']} {name}{detail} {event.get('upto', '')}",
+                event["at"],
+            )
+            if event["what"] == "piece":
+                first_piece.setdefault(name, event["at"])
+            elif event["what"] == "cut off" and name in first_piece:
+                cut[name] = event["at"]
+    found = 0
+    for name, first in first_piece.items():
+        ask = by_name[name]
+        in_time = first < ask.sent + ask.deadline
+        if in_time and not ask.whole and (name in cut or not ask.answered):
+            found += 1
+            record.line(
+                f"LOST: {ask.describe()}; its host gave the first bytes {first - ask.sent:.3f} s "
+                f"after its last byte, and went on {PAUSE} s later"
+            )
     served = sum(ask.whole for ask in asks)
-    summary = (
-        f"{len(asks)} requests, {served} served; the last attempt at the draining host began "
-        f"{last:.1f} s after its drain, {len(late)} began too late"
-    )
+    summary = f"{len(asks)} requests, {served} served, {found} cut off"
     record.line(summary)
     print(summary)
-    if not served or not begun:
+    if not served:
         return NOT_RUN
-    return BROKEN if late else HELD
+    return BROKEN if found else HELD
 
 
 if __name__ == "__main__":
--- a/review/rig.py
+++ b/review/rig.py
@@ -325,13 +325,13 @@
         if not (ROOT / ".venv/bin/python").exists():
             raise NotRunError("the build of the deploy file has not run")
 
-    async def start_hosts(self, count: int, *options: str) -> list[Host]:
+    async def start_hosts(self, count: int, *options: str, program: str = "host.py") -> list[Host]:
         """Start hosts, and wait until they listen."""
         hosts = []
         for i, port in enumerate(free_ports(count)):
             log = self.folder / f"h{i}.events"
             log.touch()
-            script = str(Path(__file__).with_name("host.py"))
+            script = str(Path(__file__).with_name(program))
             command = [sys.executable, "-B", script, str(port), str(log), *options]
             process = self.processes.start(command, dict(os.environ), f"h{i}.log")
             hosts.append(Host(Entry(f"h{i}", f"{LOCAL}:{port}"), process, log))
@@ -431,6 +431,7 @@
     status: int = 0
     size: int = 0
     whole: bool = False  # the answer is the one that a host made for this request
+    first: bytes = b""  # the first bytes of the answer's body
     end: str = ""  # how the connection ended without an answer
     gave_up: float = 0.0
 
@@ -546,6 +547,7 @@
         ask.answered = now()
         ask.status = status
         ask.size = len(body)
+        ask.first = bytes(body[:16])
         ask.whole = status == 200 and bytes(body) == body_for(ask.name, len(body))
         if "close" in fields.get("connection", ""):
             self.close()
