--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,7 +32,7 @@
 HOSTS = 10
 QUIET = 3.0  # s before each cut
 SILENT = 6.0  # s that a fifth of the hosts is silent (STANDING: 6 s, a fifth, two cuts)
-BODIES = range(5 << 20, 8 << 20)  # bytes; bodies have up to 32 MB (more/DAYS)
+BODIES = range(2 << 20, 8 << 20)  # bytes; bodies have up to 32 MB (more/DAYS)
 DEADLINE = 1.65  # s: 55% of the class's 3 s (BRIEF)
 PATIENCE = 12.0  # s that clients wait beyond their deadline
 
@@ -55,7 +55,7 @@
 
         load = [
             clients.every(0.25, end, lambda i: Ask(f"s{i:05d}", "claim-status", deadline=2.2)),
-            clients.every(0.04, end, file_claim),
+            clients.every(0.06, end, file_claim),
         ]
         await asyncio.gather(*load, disrupt(hosts, record, trouble))
         await clients.finish()
