--- a/review/copying_host.py
+++ b/review/copying_host.py
@@ -17,6 +17,8 @@
 import time
 from pathlib import Path
 
+TIMER_SLACK = 0.0005  # s
+
 
 class Connection(asyncio.Protocol):
     """A connection that carries one request at a time."""
@@ -62,12 +64,16 @@
         self.host.count += 1
         if self.host.options.share and not self.host.count % self.host.options.share:
             late = random.uniform(*self.host.options.late)
-            self.loop.call_later(late, self._copy, name, answer, self.requests)
+            answered = self.loop.time()
+            self.loop.call_later(late, self._copy, name, answer, self.requests, answered)
 
-    def _copy(self, name: str, answer: bytes, requests: int) -> None:
-        if self.requests == requests and not self.transport.is_closing():
-            self._send(answer)
-            self.host.event("copied", name)
+    def _copy(self, name: str, answer: bytes, requests: int, answered: float) -> None:
+        if self.requests != requests or self.transport.is_closing():
+            return
+        if self.loop.time() - answered > self.host.options.late[1] + TIMER_SLACK:
+            return  # this process was held up, and the copy would come too late
+        self._send(answer)
+        self.host.event("copied", name)
 
     def _send(self, data: bytes) -> None:
         self.loop.call_later(self.host.options.wire, self._write, data)
