Requests whose long body a silent host doesn't take are answered in time

A client that left meanwhile wasn't seen, and a drain left such requests without an answer.

Cause: a request's time was started by reading its last byte. While a host takes nothing reading is paused, so the deadlines of the request and its attempts stayed NEVER, and nothing watched the host. For the same reason a body that waits unread (held, behind another request) had its time begun anew: after 0.7 s of 1 s its host was still told 1 s.

Change: net/body_arrival.py bounds when the last byte came (FIONREAD, TCP_INFO, the pause), core/upload_deadlines.py ends attempts whose host takes nothing once the request's time may be over, as `stalled` (never ran: 503, the host is ejected), and after 8 s in any case. A last byte that is read too late isn't passed on. Nothing runs for a body that goes through without a pause.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -26,6 +26,7 @@
 from .response import Response
 from .statistics import write_statistics
 from .timer_wheel import LATE, MS, NEVER, TIMER_DELAY, TimerQueue
+from .upload_deadlines import UploadDeadlines
 
 __all__ = ["CLIENT_SWEEP_INTERVAL", "PERIODIC_INTERVAL", "Counters", "GatewayCore"]
 
@@ -78,6 +79,7 @@
         self.catching_up = False  # configuration that arrived during a stall is not applied yet
         self.periodic = PeriodicTasks(self)
         self._descriptors = DescriptorManager(self)
+        self.uploads = UploadDeadlines(self)
         self._next_id = 1
 
     # --- Clock and timers
@@ -118,7 +120,7 @@
             pool, token = target
             pool.timer(token, now)
         elif target.wake_at == at:
-            self._check_timeouts(target, now)
+            self.check_timeouts(target, now)
 
     def _fire_failed(self, target: TimerTarget, error: Exception) -> None:
         """Handle a timer that raised; if it was a request's, its client gets a response."""
@@ -166,7 +168,8 @@
             request.wake_at = at
             self.timers.push(at, request)
 
-    def _check_timeouts(self, request: RequestContext, now: int) -> None:
+    def check_timeouts(self, request: RequestContext, now: int) -> None:
+        """End what has timed out of a request, and set its next timer."""
         request.wake_at = 0
         pool = request.pool
         assert pool is not None
@@ -191,8 +194,8 @@
         assert pool is not None
         now = self.clock()
         arrived = request.arrived_at or self.earliest_arrival(now)
-        deadline = self._deadline(request, arrived)
-        request.deadline = NEVER if request.is_uploading() else deadline
+        deadline = self.deadline(request, arrived)
+        request.deadline = self.uploads.initial() if request.is_uploading() else deadline
         request.id = self._next_id
         self._next_id += 1
         self.counters.requests += 1
@@ -214,7 +217,8 @@
         due = self.periodic.next_tick_at
         return due if now - due > TIMER_DELAY else now
 
-    def _deadline(self, request: RequestContext, arrived: int) -> int:
+    def deadline(self, request: RequestContext, arrived: int) -> int:
+        """Return when a request whose last byte arrived at `arrived` must have its response."""
         wait = request.wait_ms * MS
         margin = max(TIMER_GRANULARITY, min(RESPONSE_MARGIN, wait // 10))
         deadline = arrived + wait - min(wait, margin)
@@ -222,22 +226,6 @@
             deadline = min(deadline, self.drain_until)
         return deadline
 
-    def body_complete(self, request: RequestContext) -> None:
-        """Handle the last byte of a streamed body; the request's time runs from now on."""
-        if request.closed:
-            return
-        now = self.clock()
-        request.deadline = self._deadline(request, self.earliest_arrival(now))
-        for attempt in request.open_attempts:
-            attempt.sent_at = now
-            attempt.expires_at = request.deadline
-            if attempt.timeout:
-                attempt.expires_at = min(now + attempt.timeout, request.deadline)
-        assert request.pool is not None
-        request.pool.body_complete(request, now)
-        if not request.closed:
-            self.schedule(request)
-
     def client_disconnected(self, request: RequestContext) -> None:
         """Close a request whose client disconnected; attempts run on to their outcomes."""
         if request.closed:
--- a/sailhitch/core/drain.py
+++ b/sailhitch/core/drain.py
@@ -24,7 +24,7 @@
     """Limit the deadlines of open requests to the time that this process has left."""
     drain_until = core.drain_until
     for request in list(core.open_requests.values()):
-        if request.closed or request.is_uploading() or request.deadline <= drain_until:
+        if request.closed or request.deadline <= drain_until:
             continue
         request.deadline = drain_until
         for attempt in request.open_attempts:
--- a/sailhitch/core/interfaces.py
+++ b/sailhitch/core/interfaces.py
@@ -48,6 +48,12 @@
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even if that has not been read yet."""
 
+    def earliest_body_arrival(self, now: int) -> int:
+        """Return when the last byte of the body being read can have arrived at the earliest.
+
+        It is `now` if that byte is still missing.
+        """
+
 
 class ResponseSource(Protocol):
     """Where a streamed response comes from: a connection to a host."""
--- a/sailhitch/core/policy_port.py
+++ b/sailhitch/core/policy_port.py
@@ -6,7 +6,6 @@
 
 from ..policy_interface import AttemptOutcome
 from .request_context import Attempt
-from .timer_wheel import NEVER
 
 if TYPE_CHECKING:
     from .pool import Pool
@@ -37,7 +36,8 @@
         upload = request.upload
         if upload is not None and not upload.complete:
             attempt.timeout = timeout
-            attempt.expires_at = NEVER
+            if not upload.arrived_at:
+                expires_at = attempt.expires_at = request.deadline
         max_attempts = pool.settings.limits.max_attempts
         too_late = request.closed or now >= expires_at or request.attempts > max_attempts
         if too_late or (upload is not None and not upload.replayable()):
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -135,12 +135,16 @@
             ),
         )
 
-    def body_complete(self, request: RequestContext, now: int) -> None:
-        """Report that the last byte of a streamed request has arrived."""
+    def body_arrived(self, request: RequestContext, arrived: int) -> None:
+        """Report when the last byte of a streamed request arrived, though it may be unread."""
         self.notify_policy(
-            request, lambda: self.policy.body_complete(now, request.id, request.deadline)
+            request, lambda: self.policy.body_arrived(request.id, request.deadline, arrived)
         )
 
+    def body_complete(self, request: RequestContext, now: int) -> None:
+        """Report that the last byte of a streamed request was passed on."""
+        self.notify_policy(request, lambda: self.policy.body_complete(now, request.id))
+
     def client_disconnected(self, request: RequestContext, now: int) -> None:
         """Report that the request's client has disconnected."""
         self.notify_policy(None, lambda: self.policy.client_disconnected(now, request.id))
@@ -211,16 +215,18 @@
     def check_timeouts(self, attempt: Attempt, now: int) -> None:
         """End an attempt whose timeout, or connect timeout, has passed."""
         if attempt.expires_at <= now:
-            self._abort(attempt, self._expiry_outcome(attempt))
+            self.abort(attempt, self._expiry_outcome(attempt, now))
         elif attempt.connect_by and attempt.connect_by <= now:
             if self.transport.is_connected(attempt):
                 # After a stall, timers run before the event loop reports connections.
                 attempt.connect_by = now + CONNECT_EVENT_DELAY
             else:
-                self._abort(attempt, AttemptOutcome.CONNECT_FAILED)
+                self.abort(attempt, AttemptOutcome.CONNECT_FAILED)
 
-    def _expiry_outcome(self, attempt: Attempt) -> AttemptOutcome:
+    def _expiry_outcome(self, attempt: Attempt, now: int) -> AttemptOutcome:
         if attempt.connection is not None:
+            if attempt.connection.has_unsent_bytes():
+                return self.core.uploads.expiry_outcome(attempt, now)
             return AttemptOutcome.TIMEOUT
         # Nothing was written, so the attempt never ran.
         if attempt.connect_by and not self.transport.is_connected(attempt):
@@ -256,7 +262,8 @@
         )
         return client
 
-    def _abort(self, attempt: Attempt, status: AttemptOutcome) -> None:
+    def abort(self, attempt: Attempt, status: AttemptOutcome) -> None:
+        """Cancel an attempt and record its outcome."""
         attempt.cancel()
         self.attempt_finished(attempt, status, None, None)
 
@@ -287,9 +294,7 @@
                 core.respond_served(request, response)
             elif status == AttemptOutcome.ERROR and response is not None:
                 self._keep_fallback(request, response)
-        attributable = status != AttemptOutcome.TIMEOUT or self._is_timeout_attributable(
-            attempt, now
-        )
+        attributable = self._is_attributable(attempt, status, now)
         self._outcomes.record(attempt.server, status, attributable)
         closed = request.closed
         self.notify_policy(
@@ -316,12 +321,16 @@
             unsafe = response.status == SERVICE_UNAVAILABLE
             request.fallback_response = None if unsafe else response
 
-    def _is_timeout_attributable(self, attempt: Attempt, now: int) -> bool:
-        """Return whether this attempt's timeout is attributable to its host.
+    def _is_attributable(self, attempt: Attempt, status: AttemptOutcome, now: int) -> bool:
+        """Return whether this outcome is attributable to the attempt's host.
 
-        It is not if the event loop stalled before the request was written, and the host had less
-        time to respond than writing took.
+        A timeout is not if the event loop stalled before the request was written, and the host had
+        less time to respond than writing took; nor if it stalled while the request was written.
         """
+        if status == AttemptOutcome.EXPIRED and attempt.written_at:
+            return attempt.sent_at >= self.core.stalled_until
+        if status != AttemptOutcome.TIMEOUT:
+            return True
         stalled = attempt.sent_at < self.core.stalled_until <= attempt.written_at
         return not stalled or now - attempt.written_at >= attempt.written_at - attempt.sent_at
 
--- a/sailhitch/core/request_context.py
+++ b/sailhitch/core/request_context.py
@@ -76,7 +76,7 @@
         self.closed = False
 
     def is_uploading(self) -> bool:
-        """Return whether its body is incomplete: no timeout runs, and no host can have run it."""
+        """Return whether the last byte of its body was not read, so that no host has run it."""
         return self.upload is not None and not self.upload.complete
 
     def serialize(self, time_left: int, stamp: bytes) -> tuple[bytes, bytes | bytearray]:
@@ -119,6 +119,13 @@
         self.pending_connect: Pending | None = None
         self.finished = False
 
+    def restart(self, now: int) -> None:
+        """Count its time from now on, as the last byte of its request's body has arrived."""
+        self.sent_at = now
+        self.expires_at = self.request.deadline
+        if self.timeout:
+            self.expires_at = min(now + self.timeout, self.request.deadline)
+
     def cancel(self) -> None:
         """Cancel the wait for a connection, or abandon the response."""
         if self.pending_connect is not None:
--- a/sailhitch/core/upload.py
+++ b/sailhitch/core/upload.py
@@ -27,14 +27,20 @@
     def send_body(self, data: bytes, last: bool) -> None:
         """Send more bytes, or only the end; call `Upload.on_written` once all is written."""
 
+    def unsent_size(self) -> int:
+        """Return how many bytes were not handed over to the system yet."""
+
 
 class Upload:
     """One body; its start, which arrived before there was a sink, can be sent again."""
 
     __slots__ = (
+        "_observed",
         "_pending",
+        "_progress_at",
         "_reserved",
         "abandoned",
+        "arrived_at",
         "budget",
         "chunked",
         "complete",
@@ -52,11 +58,14 @@
         self.chunked = chunked  # its length is unknown until its end
         self.start: bytearray | None = bytearray(start)  # None once it is released
         self.size = len(start)
-        self.complete = False  # its last byte has arrived
+        self.complete = False  # its last byte has been read
+        self.arrived_at = 0  # when its last byte arrived, if that is known before it is read
         self.abandoned = False  # the request is over
         self.sink: Sink | None = None
         self._pending = bytearray()  # bytes of the current read
         self._reserved = 0
+        self._observed: tuple[Sink | None, int, int] = (None, 0, 0)
+        self._progress_at = 0  # when `observe_progress` last saw a change
         self._reserve(len(start))
 
     def _reserve(self, size: int) -> None:
@@ -93,6 +102,26 @@
             self.source.pause_reading()
             self.sink.send_body(data, self.complete)
 
+    def observe_progress(self, now: int) -> None:
+        """Record whether bytes have moved since the last call; called several times a second."""
+        observed = self._observe()
+        if observed != self._observed:
+            self._observed = observed
+            self._progress_at = now
+
+    def _observe(self) -> tuple[Sink | None, int, int]:
+        unsent = self.sink.unsent_size() if self.sink is not None else 0
+        return self.sink, self.size, unsent
+
+    def silent_for(self, now: int, stalled_until: int) -> int:
+        """Return for how long the sink is known to have taken nothing; 0 without a sink.
+
+        Up to `stalled_until` this process was stalled itself.
+        """
+        if self.sink is None or self._observe() != self._observed:
+            return 0
+        return max(0, now - max(self._progress_at, stalled_until))
+
     def open(self, sink: Sink) -> tuple[bytes, bool]:
         """Attach an attempt's sink; return the start, and whether it is the complete body.
 
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -19,6 +19,7 @@
 from ..core.response import HeaderField
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..front import ConnectionSlot, Reason
+from .body_arrival import BodyArrival
 from .socket_poll import has_event
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
     """State and lifecycle of a client connection; subclasses read requests and write responses."""
 
     __slots__ = (
+        "body_arrival",
         "chunked",
         "content_length",
         "core",
@@ -80,6 +82,7 @@
         # Throughput of a request body the client streams, and of a response it reads.
         self.send_watchdog: ThroughputWatchdog | None = None
         self.read_watchdog: ThroughputWatchdog | None = None
+        self.body_arrival: BodyArrival | None = None  # of the request body the client streams
         self.response_source: ResponseSource | None = None  # of the streamed response
         self.response_chunked = False  # the streamed response uses the chunked coding
         self.unsent = 0  # response bytes buffered for the client, as counted in the budget
@@ -252,7 +255,7 @@
         """Drop the queued requests and the one being read."""
         if self.incoming is not None:
             self.core.release_body(self.incoming)
-            self.incoming = self.send_watchdog = None
+            self.incoming = self.send_watchdog = self.body_arrival = None
         for waiting in self.pipelined:
             self.core.release_body(waiting)
         self.pipelined.clear()
@@ -279,8 +282,11 @@
         """Pause reading the request body; part of the `Source` interface."""
         if self.transport is not None and not self.discarding_body:
             self.transport.pause_reading()
+            now = self.core.clock()
             if self.send_watchdog is not None:
-                self.send_watchdog.stop(self.core.clock())
+                self.send_watchdog.stop(now)
+            if self.body_arrival is not None:
+                self.body_arrival.on_paused(now)
 
     def resume_reading(self) -> None:
         """Resume reading the request body; part of the `Source` interface."""
@@ -290,5 +296,8 @@
                 self.core.loop.call_soon(self._abort_disconnected)
                 return
             self.transport.resume_reading()
+            now = self.core.clock()
             if self.send_watchdog is not None:
-                self.send_watchdog.resume(self.core.clock())
+                self.send_watchdog.resume(now)
+            if self.body_arrival is not None:
+                self.body_arrival.on_resumed(now)
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -8,6 +8,7 @@
 from ..core.budget import MAX_BUFFERED_BODY
 from ..core.request_context import RequestContext
 from ..front import Reason, State
+from .body_arrival import BodyArrival
 from .client_connection import BODY, CLOSING, HEAD
 from .request_reader import RequestReader
 from .responses import STATUS_LINES
@@ -102,6 +103,24 @@
             self._check_reader(size, now)
         else:
             self._check_deadline(size, now)
+        if self.body_arrival is not None:
+            self._check_body(self.body_arrival, now)
+
+    def _check_body(self, body_arrival: BodyArrival, now: int) -> None:
+        """Check the request body that the client streams, which may wait unread."""
+        transport, request = self.transport, self.incoming
+        if transport is None or request is None or self.phase != BODY:
+            return
+        if transport.is_reading():
+            body_arrival.on_reading(now)
+            return
+        if self.has_disconnected():
+            self._abort_disconnected()
+            return
+        self._observe_unread_body(body_arrival, now)
+        self.core.uploads.check_paused(
+            request, body_arrival.missing_at, body_arrival.arrived_at, now
+        )
 
     def _sweep_closing(self, transport: asyncio.Transport, size: int, now: int) -> None:
         """Abort a closing connection once it has lingered for long enough.
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -13,11 +13,13 @@
 from ..core.request_context import RequestContext
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..core.upload import Upload
+from .body_arrival import BodyArrival
 from .client_connection import BODY, CLOSING, HEAD, IDLE
 from .http import MAX_HEAD_BYTES, OPTIONAL_WHITESPACE
 from .intake import RejectError
 from .request_head import body_framing, forwarded_lines, select_fields, without_upgrade
 from .response_writer import ResponseWriter
+from .socket_poll import unread_size
 from .tcp_info import data_arrival
 
 MAX_PIPELINED: Final = 4  # requests of a client that may be queued for dispatch
@@ -198,13 +200,14 @@
         if request is None:
             return
         self.incoming = self.send_watchdog = None
+        body_arrival, self.body_arrival = self.body_arrival, None
         if self.discarding_body:
             if self.transport is not None:
                 self.transport.close()
             return
         self.phase = IDLE
         if request.upload is not None:
-            self._end_upload(request, request.upload)
+            self._end_upload(request, request.upload, body_arrival)
             return
         request.keep_alive = self.parser.should_keep_alive()
         request.is_http_1_0 = self.parser.get_http_version() == "1.0"
@@ -237,8 +240,10 @@
         transport = self.transport
         if transport is None or self.parser is None:
             return
+        if self.body_arrival is None:
+            self.body_arrival = BodyArrival(self.core.clock())
         if self.request is not None or self.pipelined:
-            transport.pause_reading()  # `_dispatch_next` continues
+            self.pause_reading()  # `_dispatch_next` continues
             return
         if self.core.budget.streamed > self.core.budget.limit:
             self._reject(503, "no memory left for a streamed body")
@@ -262,12 +267,42 @@
             self.send_watchdog.record(size, self.core.clock())
         upload.flush()
 
-    def _end_upload(self, request: RequestContext, upload: Upload) -> None:
+    def _end_upload(
+        self, request: RequestContext, upload: Upload, body_arrival: BodyArrival | None
+    ) -> None:
         """Finish a streamed body: forward its last bytes together with its end."""
         if self.has_disconnected():
             return  # the last byte would start the request at a host, though nobody waits for it
-        upload.complete = True
         self.head_received = 0
+        arrived = self._last_byte_arrival(body_arrival)
+        if self.core.uploads.expire_before_last_byte(request, arrived):
+            self.resume_reading()
+            return
+        upload.complete = True
         upload.flush()
         self.resume_reading()
-        self.core.body_complete(request)
+        self.core.uploads.body_complete(request, arrived)
+
+    def _last_byte_arrival(self, body_arrival: BodyArrival | None) -> int:
+        """Return when the last byte of a streamed body, which has just been read, arrived."""
+        now = self.core.clock()
+        arrived = 0
+        if body_arrival is not None:
+            last_data_at = data_arrival(self.sock, body_arrival.missing_at, now)
+            arrived = body_arrival.last_byte_at(last_data_at)
+        return arrived or self.core.earliest_arrival(now)
+
+    def _observe_unread_body(self, body_arrival: BodyArrival, now: int) -> None:
+        """Record what has arrived of the body while reading it is paused."""
+        unread = unread_size(self.sock) or int(self._has_unread_bytes())
+        missing = None if self.content_length is None else self.content_length - self.received
+        last_data_at = data_arrival(self.sock, body_arrival.missing_at, now)
+        body_arrival.on_unread(now, unread, missing, last_data_at)
+
+    def earliest_body_arrival(self, now: int) -> int:
+        """Return when the last byte of the body that is being read can have arrived at earliest."""
+        body_arrival = self.body_arrival
+        if body_arrival is None or self.transport is None or self.transport.is_reading():
+            return now
+        self._observe_unread_body(body_arrival, now)
+        return body_arrival.missing_at
--- a/sailhitch/net/socket_poll.py
+++ b/sailhitch/net/socket_poll.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
+import socket
+import struct
+import termios
+from typing import Final
+
+_INT: Final = struct.Struct("=i")
 
 
 def has_event(descriptor: int, events: int) -> bool:
@@ -16,3 +23,13 @@
     poll.register(descriptor, events)
     found = poll.poll(0)
     return found[0][1] if found else 0
+
+
+def unread_size(sock: socket.socket) -> int:
+    """Return how many bytes the system has received that are unread (FIONREAD, tcp(7))."""
+    size = bytearray(_INT.size)
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, size)
+    except (OSError, ValueError):
+        return 0
+    return int(_INT.unpack(size)[0])
--- a/sailhitch/net/upstream_connection.py
+++ b/sailhitch/net/upstream_connection.py
@@ -110,7 +110,7 @@
         request = attempt.request
         upload = request.upload
         last = True
-        time_left = min(attempt.expires_at - now, request.wait_ms * 1000)
+        time_left = self._time_left(attempt, now)
         head, body = request.serialize(time_left, self.connection_pool.pool.stamp)
         if upload is not None:
             body, last = upload.open(self)
@@ -142,6 +142,14 @@
             self._send_body()
         return True
 
+    def _time_left(self, attempt: Attempt, now: int) -> int:
+        """Return the time that the client still waits, in microseconds."""
+        request = attempt.request
+        wait = request.wait_ms * 1000
+        if request.is_uploading() and request.client is not None:
+            wait -= now - request.client.earliest_body_arrival(now)
+        return min(attempt.expires_at - now, wait)
+
     def send_body(self, data: bytes, last: bool) -> None:
         """Send more of a streamed request body; part of the `Sink` interface."""
         if self.upload is None or self.attempt is None:
@@ -355,6 +363,11 @@
         """Return whether the request's last byte has certainly not been written."""
         return self.unsent_body is not None or self.has_more_body
 
+    def unsent_size(self) -> int:
+        """Return how many bytes are still buffered in this process; part of `Sink`."""
+        buffered = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        return buffered + (len(self.unsent_body) if self.unsent_body is not None else 0)
+
     def has_unsent_bytes(self) -> bool:
         """Return whether part of the request is still buffered in this process."""
         buffered = self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -189,21 +189,22 @@
         if self.backlog.held:
             self._drain_backlog(now)
 
-    def body_complete(self, now: int, req: int, deadline: int) -> None:
-        """Restart the clock of a request and its attempt, now that its body is complete.
+    def body_arrived(self, req: int, deadline: int, arrived: int) -> None:
+        """Count a request's times from when its last byte arrived, which may be unread yet."""
+        request = self.open_requests.get(req)
+        if request is not None and request.is_uploading:
+            request.count_from(arrived, deadline)
+
+    def body_complete(self, now: int, req: int) -> None:
+        """Restart the clock of a request's attempt, now that its last byte was passed on.
 
         Measured from the first byte, a slow upload would make the server look slow or unresponsive.
         """
         request = self.open_requests.get(req)
-        if request is None or not request.is_uploading:
-            return
-        request.is_uploading = False
-        shift = now - request.arrived_at
-        request.arrived_at = now
-        request.hold_until = min(deadline, request.hold_until + shift)
-        request.attempts_end_at += shift if request.attempts_end_at else 0
-        for server in self.endpoint_table.servers.values() if request.open_attempts else ():
-            server.on_body_complete(now, req)
+        if request is not None and request.is_uploading:
+            request.is_uploading = False
+            for server in self.endpoint_table.servers.values() if request.open_attempts else ():
+                server.on_body_complete(now, req)
 
     def response_started(
         self,
--- a/sailhitch/policy/health.py
+++ b/sailhitch/policy/health.py
@@ -67,7 +67,7 @@
             self._on_rejection(now, server, report)
         elif outcome in (AttemptOutcome.ERROR, AttemptOutcome.RESET):
             self._on_error(now, server)
-        elif outcome == AttemptOutcome.CONNECT_FAILED:
+        elif outcome in (AttemptOutcome.CONNECT_FAILED, AttemptOutcome.STALLED):
             self._eject(now, server)
         elif outcome == AttemptOutcome.NO_ROUTE:
             # The fault is this machine's and not the server's; other servers may be reachable.
--- a/sailhitch/policy/request.py
+++ b/sailhitch/policy/request.py
@@ -78,6 +78,13 @@
         if now + ATTEMPT_TIME_MULTIPLE * useful_time < deadline:
             self.attempts_end_at = now + int(ATTEMPT_TIME_MULTIPLE * useful_time)
 
+    def count_from(self, arrived: int, deadline: int) -> None:
+        """Count its times from when its last byte arrived, as is known by now."""
+        shift = arrived - self.arrived_at
+        self.arrived_at = arrived
+        self.hold_until = min(deadline, self.hold_until + shift)
+        self.attempts_end_at += shift if self.attempts_end_at else 0
+
     def may_send(self, now: int, server: Server, limits: Limits) -> bool:
         """Return whether an attempt at this server is allowed and can't repeat an effect."""
         if self.attempts >= limits.max_attempts or (
--- a/sailhitch/policy_interface.py
+++ b/sailhitch/policy_interface.py
@@ -41,7 +41,8 @@
     NOT_SENT = "moot"  # nothing was written: nobody waits for the response any more
     WITHHELD = "withheld"  # nothing was written: the endpoint was ruled out after its selection
     NO_ROUTE = "no_route"  # nothing was written: this machine temporarily had no port or route
-    EXPIRED = "expired"  # the deadline passed before a connection was established
+    EXPIRED = "expired"  # the deadline passed before the last byte of the request was written
+    STALLED = "stalled"  # the endpoint read nothing more before the last byte was written
 
 
 # Outcomes that prove that the attempt had no effect.
@@ -52,6 +53,7 @@
         AttemptOutcome.EXPIRED,
         AttemptOutcome.NOT_SENT,
         AttemptOutcome.NO_ROUTE,
+        AttemptOutcome.STALLED,
         AttemptOutcome.WITHHELD,
     )
 )
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -54,6 +54,9 @@
     def resume_reading(self) -> None:
         self.paused = False
 
+    def unsent_size(self) -> int:
+        return len(self.got)
+
     def send_body(self, data: bytes, last: bool) -> None:
         assert not self.ends
         self.got += data
--- a/tests/test_front_crowds.py
+++ b/tests/test_front_crowds.py
@@ -432,7 +432,7 @@
         async with Server(silent) as host, running_gateway(("a", host.addr)) as gateway:
             core = gateway.core
             first, second = await gateway.client(), await gateway.client()
-            real, failed_contexts = core._check_timeouts, []
+            real, failed_contexts = core.check_timeouts, []
 
             def check_timeouts(request_context: Any, now: int) -> None:
                 if request_context.name == b"bad":
@@ -440,7 +440,7 @@
                     raise KeyError("a bug")
                 real(request_context, now)
 
-            monkeypatch.setattr(core, "_check_timeouts", check_timeouts)
+            monkeypatch.setattr(core, "check_timeouts", check_timeouts)
             first.send(request("bad", wait_ms=300))
             second.send(request("good", wait_ms=400))
             assert (await first.answer())[0] in (502, 504)
