Pass on long answers whose host pauses, in place of cutting them off at the deadline

Cause: whether an answer of unknown length starts to flow was looked at only when bytes of it came. While the host paused none came, so what had come was held until the attempt's time was over and dropped with it.

Change: one timer for a response that may be long and is incomplete. It flows 0.3 s after its head; 1.5 s after it if there is no body yet or another attempt is open; at the end of the attempt's time; and at once if memory can't hold it, which counted as malformed. An answer that began before its request's body was whole is looked at again. Every status that a daemon's route passes takes the same way.

--- a/sailhitch/core/interfaces.py
+++ b/sailhitch/core/interfaces.py
@@ -141,6 +141,9 @@
     def abandon(self) -> None:
         """Discard the response, which may still arrive."""
 
+    def stream_response(self) -> bool:
+        """Begin to stream a response that the host is still giving; return whether there is one."""
+
     def has_unsent_bytes(self) -> bool:
         """Return whether part of the request is unsent, so that the host can't have run it."""
 
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -215,6 +215,8 @@
     def check_timeouts(self, attempt: Attempt, now: int) -> None:
         """End an attempt whose timeout, or connect timeout, has passed."""
         if attempt.expires_at <= now:
+            if self._is_being_answered(attempt, now):
+                return
             self.abort(attempt, self._expiry_outcome(attempt, now))
         elif attempt.connect_by and attempt.connect_by <= now:
             if self.transport.is_connected(attempt):
@@ -223,6 +225,15 @@
             else:
                 self.abort(attempt, AttemptOutcome.CONNECT_FAILED)
 
+    def _is_being_answered(self, attempt: Attempt, now: int) -> bool:
+        """Return whether a long response, whose first bytes came in time, is streamed from now on.
+
+        At the end of a drain there is no time left for one.
+        """
+        if attempt.connection is None or (self.core.drain_since and now >= self.core.drain_until):
+            return False
+        return attempt.connection.stream_response()
+
     def _expiry_outcome(self, attempt: Attempt, now: int) -> AttemptOutcome:
         if attempt.connection is not None:
             if attempt.connection.has_unsent_bytes():
--- a/sailhitch/net/upstream_connection.py
+++ b/sailhitch/net/upstream_connection.py
@@ -28,8 +28,10 @@
     from .connection_pool import ConnectionPool, Host
 
 CHUNK_BYTES: Final = 64 * 1024  # large requests are passed to the transport in such pieces
-# A response of unknown length is streamed if it is incomplete so many us after its head.
+# A response that may be long is streamed if it is incomplete so many us after its head...
 STREAM_AFTER: Final = 300_000
+# ...or after so many, if nothing of its body has come or another attempt may respond first.
+STREAM_AT_LATEST: Final = 1_500_000
 # A host that streams a response more slowly than this counts as stalled.
 MIN_FLOW_RATE: Final = 4 * 1024  # bytes/s
 FLOW_GRACE_TIME: Final = 10_000_000  # us
@@ -51,10 +53,12 @@
         "host",
         "idle_since",
         "load",
+        "must_stream",
         "rejected",
         "reserved",
         "size",
         "sock",
+        "stream_timer",
         "transport",
         "unsent_body",
         "upload",
@@ -74,6 +78,7 @@
         self.has_more_body = False  # the last byte of the upload has not arrived
         self.idle_since = 0
         self.reserved = 0  # response bytes reserved in the memory budget
+        self.stream_timer: asyncio.TimerHandle | None = None
         self._clear()
 
     def _clear(self) -> None:
@@ -81,7 +86,11 @@
         self.size = 0
         self.budget.release(self.reserved)
         self.reserved = 0
+        if self.stream_timer is not None:
+            self.stream_timer.cancel()
+            self.stream_timer = None
         self.rejected = self.discarding = False
+        self.must_stream = False  # no memory is left to buffer the response
         self.load: LoadReport | None = None
         self.client: Client | None = None  # that the response is streamed to
         self.watchdog: ThroughputWatchdog | None = None  # of a streamed response
@@ -200,9 +209,8 @@
             elif low == b"srv-declined":
                 declined = value.strip() == b"1"
         self.rejected = declined and self.status in (503, 504)
-        if self.length is None:
-            self.head_received_at = self.connection_pool.core.clock()
-        elif self.length > MAX_BODY_BYTES:
+        self.head_received_at = self.connection_pool.core.clock()
+        if self.length is not None and self.length > MAX_BODY_BYTES:
             raise MalformedError("body too large")
 
     def handle_body(self, data: bytes) -> None:
@@ -219,10 +227,13 @@
             and not self.connection_pool.pool.connection_settings.passes_any_status
         ):
             return
-        if self.client is None:
-            if not self.budget.reserve(len(data)):
+        if self.client is None and not self.must_stream:
+            if self.budget.reserve(len(data)):
+                self.reserved += len(data)
+            elif self._has_streamed_status() and not self._is_request_incomplete():
+                self.must_stream = True
+            else:
                 raise MalformedError("no memory left for the body")
-            self.reserved += len(data)
         if not self.body:
             self.body = data
         else:
@@ -242,8 +253,8 @@
             self.keep_alive = False
             self._finish_attempt(self._outcome_of_broken_response(AttemptOutcome.ERROR))
             return
-        if self.phase == BODY and self.client is None and self._should_stream():
-            self._start_streaming(self.attempt)
+        if self.phase == BODY and self.client is None:
+            self._stream_when_due(self.attempt)
         if self.client is not None:
             self._forward_body(len(data))
         if self.phase == COMPLETE:
@@ -251,21 +262,62 @@
 
     # --- Streamed responses
 
-    def _should_stream(self) -> bool:
-        """Return whether the response is to be streamed instead of buffered."""
-        if not self.size or self.discarding or self._is_request_incomplete():
-            return False
-        if self.status != 200 and not (
-            self.connection_pool.pool.connection_settings.passes_any_status and self.status < 500
-        ):
-            return False
-        if self.length is not None:
-            return self.length > MAX_BUFFERED_BODY
+    def _has_streamed_status(self) -> bool:
+        """Return whether a response with this status is the client's, and not only a fallback."""
+        passes_any = self.connection_pool.pool.connection_settings.passes_any_status
+        return self.status == 200 or (passes_any and self.status < 500)
+
+    def _is_streamable(self) -> bool:
+        """Return whether the response is streamed, now or later, unless it is complete before."""
+        may_be_long = self.length is None or self.length > MAX_BUFFERED_BODY
         return (
-            self.size > MAX_BUFFERED_BODY
-            or self.connection_pool.core.clock() - self.head_received_at > STREAM_AFTER
+            not self.discarding
+            and self._has_streamed_status()
+            and (may_be_long or self.must_stream)
         )
 
+    def _stream_delay(self, attempt: Attempt) -> int:
+        """Return in how many us a streamable response is to be streamed; 0: now."""
+        if self._is_request_incomplete():
+            return STREAM_AFTER  # the host can't have run it yet: looked at again by then
+        is_long = self.length is not None or self.size > MAX_BUFFERED_BODY
+        if self.must_stream or (self.size and is_long):
+            return 0
+        is_sole = len(attempt.request.open_attempts) == 1
+        wait = STREAM_AFTER if self.size and is_sole else STREAM_AT_LATEST
+        return max(0, self.head_received_at + wait - self.connection_pool.core.clock())
+
+    def _stream_when_due(self, attempt: Attempt) -> None:
+        """Stream the response if that is due, else look again when it may be.
+
+        A host may pause for as long as it likes: nothing it has given is held back meanwhile.
+        """
+        if not self._is_streamable():
+            return
+        delay = self._stream_delay(attempt)
+        if not delay:
+            self._start_streaming(attempt)
+        elif self.stream_timer is None:
+            loop = self.connection_pool.core.loop
+            self.stream_timer = loop.call_later(delay / 1e6, self._on_stream_timer)
+
+    def _on_stream_timer(self) -> None:
+        self.stream_timer = None
+        if self.attempt is not None and self.phase == BODY and self.client is None:
+            self._stream_when_due(self.attempt)
+            self._forward_body(0)
+
+    def stream_response(self) -> bool:
+        """Stream what has come of the response, as its time ends; return whether it may be long."""
+        attempt = self.attempt
+        if attempt is None or self.phase != BODY or attempt.request.closed:
+            return False
+        if not self._is_streamable() or self._is_request_incomplete():
+            return False
+        self._start_streaming(attempt)
+        self._forward_body(0)
+        return True
+
     def _start_streaming(self, attempt: Attempt) -> None:
         response = Response(self.status, self.fields, b"")
         length = self.length if not self.chunked else None
