Move the response of a host out of net/upstream_connection.py into net/host_response.py

Need: the file had grown to 488 lines, with the request, the connection and the response in one class.

Change: HostResponse reads a response and decides when a long one is streamed; UpstreamConnection writes the request, and reports outcomes. No behaviour changes. Two patches of tests/test_flows.py name the new module.

--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -17,7 +17,7 @@
 from sailhitch.core.throughput_watchdog import GRACE_TIME, MAX_STALL, MIN_RATE, ThroughputWatchdog
 from sailhitch.core.upload import Upload
 from sailhitch.front import Reason
-from sailhitch.net import response_writer, upstream_connection
+from sailhitch.net import host_response, response_writer, upstream_connection
 from tests.crossings import reset_at_close
 from tests.sockets import (
     TEST_TIMEOUT,
@@ -232,8 +232,8 @@
 def test_a_client_can_detect_an_incomplete_response(
     form: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream_connection, "MAX_FLOW_STALL", 300_000)
-    monkeypatch.setattr(upstream_connection, "MAX_BODY_BYTES", 2 * MB)
+    monkeypatch.setattr(host_response, "MAX_FLOW_STALL", 300_000)
+    monkeypatch.setattr(host_response, "MAX_BODY_BYTES", 2 * MB)
 
     async def broken(message: bytes, writer: Writer) -> None:
         long = b"Content-Length: %d\r\n" % (2 * MB) if form in ("breaks", "stops", "lies") else b""
