--- a/sailhitch/lab/node.py
+++ b/sailhitch/lab/node.py
@@ -155,6 +155,9 @@
 
     # --- One request
 
+    def handle_begin(self, connection: _Connection) -> None:
+        """Handle the first byte of a request."""
+
     def handle_request(self, connection: _Connection, name: bytes, key: bytes) -> None:
         """Handle a complete request."""
         now = asyncio.get_running_loop().time()
@@ -225,14 +228,17 @@
         self._held_count -= 1
         self._check_overload()
         self._execute(connection, name, key)
+        self._respond(connection, name, fault)
+        if self._queue:
+            self._queue.popleft()()
+
+    def _respond(self, connection: _Connection, name: bytes, fault: Fault | None) -> None:
         if fault == Fault.RESET_AFTER:
             connection.transport.abort()
         elif fault != Fault.SILENT:
             connection.write(self._answer(name, fault))
             if fault in (Fault.MALFORMED, Fault.TRUNCATED):
                 connection.transport.close()
-        if self._queue:
-            self._queue.popleft()()
 
     def _execute(self, connection: _Connection, name: bytes, key: bytes) -> None:
         now = asyncio.get_running_loop().time()
@@ -286,6 +292,7 @@
     def on_message_begin(self) -> None:
         self.name = self.key = self.version = b""
         self.wait_ms = 0
+        self.node.handle_begin(self)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         low = name.lower()
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 from enum import Enum, auto
@@ -9,10 +10,12 @@
 
 from sailhitch.lab.node import Fault, Memory, Node
 from tests.soak.proxy import Proxy
-from tests.soak.records import Arrival, Records
+from tests.soak.records import LONG_ANSWER, Arrival, LongAnswer, Records
 
 WORK = 0.01  # s that a request takes
 WORKERS = 8  # requests in work at a time
+LONG_ANSWER_SIZE, FIRST_PIECE = 200 * 1024, 40 * 1024  # bytes
+MAX_PAUSE = 3.0  # s between the first piece of a long answer and the rest
 COLD = 1.0  # s after its start for which a node is slower
 
 
@@ -46,16 +49,19 @@
         self.started_ms = 0  # wall clock, for discovery; 0 means long ago
         self.state = "active"
         self.proxy = Proxy()
+        self._answering: set[asyncio.Task[None]] = set()
 
     def _fault(self, name: bytes) -> Fault | None:
         kinds = FAULTS.get(self.mode)
         return None if kinds is None else self.rng.choice(kinds)
 
-    def handle_request(self, connection: Any, name: bytes, key: bytes) -> None:
+    def handle_begin(self, connection: Any) -> None:
         now = time.monotonic()
-        arrival = Arrival(
-            name.decode(), self.name, now, connection.wait_ms / 1000, self.proxy.held(now)
-        )
+        connection.begun = now, self.proxy.held(now)
+
+    def handle_request(self, connection: Any, name: bytes, key: bytes) -> None:
+        begun, held = connection.begun
+        arrival = Arrival(name.decode(), self.name, begun, connection.wait_ms / 1000, held)
         self.records.arrivals.append(arrival)
         super().handle_request(connection, name, key)
 
@@ -66,6 +72,27 @@
             count = self.records.effects
             count[name.decode()] = count.get(name.decode(), 0) + 1
 
+    def _respond(self, connection: Any, name: bytes, fault: Fault | None) -> None:
+        if fault is not None or not name.decode().endswith(LONG_ANSWER):
+            super()._respond(connection, name, fault)
+            return
+        task = asyncio.get_running_loop().create_task(self._give_pieces(connection, name))
+        self._answering.add(task)
+        task.add_done_callback(self._answering.discard)
+
+    async def _give_pieces(self, connection: Any, name: bytes) -> None:
+        """Give a long answer of unknown length, with a pause after its first piece."""
+        body = (name + b" ").ljust(LONG_ANSWER_SIZE, b".")
+        first, rest = body[:FIRST_PIECE], body[FIRST_PIECE:]
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection.write(head + b"%x\r\n%s\r\n" % (len(first), first))
+        answer = LongAnswer(name.decode(), self.name, time.monotonic())
+        self.records.long_answers.append(answer)
+        await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE))
+        answer.disturbed = self.proxy.disturbed_at >= answer.begun or self.proxy.cut
+        answer.went_on = not connection.transport.is_closing()
+        connection.write(b"%x\r\n%s\r\n0\r\n\r\n" % (len(rest), rest))
+
     def entry(self) -> dict[str, Any]:
         """Its entry in discovery."""
         return {
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -10,11 +10,22 @@
 from collections.abc import Iterable, Iterator
 from pathlib import Path
 
-from tests.soak.records import Arrival, Drain, End, Kind, ProcessRecord, Records, Sent
+from tests.soak.records import (
+    LONG_ANSWER,
+    Arrival,
+    Drain,
+    End,
+    Kind,
+    LongAnswer,
+    ProcessRecord,
+    Records,
+    Sent,
+)
 
 DRAIN_GRACE = 1.0  # s; `drainGrace` of the settings
 NOTIFIED_AFTER_RELOAD = 4.0  # s after SIGHUP until which the gateway need not know of a change
 MAX_LATENESS = 0.5  # s past its deadline; a later answer counts as lost
+MAX_HELD_BACK = 2.0  # s for which what a host has given may be held back
 DISCONNECT_SLACK = 0.1  # s after the client's close; an attempt that begins later is a violation
 WAIT_SLACK = 0.15  # s by which the wait sent to a host may exceed the time left
 SOCKET_DELAY = 0.05  # s added to each time limit, for the delay of real sockets
@@ -33,6 +44,9 @@
         self.arrivals: dict[str, list[Arrival]] = defaultdict(list)
         for arrival in records.arrivals:
             self.arrivals[arrival.name].append(arrival)
+        self.long_answers: dict[str, list[LongAnswer]] = defaultdict(list)
+        for answer in records.long_answers:
+            self.long_answers[answer.name].append(answer)
 
     def broken(self, logs: Iterable[Path]) -> list[str]:
         """One line for each violation of a rule."""
@@ -76,9 +90,32 @@
             which = "a new" if sent.fresh else "a kept"
             yield f"lost: {which} connection closed with no answer, {self._describe_times(sent)}"
         elif sent.end in (End.SERVED, End.REFUSED, End.FAILED):
-            late = sent.ended - sent.at - sent.wait - _stalled_for(self.records.stalls, sent.ended)
+            timed = self._timed_at(sent)
+            late = timed - sent.at - sent.wait - _stalled_for(self.records.stalls, timed)
             if late > MAX_LATENESS + RECORDING_DELAY:
                 yield f"lost: answered {late:.2f} s late"
+        yield from self._check_long_answer(sent, process)
+
+    def _timed_at(self, sent: Sent) -> float:
+        """Return when an answer counts as come: a long one with its first bytes."""
+        is_long = sent.end is End.SERVED and sent.name.endswith(LONG_ANSWER)
+        return sent.answered if is_long else sent.ended
+
+    def _check_long_answer(self, sent: Sent, process: ProcessRecord) -> Iterator[str]:
+        """Check that nothing was held back or cut off of what a node was giving."""
+        given = self.long_answers[sent.name]
+        if len(given) != 1 or given[0].disturbed or sent.end is End.LEFT:
+            return  # more than one node was giving, or it was cut off itself
+        answer = given[0]
+        stalled = _stalled_for(self.records.stalls, answer.begun) + RECORDING_DELAY
+        stalled += sum(end - begin for begin, end in process.pauses)
+        held = sent.answered - answer.begun
+        if sent.end is End.SERVED and held > MAX_HELD_BACK + stalled:
+            yield f"lost: an answer was held back for {held:.2f} s"
+        ended = process.killed or process.stopped
+        in_time = answer.begun < sent.at + sent.wait - stalled
+        if in_time and sent.end in (End.CUT, End.FAILED) and not 0 < ended < sent.ended:
+            yield f"lost: {sent.end.value} {sent.ended - answer.begun:.2f} s after its node began"
 
     def _describe_times(self, sent: Sent) -> str:
         """When a request was sent and closed, and its process stopped, killed or ended."""
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -11,6 +11,7 @@
 
 MAX_CONNECT_DELAY = 0.3  # s by which new connections are delayed at most
 FORWARDING_TIME = 0.05  # s that delayed data takes to reach the node once it is forwarded
+RECEIVE_BUFFER = 128 * 1024  # bytes, so that a stalled node's system takes little
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time (socket(7))
 
 
@@ -22,6 +23,9 @@
         self.late = 0.0  # s before a new connection is forwarded to the node
         self.late_until = 0.0  # delayed data may still arrive until then
         self.cut = False  # drop all data without closing connections
+        self.stalled = False  # take no data from gateways
+        self.stalled_at = self.stalled_until = 0.0  # the last stall; its data arrives by its end
+        self.disturbed_at = 0.0  # when connections were last cut or reset
         self.addr = ""
         self.open: set[_Side] = set()
         self._server: asyncio.Server | None = None
@@ -31,7 +35,10 @@
         host, _, port = to.rpartition(":")
         self.to = (host, int(port))
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Side(self), "127.0.0.1", 0)
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        sock.bind(("127.0.0.1", 0))
+        self._server = await loop.create_server(lambda: _Side(self), sock=sock)
         self.addr = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def end_late(self, now: float) -> None:
@@ -40,10 +47,30 @@
 
     def held(self, now: float) -> float:
         """The longest delay (s) of data that arrives now."""
-        return self.late or (MAX_CONNECT_DELAY if now < self.late_until else 0.0)
+        late = self.late or (MAX_CONNECT_DELAY if now < self.late_until else 0.0)
+        if self.stalled or now < self.stalled_until:
+            return late + now - self.stalled_at
+        return late
+
+    def stall(self) -> None:
+        """Take nothing more from gateways, as a node that stops reading."""
+        self.stalled, self.stalled_at = True, time.monotonic()
+        for side in self.open:
+            side.follow_stall()
+
+    def end_stall(self) -> None:
+        """Take data from gateways again."""
+        self.stalled, self.stalled_until = False, time.monotonic() + FORWARDING_TIME
+        for side in self.open:
+            side.follow_stall()
+
+    def begin_cut(self) -> None:
+        """Drop all data from now on."""
+        self.cut, self.disturbed_at = True, time.monotonic()
 
     def reset(self) -> None:
         """Reset all connections, as a rebooted machine does."""
+        self.disturbed_at = time.monotonic()
         for side in list(self.open):
             side.reset()
 
@@ -66,13 +93,15 @@
     def __init__(self, proxy: Proxy, other: _Side | None = None) -> None:
         self.proxy, self.other = proxy, other
         self.transport: asyncio.Transport | None = None
+        self.faces_gateway = other is None
         self.held = b""  # data received before the other side was connected
         self._task: asyncio.Task[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.proxy.open.add(self)
-        if self.other is None:
+        if self.faces_gateway:
+            self.follow_stall()
             self._task = asyncio.get_running_loop().create_task(self._connect_to_node())
 
     async def _connect_to_node(self) -> None:
@@ -94,6 +123,15 @@
         if self.transport is None:
             other.reset()
 
+    def follow_stall(self) -> None:
+        """Read from the gateway only while the proxy is not stalled."""
+        if not self.faces_gateway or self.transport is None or self.transport.is_closing():
+            return
+        if self.proxy.stalled:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def data_received(self, data: bytes) -> None:
         if self.proxy.cut:
             return
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+LONG_ANSWER = "-long"  # ends the names of requests that nodes give a long answer to
+
 
 class Kind(Enum):
     """The class of a request, which says whether its effect may be repeated."""
@@ -23,6 +25,7 @@
     FAILED = "failed"
     LEFT = "left"  # the client closed the connection first
     CLOSED = "closed"  # the gateway closed the connection without an answer
+    CUT = "cut"  # the gateway broke off an answer that it had begun
     SILENT = "silent"  # no answer came in time
     UNCONNECTED = "unconnected"  # the connection could not be opened
 
@@ -42,6 +45,18 @@
     end: End = End.OPEN
     status: int = 0
     wrong: bool = False  # served with a body that was not made for this request
+    answered: float = 0.0  # when the head of its answer had come
+
+
+@dataclass(slots=True)
+class LongAnswer:
+    """An answer that a node gave in pieces."""
+
+    name: str
+    node: str
+    begun: float  # when its first piece was written
+    went_on: bool = False  # the connection was still open after the pause
+    disturbed: bool = False  # the node's connections were cut or reset meanwhile
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +65,7 @@
 
     name: str
     node: str
-    at: float
+    at: float  # when its first byte had come
     wait: float  # s; the wait that the gateway states
     held: float = 0.0  # s by which the node's proxy may have delayed it
 
@@ -84,6 +99,7 @@
 
     sent: dict[str, Sent] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
+    long_answers: list[LongAnswer] = field(default_factory=list)
     effects: dict[str, int] = field(default_factory=dict)  # by request
     processes: dict[str, list[ProcessRecord]] = field(default_factory=dict)  # by gateway
     drains: list[Drain] = field(default_factory=list)
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from tests.soak.agents import Catalogue
-from tests.soak.clients import Crowd
+from tests.soak.clients import LONG_BODY_SHARE, Crowd
 from tests.soak.gateways import Gateway
 from tests.soak.nodes import Mode, SoakNode
 from tests.soak.proxy import MAX_CONNECT_DELAY
@@ -21,6 +21,9 @@
 
 INJECTION_PERIOD = 8.0  # s within which all faults begin
 COUNT = (18, 28)  # fewest and most faults of a run
+STALL_COUNT = (2, 3)  # fewest and most times that nodes stop reading, in addition
+STALL_LONG_BODIES = 0.3  # share of long bodies while nodes stop reading...
+STALL_LEAD = 0.15  # ...for so many s before and after
 EXTRA_COUNT = (2, 5)  # fewest and most signal series and connection floods, in addition
 MAX_FAULTY_SHARE = 0.4  # share of the nodes that may be faulty at a time
 LOCAL_FAILURES = {
@@ -83,6 +86,7 @@
         # A separate random stream keeps the draws of the faults above the same for each seed.
         self.extra_rng = random.Random(f"{rng.getstate()} more")
         self.extra_kinds = [self.signals, self.signals, self.crowd_of_idlers]
+        self.stall_rng = random.Random(f"{rng.getstate()} stalls")
         self._faulty: set[str] = set()
 
     async def run(self) -> None:
@@ -96,6 +100,10 @@
             (self.extra_rng.uniform(0.0, INJECTION_PERIOD), self.extra_rng.choice(self.extra_kinds))
             for _ in range(self.extra_rng.randint(*EXTRA_COUNT))
         )
+        drawn.extend(
+            (self.stall_rng.uniform(0.0, INJECTION_PERIOD), self.stop_reading)
+            for _ in range(self.stall_rng.randint(*STALL_COUNT))
+        )
         begun = time.monotonic()
 
         async def one(at: float, kind: Callable[[], Awaitable[str]]) -> None:
@@ -108,12 +116,12 @@
 
         await asyncio.gather(*(one(at, kind) for at, kind in sorted(drawn, key=lambda d: d[0])))
 
-    def _take_node(self) -> SoakNode | None:
+    def _take_node(self, rng: random.Random | None = None) -> SoakNode | None:
         """Choose a healthy node and mark it as faulty; None if no more nodes may be faulty."""
         healthy = [n for n in self.nodes if n.name not in self._faulty and n.state == "active"]
         if len(self._faulty) >= MAX_FAULTY_SHARE * len(self.nodes) or not healthy:
             return None
-        node = self.rng.choice(healthy)
+        node = (rng or self.rng).choice(healthy)
         self._faulty.add(node.name)
         return node
 
@@ -264,12 +272,29 @@
         node = self._take_node()
         if node is None:
             return "none"
-        node.proxy.cut = True
+        node.proxy.begin_cut()
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
         node.proxy.heal()
         self._faulty.discard(node.name)
         return node.name
 
+    async def stop_reading(self) -> str:
+        """Let some nodes take nothing more from gateways for a while, as long bodies come."""
+        rng = self.stall_rng
+        taken = [self._take_node(rng) for _ in range(rng.randint(1, 3))]
+        nodes = [node for node in taken if node is not None]
+        self.crowd.long_bodies = STALL_LONG_BODIES
+        await asyncio.sleep(STALL_LEAD)
+        for node in nodes:
+            node.proxy.stall()
+        await asyncio.sleep(STALL_LEAD)
+        self.crowd.long_bodies = LONG_BODY_SHARE
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+        for node in nodes:
+            node.proxy.end_stall()
+            self._faulty.discard(node.name)
+        return " ".join(node.name for node in nodes)
+
     async def late(self) -> str:
         """Delay new connections to a third of the nodes."""
         chosen = self.rng.sample(self.nodes, len(self.nodes) // 3)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -42,7 +42,11 @@
 
 async def read_message(reader: Reader) -> bytes:
     """Read a complete message and join its chunks; raises IncompleteReadError at an early end."""
-    head = await reader.readuntil(b"\r\n\r\n")
+    return await read_rest(reader, await reader.readuntil(b"\r\n\r\n"))
+
+
+async def read_rest(reader: Reader, head: bytes) -> bytes:
+    """Read the body that follows a head; return both."""
     if b"\r\ntransfer-encoding: chunked" in head.lower():
         body = b""
         while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -16,14 +16,16 @@
 from sailhitch.core.endpoints import EndpointUpdate
 from sailhitch.core.upload import Upload
 from sailhitch.net.body_arrival import MAX_SEND_BUFFER, BodyArrival
+from sailhitch.net.config import parse_config
 from tests.crossings import reset_at_close
-from tests.fake import S
+from tests.fake import BASE, S
 from tests.sockets import (
     Client,
     RunningGateway,
     Server,
     Writer,
     answer,
+    config_value,
     request,
     running_gateway,
     until,
@@ -318,6 +320,25 @@
     asyncio.run(run())
 
 
+@FORMS
+def test_a_new_configuration_ends_no_deadline_of_a_body_that_waits_unread(form: str) -> None:
+    wait_ms = 700
+
+    async def run() -> None:
+        host = PausingHost()
+        async with gateway_before(host) as gateway:
+            client = await gateway.client()
+            written = await write(client, framed("r", BODY[: 512 * KB], form, wait_ms))
+            value = config_value(
+                "127.0.0.1:9", ("a", host.addr), settings={"classes": BASE["classes"][:1]}
+            )
+            gateway.platform.reconfigure(parse_config(value, {}))
+            assert (await client.answer())[0] == 503
+            assert now() - written <= wait_ms / 1000 + ANSWER_SLACK
+
+    asyncio.run(run())
+
+
 def test_a_stall_of_the_gateway_is_not_held_against_a_host() -> None:
     """Guards against ejecting a host that took nothing only because nothing was written."""
     upload = Upload(RecordingEnd(), b"start", False, Budget(80))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,16 @@
 from tests.soak.oracle import Oracle
 from tests.soak.play import play
 from tests.soak.proxy import MAX_CONNECT_DELAY, Proxy
-from tests.soak.records import Arrival, Drain, End, Kind, ProcessRecord, Records, Sent
+from tests.soak.records import (
+    Arrival,
+    Drain,
+    End,
+    Kind,
+    LongAnswer,
+    ProcessRecord,
+    Records,
+    Sent,
+)
 from tests.sockets import Server, Writer, answer, dial, until
 
 
@@ -89,6 +98,20 @@
     _arrived(made, 50.1)
 
 
+def _long_answer(
+    end: End, answered: float, ended: float, begun: float = 50.1
+) -> Callable[[Records], None]:
+    """Return a change that makes the request one whose node gave a long answer."""
+
+    def change(made: Records) -> None:
+        sent = made.sent.pop("q")
+        sent.name, sent.end, sent.answered, sent.ended = "q-long", end, answered, ended
+        made.sent[sent.name] = sent
+        made.long_answers.append(LongAnswer(sent.name, "n0", begun))
+
+    return change
+
+
 def _ended(end: End) -> Callable[[Records], None]:
     def change(made: Records) -> None:
         made.sent["q"].end = end
@@ -107,6 +130,9 @@
     (_kept_and_read, "lost: a kept connection closed with no answer"),
     (_ended(End.CLOSED), "lost: a new connection closed with no answer"),
     (_ended(End.SILENT), "lost: no answer"),
+    (_long_answer(End.CUT, 50.2, 51.1), "lost: cut 1.00 s after its node began"),
+    (_long_answer(End.FAILED, 51.0, 51.0), "lost: failed 0.90 s after its node began"),
+    (_long_answer(End.SERVED, 51.5, 52.0, 49.2), "lost: an answer was held back for 2.30 s"),
     (_closed_before_a_kill, "sent 50.000, closed 50.200, killed 50.300"),
     (lambda made: _arrived(made, 50.5, 0.9), "was told 0.900 s where 0.500 s were left"),
     (lambda made: setattr(made.processes["g0"][0], "ready", 0.0), "not ready within"),
@@ -135,6 +161,19 @@
     assert Oracle(made).broken([log]) == ["g0: its log reports panics"]
 
 
+def test_the_oracle_times_a_long_answer_by_its_first_bytes_and_knows_who_broke_it_off() -> None:
+    made = _records()
+    _long_answer(End.SERVED, 50.9, 54.0)(made)
+    assert Oracle(made).broken([]) == []
+    made.sent["q-long"].end = End.CUT
+    assert len(Oracle(made).broken([])) == 1
+    made.long_answers[0].disturbed = True  # its node was cut off
+    assert Oracle(made).broken([]) == []
+    made.long_answers[0].disturbed = False
+    made.processes["g0"][0].killed = 53.9
+    assert Oracle(made).broken([]) == []
+
+
 @pytest.mark.parametrize(("began", "broken"), [(51.3, 0), (51.7, 1)])
 def test_the_oracle_takes_off_what_a_stall_of_the_soak_made_an_answer_late(
     began: float, broken: int
