--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -28,6 +28,7 @@
     AttemptOutcome.BUSY,
     AttemptOutcome.TIMEOUT,
     AttemptOutcome.EXPIRED,
+    AttemptOutcome.STALLED,
     AttemptOutcome.CONNECT_FAILED,
     AttemptOutcome.RESET,
     AttemptOutcome.CANCELLED,
