--- a/tests/memory_limit/host.py
+++ b/tests/memory_limit/host.py
@@ -12,6 +12,7 @@
 from collections.abc import AsyncIterator
 from enum import StrEnum
 
+from tests.memory_limit.grammar import answer_stream
 from tests.sockets import Reader, Writer, answer
 
 STILL = 3600.0  # s; longer than any play
@@ -28,6 +29,7 @@
     SHORT_CHUNKS = "short-chunks"  # answers in chunks of one byte (so many)
     STOPS_READING = "stops-reading"  # reads (so many bytes) of the body, and no more
     READS_SLOWLY = "reads-slowly"  # reads the body in small pieces
+    GRAMMAR = "grammar"  # answers with a distorted message (of that number)
 
 
 async def _read_body(reader: Reader, size: int, slowly: bool) -> None:
@@ -66,6 +68,13 @@
         await writer.drain()
 
 
+async def _answer_distorted(writer: Writer, number: int) -> None:
+    for piece, pause in answer_stream(number).pieces():
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(pause)
+
+
 async def _serve(reader: Reader, writer: Writer) -> None:
     with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
         async for name, behaviour, number in _requests(reader):
@@ -75,6 +84,8 @@
             elif behaviour is Behaviour.SHORT_CHUNKS:
                 head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                 writer.write(head + b"1\r\nx\r\n" * number + b"0\r\n\r\n")
+            elif behaviour is Behaviour.GRAMMAR:
+                await _answer_distorted(writer, number)
             elif behaviour is Behaviour.LONG:
                 await _answer_long(writer, body.ljust(number, b"."))
             else:
--- a/tests/memory_limit/play.py
+++ b/tests/memory_limit/play.py
@@ -2,7 +2,8 @@
 
     python -m tests.memory_limit.play [--memory MB] [--sockets N] [--connections N] SHAPE...
 
-plays crowds by hand and prints what `Outcome` has.
+plays crowds by hand and prints what `Outcome` has. A shape is one of `crowd.Shape`, or what
+`grammar_crowd` plays.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -168,9 +169,18 @@
         await asyncio.sleep(share * SHARE_PERIOD)
 
 
+def _crowd_module(shape: Shape | str) -> str:
+    return "crowd" if isinstance(shape, Shape) else "grammar_crowd"
+
+
+def parse_shape(text: str) -> Shape | str:
+    """Return a shape by its name; what is `SIDE:...` is left to `grammar_crowd`."""
+    return text if ":" in text else Shape(text)
+
+
 async def play(
     folder: Path,
-    shapes: list[Shape],
+    shapes: Sequence[Shape | str],
     memory_mb: int = 64,
     sockets: int = 1024,
     connections: int = CROWD_CONNECTIONS,
@@ -178,7 +188,10 @@
     kills: bool = False,
     core_share: float = 1.0,
 ) -> Outcome:
-    """Play one crowd of each shape at once; `kills`: the process ends when it passes its limit."""
+    """Play one crowd of each shape at once; `kills`: the process ends when it passes its limit.
+
+    A shape that is no `Shape` is what a `grammar_crowd` plays.
+    """
     outcome = Outcome()
     async with contextlib.AsyncExitStack() as stack:
         hosts = [(f"h{i}", f"127.0.0.1:{free_port()}") for i in range(HOSTS)]
@@ -200,7 +213,9 @@
             stack.callback(asyncio.create_task(_share_a_core(program, core_share)).cancel)
         each = connections // len(shapes)
         crowds = [
-            await stack.enter_async_context(running_module("crowd", addr, shape, each, seconds))
+            await stack.enter_async_context(
+                running_module(_crowd_module(shape), addr, shape, each, seconds)
+            )
             for shape in shapes
         ]
         await SoundClients(addr, outcome).run(seconds + 1.0)
@@ -218,7 +233,7 @@
 def main() -> None:
     """Play crowds by hand."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("shapes", nargs="+", type=Shape)
+    parser.add_argument("shapes", nargs="+", type=parse_shape)
     parser.add_argument("--memory", type=int, default=64)
     parser.add_argument("--sockets", type=int, default=1024)
     parser.add_argument("--connections", type=int, default=CROWD_CONNECTIONS)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -18,7 +18,9 @@
 SECONDS = 4.0
 
 
-def _play(folder: Path, *shapes: Shape, memory_mb: int = MEMORY_MB, sockets: int = 1024) -> Outcome:
+def _play(
+    folder: Path, *shapes: Shape | str, memory_mb: int = MEMORY_MB, sockets: int = 1024
+) -> Outcome:
     return asyncio.run(play(folder, list(shapes), memory_mb, sockets, seconds=SECONDS))
 
 
@@ -80,3 +82,32 @@
 def test_short_chunks_do_not_delay_other_clients(shape: Shape, tmp_path: Path) -> None:
     outcome = _play(tmp_path, shape)
     assert outcome.sound["late"] + outcome.sound["lost"] == 0, outcome
+
+
+# Guards against: an element of a message whose end does not come, which the parser collects while
+# nothing counts it (report 63c1a8).
+@pytest.mark.parametrize(
+    "what",
+    [
+        "request:trailer-name:never-ends",
+        "request:trailer-value:never-ends",
+        "answer:trailer-name:never-ends",
+        "answer:trailer-value:never-ends",
+    ],
+)
+def test_crowd_of_endless_elements_does_not_exceed_memory_limit(what: str, tmp_path: Path) -> None:
+    outcome = _play(tmp_path, what)
+    assert outcome.exit_code is None, outcome
+    assert outcome.peak <= MEMORY_MB * MB, outcome
+    assert outcome.sound["late"] + outcome.sound["lost"] == 0, outcome
+
+
+# Guards against: the same for any element of the grammar in any fault, of clients and of hosts.
+@pytest.mark.parametrize("seed", [1, 2])
+def test_crowd_of_distorted_messages_does_not_exceed_memory_limit(
+    seed: int, tmp_path: Path
+) -> None:
+    outcome = _play(tmp_path, f"seed:{seed}")
+    assert outcome.exit_code is None, outcome
+    assert outcome.peak <= MEMORY_MB * MB, outcome
+    assert outcome.sound["late"] + outcome.sound["lost"] == 0, outcome
