Count what a parser holds of a client's message, and bound it in every phase

Cause: the parser collects an element until its end and tells nobody; the bytes read were counted before a body, and by nothing in it, behind it, and while the rest of a refused request is discarded.

Now all bytes that are parsed go through net/delivery.py: what was read less what the parser's callbacks were given may be held, whatever the phase. It counts in the budget beyond one small read, and beyond 64 KiB the request gets 431. Large reads are parsed in parts of 32 KiB, so that the syntax of short chunks in one read is not taken for bytes that are held.

--- a/sailhitch/net/bounded_reader.py
+++ b/sailhitch/net/bounded_reader.py
@@ -18,6 +18,7 @@
 LARGE_READ: Final = 256 * 1024  # bytes
 SMALL_READ: Final = 8 * 1024  # bytes; where memory is short, or cheap parsing is not proven
 TIMED_READ: Final = 1536  # bytes; smaller reads can't be expensive
+PARSED_AT_ONCE: Final = 32 * 1024  # bytes; a part of a larger read may be all that is malformed
 _BUFFER: Final = memoryview(bytearray(LARGE_READ))
 _SMALL_BUFFER: Final = _BUFFER[:SMALL_READ]
 
@@ -63,13 +64,12 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Parse the bytes of a read and act on them; wait if parsing them took long."""
         size = nbytes
-        data = bytes(_BUFFER[:size])
         if size < TIMED_READ:
-            if self.parse(data):
+            if self.parse(bytes(_BUFFER[:size])):
                 self.parsed(size)
             return
         began = time.thread_time()
-        is_parsed = self.parse(data)
+        is_parsed = self._parse_parts(size)
         cost = time.thread_time() - began
         if is_parsed:
             self.parsed(size)
@@ -79,6 +79,14 @@
         if is_expensive:
             self._wait(cost)
 
+    def _parse_parts(self, size: int) -> bool:
+        """Parse a read of `size` bytes in parts; return False if one was not parsed."""
+        for start in range(0, size, PARSED_AT_ONCE):
+            end = min(size, start + PARSED_AT_ONCE)
+            if not self.parse(bytes(_BUFFER[start:end])):
+                return False
+        return True
+
     def _wait(self, cost: float) -> None:
         """Read no more until the other connections had their turns."""
         transport = self.transport
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -21,7 +21,8 @@
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..front import ConnectionSlot, Reason
 from .body_arrival import BodyArrival
-from .bounded_reader import BoundedReader
+from .bounded_reader import SMALL_READ, BoundedReader
+from .delivery import DeliveryCounter
 from .head_fields import HeadFields
 from .socket_poll import has_event
 from .tcp_info import data_arrival
@@ -40,7 +41,7 @@
 CLOSING: Final = 3  # sending no new response
 
 
-class ClientConnection(BoundedReader):
+class ClientConnection(DeliveryCounter, BoundedReader):
     """State and lifecycle of a client connection; subclasses read requests and write responses."""
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "chunked",
         "content_length",
         "core",
+        "delivered",
         "discarding_body",
         "fields",
         "head_fields",
@@ -76,6 +78,7 @@
         "slot",
         "sock",
         "transport",
+        "undelivered",
         "unsent",
         "upgrade",
         "url",
@@ -86,6 +89,7 @@
         self.listener, self.core, self.sock, self.slot = listener, listener.core, sock, slot
         self.transport: asyncio.Transport | None = None
         self.init_reading()
+        self.reset_delivery()
         self.parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
         self.phase = IDLE
         self.request: RequestContext | None = None  # dispatched, not answered yet
@@ -105,7 +109,7 @@
         self.queued_since = 0  # earliest arrival of the next read's bytes, if known; else 0
         self.idle_wait_since = 0  # when it began to wait for its turn between two requests
         self.head_fields = HeadFields()
-        self.held_head = 0  # bytes of a head whose end has not arrived, as counted in the budget
+        self.held_head = 0  # bytes whose end has not arrived, as counted in the budget
         self._release_head()
         self._reset_request()
 
@@ -125,6 +129,12 @@
         self.head_fields.clear()
         self.fields: list[HeaderField] = []
 
+    def _stop_parsing(self) -> None:
+        """Release what was read of a message, and discard what still comes."""
+        self.parser = None  # it holds the start of an element whose end has not arrived
+        self.undelivered = 0
+        self._release_head()
+
     # --- Implemented by subclasses
 
     def close_unless_unread(self, reason: Reason) -> bool:
@@ -312,8 +322,16 @@
             self.core.memory_guard.on_growth()
         self.unsent = size
 
+    def _account_unparsed(self) -> None:
+        """Record how many bytes are held until the end of their element arrives."""
+        if self.phase == HEAD:
+            size = self.head_received
+        else:
+            size = self.undelivered if self.undelivered > SMALL_READ else 0
+        self._account_head(size)
+
     def _account_head(self, size: int) -> None:
-        """Record how many bytes of a head are held until its end arrives."""
+        """Record how many bytes of a head, or another element, are held until its end arrives."""
         if size != self.held_head:
             self.core.budget.heads += size - self.held_head
             self.held_head = size
--- a/sailhitch/net/request_reader.py
+++ b/sailhitch/net/request_reader.py
@@ -15,6 +15,7 @@
 from ..core.upload import Upload
 from .body_arrival import BodyArrival
 from .client_connection import BODY, CLOSING, HEAD, IDLE
+from .delivery import MAX_UNDELIVERED
 from .head_fields import MAX_HEAD_BYTES, HeadTooLargeError
 from .intake import RejectError
 from .request_head import body_framing, forwarded_lines, select_fields, without_upgrade
@@ -43,11 +44,15 @@
         self.received_since_sweep = True
         if self.parser is None or (self.phase == CLOSING and not self.discarding_body):
             return False
+        size = len(data)
         if self.phase in (IDLE, HEAD):
-            self.head_received += len(data)
+            self.head_received += size
         try:
             while data:
                 data = self._parse(data)
+            self.count_parsed(size)
+            if self.undelivered > MAX_UNDELIVERED:
+                self._end_endless_element()
         except RejectError as error:
             self._reject(error.status, str(error))
             return False
@@ -64,6 +69,8 @@
         incoming = self.incoming
         if self.phase == HEAD:
             self._hold_head(size)
+        elif self.held_head or self.undelivered:
+            self._account_unparsed()
         if incoming is not None and incoming.upload is not None:
             self._forward_upload(incoming.upload, size)
         elif incoming is not None and self.received > MAX_BUFFERED_BODY:
@@ -80,12 +87,21 @@
             # Only after parsing: malformed bytes right after a request make that request suspect.
             self._dispatch_next()
 
+    def _end_endless_element(self) -> None:
+        """Stop to parse an element whose end does not come; raises RejectError."""
+        if self.phase == CLOSING:
+            self._stop_parsing()
+        elif self.phase == HEAD:
+            raise RejectError(431, "head too large")
+        else:
+            raise RejectError(431, "trailer or chunk line too large")
+
     def _hold_head(self, size: int) -> None:
         """Hold a head whose end may take seconds to arrive; the last read had `size` bytes."""
         self.head_fields.pack()
         if not self.head_received:
             self.head_received = size  # it began in this read
-        self._account_head(self.head_received)
+        self._account_unparsed()
 
     def _parse(self, data: bytes) -> bytes:
         """Parse bytes; return those that are to be parsed again, as the start of a message."""
@@ -127,6 +143,7 @@
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target; raises RejectError."""
+        self.delivered += len(url)
         self.url += url
         if len(self.url) > MAX_HEAD_BYTES:
             raise RejectError(431, "target too long")
@@ -134,7 +151,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a field; raises RejectError."""
         if self.phase != HEAD:
-            return  # a trailer
+            return  # a trailer, which counts as undelivered: its length is limited
+        self.delivered += len(name) + len(value)
         try:
             self.head_fields.add(name, value)
         except HeadTooLargeError as error:
@@ -189,6 +207,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect or forward part of the body; raises RejectError."""
+        self.delivered += len(data)
         request = self.incoming
         if request is None:
             return
@@ -212,6 +231,7 @@
 
     def on_message_complete(self) -> None:
         """Dispatch a complete request."""
+        self.delivered += 1  # whatever it held is over
         if self.parser is None or self.upgrade:
             return
         if self.phase == CLOSING and not self.discarding_body:
--- a/sailhitch/net/response_writer.py
+++ b/sailhitch/net/response_writer.py
@@ -254,8 +254,7 @@
             status = 502  # the open request may have run, but a 503 promises that it has not
         after = self.core.retry_after() if status == 503 else 0
         self._start_closing(reason)
-        self._release_head()
-        self.parser = None  # it holds the start of a field whose end has not arrived
+        self._stop_parsing()
         if self.response_source is not None:
             self.abort()  # a status line can't follow part of a response
             self._drop_requests()
