Count what a parser holds of a host's answer, and bound it in every phase

Callers would see the same kill, by hosts: an answer's trailer, or the last field of its head, is collected until its end.

ResponseReader counts by net/delivery.py as well, so hosts and discovery share one bound. What a connection to a host holds of an incomplete answer counts in the budget; one that grows while the budget is exceeded is malformed, as a body is without room. The bound is now 40 KiB on both sides: a head of one field has at most 32 KiB, and one read has 8 KiB of syntax.

Discovery: a call with an endless field or trailer fails, and the watch goes on (test).

--- a/sailhitch/net/bounded_reader.py
+++ b/sailhitch/net/bounded_reader.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Final
 
 from ..core.read_scheduler import EXPENSIVE_READ
+from .delivery import PARSED_AT_ONCE
 
 if TYPE_CHECKING:
     from ..core.core import GatewayCore
@@ -18,7 +19,6 @@
 LARGE_READ: Final = 256 * 1024  # bytes
 SMALL_READ: Final = 8 * 1024  # bytes; where memory is short, or cheap parsing is not proven
 TIMED_READ: Final = 1536  # bytes; smaller reads can't be expensive
-PARSED_AT_ONCE: Final = 32 * 1024  # bytes; a part of a larger read may be all that is malformed
 _BUFFER: Final = memoryview(bytearray(LARGE_READ))
 _SMALL_BUFFER: Final = _BUFFER[:SMALL_READ]
 
--- a/sailhitch/net/delivery.py
+++ b/sailhitch/net/delivery.py
@@ -11,8 +11,12 @@
 
 from .head_fields import MAX_HEAD_BYTES
 
-# Room for the longest head with its syntax; nothing else that a parser collects may be longer.
-MAX_UNDELIVERED: Final = 2 * MAX_HEAD_BYTES
+# Bytes; room for a head of one field, and for the syntax that one read has.
+MAX_UNDELIVERED: Final = MAX_HEAD_BYTES + 8 * 1024
+
+# Bytes that a parser is given at a time, so that the syntax between short pieces of a body in one
+# read stays below MAX_UNDELIVERED.
+PARSED_AT_ONCE: Final = 16 * 1024
 
 
 class DeliveryCounter:
--- a/sailhitch/net/discovery_call.py
+++ b/sailhitch/net/discovery_call.py
@@ -7,6 +7,7 @@
 from typing import Final, cast
 
 from ..core.endpoints import Address
+from .delivery import PARSED_AT_ONCE
 from .http import COMPLETE, MalformedError, ResponseReader
 from .socket_poll import has_event
 
@@ -73,7 +74,8 @@
             return
         self.has_received = True
         try:
-            self.feed(data)
+            for start in range(0, len(data), PARSED_AT_ONCE):
+                self.feed(data[start : start + PARSED_AT_ONCE])
         except MalformedError as error:
             self._fail(f"malformed response: {error}")
             return
--- a/sailhitch/net/head_fields.py
+++ b/sailhitch/net/head_fields.py
@@ -48,6 +48,10 @@
         if len(fields) > self._room:
             raise HeadTooLargeError(f"more than {MAX_HEAD_FIELDS} header fields")
 
+    def size(self) -> int:
+        """Return how many bytes the names and values have."""
+        return self._size
+
     def pack(self) -> int:
         """Keep the fields as bytes, as the head is held; return how many bytes that are."""
         if self._fields:
--- a/sailhitch/net/host_response.py
+++ b/sailhitch/net/host_response.py
@@ -15,7 +15,7 @@
 from ..core.response import Response
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..policy_interface import LoadReport
-from .bounded_reader import BoundedReader
+from .bounded_reader import SMALL_READ, BoundedReader
 from .config import parse_load_report
 from .http import BODY, MalformedError, ResponseReader
 
@@ -44,6 +44,7 @@
         "core",
         "discarding",
         "head_received_at",
+        "held_head",
         "is_cheap",
         "is_reading_wanted",
         "is_waiting",
@@ -66,6 +67,7 @@
         self.init_reading()
         self.attempt: Attempt | None = None
         self.reserved = 0  # response bytes reserved in the memory budget
+        self.held_head = 0  # bytes of its head, or of an element without end, that it counts
         self.stream_timer: asyncio.TimerHandle | None = None
         self._clear()
 
@@ -74,6 +76,7 @@
         self.size = 0
         self.budget.release(self.reserved)
         self.reserved = 0
+        self._account_head(0)
         if self.stream_timer is not None:
             self.stream_timer.cancel()
             self.stream_timer = None
@@ -96,6 +99,21 @@
 
     # --- Reading
 
+    def _account_head(self, size: int) -> None:
+        """Record how many bytes of a head, or another element, are held until its end arrives."""
+        if size != self.held_head:
+            self.budget.heads += size - self.held_head
+            self.held_head = size
+            self.core.memory_guard.on_growth()
+
+    def on_incomplete(self) -> None:
+        """Count what is held of an incomplete response; raises MalformedError if it has no room."""
+        size = self.undelivered + self.head_fields.size()
+        is_growing = size > self.held_head
+        self._account_head(size if size > SMALL_READ else 0)
+        if is_growing and self.held_head and self.budget.excess() > 0:
+            raise MalformedError("no memory left for the head")
+
     def handle_head(self) -> None:
         """Read the host's load report and whether it rejects the request."""
         declined = False
--- a/sailhitch/net/http.py
+++ b/sailhitch/net/http.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from .delivery import MAX_UNDELIVERED, DeliveryCounter
 from .head_fields import MAX_HEAD_BYTES, HeadFields
 
 # Fields that apply to one connection only and are never forwarded.
@@ -42,10 +43,11 @@
     """The bytes received are not a valid response to the one request."""
 
 
-class ResponseReader:
+class ResponseReader(DeliveryCounter):
     """Reads one response at a time from a connection and checks its framing.
 
-    Subclasses implement `handle_head` and `handle_body`, and check `phase` after `feed`.
+    Subclasses implement `handle_head` and `handle_body`, and check `phase` after `feed`, which gets
+    at most PARSED_AT_ONCE bytes.
 
     Bytes after the end of a response belong to no request. The response is valid without them, but
     the connection is not reused, as the next response on it could belong to any request. This
@@ -56,6 +58,7 @@
 
     __slots__ = (
         "chunked",
+        "delivered",
         "head_fields",
         "head_size",
         "interim",
@@ -64,6 +67,7 @@
         "parser",
         "phase",
         "status",
+        "undelivered",
     )
 
     def __init__(self) -> None:
@@ -78,6 +82,7 @@
         self.head_fields.clear()
         self.length: int | None = None
         self.chunked = self.keep_alive = self.interim = False
+        self.reset_delivery()
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; raises MalformedError if they are not a valid response."""
@@ -91,13 +96,20 @@
                 self.keep_alive = False
                 return
             raise MalformedError(str(error.__context__ or error)) from None
+        if self.phase == COMPLETE:
+            return
+        self.count_parsed(len(data))
+        if self.undelivered > MAX_UNDELIVERED:
+            raise MalformedError("a field or chunk line is too large")
         if self.phase == WAITING:
-            # An unterminated field reaches no parser callback, however long it grows.
             self.head_size += len(data)
             if self.head_size > 4 * MAX_HEAD_BYTES:
                 raise MalformedError("head too large")
-        if self.phase != COMPLETE:
-            self.head_fields.pack()  # the response may take seconds to arrive
+        self.head_fields.pack()  # the response may take seconds to arrive
+        self.on_incomplete()
+
+    def on_incomplete(self) -> None:
+        """Act on a read with which the response is not complete; may raise MalformedError."""
 
     def on_eof(self) -> bool:
         """Handle the end of the stream; return whether the response is complete."""
@@ -116,10 +128,12 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a field; raises HeadTooLargeError."""
         if self.phase == WAITING:
+            self.delivered += len(name) + len(value)
             self.head_fields.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Read the status and framing; raises MalformedError."""
+        self.delivered += 1
         parser = self.parser
         assert parser is not None
         self.status = parser.get_status_code()
@@ -143,6 +157,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass part of the body to the subclass."""
+        self.delivered += len(data)
         self.handle_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/test_endless_elements.py
+++ b/tests/test_endless_elements.py
@@ -8,11 +8,14 @@
 
 from sailhitch.net.client_connection import CLOSING
 from sailhitch.net.delivery import MAX_UNDELIVERED, DeliveryCounter
+from sailhitch.net.http import COMPLETE, MalformedError, ResponseReader
 from tests.sockets import (
     TEST_TIMEOUT,
     Client,
+    DiscoveryServer,
     RunningGateway,
     Server,
+    Writer,
     request,
     running_gateway,
     until,
@@ -163,3 +166,124 @@
             client.writer.close()
 
     asyncio.run(run())
+
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_OK = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "field-value": OK + b"A: ",
+    "interim-value": b"HTTP/1.1 103 Early\r\nA: ",
+    "trailer-name": CHUNKED_OK + b"1\r\nx\r\n0\r\n",
+    "trailer-value": CHUNKED_OK + b"1\r\nx\r\n0\r\nA: ",
+    "trailer-value-of-a-streamed-body": CHUNKED_OK + LONG_CHUNK + b"0\r\nA: ",
+    "chunk-extension": CHUNKED_OK + b"1;",
+}
+
+
+def _endless_host(start: bytes) -> Server:
+    async def serve(_: bytes, writer: Writer) -> None:
+        writer.write(start)
+        for __ in range(ENDLESS // PIECE):
+            writer.write(b"v" * PIECE)
+            await writer.drain()
+            await asyncio.sleep(0.002)
+
+    return Server(serve)
+
+
+# Guards against: the same in the other direction, from a host (report 63c1a8).
+@pytest.mark.parametrize("start", ENDLESS_ANSWERS.values(), ids=ENDLESS_ANSWERS)
+def test_endless_element_of_a_host_is_malformed(start: bytes) -> None:
+    async def run() -> None:
+        async with (
+            _endless_host(start) as host,
+            running_gateway(("a", host.addr), limits=LIMITS) as gateway,
+        ):
+            client = await gateway.client()
+            client.send(request("endless", b"effect"))
+            answered = asyncio.ensure_future(client.read_to_end())
+            largest = counted = 0
+            while not answered.done():
+                for connection in gateway.hosts.connections:
+                    largest = max(largest, connection.undelivered)
+                counted = max(counted, gateway.core.budget.heads)
+                if counted and not gateway.core.budget.heads:
+                    break  # the attempt is over, and its connection closed
+                await asyncio.sleep(0.001)
+            assert PIECE < largest <= MAX_UNDELIVERED
+            assert counted >= largest - PIECE
+            await until(lambda: not gateway.hosts.connections)
+            assert gateway.core.budget.heads == 0
+            client.writer.close()
+            await answered
+
+    asyncio.run(run())
+
+
+# Guards against: heads of many hosts that are each within their limit, and that no count knows.
+def test_head_of_a_host_has_to_fit_into_the_budget() -> None:
+    async def run() -> None:
+        async with (
+            _endless_host(OK + b"A: ") as host,
+            running_gateway(("a", host.addr), limits=LIMITS) as gateway,
+        ):
+            gateway.core.budget.total_limit = 2 * PIECE
+            largest = 0
+
+            async def watch() -> None:
+                nonlocal largest
+                while True:
+                    for connection in gateway.hosts.connections:
+                        largest = max(largest, connection.undelivered)
+                    await asyncio.sleep(0.001)
+
+            watching = asyncio.ensure_future(watch())
+            client = await gateway.client()
+            assert (await client.ask(request("large", b"effect")))[0] == 502
+            assert largest <= 4 * PIECE < MAX_UNDELIVERED
+            watching.cancel()
+            client.writer.close()
+
+    asyncio.run(run())
+
+
+def test_response_with_trailers_and_short_chunks_is_complete() -> None:
+    class Reader(ResponseReader):
+        body = b""
+
+        def handle_head(self) -> None:
+            pass
+
+        def handle_body(self, data: bytes) -> None:
+            self.body += data
+
+    reader = Reader()
+    trailers = b"".join(b"F%03d: %s\r\n" % (i, b"v" * 100) for i in range(250))
+    data = CHUNKED_OK + b"1\r\nx\r\n" * 50_000 + b"0\r\n" + trailers + b"\r\n"
+    for start in range(0, len(data), PIECE):
+        reader.feed(data[start : start + PIECE])
+    assert (reader.phase, len(reader.body), reader.keep_alive) == (COMPLETE, 50_000, True)
+    reader.reset()
+    reader.feed(CHUNKED_OK + b"0\r\nA: ")
+    while reader.undelivered <= MAX_UNDELIVERED - PIECE:
+        reader.feed(b"v" * PIECE)
+    with pytest.raises(MalformedError, match="too large"):
+        reader.feed(b"v" * PIECE)
+
+
+# Guards against: the same from discovery, whose call would hold it until its time is over.
+@pytest.mark.parametrize("start", [OK + b"A: ", CHUNKED_OK + b"2\r\n{}\r\n0\r\nA: "])
+def test_endless_element_of_discovery_fails_the_call(start: bytes) -> None:
+    async def run() -> None:
+        async with (
+            Server() as host,
+            DiscoveryServer(("a", host.addr)) as discovery,
+            running_gateway(("a", host.addr), discovery=discovery.addr) as gateway,
+        ):
+            await until(lambda: gateway.discovery.version == 1)
+            discovery.raw_response = start + b"v" * ENDLESS
+            await until(lambda: gateway.core.counters.bad_lists > 0)
+            discovery.version = 2
+            await until(lambda: gateway.discovery.version == 2)
+
+    asyncio.run(run())
