Changes of ids for a stalled process of an upgrade are kept as their net change

Two frames for each unsafe request: 30,000 requests left 59,722 frames, 7.3 MB, which no count knows.

What waits is the net change of each id now (handover/unsent_ids.py): an id that came and went meanwhile is not told at all, so the ids are at most those that are open, and those that may have run within the time for which anybody remembers them. Reports of descriptors wait for the next one. A property test compares what the other process knows at last with what it would know by each change.

--- a/sailhitch/handover/link.py
+++ b/sailhitch/handover/link.py
@@ -31,6 +31,7 @@
         self.sock = sock
         self.on_frame = on_frame
         self.on_end = on_end
+        self.on_drained: Callable[[], None] | None = None  # called once all frames are sent
         self.closed = False
         self._unsent: deque[tuple[bytes, int]] = deque()  # frame and its descriptor, or -1
         sock.setblocking(False)
@@ -66,7 +67,8 @@
         except OSError:
             # The other end is closed. What it sent can still be read; `_read` closes this end.
             self._discard_unsent()
-        self.loop.remove_writer(self.sock)
+        if self.loop.remove_writer(self.sock) and self.on_drained is not None:
+            self.on_drained()
 
     def _read(self) -> None:
         for _ in range(MAX_FRAMES_PER_READ):
--- a/sailhitch/handover/request_ids.py
+++ b/sailhitch/handover/request_ids.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from typing import Final
+from functools import partial
 
 import msgspec
 
@@ -15,16 +14,9 @@
 from .frames import FrameKind, plain_frame
 from .link import Link
 from .snapshot import HandoverError
+from .unsent_ids import IdChange, RequestIds, UnsentIds
 
-IDS_PER_FRAME: Final = 256
-
-
-class RequestIds(msgspec.Struct, array_like=True, frozen=True):
-    """Changes of the ids that a process has open, in the order in which they are applied."""
-
-    opened: list[bytes] = []
-    closed: list[bytes] = []  # never ran, or its client got the response
-    may_have_run: list[bytes] = []  # ended after its client had left
+__all__ = ["RequestIdSharing", "RequestIds", "read_request_ids", "request_ids_frame"]
 
 
 def request_ids_frame(ids: RequestIds) -> bytes:
@@ -46,45 +38,48 @@
     def __init__(self, core: GatewayCore) -> None:
         self._core = core
         self._recent = core.recent_requests
-        self._links: list[Link] = []
+        self._unsent: dict[Link, UnsentIds] = {}  # for each link
 
     def add_link(self, link: Link) -> None:
         """Share ids with one more process, beginning with those that are in use here."""
-        self._links.append(link)
+        unsent = self._unsent[link] = UnsentIds()
         self._recent.observer = self
-        for frame in self._frames_of_all():
-            link.send(frame)
+        link.on_drained = partial(self._flush, link)
+        for request in self._core.open_requests.values():
+            if request.is_unsafe():
+                unsent.add(request.name, IdChange.OPENED)
+        for name in self._recent:
+            unsent.add(name, IdChange.MAY_HAVE_RUN)
+        self._flush(link)
 
     def remove_link(self, link: Link) -> None:
         """Stop sharing: what the process had open may have run."""
-        if link not in self._links:
+        if link not in self._unsent:
             return
-        self._links.remove(link)
+        del self._unsent[link]
+        link.on_drained = None
         self._recent.end_elsewhere(self._core.clock())
-        if not self._links:
+        if not self._unsent:
             self._recent.observer = None
 
-    def _frames_of_all(self) -> Iterator[bytes]:
-        requests = list(self._core.open_requests.values())
-        opened = [request.name for request in requests if request.is_unsafe()]
-        for names in _batches(opened):
-            yield request_ids_frame(RequestIds(opened=names))
-        for names in _batches(list(self._recent)):
-            yield request_ids_frame(RequestIds(may_have_run=names))
-
     def on_opened(self, name: bytes) -> None:
         """Report an unsafe request that may run from now on."""
-        self._send(RequestIds(opened=[name]))
+        self._report(name, IdChange.OPENED)
 
     def on_closed(self, name: bytes, may_have_run: bool) -> None:
         """Report the end of an unsafe request."""
-        ids = RequestIds(may_have_run=[name]) if may_have_run else RequestIds(closed=[name])
-        self._send(ids)
+        self._report(name, IdChange.MAY_HAVE_RUN if may_have_run else IdChange.CLOSED)
 
-    def _send(self, ids: RequestIds) -> None:
-        frame = request_ids_frame(ids)
-        for link in self._links:
-            link.send(frame)
+    def _report(self, name: bytes, change: IdChange) -> None:
+        for link, unsent in self._unsent.items():
+            unsent.add(name, change)
+            if not link.has_unsent_frames():
+                self._flush(link)
+
+    def _flush(self, link: Link) -> None:
+        """Send what has changed, which a link with unsent frames does later."""
+        for ids in self._unsent[link].take():
+            link.send(request_ids_frame(ids))
 
     def apply(self, ids: RequestIds) -> None:
         """Apply another process's changes."""
@@ -96,8 +91,3 @@
         for name in ids.may_have_run:
             self._recent.close_elsewhere(name)
             self._recent.add(name, now)
-
-
-def _batches(names: list[bytes]) -> Iterator[list[bytes]]:
-    for first in range(0, len(names), IDS_PER_FRAME):
-        yield names[first : first + IDS_PER_FRAME]
--- a/sailhitch/handover/takeover.py
+++ b/sailhitch/handover/takeover.py
@@ -312,7 +312,8 @@
             held_by_others = sum(
                 count for other, count in self.descriptors_elsewhere.items() if other is not link
             )
-            link.send(descriptors_frame(held_here + held_by_others))
+            if not link.has_unsent_frames():  # a stalled process gets the next report
+                link.send(descriptors_frame(held_here + held_by_others))
         if self.share.processes() > 1:
             self._report_timer = self.core.loop.call_later(
                 REPORT_INTERVAL, self._report_descriptors
