Requests on the admin socket are limited together as one is

All that are being received together may have 32 MiB now; what exceeds that is refused, as a single one was. The test failed before: nobody was refused of four that had sent 1.2 MB with a limit of 1 MB.

--- a/sailhitch/daemon/admin.py
+++ b/sailhitch/daemon/admin.py
@@ -53,6 +53,7 @@
     ) -> None:
         self.path = path
         self.clients = 0
+        self._received = 0  # bytes of requests that are being received
         self._core = state_applier.core
         self._requests = AdminRequests(state_applier, source, tier)
         self._server: asyncio.Server | None = None
@@ -84,7 +85,7 @@
         try:
             async with asyncio.timeout(CLIENT_TIMEOUT):
                 uid = self._authorize(writer)
-                request = await _read_request(reader)
+                request = await self._read_request(reader)
             # Outside the timeout: an apply that has begun must not be interrupted.
             reply = await self._execute(request, uid)
             await _send(writer, reply, CLIENT_TIMEOUT)
@@ -97,6 +98,25 @@
             self.clients -= 1
             writer.close()
 
+    async def _read_request(self, reader: asyncio.StreamReader) -> dict[str, Any]:
+        """Read one line and return the request in it; raises _RefusedError.
+
+        All that are being received together are limited as one is.
+        """
+        data = bytearray()
+        try:
+            while not data.endswith(b"\n"):
+                chunk = await reader.read(CHUNK_BYTES)
+                data += chunk
+                self._received += len(chunk)
+                if self._received > MAX_REQUEST_BYTES:
+                    raise _RefusedError(f"requests larger than {MAX_REQUEST_BYTES >> 20} MiB")
+                if not chunk:
+                    raise _RefusedError("request is incomplete")
+        finally:
+            self._received -= len(data)
+        return _parse_request(data)
+
     async def _execute(self, request: dict[str, Any], uid: int) -> AdminReply:
         """Return the reply to a request, also if its execution raises an unexpected exception."""
         try:
@@ -121,16 +141,8 @@
     """A client is rejected; the text says why."""
 
 
-async def _read_request(reader: asyncio.StreamReader) -> dict[str, Any]:
-    """Read one line and return the request in it; raises _RefusedError."""
-    data = bytearray()
-    while not data.endswith(b"\n"):
-        chunk = await reader.read(CHUNK_BYTES)
-        data += chunk
-        if len(data) > MAX_REQUEST_BYTES:
-            raise _RefusedError(f"request larger than {MAX_REQUEST_BYTES >> 20} MiB")
-        if not chunk:
-            raise _RefusedError("request is incomplete")
+def _parse_request(data: bytearray) -> dict[str, Any]:
+    """Return the request in a line; raises _RefusedError."""
     try:
         value = json.loads(data)
     except (ValueError, RecursionError):
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -877,6 +877,36 @@
     admin(tmp_path, act)
 
 
+# Guards against: requests that are each within their limit, and that exceed memory together while
+# their ends are awaited (report 63c1a8).
+def test_admin_requests_are_limited_together(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("sailhitch.daemon.admin.MAX_REQUEST_BYTES", 1 << 20)
+
+    async def act(it: InProcessDaemon) -> None:
+        path = str(it.admin.path)
+        clients = [await asyncio.open_unix_connection(path) for _ in range(4)]
+        for _, writer in clients:
+            writer.write(b"x" * 300_000)  # and no end
+        async with asyncio.timeout(TEST_TIMEOUT):
+            done, _ = await asyncio.wait(
+                [asyncio.create_task(reader.readline()) for reader, _ in clients],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        assert b"larger than 1 MiB" in done.pop().result()
+        for _, one in clients:
+            one.close()
+        await until(lambda: it.admin.clients == 0)
+        reader, writer = await asyncio.open_unix_connection(path)
+        writer.write(b'{"op": "state"}\n')
+        async with asyncio.timeout(TEST_TIMEOUT):
+            assert json.loads(await reader.readline())["ok"]
+        writer.close()
+
+    admin(tmp_path, act)
+
+
 def test_an_idle_admin_client_is_disconnected(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
