A new state of the daemon is not taken for memory that clients hold

The guard without counts would take what a daemon grows by with a state of thousands of nodes for its clients', and give up unfinished requests until its baseline has followed. The baseline takes in at once what a change or a restart brings. A test with a process that grows by 10 MB for each look failed before.

--- a/sailhitch/core/memory_baseline.py
+++ b/sailhitch/core/memory_baseline.py
@@ -46,7 +46,10 @@
 
     @contextmanager
     def own_growth(self) -> Iterator[None]:
-        """Take in what the process grows by in this block, which awaits nothing."""
+        """Take in what the process grows by in this block.
+
+        If the block awaits, that has what connections make it grow by meanwhile.
+        """
         before = self._read_resident()
         try:
             yield
--- a/sailhitch/daemon/state_applier.py
+++ b/sailhitch/daemon/state_applier.py
@@ -101,9 +101,10 @@
     async def restore(self, last: AppliedState) -> None:
         """Apply a state that an earlier process has persisted; raises ApplyError."""
         async with self._switching:
-            file, routes = await asyncio.to_thread(self._parse, last.state)
-            change = StateChange(last.state, last.applied_by, last.serial)
-            self._switch(self._prepare(last, change, file, routes, None))
+            with self.core.memory.baseline.own_growth():
+                file, routes = await asyncio.to_thread(self._parse, last.state)
+                change = StateChange(last.state, last.applied_by, last.serial)
+                self._switch(self._prepare(last, change, file, routes, None))
 
     async def change(self, change: StateChange) -> AppliedState:
         """Apply a decided state: prepare, commit, switch.
@@ -117,27 +118,29 @@
             ApplyError: The old state is still in force.
         """
         async with self._switching:
-            # In threads: with thousands of nodes this would delay requests for too long.
-            applied = await asyncio.to_thread(self._next_applied, change)
-            self.step("checked")
-            file, routes = await asyncio.to_thread(self._parse, applied.state)
-            class_overlap = None
-            if change.overlapping_state is not None:
-                class_overlap = await asyncio.to_thread(
-                    self._class_overlap, change.overlapping_state
-                )
-            prepared = self._prepare(applied, change, file, routes, class_overlap)
-            self.step("bound")
-            try:
-                if change.persistent:
-                    await asyncio.to_thread(self._persist, applied)
-            except Exception as error:
-                for listener in prepared.listeners.values():
-                    listener.discard()
-                raise ApplyError(f"{error}; nothing was changed") from error
-            self._switch(prepared)
-            self.step("switched")
-            return applied
+            with self.core.memory.baseline.own_growth():
+                return await self._change(change)
+
+    async def _change(self, change: StateChange) -> AppliedState:
+        # In threads: with thousands of nodes this would delay requests for too long.
+        applied = await asyncio.to_thread(self._next_applied, change)
+        self.step("checked")
+        file, routes = await asyncio.to_thread(self._parse, applied.state)
+        class_overlap = None
+        if change.overlapping_state is not None:
+            class_overlap = await asyncio.to_thread(self._class_overlap, change.overlapping_state)
+        prepared = self._prepare(applied, change, file, routes, class_overlap)
+        self.step("bound")
+        try:
+            if change.persistent:
+                await asyncio.to_thread(self._persist, applied)
+        except Exception as error:
+            for listener in prepared.listeners.values():
+                listener.discard()
+            raise ApplyError(f"{error}; nothing was changed") from error
+        self._switch(prepared)
+        self.step("switched")
+        return applied
 
     def _next_applied(self, change: StateChange) -> AppliedState:
         now = self.core.clock()
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from sailhitch.core.memory_baseline import MemoryBaseline
 from sailhitch.daemon.plan import PlanError, StaleBaseError
 from sailhitch.daemon.process import Daemon
 from sailhitch.daemon.schema import OperatorFile, load_file
@@ -984,3 +985,17 @@
                 assert it.live.applied.serial == 1
 
     run(work)
+
+
+# Guards against: requests that are given up as a process grows by a new state (report 63c1a8).
+def test_a_new_state_is_not_taken_for_memory_that_clients_hold(tmp_path: Path) -> None:
+    async def work() -> None:
+        async with Node() as a, Node() as b:
+            port = free_port()
+            async with in_process_daemon(tmp_path, file_value([pool("p", {"a": a})], port)) as it:
+                sizes = iter(range(10 << 20, 1 << 40, 10 << 20))
+                it.live.core.memory.baseline = baseline = MemoryBaseline(lambda: next(sizes))
+                await it.plan_and_apply(file_value([pool("p", {"a": a, "b": b})], port))
+                assert baseline.size >= 10 << 20
+
+    run(work)
