Soak: crowds of distorted messages, drawn from the grammar by the seed

Up to one crowd a run sends elements of the grammar in each fault now, from a random stream of its own, so the other faults of a seed stay as they were.

--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -60,6 +60,7 @@
     Shape.FLOOD_EMPTY_LINES,
     Shape.FLOOD_UNSOUND,
 ]
+GRAMMAR_COUNT = (0, 1)  # fewest and most crowds of distorted messages, in addition
 IDLE_CONNECTIONS, PARTIAL_REQUESTS = (
     20,
     6,
@@ -110,6 +111,7 @@
         self.extra_kinds = [self.signals, self.signals, self.crowd_of_idlers]
         self.stall_rng = random.Random(f"{rng.getstate()} stalls")
         self.crowd_rng = random.Random(f"{rng.getstate()} crowds")
+        self.grammar_rng = random.Random(f"{rng.getstate()} grammar")
         self._faulty: set[str] = set()
 
     async def run(self) -> None:
@@ -131,6 +133,10 @@
             (self.crowd_rng.uniform(0.0, INJECTION_PERIOD), self.crowd_of_clients)
             for _ in range(self.crowd_rng.randint(*CROWD_COUNT))
         )
+        drawn.extend(
+            (self.grammar_rng.uniform(0.0, INJECTION_PERIOD), self.distorted_messages)
+            for _ in range(self.grammar_rng.randint(*GRAMMAR_COUNT))
+        )
         begun = time.monotonic()
 
         async def one(at: float, kind: Callable[[], Awaitable[str]]) -> None:
@@ -185,11 +191,18 @@
     async def crowd_of_clients(self) -> str:
         """Let a crowd that is slow or sends what is costly come to a gateway, and come back."""
         gateway, rng = self.crowd_rng.choice(self.gateways), self.crowd_rng
-        shape = rng.choice(CROWD_SHAPES)
+        return await self._crowd(rng, gateway, "crowd", rng.choice(CROWD_SHAPES))
+
+    async def distorted_messages(self) -> str:
+        """Let a crowd come that sends elements of messages that never end, end late or are long."""
+        gateway, rng = self.grammar_rng.choice(self.gateways), self.grammar_rng
+        return await self._crowd(rng, gateway, "grammar_crowd", f"seed:{rng.randrange(1 << 30)}")
+
+    async def _crowd(self, rng: random.Random, gateway: Gateway, module: str, shape: str) -> str:
         sockets = int(gateway.value["limits"]["sockets"])
         connections = min(rng.randint(*CROWD_CONNECTIONS), int(CROWD_SHARE * sockets))
         seconds = rng.uniform(*CROWD_SECONDS)
-        async with running_module("crowd", gateway.addr, shape, connections, seconds) as program:
+        async with running_module(module, gateway.addr, shape, connections, seconds) as program:
             await program.wait()
         return f"{gateway.name} {shape} {connections} for {seconds:.1f} s"
 
