The last answer of a closing connection is not given up while it is on its way

Found by reading the guard without counts: a connection that closes with an answer whose last bytes the system has not taken counted as unfinished, and would have been reset in the middle of a final answer. It counts once they are out and it only discards what still comes. The test failed before (1 given up for 0).

--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -99,7 +99,10 @@
         request = self.incoming
         body = request.reserved if request is not None else 0
         size = self.held_unsent + self.held_head + body
-        unfinished = max(1, self.message_bytes) if self.is_unfinished() else 0
+        is_answer_due = self.phase == CLOSING and self.unsent > 0
+        unfinished = 0
+        if self.is_unfinished() and not is_answer_due:
+            unfinished = max(1, self.message_bytes)
         return HeldMemory(self._holding(size + unfinished), size, unfinished, self._doing())
 
     def _holding(self, size: int) -> Holding:
--- a/tests/test_memory_guard.py
+++ b/tests/test_memory_guard.py
@@ -268,3 +268,22 @@
 
     given_up = asyncio.Event()
     asyncio.run(run())
+
+
+# Guards against: a final answer that is cut off on its way, as its connection is to close after it.
+def test_last_answer_of_a_connection_is_not_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def run() -> None:
+        async with Server() as host, running_gateway(("a", host.addr), limits=LIMITS) as gateway:
+            client = await gateway.client()
+            assert (await client.ask(request("first")))[0] == 200
+            (connection,) = gateway.clients()
+            connection.phase, connection.unsent = CLOSING, 10 * KB
+            limit = _leave_uncounted(monkeypatch, gateway, 0.3)
+            gateway.core.memory_guard.on_resident(int(0.9 * limit))
+            assert gateway.core.memory_guard.given_up == 0
+            connection.unsent = 0  # the system has it, and what still comes is discarded
+            gateway.core.memory_guard.on_resident(int(0.9 * limit))
+            assert gateway.core.memory_guard.given_up == 1
+            client.writer.close()
+
+    asyncio.run(run())
