--- a/sailhitch/core/memory_guard.py
+++ b/sailhitch/core/memory_guard.py
@@ -15,6 +15,7 @@
 
 from .budget import MB
 from .memory_monitor import HIGH_UNCOUNTED
+from .memory_report import holders_line, memory_line
 
 if TYPE_CHECKING:
     from .core import GatewayCore
@@ -174,8 +175,8 @@
     def _on_given_up(self, count: int, why: str) -> None:
         if not count:
             return
-        memory = self._core.memory
-        log = self._core.logger
+        core = self._core
         self.given_up += count
-        log.write_limited(f"given up {why}", f"{count} clients closed {why}; {memory.summary()}")
-        log.write_limited(f"held {why}", memory.holders())
+        text = f"{count} clients closed {why}; {memory_line(core)}"
+        core.logger.write_limited(f"given up {why}", text)
+        core.logger.write_limited(f"held {why}", holders_line(core))
--- a/sailhitch/core/memory_monitor.py
+++ b/sailhitch/core/memory_monitor.py
@@ -1,14 +1,14 @@
-"""The memory that the process holds, as the system counts it, and its line in the log."""
+"""The memory that the process holds, as the system counts it."""
 
 from __future__ import annotations
 
 import os
-from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from ..front import State
 from .budget import MB
 from .memory_baseline import CONNECTION_BYTES, MemoryBaseline
+from .memory_report import holders_line, memory_line
 from .timer_wheel import MS
 
 if TYPE_CHECKING:
@@ -98,8 +98,8 @@
         share = self.resident / limit
         level = sum(share > alert for alert in ALERT_SHARES)
         if level > self._alert_level:
-            self._core.logger.write_limited(f"memory {level}", self.summary())
-            self._core.logger.write_limited(f"holders {level}", self.holders())
+            self._core.logger.write_limited(f"memory {level}", memory_line(self._core))
+            self._core.logger.write_limited(f"holders {level}", holders_line(self._core))
         self._alert_level = level
         if share > HIGH_UNCOUNTED and self.excess_uncounted(self.resident) > 0:
             if now - self._returned_at >= RETURN_URGENT_INTERVAL:
@@ -161,37 +161,6 @@
                     break
                 pool.transport.close_oldest_idle()
 
-    def summary(self) -> str:
-        """Return a log line: what the process holds, and what it counts of that."""
-        core = self._core
-        budget = core.budget
-        return (
-            f"memory: resident={_megabytes(self.resident)} peak={_megabytes(self.peak)} "
-            f"limit={core.limits.memory_mb} bodies={_megabytes(budget.reserved)} "
-            f"streamed={_megabytes(budget.streamed)} heads={_megabytes(budget.heads)} "
-            f"given_up={core.memory_guard.given_up} clients={len(core.clients)} "
-            f"upstream={core.upstream_descriptors()} open={len(core.open_requests)} "
-            f"base={_megabytes(self.baseline.size)} "
-            f"uncounted={_megabytes(self.uncounted(self.resident))}"
-        )
-
-    def holders(self) -> str:
-        """Return a log line: the connections by what they do, and the largest one."""
-        core = self._core
-        held = [client.held_memory() for client in core.clients]
-        doing = Counter(one.doing for one in held)
-        counts = " ".join(f"{name}={count}" for name, count in sorted(doing.items()))
-        largest = max(held, key=lambda one: one.size + one.unfinished, default=None)
-        return (
-            f"memory holders: {counts or 'none'} read={_megabytes(self.read_bytes)} "
-            f"{f'largest: {largest}' if largest is not None else ''} "
-            f"last rejected: {'; '.join(core.recent_rejections) or 'none'}"
-        )
-
     def close(self) -> None:
         """Release the source of the figures."""
         self._source.close()
-
-
-def _megabytes(size: int) -> str:
-    return f"{size / MB:.1f}"
--- a/sailhitch/core/statistics.py
+++ b/sailhitch/core/statistics.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .memory_report import memory_line
 from .timer_wheel import MS
 
 if TYPE_CHECKING:
@@ -15,7 +16,7 @@
     core.logger.write(_request_statistics(core))
     if core.invariants.total:
         core.logger.write(f"violations: {core.invariants.summary()}")
-    core.logger.write(core.memory.summary())
+    core.logger.write(memory_line(core))
     core.logger.write(core.admission.summary())
     for pool in core.pools:
         core.logger.write(f"{pool.name}: {pool.summary()}")
