Crowds: one class for clients that come back at once

The crowd of known shapes and the crowd from the grammar had the same loop, counts and report. They are in tests/memory_limit/reconnecting.py now.

--- a/tests/memory_limit/crowd.py
+++ b/tests/memory_limit/crowd.py
@@ -16,19 +16,18 @@
 import socket
 import sys
 import time
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
 from sailhitch.lab.message import build
 from tests.memory_limit.host import Behaviour
+from tests.memory_limit.reconnecting import ReconnectingClients
 
 HEAD_SIZE = 30 * 1024  # bytes of a large head, under the limit of 32 KiB
 BODY_SIZES = (60 * 1024, 40 * 1024, 2_000_000)  # bytes; the last is streamed
 LONG_ANSWER = 2_000_000  # bytes
 DEADLINE_MS = 3000
-RECONNECT_PAUSE = 0.02  # s
 READ_PIECE, READ_PAUSE = 200, 0.1  # bytes that a slow reader takes at a time, and s between
 RECEIVE_BUFFER = 4096  # bytes that a slow reader's own system holds for it
 
@@ -151,26 +150,15 @@
 MIXED_SHAPES = [shape for shape in PLAYS if not shape.startswith("flood-")]
 
 
-class CrowdProcess:
+class CrowdProcess(ReconnectingClients):
     """The clients of one crowd."""
 
     def __init__(self, address: str, shape: Shape, until: float) -> None:
-        host, _, port = address.rpartition(":")
-        self.address = (host, int(port))
+        super().__init__(address, until)
         self.shape = shape
-        self.until = until
-        self.connected = 0
-        self.statuses: Counter[int] = Counter()
-
-    async def client(self) -> None:
-        """Connect again and again."""
-        while time.monotonic() < self.until:
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(self.until - time.monotonic()):
-                    await self._connect()
-            await asyncio.sleep(RECONNECT_PAUSE)
-
-    async def _connect(self) -> None:
+
+    async def connect(self) -> None:
+        """Play the shape on a connection."""
         shape = random.choice(MIXED_SHAPES) if self.shape is Shape.MIXED else self.shape
         play = PLAYS[shape]
         loop = asyncio.get_running_loop()
@@ -198,21 +186,15 @@
         """Read until the gateway closes the connection."""
         loop = asyncio.get_running_loop()
         while data := await loop.sock_recv(sock, READ_PIECE if play.reads_slowly else 65536):
-            if data.startswith(b"HTTP/1.1 "):
-                self.statuses[int(data[9:12])] += 1
+            self.count_answer(data)
             if play.reads_slowly:
                 await asyncio.sleep(READ_PAUSE)
 
-    def report(self) -> str:
-        """Return how often they connected, and how many answers each status had."""
-        statuses = " ".join(f"{status}={n}" for status, n in sorted(self.statuses.items()))
-        return f"connected={self.connected} {statuses}"
-
 
 async def main(address: str, shape: Shape, connections: int, seconds: float) -> None:
     """Play a crowd for so many seconds."""
     crowd = CrowdProcess(address, shape, time.monotonic() + seconds)
-    await asyncio.gather(*(crowd.client() for _ in range(connections)))
+    await crowd.play(connections)
     print(crowd.report())
 
 
--- a/tests/memory_limit/grammar_crowd.py
+++ b/tests/memory_limit/grammar_crowd.py
@@ -16,7 +16,6 @@
 import socket
 import sys
 import time
-from collections import Counter
 
 from sailhitch.lab.message import build
 from tests.memory_limit.grammar import (
@@ -27,8 +26,8 @@
     request_stream,
 )
 from tests.memory_limit.host import Behaviour
+from tests.memory_limit.reconnecting import ReconnectingClients
 
-RECONNECT_PAUSE = 0.02  # s
 DEADLINE_MS = 3000
 OPEN_ANSWER = 3_000_000  # bytes of an answer that a client leaves unread behind an open request
 _numbers = itertools.count()
@@ -55,27 +54,17 @@
     return Choice(request_stream(name, fault))
 
 
-class GrammarCrowd:
+class GrammarCrowd(ReconnectingClients):
     """The clients of one crowd."""
 
     def __init__(self, address: str, what: str, until: float) -> None:
-        host, _, port = address.rpartition(":")
-        self.address = (host, int(port))
+        super().__init__(address, until)
         self.what = what
-        self.until = until
         self.rng = random.Random(what)
-        self.connected = 0
-        self.statuses: Counter[int] = Counter()
-
-    async def client(self) -> None:
-        """Connect again and again."""
-        while time.monotonic() < self.until:
-            with contextlib.suppress(OSError, TimeoutError):
-                async with asyncio.timeout(self.until - time.monotonic()):
-                    await self._connect(parse_choice(self.what, self.rng))
-            await asyncio.sleep(RECONNECT_PAUSE)
-
-    async def _connect(self, choice: Choice) -> None:
+
+    async def connect(self) -> None:
+        """Send what is drawn or named."""
+        choice = parse_choice(self.what, self.rng)
         loop = asyncio.get_running_loop()
         with socket.socket() as sock:
             sock.setblocking(False)
@@ -84,8 +73,7 @@
             sending = asyncio.ensure_future(self._send(sock, choice))
             try:
                 while data := await loop.sock_recv(sock, 65536):
-                    if data.startswith(b"HTTP/1.1 "):
-                        self.statuses[int(data[9:12])] += 1
+                    self.count_answer(data)
             finally:
                 sending.cancel()
 
@@ -102,16 +90,11 @@
                 await loop.sock_sendall(sock, piece)
                 await asyncio.sleep(pause)
 
-    def report(self) -> str:
-        """Return how often they connected, and how many answers each status had."""
-        statuses = " ".join(f"{status}={n}" for status, n in sorted(self.statuses.items()))
-        return f"connected={self.connected} {statuses}"
-
 
 async def main(address: str, what: str, connections: int, seconds: float) -> None:
     """Play a crowd for so many seconds."""
     crowd = GrammarCrowd(address, what, time.monotonic() + seconds)
-    await asyncio.gather(*(crowd.client() for _ in range(connections)))
+    await crowd.play(connections)
     print(crowd.report())
 
 
