Reads of a body without chunks are parsed in one go again

Cause: since reads are parsed in parts of 16 KiB, a long answer is put together and copied from 16 pieces, and the loop is busy for longer while 400 answers begin. Parts are needed where the syntax of many short chunks can't be told from bytes that the parser holds; a body of a given length has none.

--- a/sailhitch/net/bounded_reader.py
+++ b/sailhitch/net/bounded_reader.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, Final
 
 from ..core.read_scheduler import EXPENSIVE_READ
-from .delivery import PARSED_AT_ONCE
 
 if TYPE_CHECKING:
     from ..core.core import GatewayCore
@@ -55,6 +54,10 @@
         """Return whether the next read is to be a small one, however cheap."""
         raise NotImplementedError
 
+    def parsed_at_once(self) -> int:
+        """Return how many bytes of the read that begins the parser is given at a time."""
+        raise NotImplementedError
+
     def is_unfinished(self) -> bool:
         """Return whether part of a message was read whose rest can wait while memory is short."""
         raise NotImplementedError
@@ -86,8 +89,9 @@
 
     def _parse_parts(self, size: int) -> bool:
         """Parse a read of `size` bytes in parts; return False if one was not parsed."""
-        for start in range(0, size, PARSED_AT_ONCE):
-            end = min(size, start + PARSED_AT_ONCE)
+        at_once = self.parsed_at_once()
+        for start in range(0, size, at_once):
+            end = min(size, start + at_once)
             if not self.parse(bytes(_BUFFER[start:end])):
                 return False
         return True
--- a/sailhitch/net/client_connection.py
+++ b/sailhitch/net/client_connection.py
@@ -21,8 +21,8 @@
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..front import ConnectionSlot, Reason
 from .body_arrival import BodyArrival
-from .bounded_reader import SMALL_READ, BoundedReader
-from .delivery import DeliveryCounter
+from .bounded_reader import LARGE_READ, SMALL_READ, BoundedReader
+from .delivery import PARSED_AT_ONCE, DeliveryCounter
 from .head_fields import HeadFields
 from .socket_poll import has_event
 from .tcp_info import data_arrival
@@ -258,6 +258,11 @@
         """Return whether the next read is a small one: not of a body, or memory is short."""
         return self.phase != BODY or self.core.budget.is_tight()
 
+    def parsed_at_once(self) -> int:
+        """Return how many bytes of a read are parsed at a time: all of a body without chunks."""
+        has_no_chunks = self.phase == BODY and self.content_length is not None
+        return LARGE_READ if has_no_chunks else PARSED_AT_ONCE
+
     def is_unfinished(self) -> bool:
         """Return whether part of a request was read, or it closes and discards what comes."""
         return self.phase != IDLE
--- a/sailhitch/net/host_response.py
+++ b/sailhitch/net/host_response.py
@@ -15,8 +15,9 @@
 from ..core.response import Response
 from ..core.throughput_watchdog import ThroughputWatchdog
 from ..policy_interface import LoadReport
-from .bounded_reader import SMALL_READ, BoundedReader
+from .bounded_reader import LARGE_READ, SMALL_READ, BoundedReader
 from .config import parse_load_report
+from .delivery import PARSED_AT_ONCE
 from .http import BODY, MalformedError, ResponseReader
 
 if TYPE_CHECKING:
@@ -245,6 +246,11 @@
             self.body = b""
             client.send_body(bytes(body))
 
+    def parsed_at_once(self) -> int:
+        """Return how many bytes of a read are parsed at a time: all of a body without chunks."""
+        has_no_chunks = self.phase == BODY and self.length is not None
+        return LARGE_READ if has_no_chunks else PARSED_AT_ONCE
+
     def is_unfinished(self) -> bool:
         """Return False: a response is not held up while clients' requests are given up."""
         return False
--- a/sailhitch/net/http.py
+++ b/sailhitch/net/http.py
@@ -47,7 +47,7 @@
     """Reads one response at a time from a connection and checks its framing.
 
     Subclasses implement `handle_head` and `handle_body`, and check `phase` after `feed`, which gets
-    at most PARSED_AT_ONCE bytes.
+    at most PARSED_AT_ONCE bytes of a head or of chunks.
 
     Bytes after the end of a response belong to no request. The response is valid without them, but
     the connection is not reused, as the next response on it could belong to any request. This
--- a/tests/test_read_scheduler.py
+++ b/tests/test_read_scheduler.py
@@ -190,6 +190,9 @@
     def wait(self, reader: DeferredReader, cost: float, is_cheap: bool) -> None:
         self.waits += 1
 
+    def parsed_at_once(self) -> int:
+        return LARGE_READ
+
     def parse(self, data: bytes) -> bool:
         until = time.thread_time() + self.seconds
         if not self.busy:
