--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -23,7 +23,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-DAEMON_PYTHON = ROOT / "review/tools-2/.venv/bin/python"
+DAEMON_PYTHON = ROOT / "review/tools-2/python"
 GATEWAY_PYTHON = ROOT / ".venv/bin/python"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
@@ -432,7 +432,7 @@
     """Run a case; return its exit code."""
     record = Record(Path(script).resolve().parent / "record.txt")
     if not needs.exists():
-        record("can't run: build.sh or the build of the deploy file was not run")
+        record("can't run: build-2.sh or the build of the deploy file was not run")
         return CANNOT_RUN
     processes: list[Process] = []
 
