--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -23,7 +23,7 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-DAEMON_PYTHON = ROOT / "review/tools-2/python"
+DAEMON_PYTHON = ROOT / "review/tools-2/.venv/daemon-python"
 GATEWAY_PYTHON = ROOT / ".venv/bin/python"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
