A series of stalls no longer clears a host that takes nothing of a body

Cause: a host's silence counted from the end of the last stall, so a series of stalls put it off for ever. But a stall hides nothing: what a host takes meanwhile makes its socket writable, and it stays so until this process writes. So `Upload.silent_for` counts stalls like any time, and asks the socket itself: a writable one is not silent, whether the event loop has looked at it yet or not.

The same cause on related paths: - A body whose last byte was read is observed too, so its host is found to be silent. - An attempt that expires unsent is not attributed to its host only if the event loop was stalled for longer than it ran, as for timeouts; before, any one stall cleared the host.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -87,6 +87,7 @@
         )
         self.stalled_since = 0  # begin of the event loop's last stall
         self.stalled_until = 0  # ...and its end
+        self.stalled_time = 0  # us, of all stalls
         self.catching_up = False  # configuration that arrived during a stall is not applied yet
         self.periodic = PeriodicTasks(self)
         self.read_scheduler = ReadScheduler(loop)
@@ -169,6 +170,8 @@
     def _on_stall(self, now: int, late: int) -> None:
         self.logger.write_limited("stall", f"event loop stalled for {late // MS} ms")
         self.stalled_since = now - late
+        # A stall that a response has told of is reported once more by its late timer.
+        self.stalled_time += now - max(self.stalled_since, self.stalled_until)
         self.stalled_until = now
         for pool in self.pools:
             pool.on_stall(now)
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -336,10 +336,12 @@
         """Return whether this outcome is attributable to the attempt's host.
 
         A timeout is not if the event loop stalled before the request was written, and the host had
-        less time to respond than writing took; nor if it stalled while the request was written.
+        less time to respond than writing took; nor if, while the request was written, the event
+        loop was stalled for longer than it ran.
         """
         if status == AttemptOutcome.EXPIRED and attempt.written_at:
-            return attempt.sent_at >= self.core.stalled_until
+            stalled_time = self.core.stalled_time - attempt.stalled_before
+            return stalled_time <= (now - attempt.written_at) // 2
         if status != AttemptOutcome.TIMEOUT:
             return True
         stalled = attempt.sent_at < self.core.stalled_until <= attempt.written_at
--- a/sailhitch/core/request_context.py
+++ b/sailhitch/core/request_context.py
@@ -106,6 +106,7 @@
         "response_started",
         "sent_at",
         "server",
+        "stalled_before",
         "timeout",
         "written_at",
     )
@@ -119,6 +120,7 @@
         self.sent_at = now
         self.expires_at = expires_at
         self.written_at = 0  # when its first byte was written
+        self.stalled_before = 0  # `GatewayCore.stalled_time` at that time
         self.timeout = 0  # allowed time after the last byte of a streamed body
         self.response_started = False  # its response is being streamed
         self.connect_by = 0  # time limit while it waits for a connection; 0 otherwise
--- a/sailhitch/core/upload.py
+++ b/sailhitch/core/upload.py
@@ -30,6 +30,9 @@
     def unsent_size(self) -> int:
         """Return how many bytes were not handed over to the system yet."""
 
+    def is_writable(self) -> bool:
+        """Return whether the system would take more bytes now, as the host has read some."""
+
 
 class Upload:
     """One body; its start, which arrived before there was a sink, can be sent again."""
@@ -113,14 +116,17 @@
         unsent = self.sink.unsent_size() if self.sink is not None else 0
         return self.sink, self.size, unsent
 
-    def silent_for(self, now: int, stalled_until: int) -> int:
+    def silent_for(self, now: int) -> int:
         """Return for how long the sink is known to have taken nothing; 0 without a sink.
 
-        Up to `stalled_until` this process was stalled itself.
+        What the host takes while this process is stalled makes the socket writable, and it remains
+        so until this process writes again. So a stall counts like any other time, unless the
+        socket is writable now.
         """
-        if self.sink is None or self._observe() != self._observed:
+        sink = self.sink
+        if sink is None or self._observe() != self._observed or sink.is_writable():
             return 0
-        return max(0, now - max(self._progress_at, stalled_until))
+        return now - self._progress_at
 
     def open(self, sink: Sink) -> tuple[bytes, bool]:
         """Attach an attempt's sink; return the start, and whether it is the complete body.
--- a/sailhitch/core/upload_deadlines.py
+++ b/sailhitch/core/upload_deadlines.py
@@ -94,15 +94,21 @@
             return
         upload.observe_progress(now)
         self.check_unread(request, arrived_at)
-        silent_for = upload.silent_for(now, self._core.stalled_until)
+        silent_for = upload.silent_for(now)
         overdue = now >= self._core.deadline(request, missing_at)
         if silent_for >= MAX_UPLOAD_STALL or (overdue and silent_for >= HOST_SILENT_AFTER):
             self._end_stalled(request)
 
+    def observe_rest(self, request: RequestContext, now: int) -> None:
+        """Observe a body whose last byte was read, while the rest of it waits for the host."""
+        upload = request.upload
+        if upload is not None and upload.complete:
+            upload.observe_progress(now)
+
     def expiry_outcome(self, attempt: Attempt, now: int) -> AttemptOutcome:
         """Return the outcome of an attempt whose time ends before its last byte was written."""
         upload = attempt.request.upload
-        if upload is None or upload.silent_for(now, self._core.stalled_until) < HOST_SILENT_AFTER:
+        if upload is None or upload.silent_for(now) < HOST_SILENT_AFTER:
             return AttemptOutcome.EXPIRED
         return AttemptOutcome.STALLED
 
--- a/sailhitch/net/downstream.py
+++ b/sailhitch/net/downstream.py
@@ -154,6 +154,8 @@
             self._check_deadline(size, now)
         if self.body_arrival is not None:
             self._check_body(self.body_arrival, now)
+        if self.request is not None:
+            self.core.uploads.observe_rest(self.request, now)
 
     def _check_body(self, body_arrival: BodyArrival, now: int) -> None:
         """Check the request body that the client streams, which may wait unread."""
--- a/sailhitch/net/upstream_connection.py
+++ b/sailhitch/net/upstream_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from typing import TYPE_CHECKING, Final, cast
 
@@ -18,6 +19,7 @@
 from ..policy_interface import AttemptOutcome
 from .host_response import HostResponse
 from .http import BODY, COMPLETE, MalformedError, chunk
+from .socket_poll import has_event
 
 if TYPE_CHECKING:
     from .connection_pool import ConnectionPool, Host
@@ -83,6 +85,7 @@
         self.attempt = attempt
         attempt.connection = self
         attempt.written_at = now
+        attempt.stalled_before = self.core.stalled_time
         self.upload = upload
         self.has_more_body = not last
         if count < len(first):
@@ -237,6 +240,12 @@
         buffered = self.transport.get_write_buffer_size() if self.transport is not None else 0
         return buffered + (len(self.unsent_body) if self.unsent_body is not None else 0)
 
+    def is_writable(self) -> bool:
+        """Return whether the system would take more bytes, or has an error; part of `Sink`."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        return has_event(self.sock.fileno(), select.POLLOUT)
+
     def has_unsent_bytes(self) -> bool:
         """Return whether part of the request is still buffered in this process."""
         buffered = self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -47,6 +47,7 @@
         self.got = b""
         self.ends = 0
         self.paused = False
+        self.writable = False
 
     def pause_reading(self) -> None:
         self.paused = True
@@ -57,6 +58,9 @@
     def unsent_size(self) -> int:
         return len(self.got)
 
+    def is_writable(self) -> bool:
+        return self.writable
+
     def send_body(self, data: bytes, last: bool) -> None:
         assert not self.ends
         self.got += data
--- a/tests/test_silent_hosts.py
+++ b/tests/test_silent_hosts.py
@@ -366,20 +366,19 @@
     asyncio.run(run())
 
 
-def test_a_stall_of_the_gateway_is_not_held_against_a_host() -> None:
-    """Guards against ejecting a host that took nothing only because nothing was written."""
+def test_a_host_is_silent_only_while_it_takes_nothing() -> None:
+    """Guards against ejecting a host that took bytes, or that there is not."""
     upload = Upload(RecordingEnd(), b"start", False, Budget(80))
     sink = RecordingEnd()
     upload.open(sink)
     upload.observe_progress(1 * S)
     upload.observe_progress(3 * S)
-    assert upload.silent_for(3 * S, stalled_until=0) == 2 * S
-    assert upload.silent_for(3 * S, stalled_until=3 * S - 1) == 1
+    assert upload.silent_for(3 * S) == 2 * S
     sink.got += b"more"
     upload.observe_progress(4 * S)
-    assert upload.silent_for(4 * S, stalled_until=0) == 0
+    assert upload.silent_for(4 * S) == 0
     upload.detach(sink)
-    assert upload.silent_for(9 * S, stalled_until=0) == 0  # there is no host
+    assert upload.silent_for(9 * S) == 0  # there is no host
 
 
 def test_the_last_byte_of_a_body_is_taken_to_have_come_no_later_than_it_did() -> None:
