A tier's plan is checked and proposed with one version, read once

Cause: `apply_plan` checked a plan against `base()` in a thread, and `propose` read `base()` again. If another version was applied between, the result of N was proposed as made from N+1, and the register compared N+1 with N+1. Now one base, read once, goes from the check to `Member.propose`.

Related paths: - A plan that changes nothing is refused too if another version became active while it was read. - An order about zones was proposed by a task that read the base at its first step; it gets the one that the order was computed from. - A plan whose version this member has not applied yet was refused although its base held; the member now reads the register and waits. One that may not act says so, and not "the live state is 0". - Bans, `evict`, `join` and `withdraw` compute and propose without an await between; a daemon alone decides under a lock.

--- a/sailhitch/daemon/tier_changes.py
+++ b/sailhitch/daemon/tier_changes.py
@@ -30,19 +30,37 @@
         self._applier = applier
         self._states = states
 
-    async def propose(self, state: State, operator: str) -> AppliedState:
+    async def base_for(self, serial: int) -> AppliedState:
+        """Return the version that this process applies, for a plan made against a serial.
+
+        The plan may have been made at a member that knew of its version earlier: this one then
+        waits until it has applied that version too, but not for longer than for a change.
+
+        Raises:
+            ApplyError: This member may not act, or the register can't be read.
+        """
+        self._check_status()
+        if self._applier.base.serial < serial:
+            register = (await wait_for_decision(self.link, Member.read)).state
+            if register.active.serial >= serial:
+                await self._wait_until_applied(serial)
+        return self._applier.base
+
+    async def propose(self, base: AppliedState, state: State, operator: str) -> AppliedState:
         """Propose a state, and return it once this process has applied it as active.
 
+        Args:
+            base: The version that the state was derived from.
+            state: The state to propose.
+            operator: The operator who proposes it, for display.
+
         Raises:
             ApplyError: The state was not proposed, was not decided, or was withdrawn.
-            StaleBaseError: Another version became active first, or is pending.
+            StaleBaseError: Another version than `base` is active, or one is pending.
             StillPendingError: The state is decided but waits for members.
         """
-        base = self._applier.base
         state = {**state, "listeners": {}}
-        status = self.link.member_status()
-        if status is not MemberStatus.ACTIVE:
-            raise ApplyError(f"this gateway {status.value}; ask another one")
+        self._check_status()
         if state == base.state:
             # The version applied here may be outdated, so the register is read before reporting
             # that there is nothing to do.
@@ -80,15 +98,27 @@
 
     async def _wait_until_active(self, version: Version) -> AppliedState:
         """Wait until this process has applied a version as active; raises an error if it is not."""
+        if not await self._wait_until_applied(version.serial):
+            raise self._not_active_error(version.serial)
+        if self._applier.base.serial != version.serial:
+            raise ApplyError(f"serial {version.serial} is not active; see `sailhitch history`")
+        return self._applier.base
+
+    async def _wait_until_applied(self, serial: int) -> bool:
+        """Wait until this process applies this version or a later one; return whether it does."""
         try:
             async with asyncio.timeout(self.part.agree_within / 1e6):
-                while self._applier.base.serial < version.serial:
+                while self._applier.base.serial < serial:
                     await self._applier.applied_event.wait()
         except TimeoutError:
-            raise self._not_active_error(version.serial) from None
-        if self._applier.base.serial != version.serial:
-            raise ApplyError(f"serial {version.serial} is not active; see `sailhitch history`")
-        return self._applier.base
+            return False
+        return True
+
+    def _check_status(self) -> None:
+        """Raise ApplyError if this member may not act."""
+        status = self.link.member_status()
+        if status is not MemberStatus.ACTIVE:
+            raise ApplyError(f"this gateway {status.value}; ask another one")
 
     def _not_active_error(self, serial: int) -> ApplyError | StillPendingError:
         """Return the error for a decided version that is not active here in time.
--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -22,7 +22,7 @@
 from .catch_up import CatchUp
 from .endpoint_registry import address_of
 from .intake import retry_soon_response
-from .plan import PlanError, compute_plan_result, load_plan
+from .plan import Plan, PlanError, compute_plan_result, load_plan
 from .schema import OperatorFile, TierSection, ZonesSection
 from .source import find_applied
 from .state import State, from_file, with_node_ban
@@ -227,14 +227,13 @@
 
     async def apply_plan(self, text: str, by: str) -> AppliedState:
         """Propose exactly what a plan says; raises PlanError, StaleBaseError or ApplyError."""
-        state = await asyncio.to_thread(self._read_plan, text)
-        return await self.changes.propose(state, by)
+        plan = await asyncio.to_thread(_load_plan, text)
+        # One base, for the check and for the proposal: another version may become active between.
+        base = await self.changes.base_for(plan.serial)
+        state = await asyncio.to_thread(self._plan_result, plan, base)
+        return await self.changes.propose(base, state, by)
 
-    def _read_plan(self, text: str) -> State:
-        plan = load_plan(text)
-        base = self.base()
-        if any(change.kind == "listeners" for change in plan.changes):
-            raise PlanError("listeners are each gateway's own: change its file, and restart it")
+    def _plan_result(self, plan: Plan, base: AppliedState) -> State:
         identity = self.identity(base.state)
         return compute_plan_result(plan, self.owner, base.serial, base.state, identity)
 
@@ -246,7 +245,8 @@
 
     async def ban(self, node: str, ban: dict[str, Any] | None, by: str) -> AppliedState:
         """Propose to ban a node, or (None) to lift its ban; raises as `apply_plan` does."""
-        return await self.changes.propose(with_node_ban(self.base().state, node, ban), by)
+        base = self.base()
+        return await self.changes.propose(base, with_node_ban(base.state, node, ban), by)
 
     async def withdraw(self) -> dict[str, Any]:
         """Withdraw the pending version; raises ApplyError."""
@@ -263,3 +263,11 @@
     def status(self) -> dict[str, Any]:
         """Return the reply to `tier status`."""
         return self.commands.status()
+
+
+def _load_plan(text: str) -> Plan:
+    """Parse a plan for a tier; raises PlanError."""
+    plan = load_plan(text)
+    if any(change.kind == "listeners" for change in plan.changes):
+        raise PlanError("listeners are each gateway's own: change its file, and restart it")
+    return plan
--- a/sailhitch/daemon/zone_coordinator.py
+++ b/sailhitch/daemon/zone_coordinator.py
@@ -20,6 +20,7 @@
 from ..tier.messages import Version
 from ..zones import rollout
 from ..zones.controller import (
+    PolicyProposal,
     ReceivedReports,
     ZoneController,
     ZoneSettings,
@@ -158,14 +159,13 @@
         self._log_findings(received)
         if self._proposal is not None or self.link.member_status() is not MemberStatus.ACTIVE:
             return
+        base = self.controller.serial
         proposal = self.controller.next_proposal(now, received)
         if proposal is not None:
             self.state_applier.core.logger.write(
                 f"zones: {proposal.reason}; proposing the next step"
             )
-            self._proposal = asyncio.get_running_loop().create_task(
-                self._propose(proposal.traffic_policy, proposal.reason)
-            )
+            self._proposal = asyncio.get_running_loop().create_task(self._propose(base, proposal))
 
     def _log_findings(self, received: ReceivedReports) -> None:
         """Log the diagnoses that have changed."""
@@ -181,17 +181,23 @@
                 f"({finding.confidence:.0%} agree): {finding.description}",
             )
 
-    async def _propose(self, traffic_policy: TrafficPolicy, why: str) -> None:
+    async def _propose(self, base: int, proposal: PolicyProposal) -> None:
+        by = f"{rollout.AUTOMATION}: {proposal.reason}"
         try:
-            await self._propose_traffic_policy(traffic_policy, f"{rollout.AUTOMATION}: {why}")
+            await self._propose_traffic_policy(base, proposal.traffic_policy, by)
         except ApplyError as error:
             self.state_applier.core.logger.write(f"zones: not proposed: {error}")
         finally:
             self._proposal = None
 
-    async def _propose_traffic_policy(self, traffic_policy: TrafficPolicy, by: str) -> Version:
-        """Have the tier decide a traffic policy; raises ApplyError."""
-        base = self.controller.serial
+    async def _propose_traffic_policy(
+        self, base: int, traffic_policy: TrafficPolicy, by: str
+    ) -> Version:
+        """Have the tier decide a traffic policy that was made from the one of serial `base`.
+
+        Raises:
+            ApplyError: It was not decided, or another one was decided first.
+        """
         proposed_at = int(time.time() * 1e6)
         completed = await wait_for_decision(
             self.link,
@@ -216,6 +222,7 @@
         status = self.link.member_status()
         if status is not MemberStatus.ACTIVE:
             raise ApplyError(f"this gateway {status.value}; ask another one")
+        base = self.controller.serial
         try:
             proposed = self.controller.operator_request(
                 act, zone, why, by, step if isinstance(step, int) else None
@@ -224,7 +231,7 @@
             raise ApplyError(str(error)) from None
         if request.get("dry_run"):
             return {"ok": True, "dry_run": True, "pools": self._load_by_pool(proposed)}
-        version = await self._propose_traffic_policy(proposed, by)
+        version = await self._propose_traffic_policy(base, proposed, by)
         late = await self._wait_until_applied(version)
         reply: dict[str, Any] = {"ok": True, "serial": version.serial}
         if late:
--- a/tests/test_version_states.py
+++ b/tests/test_version_states.py
@@ -13,19 +13,15 @@
 import msgspec
 import pytest
 
-from sailhitch.core.core import GatewayCore
-from sailhitch.core.log import Log
 from sailhitch.daemon.plan import StaleBaseError, identity
 from sailhitch.daemon.schema import parse_text, parse_value
 from sailhitch.daemon.state import State, canonical, from_file
 from sailhitch.daemon.state_applier import (
     ApplyError,
-    StateApplier,
     StateChange,
-    resource_limits,
 )
 from sailhitch.daemon.state_tree import StateTreeError, to_tree
-from sailhitch.daemon.store import AppliedState, Store
+from sailhitch.daemon.store import AppliedState
 from sailhitch.daemon.tier_link import TierLink
 from sailhitch.daemon.tier_source import TierStateSource
 from sailhitch.daemon.version_states import VersionStates
@@ -37,11 +33,11 @@
 from sailhitch.tier.effects import AppliedVersions
 from sailhitch.tier.member import CHOSEN_KEY, BootstrapVersion, Member, TierConfig
 from sailhitch.tier.messages import ChosenState
-from sailhitch.tier.wire import Keys
-from tests.daemons import checked_file, daemon_process, file_value, pool
+from tests.daemons import daemon_process, file_value, pool
 from tests.operator_files import FILE
 from tests.page_sources import Pages
 from tests.sockets import until
+from tests.tiers import KEYS, running_tier
 
 BASE: State = {**from_file(parse_text(FILE)), "listeners": {}}
 
@@ -164,9 +160,6 @@
     await until(lambda: link._writing is None)
 
 
-KEYS = Keys(1, {1: b"k" * 32})
-
-
 def _active(folder: Path) -> tuple[str, dict[str, bytes]]:
     """Return the digest of the active version on a member's disk, and the disk's contents."""
     disk = Disk(folder)
@@ -258,14 +251,17 @@
             raise
 
     async def change_often(tier: TierStateSource) -> None:
-        await tier.changes.propose(_all_weighted(tier.base().state, 3.0), "other")
+        base = tier.base()
+        await tier.changes.propose(base, _all_weighted(base.state, 3.0), "other")
         for i in range(CHANGES):
             await tier.ban(f"p/n{i}", _ban(), "other")
 
     async def work() -> None:
         async with _tier_of_one(tmp_path) as tier:
             loop, real = asyncio.get_running_loop(), tier.changes._tree
-            base = await tier.changes.propose(_all_weighted(tier.base().state, 2.0), "first")
+            base = await tier.changes.propose(
+                tier.base(), _all_weighted(tier.base().state, 2.0), "first"
+            )
 
             def tree(before: State, state: State) -> Tree:
                 """Build the tree, then make enough other changes for its base to be released."""
@@ -298,13 +294,16 @@
                 await may_continue.wait()
                 return await change(decided)
 
-            serial = tier.base().serial + 1
+            start = tier.base()
+            serial = start.serial + 1
             monkeypatch.setattr(tier.state_applier, "change", held)
             monkeypatch.setattr(
                 tier.changes, "part", tier.part.model_copy(update={"agree_within": 300_000})
             )
             with pytest.raises(ApplyError, match=f"serial {serial} .* it is active, and this gate"):
-                await tier.changes.propose(_all_weighted(tier.base().state, 2.0), "first")
+                await tier.changes.propose(
+                    tier.base(), _all_weighted(tier.base().state, 2.0), "first"
+                )
             may_continue.set()
             async with asyncio.timeout(15):
                 while tier.base().serial < serial:
@@ -317,35 +316,5 @@
 @contextlib.asynccontextmanager
 async def _tier_of_one(tmp_path: Path) -> AsyncIterator[TierStateSource]:
     """Yield a daemon in this process that is the only, and active, member of its tier."""
-    (tmp_path / "keys").write_text(f"1 {(b'k' * 32).hex()}\n")
-    nodes = {f"n{i}": f"127.0.0.1:{9000 + i}" for i in range(NODES)}
-    value = file_value([pool("p", nodes)], free_port())
-    value["gateway"]["state_dir"] = str(tmp_path / "state")
-    value["tier"] = {
-        "name": "t",
-        "key_file": str(tmp_path / "keys"),
-        "voters": ["g1"],
-        "members": [{"name": "g1", "address": f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"}],
-    }
-    whole = checked_file(value)
-    assert whole.tier is not None
-    core = GatewayCore(
-        resource_limits(whole.gateway, 1_000_000), asyncio.get_running_loop(), Log("g1")
-    )
-    folder = tmp_path / "state" / "tier"
-    store = Store(folder, "g1")
-    live = StateApplier(core, whole.gateway, store)
-    core.start()
-    tier = TierStateSource(live, whole.tier, KEYS, folder, None, Log("g1"))
-    try:
-        await tier.start(whole)
-        await until(
-            lambda: tier.link.member_status() is MemberStatus.ACTIVE and tier.base().serial == 1
-        )
+    async with running_tier(tmp_path, ["g1"], NODES) as (tier,):
         yield tier
-    finally:
-        live.stop_listening()
-        core.stop()
-        tier.link.close()
-        await until(lambda: tier.link._writing is None)
-        store.close()
