A series of stalls no longer hides an overload of the fleet

With one every 0.25 s no late response counted, so nothing was shed.

A response is now late by the time that this process ran, and no evidence only if it was stalled for longer than it ran, or if the request was read right after a stall with all that had come in it.

Evidence: test_a_series_of_stalls_hides_no_overload failed before for stalls of 60 and 100 ms; a stall of 0.9 s, and stalls of 150 ms every 0.25 s, still make no sound fleet shed.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -171,10 +171,11 @@
         self.logger.write_limited("stall", f"event loop stalled for {late // MS} ms")
         self.stalled_since = now - late
         # A stall that a response has told of is reported once more by its late timer.
-        self.stalled_time += now - max(self.stalled_since, self.stalled_until)
+        duration = now - max(self.stalled_since, self.stalled_until)
+        self.stalled_time += duration
         self.stalled_until = now
         for pool in self.pools:
-            pool.on_stall(now)
+            pool.on_stall(now, duration)
 
     def fault(self, where: str, error: Exception) -> None:
         """Count and log an unexpected exception; the caller continues."""
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -153,9 +153,9 @@
         """Report a timer that the module has set."""
         self.notify_policy(None, lambda: self.policy.timer(now, token))
 
-    def on_stall(self, now: int) -> None:
-        """Report a stall of the event loop."""
-        self.notify_policy(None, lambda: self.policy.on_stall(now))
+    def on_stall(self, now: int, duration: int) -> None:
+        """Report a stall of the event loop that ended now."""
+        self.notify_policy(None, lambda: self.policy.on_stall(now, duration))
 
     def retire(self) -> None:
         """Retire the pool: queued requests get a response, and open attempts are completed."""
--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -18,7 +18,7 @@
 from .counters import new_counters
 from .endpoint_table import EndpointTable
 from .health import Health
-from .overload import POST_STALL_WINDOW, Overload
+from .overload import Overload
 from .request import Request
 from .retry import is_out_of_time, retry_cost, retry_refusal_reason
 from .score import Scores
@@ -59,14 +59,14 @@
         if self.settings.gateway_index < 0:
             self.port.log("the settings give no valid gateway index: this gateway uses all servers")
 
-    def on_stall(self, now: int) -> None:
-        """Record that this process was stalled until now.
+    def on_stall(self, now: int, duration: int) -> None:
+        """Record that this process was stalled until now, for `duration` microseconds.
 
         Responses that were outstanding during the stall, and requests read right after it, are late
         because of the stall and are no evidence of overload. If they were counted, one stall would
         make the gateway shed load for seconds.
         """
-        self.overload.post_stall_until = now + POST_STALL_WINDOW
+        self.overload.record_stall(now, duration)
 
     def reconfigure(self, now: int, settings: Settings) -> None:
         """Apply new settings, keep learned state; open requests keep their class's old settings."""
@@ -136,6 +136,7 @@
         request = Request(now, req, request_class, deadline, work, key)
         request.class_index = cls
         request.is_uploading = uploading
+        self.overload.record_request(now, request)
         self.open_requests[req] = request
         self.retries.on_request()
         self.endpoint_table.subsetter.sizer.on_request(now)
@@ -194,6 +195,7 @@
         request = self.open_requests.get(req)
         if request is not None and request.is_uploading:
             request.count_from(arrived, deadline)
+            self.overload.record_request(arrived, request)
 
     def body_complete(self, now: int, req: int) -> None:
         """Restart the clock of a request's attempt, now that its last byte was passed on.
--- a/sailhitch/policy/overload.py
+++ b/sailhitch/policy/overload.py
@@ -48,6 +48,7 @@
         self.late_sum = 0.0
         self.capacity_at_cut = 1.0  # of the fleet at its last rate cut, in warm servers
         self.arrivals_at = self.started_at = self.post_stall_until = 0
+        self.stalled_time = 0  # us, of all stalls of this process
         self._reset_counts(0, settings)
 
     def _reset_counts(self, now: int, settings: Settings) -> None:
@@ -122,6 +123,25 @@
 
     # --- Late responses
 
+    def record_stall(self, now: int, duration: int) -> None:
+        """Record that this process was stalled until now, for `duration` microseconds."""
+        self.stalled_time += duration
+        self.post_stall_until = now + POST_STALL_WINDOW
+
+    def record_request(self, arrived: int, request: Request) -> None:
+        """Record how the arrival of a request is related to stalls of this process."""
+        request.stalled_before = self.stalled_time
+        request.follows_stall = arrived < self.post_stall_until
+
+    def _is_delayed_by_stalls(self, now: int, request: Request) -> bool:
+        """Return whether a request's time is no evidence, because of stalls of this process.
+
+        Either it was read with all that came in a stall, or this process was stalled for longer
+        than it ran. A shorter stall does not count: a series of them must not hide an overload.
+        """
+        stalled_time = self.stalled_time - request.stalled_before
+        return request.follows_stall or stalled_time > (now - request.arrived_at) // 2
+
     def usual_latency(self, request: Request) -> float:
         """Return the usual latency of a request's class in microseconds; 0 if unknown."""
         if request.class_index >= len(self.class_latency):
@@ -145,7 +165,7 @@
         if request.request_class not in self.settings.classes:
             return  # its class was removed from the settings
         cls = self.settings.classes.index(request.request_class)
-        elapsed = now - request.arrived_at
+        elapsed = now - request.arrived_at - (self.stalled_time - request.stalled_before)
         old = self.class_latency[cls]
         if request.work:
             usual_work = self.class_work[cls]
@@ -171,9 +191,9 @@
         hardly any.
         """
         fleet = self.fleet
-        if request.arrived_at < max(fleet.cut_at, self.post_stall_until) or self.lacks_measurements(
-            now
-        ):
+        if request.arrived_at < fleet.cut_at or self.lacks_measurements(now):
+            return
+        if self._is_delayed_by_stalls(now, request):
             return
         self.late_sum = max(0.0, self.late_sum + is_late - TOLERATED_LATE_SHARE)
         if self.late_sum < LATE_SUM_LIMIT:
--- a/sailhitch/policy/request.py
+++ b/sailhitch/policy/request.py
@@ -22,6 +22,7 @@
         "attempts_end_at",
         "class_index",
         "first_server",
+        "follows_stall",
         "hold_until",
         "id",
         "is_uploading",
@@ -33,6 +34,7 @@
         "repeatable_until",
         "request_class",
         "selection_draw",
+        "stalled_before",
         "streaming",
         "work",
     )
@@ -47,6 +49,8 @@
         self.class_index = 0  # index of the class in the settings
         self.first_server: Server | None = None  # server of the first attempt
         self.arrived_at = now
+        self.stalled_before = 0  # `Overload.stalled_time` when it arrived
+        self.follows_stall = False  # it was read right after a stall, with all that came in it
         self.attempts = 0
         self.open_attempts = 0
         self.may_have_run = False
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -16,11 +16,22 @@
 )
 from tests.fake import MS, SAFE, START, UNSAFE, GatewayHarness, S, server, settings_value
 
+STALL_EVERY = 25  # requests
+LATE = 700 * MS  # a little later than a response may be
+
 
 def drive(
-    harness: GatewayHarness, first: int, count: int, latency: int, step: int = 10 * MS
+    harness: GatewayHarness,
+    first: int,
+    count: int,
+    latency: int,
+    step: int = 10 * MS,
+    stall: int = 0,
 ) -> int:
-    """Send requests at a steady rate, each answered after `latency`; return the number rejected."""
+    """Send requests at a steady rate, each answered after `latency`; return the number rejected.
+
+    The gateway reports a stall of `stall` us, if that isn't 0, at every `STALL_EVERY`th request.
+    """
     due: list[tuple[int, int]] = []
     rejected = 0
     for req in range(first, first + count):
@@ -35,6 +46,8 @@
                 latency=latency,
                 report=LoadReport(0.0, 50.0 * MS),
             )
+        if stall and req % STALL_EVERY == 0:
+            harness.gateway.on_stall(harness.now, stall)
         harness.request(req, SAFE, time_limit=4 * S)
         if harness.port.final_actions(req):
             rejected += 1
@@ -82,7 +95,7 @@
             harness.request(req, SAFE, time_limit=4 * S)
         harness.run(harness.now + 900 * MS - START)
         if reported:
-            harness.gateway.on_stall(harness.now)
+            harness.gateway.on_stall(harness.now, 900 * MS)
         for req in range(2000, 2030):  # arrived during the stall, and are read at its end
             harness.request(req, SAFE, time_limit=4 * S)
         for req in [*range(1000, 1030), *range(2000, 2030)]:
@@ -98,6 +111,22 @@
         assert (harness.gateway.overload.fleet.send_rate == math.inf) == reported
 
 
+@pytest.mark.parametrize("stall", [0, 60 * MS, 100 * MS])
+def test_a_series_of_stalls_hides_no_overload(stall: int) -> None:
+    """Guards against stalls each of which clears all requests that are open when it ends."""
+    harness = fleet()
+    drive(harness, 0, 300, 50 * MS)
+    assert drive(harness, 1000, 600, 1500 * MS, stall=stall) > 60
+
+
+def test_a_series_of_stalls_is_no_sign_of_overload() -> None:
+    """Guards against responses that count as late for the time in which they were not read."""
+    harness = fleet()
+    drive(harness, 0, 300, 50 * MS)
+    assert drive(harness, 1000, 600, LATE, stall=150 * MS) == 0
+    assert drive(harness, 2000, 600, LATE) > 0
+
+
 def test_an_idle_period_before_the_first_request_makes_no_cut_too_deep() -> None:
     rejected = []
     for wait in (0, 3 * S):
