`tier withdraw SERIAL` withdraws that version and no other

`tier withdraw` dropped whatever was pending when it came: if the version that the operator had seen became active meanwhile and another one pending, it dropped that one unseen. The refusal of a change beside a pending one says the serial to give. Without one the command does what it did.

Evidence: test_a_withdrawal_of_a_serial_leaves_another_pending_version.

--- a/sailhitch/daemon/admin_requests.py
+++ b/sailhitch/daemon/admin_requests.py
@@ -15,6 +15,7 @@
     AppliedRecord,
     ChangeReply,
     ErrorReply,
+    MovedReply,
     StateReply,
     TierReply,
     applied_record,
@@ -26,7 +27,7 @@
     state_reply,
 )
 from .plan import PlanError, StaleBaseError
-from .source import StateSource, StillPendingError
+from .source import PendingChangedError, StateSource, StillPendingError
 from .state_applier import ApplyError, StateApplier
 from .store import AppliedState, StoreError
 
@@ -128,7 +129,7 @@
             return error_reply(FAILED, str(error))
         return applied_reply(applied)
 
-    async def _tier(self, request: AdminRequest) -> TierReply | ErrorReply:
+    async def _tier(self, request: AdminRequest) -> TierReply | MovedReply | ErrorReply:
         tier = self.tier
         act = request.get("act")
         if tier is None:
@@ -138,11 +139,14 @@
             if act == "status":
                 return tier.status()
             if act == "withdraw":
-                return await tier.withdraw()
+                serial = request.get("serial")
+                return await tier.withdraw(serial if isinstance(serial, int) else None)
             if act == "gone":
                 return await tier.evict(name)
             if act == "join":
                 return await tier.join(name, str(request.get("place", "")))
+        except PendingChangedError as error:
+            return moved_reply(str(error), [])
         except ApplyError as error:
             return error_reply(FAILED, str(error))
         return error_reply(BAD, f"act: unknown: {str(act)[:40]!r}")
--- a/sailhitch/daemon/cli_parser.py
+++ b/sailhitch/daemon/cli_parser.py
@@ -102,7 +102,10 @@
     acts = ("status", "members", "history", "withdraw", "gone", "join")
     command.add_argument("act", choices=acts)
     command.add_argument(
-        "name", metavar="MEMBER", nargs="?", help="the member that `gone` or `join` applies to"
+        "name",
+        metavar="MEMBER|SERIAL",
+        nargs="?",
+        help="the member that `gone` or `join` applies to, or the only serial to `withdraw`",
     )
     command.add_argument(
         "place",
--- a/sailhitch/daemon/cli_tier.py
+++ b/sailhitch/daemon/cli_tier.py
@@ -4,12 +4,15 @@
 
 import argparse
 import json
+import sys
 from collections.abc import Mapping
 from typing import Any, Final
 
-from .cli_gateway import request_reply
+from .admin_client import ask
+from .admin_replies import MOVED
+from .cli_gateway import admin_socket, check_done, request_reply
 from .cli_inspect import show_history
-from .cli_outcome import CHANGES, DONE, CommandError
+from .cli_outcome import CHANGES, DONE, REFUSED, CommandError
 from .schema import read_duration
 
 MAX_DIGEST_LENGTH: Final = 16  # characters of a digest that are printed
@@ -17,7 +20,9 @@
 
 def tier(options: argparse.Namespace) -> int:
     """Print a tier's status, members or history, or change its members or pending version."""
-    if (options.act in ("gone", "join")) != (options.name is not None):
+    if options.act != "withdraw" and (options.act in ("gone", "join")) != (
+        options.name is not None
+    ):
         raise CommandError("tier: `gone` and `join` need MEMBER, other actions take none")
     if (options.act == "join") != (options.place is not None):
         raise CommandError("tier: `join` needs MEMBER and HOST:PORT, other actions take no address")
@@ -25,7 +30,13 @@
         return show_history(options)
     act = "status" if options.act == "members" else options.act
     request = {"op": "tier", "act": act, "name": options.name, "place": options.place}
-    reply = request_reply(options, None, request)
+    if act == "withdraw":
+        request["serial"] = _serial(options)
+    reply = ask(admin_socket(options, None), request)
+    if reply.get("code") == MOVED:
+        print(f"sailhitch: refused: {reply['error']}", file=sys.stderr)
+        return REFUSED
+    check_done(reply)
     if options.json:
         print(json.dumps(reply))
     else:
@@ -33,6 +44,16 @@
     return CHANGES if options.act == "status" and reply.get("pending") else DONE
 
 
+def _serial(options: argparse.Namespace) -> int | None:
+    """Return the serial to withdraw; None if any pending version may be."""
+    if options.name is None:
+        return None
+    try:
+        return int(options.name)
+    except ValueError:
+        raise CommandError(f"tier: `withdraw` takes a serial, not {options.name!r}") from None
+
+
 def _print_tier_reply(act: str, reply: Mapping[str, Any]) -> None:
     if act == "status":
         _print_status(reply)
--- a/sailhitch/daemon/plan.py
+++ b/sailhitch/daemon/plan.py
@@ -36,7 +36,7 @@
     def __init__(self, since: int, serial: int, pending: int | None = None) -> None:
         text = f"made against serial {since}, and the live state is {serial}"
         if pending is not None:
-            text = f"serial {pending} is pending; wait for it, or `sailhitch tier withdraw`"
+            text = f"serial {pending} is pending; wait, or `sailhitch tier withdraw {pending}`"
         super().__init__(text)
         self.since = since
 
--- a/sailhitch/daemon/source.py
+++ b/sailhitch/daemon/source.py
@@ -26,6 +26,14 @@
         self.waiting_for = waiting_for
 
 
+class PendingChangedError(Exception):
+    """The pending version is not the one that an operator asked to withdraw."""
+
+    def __init__(self, serial: int, pending: int | None) -> None:
+        found = "nothing" if pending is None else f"serial {pending}"
+        super().__init__(f"serial {serial} was to be withdrawn, and {found} is pending")
+
+
 class StateSource(Protocol):
     """Decides on states and has them applied."""
 
--- a/sailhitch/daemon/tier_commands.py
+++ b/sailhitch/daemon/tier_commands.py
@@ -11,6 +11,7 @@
 from .admin_replies import FetchRecord
 from .intake import RoutedIntake
 from .schema import MAX_MEMBERS, TierMemberSection, TierSection
+from .source import PendingChangedError
 from .state_applier import ApplyError
 from .tier_decisions import wait_for_decision
 from .tier_link import TierLink, steady
@@ -27,10 +28,17 @@
         self.link = link
         self._intake = intake
 
-    async def withdraw(self) -> dict[str, Any]:
-        """Withdraw the pending version; raises ApplyError if there is none."""
+    async def withdraw(self, serial: int | None = None) -> dict[str, Any]:
+        """Withdraw the pending version, or only that of a serial.
+
+        Raises:
+            ApplyError: Nothing is pending, or not any more.
+            PendingChangedError: Another version than that of `serial` is pending, or none.
+        """
         member = self.link.member
         pending = None if member is None or member.chosen is None else member.chosen.state.pending
+        if serial is not None and (pending is None or pending.serial != serial):
+            raise PendingChangedError(serial, None if pending is None else pending.serial)
         if pending is None:
             raise ApplyError("nothing is pending")
         completed = await wait_for_decision(self.link, lambda m: m.withdraw(pending.serial))
--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -248,9 +248,9 @@
         base = self.base()
         return await self.changes.propose(base, with_node_ban(base.state, node, ban), by)
 
-    async def withdraw(self) -> dict[str, Any]:
-        """Withdraw the pending version; raises ApplyError."""
-        return await self.commands.withdraw()
+    async def withdraw(self, serial: int | None) -> dict[str, Any]:
+        """Withdraw the pending version, of this serial; raises as `TierCommands.withdraw` does."""
+        return await self.commands.withdraw(serial)
 
     async def evict(self, name: str) -> dict[str, Any]:
         """Stop changes from waiting for a member; raises ApplyError."""
--- a/tests/test_stale_plans.py
+++ b/tests/test_stale_plans.py
@@ -23,7 +23,7 @@
     diff,
     make_plan,
 )
-from sailhitch.daemon.source import StillPendingError
+from sailhitch.daemon.source import PendingChangedError, StillPendingError
 from sailhitch.daemon.state import State, with_node_ban
 from sailhitch.daemon.state_applier import ApplyError
 from sailhitch.daemon.store import AppliedState
@@ -183,6 +183,33 @@
     asyncio.run(run())
 
 
+def test_a_withdrawal_of_a_serial_leaves_another_pending_version(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against withdrawing a version that became pending after the operator had looked."""
+
+    async def run() -> None:
+        async with _tier_of_one(tmp_path) as tier:
+            held, real, base = asyncio.Event(), tier.state_applier.change, tier.base()
+
+            async def change(decided: Any) -> Any:
+                await held.wait()
+                return await real(decided)
+
+            with pytest.raises(PendingChangedError, match=r"serial 7 .* nothing is pending"):
+                await tier.withdraw(7)
+            monkeypatch.setattr(tier.state_applier, "change", change)
+            banning = asyncio.create_task(tier.ban("p/n5", _ban(), "other"))
+            await until(lambda: _register(tier).pending is not None)
+            with pytest.raises(PendingChangedError, match=rf"serial 7 .* {base.serial + 1} is"):
+                await tier.withdraw(7)
+            assert _register(tier).pending is not None
+            held.set()
+            assert "p/n5" in (await banning).state["bans"]
+
+    asyncio.run(run())
+
+
 # --- Operators of several gateways at once
 
 PLAY_NODES = 6
