Stalls of the event loop have a module of their own

Begin, end and total of the stalls were three fields of the core, whose rules stood in two of its methods; `core/stalls.py` has them now. No change of behaviour: 112 tests of stalls, ends, time left and layers pass.

--- a/sailhitch/core/core.py
+++ b/sailhitch/core/core.py
@@ -29,6 +29,7 @@
 from .request_context import RequestContext
 from .resource_limits import ResourceLimits
 from .response import Response
+from .stalls import StallHistory
 from .statistics import write_statistics
 from .timer_wheel import LATE, MS, NEVER, TIMER_DELAY, TimerQueue
 from .upload_deadlines import UploadDeadlines
@@ -85,9 +86,7 @@
         self.timers: TimerQueue[TimerTarget] = TimerQueue(
             loop, self.clock, self._fire, self._fire_failed, self._on_stall, _is_stale
         )
-        self.stalled_since = 0  # begin of the event loop's last stall
-        self.stalled_until = 0  # ...and its end
-        self.stalled_time = 0  # us, of all stalls
+        self.stalls = StallHistory()
         self.catching_up = False  # configuration that arrived during a stall is not applied yet
         self.periodic = PeriodicTasks(self)
         self.read_scheduler = ReadScheduler(loop)
@@ -164,16 +163,12 @@
         the stall before it evaluates a response that was delayed by it.
         """
         due = self.periodic.next_tick_at
-        if now - due > LATE and self.stalled_until < due:
+        if now - due > LATE and not self.stalls.is_recorded(due):
             self._on_stall(now, now - due)
 
     def _on_stall(self, now: int, late: int) -> None:
         self.logger.write_limited("stall", f"event loop stalled for {late // MS} ms")
-        self.stalled_since = now - late
-        # A stall that a response has told of is reported once more by its late timer.
-        duration = now - max(self.stalled_since, self.stalled_until)
-        self.stalled_time += duration
-        self.stalled_until = now
+        duration = self.stalls.record(now, late)
         for pool in self.pools:
             pool.on_stall(now, duration)
 
--- a/sailhitch/core/drain.py
+++ b/sailhitch/core/drain.py
@@ -23,8 +23,8 @@
 def earliest_signal(core: GatewayCore, now: int) -> int:
     """Return the earliest time at which a signal that is handled now may have come."""
     # The event loop handles signals some iterations after its overdue timers.
-    just_stalled = now - core.stalled_until <= LATE
-    return core.stalled_since if just_stalled else core.earliest_arrival(now)
+    just_stalled = now - core.stalls.until <= LATE
+    return core.stalls.since if just_stalled else core.earliest_arrival(now)
 
 
 def shorten_deadlines(core: GatewayCore) -> None:
--- a/sailhitch/core/pool.py
+++ b/sailhitch/core/pool.py
@@ -340,11 +340,11 @@
         loop was stalled for longer than it ran.
         """
         if status == AttemptOutcome.EXPIRED and attempt.written_at:
-            stalled_time = self.core.stalled_time - attempt.stalled_before
+            stalled_time = self.core.stalls.total - attempt.stalled_before
             return stalled_time <= (now - attempt.written_at) // 2
         if status != AttemptOutcome.TIMEOUT:
             return True
-        stalled = attempt.sent_at < self.core.stalled_until <= attempt.written_at
+        stalled = attempt.sent_at < self.core.stalls.until <= attempt.written_at
         return not stalled or now - attempt.written_at >= attempt.written_at - attempt.sent_at
 
     def on_malformed_response(self, server: str, reason: str) -> None:
--- a/sailhitch/core/request_context.py
+++ b/sailhitch/core/request_context.py
@@ -120,7 +120,7 @@
         self.sent_at = now
         self.expires_at = expires_at
         self.written_at = 0  # when its first byte was written
-        self.stalled_before = 0  # `GatewayCore.stalled_time` at that time
+        self.stalled_before = 0  # duration of all stalls until then
         self.timeout = 0  # allowed time after the last byte of a streamed body
         self.response_started = False  # its response is being streamed
         self.connect_by = 0  # time limit while it waits for a connection; 0 otherwise
--- a/sailhitch/net/upstream_connection.py
+++ b/sailhitch/net/upstream_connection.py
@@ -85,7 +85,7 @@
         self.attempt = attempt
         attempt.connection = self
         attempt.written_at = now
-        attempt.stalled_before = self.core.stalled_time
+        attempt.stalled_before = self.core.stalls.total
         self.upload = upload
         self.has_more_body = not last
         if count < len(first):
