--- a/sailhitch/policy/gateway.py
+++ b/sailhitch/policy/gateway.py
@@ -60,12 +60,7 @@
             self.port.log("the settings give no valid gateway index: this gateway uses all servers")
 
     def on_stall(self, now: int, duration: int) -> None:
-        """Record that this process was stalled until now, for `duration` microseconds.
-
-        Responses that were outstanding during the stall, and requests read right after it, are late
-        because of the stall and are no evidence of overload. If they were counted, one stall would
-        make the gateway shed load for seconds.
-        """
+        """Record that this process was stalled until now, for `duration` microseconds."""
         self.overload.record_stall(now, duration)
 
     def reconfigure(self, now: int, settings: Settings) -> None:
--- a/sailhitch/policy/overload.py
+++ b/sailhitch/policy/overload.py
@@ -124,7 +124,12 @@
     # --- Late responses
 
     def record_stall(self, now: int, duration: int) -> None:
-        """Record that this process was stalled until now, for `duration` microseconds."""
+        """Record that this process was stalled until now, for `duration` microseconds.
+
+        Responses that were outstanding during the stall, and requests read right after it, are late
+        because of the stall and are no evidence of overload. If they were counted, one stall would
+        make the gateway shed load for seconds.
+        """
         self.stalled_time += duration
         self.post_stall_until = now + POST_STALL_WINDOW
 
