A change in force is not answered with a failure because another one followed it

Operators saw: a plan or ban that had become active ended with exit 1, "serial 8 is not active", if another gateway's change became active before the operator's own gateway had applied it (full disk, a hold-up). `--wait` said that it was withdrawn. A gateway cut off while the voters completed its proposal said "made against serial 7, and the live state is 9" (exit 3). The change was in force.

Cause: the register holds the active version only, and whoever asked late took a later one for a sign that the earlier one never held. Members now record the versions that they have seen active; each one's base was active right before it. A serial that was active, was withdrawn or is not known gets three different answers, also for orders about zones and in `--wait`. A proposal that an abandoned attempt may have made is refused only if the version that won is known.

--- a/sailhitch/daemon/admin_requests.py
+++ b/sailhitch/daemon/admin_requests.py
@@ -135,12 +135,13 @@
         if tier is None:
             return error_reply(FAILED, NO_TIER)
         name = str(request.get("name", ""))
+        serial = request.get("serial")
+        serial = serial if isinstance(serial, int) else None
         try:
             if act == "status":
-                return tier.status()
+                return tier.status(serial)
             if act == "withdraw":
-                serial = request.get("serial")
-                return await tier.withdraw(serial if isinstance(serial, int) else None)
+                return await tier.withdraw(serial)
             if act == "gone":
                 return await tier.evict(name)
             if act == "join":
--- a/sailhitch/daemon/cli_gateway.py
+++ b/sailhitch/daemon/cli_gateway.py
@@ -64,7 +64,8 @@
     """Wait until a pending version is active or withdrawn; print the members it waits for."""
     last_printed = ""
     while True:
-        status = request_reply(options, None, {"op": "tier", "act": "status"})
+        request = {"op": "tier", "act": "status", "serial": serial}
+        status = request_reply(options, None, request)
         if status["pending"] != serial:
             break
         text = _confirmation_progress(serial, status)
@@ -72,12 +73,28 @@
             print(f"sailhitch: {text}", file=sys.stderr, flush=True)
         last_printed = text
         time.sleep(POLL_INTERVAL)
-    applied_serials = [record["serial"] for record in request_history(options)]
-    if serial != status["active"] and serial not in applied_serials:
-        raise CommandError(f"serial {serial} was withdrawn")
+    _check_was_active(options, serial, status)
     return {"ok": True, "serial": serial}
 
 
+def _check_was_active(options: argparse.Namespace, serial: int, status: Mapping[str, Any]) -> None:
+    """Raise CommandError if a version that is no longer pending is not known to have been active.
+
+    Later versions may have followed it before this gateway had applied it.
+    """
+    if serial == status["active"] or status.get("was_active"):
+        return
+    if serial in [record["serial"] for record in request_history(options)]:
+        return
+    # Gateways of earlier releases don't tell whether it was active.
+    if status.get("was_active", False) is False:
+        raise CommandError(f"serial {serial} was withdrawn")
+    raise CommandError(
+        f"serial {serial} is not pending any more, and this gateway does not know whether it was "
+        "active; do not repeat the change before `sailhitch state` shows what is in force"
+    )
+
+
 def _confirmation_progress(serial: int, status: Mapping[str, Any]) -> str:
     waiting_for = status["waiting_for"]
     member_count = sum(bool(member["inside"]) for member in status["members"])
--- a/sailhitch/daemon/tier_commands.py
+++ b/sailhitch/daemon/tier_commands.py
@@ -88,8 +88,8 @@
         if owners.get(address, name) != name:
             raise ApplyError(f"{address}: is the address of {owners[address]!r}")
 
-    def status(self) -> dict[str, Any]:
-        """Return the reply to `tier status`."""
+    def status(self, serial: int | None = None) -> dict[str, Any]:
+        """Return the reply to `tier status`; with a serial, also whether that was active."""
         member = self.link.member
         if member is None:
             return {"ok": True, "tier": self.part.name, "standing": "starting"}
@@ -105,6 +105,7 @@
             "bytes": self.link.sent_bytes,
             "refused_datagrams": {**self.link.wire.refused, **self.link.unsent},
             "held_back": self._intake.held_back,
+            **({} if serial is None else {"was_active": member.was_active(serial)}),
         }
 
 
--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -260,9 +260,9 @@
         """Add a member to the configuration; raises ApplyError."""
         return await self.commands.join(name, address)
 
-    def status(self) -> dict[str, Any]:
-        """Return the reply to `tier status`."""
-        return self.commands.status()
+    def status(self, serial: int | None = None) -> dict[str, Any]:
+        """Return the reply to `tier status`; with a serial, also whether that was active."""
+        return self.commands.status(serial)
 
 
 def _load_plan(text: str) -> Plan:
--- a/sailhitch/daemon/zone_coordinator.py
+++ b/sailhitch/daemon/zone_coordinator.py
@@ -203,9 +203,14 @@
             self.link,
             lambda m: m.propose_traffic_policy(traffic_policy.encode(), base, by, proposed_at),
         )
-        if completed.result is not ProposalResult.ACTIVE or completed.state.traffic_policy is None:
+        if completed.result is ProposalResult.UNKNOWN:
+            raise ApplyError(
+                "other orders about zones are in force by now, and this one may have been before "
+                "them: do not repeat it before `sailhitch zones status` shows what is"
+            )
+        if completed.version is None:
             raise ApplyError("another order about zones was decided first; check and try again")
-        return completed.state.traffic_policy
+        return completed.version
 
     # --- Operators' requests
 
--- a/sailhitch/lab/modelled.py
+++ b/sailhitch/lab/modelled.py
@@ -329,8 +329,9 @@
                 process.applied_versions is not None
                 and process.applied_versions.active.serial >= command.version.serial
             ):
-                same = process.applied_versions.active.serial == command.version.serial
-                self._finish_command(command, "active" if same else "refused")
+                assert process.member is not None
+                was_active = process.member.was_active(command.version.serial)
+                self._finish_command(command, "active" if was_active else "refused")
             elif now - command.since >= self.within:
                 self._finish_command(command, "pending")
             return
@@ -356,12 +357,12 @@
             head = done.state
             same = head.active.serial == command.version.serial and head.pending is None
             self._finish_command(command, "active" if same else "stale")
-        elif done.result in (ProposalResult.STALE, ProposalResult.BUSY):
+        elif done.result is ProposalResult.UNKNOWN:
+            self._finish_command(command, "refused")
+        elif done.version is None:
             self._finish_command(command, "stale")
         else:
-            command.version = (
-                done.state.active if done.result is ProposalResult.ACTIVE else done.state.pending
-            )
+            command.version = done.version
             command.since = now
 
     def _finish_command(self, command: _PendingCommand, end: str) -> None:
--- a/sailhitch/tier/__init__.py
+++ b/sailhitch/tier/__init__.py
@@ -17,6 +17,8 @@
     register_view     the latest chosen state a member knows, and what its process applies
     pending_change    what a pending version waits for, and its activation
     activation        the delay before a pending version is activated
+    active_versions   the versions that were active, as far as a member knows
+    proposal          what became of a proposal, also where others have followed it
     round_recovery    when a voter completes a round whose proposer may have ended
     lease             whether a member has recently heard from a majority of voters
     lease_renewal     when a member requests its lease
--- a/sailhitch/tier/effects.py
+++ b/sailhitch/tier/effects.py
@@ -47,15 +47,21 @@
     PENDING = "pending"  # chosen, and waits for confirmations
     STALE = "stale"  # made from a version that is no longer active
     BUSY = "busy"  # another change is pending
+    UNKNOWN = "unknown"  # others are active by now, and it may have been active before them
     NO_CHANGE = "none"  # there was nothing to do
 
 
 class JobCompleted(NamedTuple):
-    """A job has ended; `state` is the current one."""
+    """A job has ended; `state` is the current one.
+
+    `version` is the one that a proposal has become, if it was chosen: the active or the pending one
+    of `state`, or an earlier one that was active.
+    """
 
     job: int
     result: ProposalResult
     state: RegisterState
+    version: Version | None = None
 
 
 class LogEvent(NamedTuple):
--- a/sailhitch/tier/member.py
+++ b/sailhitch/tier/member.py
@@ -93,6 +93,10 @@
         """Return the latest chosen state that this member knows."""
         return self._register.chosen
 
+    def was_active(self, serial: int) -> bool | None:
+        """Return whether a version is or was active; None if this member does not know."""
+        return self._register.active_versions.was_active(serial)
+
     @property
     def applying(self) -> AppliedVersions | None:
         """Return the versions that the process was last asked to apply."""
--- a/sailhitch/tier/operator_commands.py
+++ b/sailhitch/tier/operator_commands.py
@@ -9,6 +9,7 @@
 from .messages import ChosenState, Version
 from .operator_checks import why_not_admitted, why_not_evictable
 from .parts import MemberParts
+from .proposal import Proposal
 from .proposer import Job
 from .register_view import LEFT_KEY, RegisterView
 from .transitions import (
@@ -48,12 +49,14 @@
             ValueError: A tree lacks pages that this member lacks too.
         """
         version = self._version(content, base, operator, when)
-        return self._add_job(propose_version(version, needs_confirmation), version.digest)
+        proposal = Proposal(version, self._register.active_versions)
+        return self._add_job(propose_version(version, needs_confirmation), version.digest, proposal)
 
     def propose_traffic_policy(self, content: bytes, base: int, operator: str, when: int) -> int:
         """Propose a traffic policy made from that of serial `base`; return the job's number."""
         version = self._version(content, base, operator, when)
-        return self._add_job(propose_traffic_policy(version), version.digest)
+        proposal = Proposal(version, self._register.traffic_policies)
+        return self._add_job(propose_traffic_policy(version), version.digest, proposal)
 
     def _version(self, content: bytes | Tree, base: int, operator: str, when: int) -> Version:
         """Return a version to propose, whose serial is assigned later."""
@@ -133,7 +136,9 @@
         change = change_configuration(chosen.state.configuration_digest, digest)
         return self._add_job(change, digest)
 
-    def _add_job(self, change: StateChange | None, digest: str | None) -> int:
+    def _add_job(
+        self, change: StateChange | None, digest: str | None, proposal: Proposal | None = None
+    ) -> int:
         """Queue a job; `digest` is that of a content to be offered until the job ends."""
         self._job_count += 1
         number = self._job_count
@@ -143,7 +148,11 @@
                 self._exchange.release_from_job(digest)
             if chosen is not None:
                 self._register.adopt_chosen(chosen, self._name)
-                self._outbox.effects.append(JobCompleted(number, result, chosen.state))
+                version = None
+                if proposal is not None:
+                    result, version = proposal.outcome(result, chosen.state, job.may_be_chosen)
+                self._outbox.effects.append(JobCompleted(number, result, chosen.state, version))
 
-        self._parts.proposer.add(Job(change, on_completed))
+        job = Job(change, on_completed)
+        self._parts.proposer.add(job)
         return number
--- a/sailhitch/tier/proposer.py
+++ b/sailhitch/tier/proposer.py
@@ -57,6 +57,7 @@
         self.on_completed = on_completed
         self.final = final
         self.reads = MAX_READS if with_ballot else 0
+        self.may_be_chosen = False  # an abandoned attempt may have been accepted by some voters
 
 
 class QuorumRead:
@@ -173,6 +174,8 @@
         """Abandon the attempt, and retry after a backoff that grows with the failures in a row."""
         if self.quorum_read is not None and self.quorum_read.has_unfinished():
             self.jobs[0].reads = MAX_READS  # continue with a round, which supersedes that one
+        if self.round is not None and self.round.transition is not None:
+            self.jobs[0].may_be_chosen = True
         self.round = None
         self.quorum_read = None
         self.failed_attempts += 1
--- a/sailhitch/tier/register_view.py
+++ b/sailhitch/tier/register_view.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .active_versions import ActiveVersions
 from .config import BootstrapVersion
 from .configuration import (
     EMPTY_CONFIGURATION,
@@ -50,6 +51,8 @@
         self._voter = parts.voter
         self._bootstrap_version = bootstrap_version
         self._on_adopted = on_adopted
+        self.active_versions = ActiveVersions()
+        self.traffic_policies = ActiveVersions()
         self.chosen: ChosenState | None = None
         if CHOSEN_KEY in persisted:
             self.chosen = msgspec.msgpack.decode(persisted[CHOSEN_KEY], type=ChosenState)
@@ -167,6 +170,9 @@
 
         Any member's message is trusted here, as messages are authenticated with the tier's key.
         """
+        self.active_versions.record(chosen.state.active)
+        if chosen.state.traffic_policy is not None:
+            self.traffic_policies.record(chosen.state.traffic_policy)
         current = self.chosen
         if current is not None and chosen.state.revision <= current.state.revision:
             is_same_revision = chosen.state.revision == current.state.revision
