A ban at a gateway that is a version behind is made to the newer version

Operators saw: `maintenance enter` ended with exit 3, "made against serial 2, and the live state is 3", or with "no such node", at a gateway that had not applied the newest version yet, though a ban is made from no version.

Cause: a ban was proposed from the version applied here, like a plan. Now, where that turns out to be behind, the gateway waits for the newer version and derives the change from it, for at most `agree_within`; the node and the ban are checked in the same version. A pending version still refuses it. A daemon alone makes these checks under its lock.

--- a/sailhitch/daemon/admin_requests.py
+++ b/sailhitch/daemon/admin_requests.py
@@ -100,14 +100,7 @@
 
     async def _ban(self, request: AdminRequest, by: str) -> ChangeReply:
         node = str(request.get("node", ""))
-        state = self.source.base().state
         out = bool(request.get("out"))
-        if out and node not in state["nodes"]:
-            text = f"{node!r}: no such node; `sailhitch hosts` lists them as pool/id"
-            return error_reply(FAILED, text)
-        if not out and node not in state["bans"]:
-            text = f"{node!r}: is not banned; `sailhitch maintenance list` lists the bans"
-            return error_reply(FAILED, text)
         ban = {
             "by": by,
             "when": self.state_applier.core.clock(),
--- a/sailhitch/daemon/plan.py
+++ b/sailhitch/daemon/plan.py
@@ -31,7 +31,10 @@
 
 
 class StaleBaseError(Exception):
-    """The live state is not the one that a plan was made against, whose serial is `since`."""
+    """The live state is not the one that a plan was made against, whose serial is `since`.
+
+    The live one's is `serial`; `pending` is that of a version of a tier that waits for members.
+    """
 
     def __init__(self, since: int, serial: int, pending: int | None = None) -> None:
         text = f"made against serial {since}, and the live state is {serial}"
@@ -39,6 +42,8 @@
             text = f"serial {pending} is pending; wait, or `sailhitch tier withdraw {pending}`"
         super().__init__(text)
         self.since = since
+        self.serial = serial
+        self.pending = pending
 
 
 @dataclass(frozen=True, slots=True)
--- a/sailhitch/daemon/source.py
+++ b/sailhitch/daemon/source.py
@@ -12,7 +12,7 @@
 from .plan import ROOT_PREFIX, Plan, compute_plan_result, identity, load_plan
 from .schema import OperatorFile
 from .state import State, from_file, with_bans, with_node_ban
-from .state_applier import StateApplier, StateChange
+from .state_applier import ApplyError, StateApplier, StateChange
 from .store import AppliedState, HistoryRecord, StoreError
 
 
@@ -34,6 +34,21 @@
         super().__init__(f"serial {serial} was to be withdrawn, and {found} is pending")
 
 
+class ChangeRefusedError(ApplyError):
+    """A change does not fit the state that it is made to; the text says why."""
+
+
+def checked_node_ban(state: State, node: str, ban: dict[str, Any] | None) -> State:
+    """Return a state with a node banned, or (None) its ban lifted; raises ChangeRefusedError."""
+    if ban is not None and node not in state["nodes"]:
+        raise ChangeRefusedError(f"{node!r}: no such node; `sailhitch hosts` lists them as pool/id")
+    if ban is None and node not in state["bans"]:
+        raise ChangeRefusedError(
+            f"{node!r}: is not banned; `sailhitch maintenance list` lists the bans"
+        )
+    return with_node_ban(state, node, ban)
+
+
 class StateSource(Protocol):
     """Decides on states and has them applied."""
 
@@ -149,7 +164,8 @@
     async def ban(self, node: str, ban: dict[str, Any] | None, by: str) -> AppliedState:
         """Ban a node, or (None) lift its ban; raises ApplyError."""
         async with self._deciding:
-            return await self._apply(with_node_ban(self.state_applier.applied.state, node, ban), by)
+            state = checked_node_ban(self.state_applier.applied.state, node, ban)
+            return await self._apply(state, by)
 
     async def _apply(self, state: State, by: str) -> AppliedState:
         if state == self.state_applier.applied.state:
--- a/sailhitch/daemon/tier_changes.py
+++ b/sailhitch/daemon/tier_changes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from ..pages import Tree
 from ..tier.effects import JobCompleted, ProposalResult
@@ -12,7 +13,7 @@
 from .plan import StaleBaseError
 from .rules import contradictions
 from .schema import TierSection
-from .source import StillPendingError
+from .source import ChangeRefusedError, StillPendingError
 from .state import State
 from .state_applier import ApplyError
 from .store import AppliedState
@@ -20,6 +21,9 @@
 from .version_applier import VersionApplier
 from .version_states import VersionStates
 
+DeriveState = Callable[[State], State]
+"""Derives a state from the active one; raises ChangeRefusedError if the change does not fit it."""
+
 
 class TierChanges:
     """Proposes states, and waits until this process has applied them."""
@@ -46,6 +50,33 @@
                 await self._wait_until_applied(serial)
         return self._applier.base
 
+    async def propose_on_latest(self, derive: DeriveState, operator: str) -> AppliedState:
+        """Propose a change that an operator has not made from any version, such as a ban.
+
+        Where this member turns out to be a version behind, it waits for that version, and derives
+        the state from it, but it begins no attempt later than it may wait for a change.
+
+        Raises as `propose` and `derive` do.
+        """
+        loop = asyncio.get_running_loop()
+        last_attempt_at = loop.time() + self.part.agree_within / 1e6
+        while True:
+            base = self._applier.base
+            try:
+                return await self.propose(base, derive(base.state), operator)
+            except ChangeRefusedError:
+                # The change may fit the version that is active, which this member lacks.
+                self._check_status()
+                active = (await wait_for_decision(self.link, Member.read)).state.active.serial
+                if active <= base.serial or loop.time() >= last_attempt_at:
+                    raise
+            except StaleBaseError as error:
+                active = error.serial
+                if error.pending is not None or loop.time() >= last_attempt_at:
+                    raise
+            if not await self._wait_until_applied(active):
+                raise StaleBaseError(base.serial, active)
+
     async def propose(self, base: AppliedState, state: State, operator: str) -> AppliedState:
         """Propose a state, and return it once this process has applied it as active.
 
--- a/sailhitch/daemon/tier_source.py
+++ b/sailhitch/daemon/tier_source.py
@@ -24,8 +24,8 @@
 from .intake import retry_soon_response
 from .plan import Plan, PlanError, compute_plan_result, load_plan
 from .schema import OperatorFile, TierSection, ZonesSection
-from .source import find_applied
-from .state import State, from_file, with_node_ban
+from .source import checked_node_ban, find_applied
+from .state import State, from_file
 from .state_applier import ApplyError, StateApplier, StateChange
 from .state_tree import to_tree
 from .store import AppliedState, HistoryRecord, Store
@@ -245,8 +245,9 @@
 
     async def ban(self, node: str, ban: dict[str, Any] | None, by: str) -> AppliedState:
         """Propose to ban a node, or (None) to lift its ban; raises as `apply_plan` does."""
-        base = self.base()
-        return await self.changes.propose(base, with_node_ban(base.state, node, ban), by)
+        return await self.changes.propose_on_latest(
+            lambda state: checked_node_ban(state, node, ban), by
+        )
 
     async def withdraw(self, serial: int | None) -> dict[str, Any]:
         """Withdraw the pending version, of this serial; raises as `TierCommands.withdraw` does."""
