A gateway that may not act says why, in place of a word of the protocol

Operators read "this gateway hearing; ask another one" for a change, a ban or an order about zones at a restarted gateway. It now says what `tier status` says: "this gateway is out, has not read the register from a majority of voters yet; ask another one". The check stood twice and is one function now.

--- a/sailhitch/daemon/tier_changes.py
+++ b/sailhitch/daemon/tier_changes.py
@@ -8,7 +8,7 @@
 
 from ..pages import Tree
 from ..tier.effects import JobCompleted, ProposalResult
-from ..tier.member import Member, MemberStatus
+from ..tier.member import Member
 from ..tier.messages import RegisterState, Version
 from .plan import StaleBaseError
 from .rules import contradictions
@@ -17,7 +17,7 @@
 from .state import State
 from .state_applier import ApplyError
 from .store import AppliedState
-from .tier_decisions import wait_for_decision
+from .tier_decisions import check_active, wait_for_decision
 from .version_applier import VersionApplier
 from .version_states import VersionStates
 
@@ -43,7 +43,7 @@
         Raises:
             ApplyError: This member may not act, or the register can't be read.
         """
-        self._check_status()
+        check_active(self.link)
         if self._applier.base.serial < serial:
             register = (await wait_for_decision(self.link, Member.read)).state
             if register.active.serial >= serial:
@@ -66,7 +66,7 @@
                 return await self.propose(base, derive(base.state), operator)
             except ChangeRefusedError:
                 # The change may fit the version that is active, which this member lacks.
-                self._check_status()
+                check_active(self.link)
                 active = (await wait_for_decision(self.link, Member.read)).state.active.serial
                 if active <= base.serial or loop.time() >= last_attempt_at:
                     raise
@@ -91,7 +91,7 @@
             StillPendingError: The state is decided but waits for members.
         """
         state = {**state, "listeners": {}}
-        self._check_status()
+        check_active(self.link)
         if state == base.state:
             # The version applied here may be outdated, so the register is read before reporting
             # that there is nothing to do.
@@ -161,12 +161,6 @@
             return False
         return True
 
-    def _check_status(self) -> None:
-        """Raise ApplyError if this member may not act."""
-        status = self.link.member_status()
-        if status is not MemberStatus.ACTIVE:
-            raise ApplyError(f"this gateway {status.value}; ask another one")
-
     def _not_active_error(self, serial: int) -> ApplyError | StillPendingError:
         """Return the error for a decided version that is not active here in time.
 
--- a/sailhitch/daemon/zone_coordinator.py
+++ b/sailhitch/daemon/zone_coordinator.py
@@ -32,7 +32,7 @@
 from .schema import GatewaySection, ZonesSection
 from .state import State
 from .state_applier import ApplyError, StateApplier
-from .tier_decisions import wait_for_decision
+from .tier_decisions import check_active, wait_for_decision
 from .tier_link import TierLink, steady
 
 MAX_NAMED: Final = 8  # members listed in a reply as not having applied an order
@@ -224,9 +224,7 @@
             return self.status()
         if self.part is None:
             raise ApplyError("this gateway's file has no [zones]")
-        status = self.link.member_status()
-        if status is not MemberStatus.ACTIVE:
-            raise ApplyError(f"this gateway {status.value}; ask another one")
+        check_active(self.link)
         base = self.controller.serial
         try:
             proposed = self.controller.operator_request(
--- a/tests/test_stale_plans.py
+++ b/tests/test_stale_plans.py
@@ -31,7 +31,7 @@
 from sailhitch.daemon.tier_source import TierStateSource
 from sailhitch.daemon.version_applier import VersionApplier
 from sailhitch.tier.effects import AppliedVersions
-from sailhitch.tier.member import Member
+from sailhitch.tier.member import Member, MemberStatus
 from sailhitch.tier.messages import RegisterState
 from sailhitch.zones.controller import PolicyProposal
 from sailhitch.zones.traffic_policy import EMPTY_POLICY
@@ -72,6 +72,27 @@
     monkeypatch.setattr(COMPUTE, interrupted)
 
 
+@pytest.mark.parametrize("status", [s for s in MemberStatus if s is not MemberStatus.ACTIVE])
+def test_a_member_that_may_not_act_says_why(
+    status: MemberStatus, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a refusal whose only reason is a word of the protocol."""
+
+    async def run() -> None:
+        async with _tier_of_one(tmp_path) as tier:
+            plan = _plan(tier, _all_weighted(tier.base().state, 2.0))
+            monkeypatch.setattr(tier.link, "member_status", lambda: status)
+            text = f"this gateway is out, {status.reason}; ask another one"
+            with pytest.raises(ApplyError, match=text):
+                await tier.apply_plan(plan, "operator")
+            with pytest.raises(ApplyError, match=text):
+                await tier.ban("p/n5", _ban(), "operator")
+            with pytest.raises(ApplyError, match=text):
+                await tier.ban("p/none", _ban(), "operator")
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("moment", ["before", "after"])
 @pytest.mark.parametrize("weight", [2.0, 1.0])  # one that changes the state, and one that doesn't
 def test_a_plan_is_refused_if_another_version_becomes_active_while_it_is_read(
