--- a/sailhitch/core/upload.py
+++ b/sailhitch/core/upload.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from .budget import Budget
 
@@ -34,6 +34,12 @@
         """Return whether the system would take more bytes now, as the host has read some."""
 
 
+Observation = tuple[Sink | None, int, int]
+"""The sink, the body's size so far, and how many bytes the system has not taken."""
+
+NOTHING_OBSERVED: Final[Observation] = (None, 0, 0)
+
+
 class Upload:
     """One body; its start, which arrived before there was a sink, can be sent again."""
 
@@ -67,7 +73,7 @@
         self.sink: Sink | None = None
         self._pending = bytearray()  # bytes of the current read
         self._reserved = 0
-        self._observed: tuple[Sink | None, int, int] = (None, 0, 0)
+        self._observed = NOTHING_OBSERVED
         self._progress_at = 0  # when `observe_progress` last saw a change
         self._reserve(len(start))
 
@@ -112,7 +118,7 @@
             self._observed = observed
             self._progress_at = now
 
-    def _observe(self) -> tuple[Sink | None, int, int]:
+    def _observe(self) -> Observation:
         unsent = self.sink.unsent_size() if self.sink is not None else 0
         return self.sink, self.size, unsent
 
@@ -146,12 +152,14 @@
         """Detach the sink of an attempt that is over."""
         if self.sink is sink:
             self.sink = None
+            self._observed = NOTHING_OBSERVED  # it holds the sink
 
     def close(self) -> None:
         """Discard the body, and bytes of it that still arrive, as the request is over."""
         if not self.abandoned:
             self.abandoned = True
             self.sink = None
+            self._observed = NOTHING_OBSERVED
             self.start = None
             self._pending.clear()
             self._reserve(0)
--- a/sailhitch/net/upstream_connection.py
+++ b/sailhitch/net/upstream_connection.py
@@ -130,12 +130,19 @@
             if not self.unsent_body:
                 self.unsent_body = None
             transport.write(piece)
+            # Once the event loop has passed on what the system takes now.
+            self.core.loop.call_soon(self._observe_upload)
         needs_more = (
             self.has_more_body and transport is not None and not transport.get_write_buffer_size()
         )
         if needs_more and self.upload is not None:
             self.upload.on_written(self)
 
+    def _observe_upload(self) -> None:
+        """Record that the system has taken more of the request body."""
+        if self.upload is not None:
+            self.upload.observe_progress(self.core.clock())
+
     def resume_writing(self) -> None:
         """Send more of the request body."""
         self._send_body()
--- a/tests/test_silent_hosts_in_stalls.py
+++ b/tests/test_silent_hosts_in_stalls.py
@@ -16,6 +16,7 @@
 from sailhitch.core.budget import Budget
 from sailhitch.core.request_context import RequestContext
 from sailhitch.core.upload import Upload
+from sailhitch.net.downstream import Downstream
 from tests import test_silent_hosts
 from tests.fake import S
 from tests.sockets import RunningGateway, answer, request, running_gateway, until
@@ -117,6 +118,31 @@
     asyncio.run(run())
 
 
+@FORMS
+def test_a_host_is_silent_since_it_last_took_something_and_not_since_a_sweep_saw_that(
+    form: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a silence that begins with a sweep, which a held-up gateway makes late."""
+    sweep = Downstream.sweep
+    monkeypatch.setattr(Downstream, "sweep", lambda connection, now: None)
+
+    async def run() -> None:
+        host = PausingHost()
+        async with gateway_before(host) as gateway:
+            client = await gateway.client()
+            answering = asyncio.create_task(client.answer())
+            await write(client, framed("r", BODY[: 512 * KB], form, 300))
+            await asyncio.sleep(0.65)
+            assert not answering.done()
+            sweep(gateway.clients()[-1], gateway.core.clock())
+            async with asyncio.timeout(0.2):
+                status, _ = await answering
+            assert status == 503
+            assert gateway.core.counters.statuses["stalled"] == 1
+
+    asyncio.run(run())
+
+
 def test_a_silent_host_is_found_out_in_stalls_by_a_buffered_request(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
