--- a/sailhitch/daemon/cli_scenario.py
+++ b/sailhitch/daemon/cli_scenario.py
@@ -11,7 +11,8 @@
 import json
 
 from ..lab.judge import table
-from ..lab.modelled import compare, play_modelled
+from ..lab.model_comparison import compare
+from ..lab.modelled import play_modelled
 from ..lab.scenario import ScenarioError, load_scenario
 from ..lab.tier import play
 from .cli_outcome import DONE, ERROR, CommandError
--- a/tests/test_tier_processes.py
+++ b/tests/test_tier_processes.py
@@ -11,7 +11,8 @@
 import pytest
 
 from sailhitch.lab.judge import CommandResult, Result, table
-from sailhitch.lab.modelled import ModelPlay, compare, play_modelled
+from sailhitch.lab.model_comparison import compare
+from sailhitch.lab.modelled import ModelPlay, play_modelled
 from sailhitch.lab.scenario import Scenario, load_scenario
 from sailhitch.lab.tier import play
 
