--- a/sailhitch/lab/ports.py
+++ b/sailhitch/lab/ports.py
@@ -6,7 +6,6 @@
 import os
 import random
 import socket
-import tempfile
 from pathlib import Path
 from typing import IO, Final
 
@@ -44,7 +43,8 @@
         return True
 
 
-_reservations = PortReservations(Path(tempfile.gettempdir()) / f"sailhitch-ports-{os.getuid()}")
+# Not in TMPDIR, which some processes have of their own.
+_reservations = PortReservations(Path("/tmp") / f"sailhitch-ports-{os.getuid()}")
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
+from pathlib import Path
 
 PROCESSES = 4
 PORTS_EACH = 5
@@ -18,14 +20,21 @@
 """
 
 
-def test_processes_that_run_beside_each_other_choose_different_ports() -> None:
+def _start(folder: Path) -> subprocess.Popen[str]:
+    """Start a process that chooses ports, with a folder for temporary files of its own."""
+    folder.mkdir()
+    return subprocess.Popen(
+        [sys.executable, "-c", CHOOSE],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"TMPDIR": str(folder)},
+    )
+
+
+def test_processes_that_run_beside_each_other_choose_different_ports(tmp_path: Path) -> None:
     """Guards against two soaks whose gateways share a port, so that clients reach the other's."""
-    processes = [
-        subprocess.Popen(
-            [sys.executable, "-c", CHOOSE], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
-        )
-        for _ in range(PROCESSES)
-    ]
+    processes = [_start(tmp_path / str(number)) for number in range(PROCESSES)]
     chosen: list[str] = []
     try:
         for process in processes:
